--- /dev/null
+++ b/org.oatlug.entry/src/org/oatlug/entry/EntryInstance.java
@@ -0,0 +1,256 @@
+// Copyright (c) 2026, the oatlug authors
+// SPDX-License-Identifier: BSD-3-Clause
+
+package org.oatlug.entry;
+
+import com.codahale.metrics.MetricRegistry;
+import com.google.common.flogger.FluentLogger;
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.VerticleBase;
+import io.vertx.ext.web.client.WebClient;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.List;
+import java.util.random.RandomGenerator;
+import org.oatlug.config.Settings;
+import org.oatlug.internal.billing.BillingSystem;
+import org.oatlug.internal.cascade.ConfidentStage;
+import org.oatlug.internal.config.ConfigurationSystem;
+import org.oatlug.internal.engine.LoadSystem;
+import org.oatlug.internal.engine.RatingClient;
+import org.oatlug.internal.engine.UpstreamCaller;
+import org.oatlug.internal.http.CallerServer;
+import org.oatlug.internal.http.OperatorServer;
+import org.oatlug.internal.http.Services;
+import org.oatlug.internal.ledger.ClaimDesk;
+import org.oatlug.internal.ledger.Ledger;
+import org.oatlug.internal.limit.OpenRequests;
+import org.oatlug.internal.limit.RetryBudget;
+import org.oatlug.internal.limit.WorkspaceLimits;
+import org.oatlug.internal.membership.Membership;
+import org.oatlug.internal.metrics.Meters;
+import org.oatlug.internal.peer.Member;
+import org.oatlug.internal.peer.PeerMessage;
+import org.oatlug.internal.peer.PeerNetwork;
+import org.oatlug.internal.peer.TcpPeers;
+import org.oatlug.internal.platform.HttpPlatform;
+import org.oatlug.internal.rollout.RolloutGuard;
+import org.oatlug.internal.routing.PredictedCost;
+import org.oatlug.internal.routing.Router;
+import org.oatlug.internal.session.SessionKeys;
+import org.oatlug.internal.table.Freshness;
+import org.oatlug.internal.table.Tables;
+import org.oatlug.internal.util.MonotonicClock;
+import org.oatlug.internal.util.PauseWatch;
+import org.oatlug.internal.util.TickSystem;
+import org.oatlug.platform.Platform;
+
+/**
+ * One entry instance, wired together on one event loop.
+ *
+ * <p>Invariant: tables and systems are only touched by the event loop of this verticle. A planned
+ * stop first stops being ready, goes on accepting while the balancer notices, finishes every open
+ * request and hands over what the ledger has not confirmed.
+ */
+final class EntryInstance extends VerticleBase {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final long TICK_MILLIS = 20;
+  private static final long STOP_POLL_MILLIS = 20;
+  private static final Duration HAND_OVER = Duration.ofSeconds(5);
+  private static final Duration CONFIRM_RETRY = Duration.ofSeconds(1);
+  private static final Duration NEWS_PATIENCE = Duration.ofMillis(500);
+
+  private final Settings settings;
+  private final InstantSource clock = MonotonicClock.create();
+  private final RandomGenerator random = RandomGenerator.getDefault();
+  private Services services;
+  private List<TickSystem> systems;
+  private boolean stopping;
+
+  EntryInstance(Settings settings) {
+    this.settings = settings;
+  }
+
+  @Override
+  public Future<?> start() {
+    Member self =
+        new Member(
+            settings.name(),
+            settings.zone(),
+            settings.rack(),
+            settings.peers().host(),
+            settings.peers().port(),
+            clock.instant().toEpochMilli(),
+            0,
+            Member.State.ALIVE);
+    Membership membership = Membership.create(self, clock, random);
+    membership.listed(settings.peers().seeds());
+    wire(membership);
+    vertx.setPeriodic(TICK_MILLIS, unused -> tick());
+    return CallerServer.create(services)
+        .listen()
+        .compose(unused -> OperatorServer.create(services, this::isReady).listen())
+        .onSuccess(unused -> logger.atInfo().log("instance %s listens", settings.name()));
+  }
+
+  private void wire(Membership membership) {
+    Meters meters = Meters.of(new MetricRegistry());
+    Freshness freshness =
+        Freshness.withBound(Duration.ofMillis(settings.limits().freshnessMillis()));
+    final Tables tables = Tables.create(freshness);
+    Platform platform = HttpPlatform.create(vertx, settings.platform());
+    LatePeers late = new LatePeers();
+    TcpPeers network = TcpPeers.create(vertx, settings.peers(), membership::self, late);
+    membership.connect(network);
+    final Ledger ledger =
+        Ledger.create(settings.ledger(), platform, clock, membership, network, meters.registry());
+    final BillingSystem billing =
+        BillingSystem.create(membership, network, ledger::submit, clock, meters);
+    final ClaimDesk claims = ClaimDesk.create(ledger::submit, membership, clock, meters);
+    ConfigurationSystem configuration =
+        ConfigurationSystem.create(
+            tables,
+            platform,
+            membership,
+            network,
+            new ConfigurationSystem.Support(clock, random, meters));
+    final RolloutGuard guard =
+        RolloutGuard.create(tables, platform, membership, network, clock, meters);
+    late.target = new PeerDispatch(tables, membership, configuration, ledger, billing, guard);
+    network.listen().onFailure(failure -> logger.atSevere().withCause(failure).log("peers"));
+    PauseWatch pause = PauseWatch.create(clock, () -> confirm(tables, configuration));
+    LoadSystem load =
+        LoadSystem.create(
+            settings.name(),
+            tables,
+            WebClient.create(vertx),
+            clock,
+            meters,
+            upstream -> tellLeaving(membership, network, upstream));
+    services =
+        new Services(
+            vertx,
+            settings,
+            clock,
+            tables,
+            router(),
+            UpstreamCaller.create(vertx),
+            claims,
+            ledger,
+            billing,
+            membership,
+            network,
+            configuration,
+            guard,
+            RatingClient.create(vertx, settings.rating(), meters),
+            new SessionKeys(settings.sessions().signing(), settings.sessions().keys()),
+            OpenRequests.withBound(settings.limits().openRequests()),
+            WorkspaceLimits.create(() -> membership.live().size()),
+            RetryBudget.create(),
+            pause,
+            meters);
+    systems =
+        List.of(
+            pause::check,
+            membership::tick,
+            configuration,
+            load,
+            ledger::tick,
+            claims,
+            billing,
+            guard);
+  }
+
+  private Router router() {
+    return Router.create(settings.zone(), ConfidentStage.create(), PredictedCost.create(), random);
+  }
+
+  private void tick() {
+    for (TickSystem system : systems) {
+      system.tick();
+    }
+  }
+
+  private boolean isReady() {
+    boolean configured = !services.tables().catalogue().isEmpty();
+    return configured && !stopping && services.tables().freshness().isConfirmed();
+  }
+
+  /** Confirms the configuration after a pause; goes on unconfirmed when nobody can be reached. */
+  private void confirm(Tables tables, ConfigurationSystem configuration) {
+    logger.atWarning().log("the process stood still; its configuration is confirmed anew");
+    services.meters().count("pause");
+    tables.freshness().doubt();
+    configuration
+        .confirm()
+        .subscribe()
+        .with(
+            unused -> tables.freshness().confirm(),
+            failure ->
+                vertx.setTimer(CONFIRM_RETRY.toMillis(), timer -> confirm(tables, configuration)));
+  }
+
+  private void tellLeaving(Membership membership, PeerNetwork network, String upstream) {
+    logger.atInfo().log("upstream %s is leaving", upstream);
+    PeerMessage news = new PeerMessage.UpstreamLeaving(upstream);
+    for (Member peer : membership.live()) {
+      if (!membership.isSelf(peer)) {
+        network.ask(peer, news, NEWS_PATIENCE).subscribe().with(done -> {}, failure -> {});
+      }
+    }
+  }
+
+  /** Stops as planned; the result comes when nothing is open any more. */
+  Future<Void> drain() {
+    Promise<Void> promise = Promise.promise();
+    context.runOnContext(
+        unused -> {
+          logger.atInfo().log("instance %s stops as planned", settings.name());
+          stopping = true;
+          services.membership().leave();
+          long lag = Math.max(1, settings.limits().drainMillis());
+          vertx.setTimer(lag, timer -> finishOpen(promise));
+        });
+    return promise.future();
+  }
+
+  private void finishOpen(Promise<Void> promise) {
+    services.open().stop();
+    vertx.setPeriodic(
+        STOP_POLL_MILLIS,
+        timer -> {
+          if (services.open().count() == 0) {
+            vertx.cancelTimer(timer);
+            handOver(promise, clock.instant().plus(HAND_OVER));
+          }
+        });
+  }
+
+  /** Waits for the ledger; what it has not confirmed by then is with the witnesses. */
+  private void handOver(Promise<Void> promise, Instant limit) {
+    vertx.setPeriodic(
+        STOP_POLL_MILLIS,
+        timer -> {
+          int left = services.billing().unconfirmed() + services.claims().unrecorded();
+          if (left == 0 || clock.instant().isAfter(limit)) {
+            vertx.cancelTimer(timer);
+            logger.atInfo().log("instance %s stopped, %d entries left", settings.name(), left);
+            promise.tryComplete();
+          }
+        });
+  }
+
+  /** Stands in for the dispatch while the parts that it needs are made. */
+  private static final class LatePeers implements org.oatlug.internal.peer.PeerHandler {
+    private org.oatlug.internal.peer.PeerHandler target =
+        (from, message) ->
+            io.smallrye.mutiny.Uni.createFrom().item(new PeerMessage.Failed("starting"));
+
+    @Override
+    public io.smallrye.mutiny.Uni<PeerMessage> handle(Member from, PeerMessage message) {
+      return target.handle(from, message);
+    }
+  }
+}
--- /dev/null
+++ b/org.oatlug.entry/src/org/oatlug/entry/Oatlugd.java
@@ -0,0 +1,97 @@
+// Copyright (c) 2026, the oatlug authors
+// SPDX-License-Identifier: BSD-3-Clause
+
+package org.oatlug.entry;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
+import io.vertx.core.file.FileSystemOptions;
+import java.nio.file.Path;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.DefaultParser;
+import org.apache.commons.cli.Options;
+import org.apache.commons.cli.ParseException;
+import org.oatlug.config.Settings;
+import org.oatlug.config.SettingsFile;
+import org.oatlug.errors.SettingsInvalidException;
+
+/**
+ * The daemon: {@code oatlugd --settings FILE [--check]}.
+ *
+ * <p>Exit codes: 0 after a planned stop or a good check, 1 when it cannot start, 2 for wrong
+ * arguments or settings.
+ */
+public final class Oatlugd {
+  private static final int FAILED = 1;
+  private static final int WRONG = 2;
+  private static final long START_SECONDS = 30;
+  private static final long DRAIN_MINUTES = 15;
+  private static final String USAGE = "usage: oatlugd --settings FILE [--check]";
+
+  private Oatlugd() {}
+
+  /** Runs the daemon. */
+  public static void main(String[] arguments) {
+    try {
+      CommandLine line = new DefaultParser().parse(options(), arguments);
+      if (line.hasOption("help") || !line.hasOption("settings")) {
+        System.err.println(USAGE);
+        System.exit(line.hasOption("help") ? 0 : WRONG);
+      }
+      Settings settings = SettingsFile.read(Path.of(line.getOptionValue("settings")));
+      if (line.hasOption("check")) {
+        System.out.println("settings are good");
+        return;
+      }
+      run(settings);
+    } catch (ParseException e) {
+      System.err.println(e.getMessage() + System.lineSeparator() + USAGE);
+      System.exit(WRONG);
+    } catch (SettingsInvalidException e) {
+      e.problems().forEach(System.err::println);
+      System.exit(WRONG);
+    }
+  }
+
+  private static Options options() {
+    return new Options()
+        .addOption(null, "settings", true, "the settings file")
+        .addOption(null, "check", false, "check the settings and stop")
+        .addOption(null, "help", false, "show the usage");
+  }
+
+  private static void run(Settings settings) {
+    FileSystemOptions files =
+        new FileSystemOptions().setClassPathResolvingEnabled(false).setFileCachingEnabled(false);
+    VertxOptions options = new VertxOptions().setEventLoopPoolSize(1).setFileSystemOptions(files);
+    Vertx vertx = Vertx.vertx(options);
+    EntryInstance instance = new EntryInstance(settings);
+    try {
+      vertx
+          .deployVerticle(instance)
+          .toCompletionStage()
+          .toCompletableFuture()
+          .get(START_SECONDS, TimeUnit.SECONDS);
+    } catch (ExecutionException | TimeoutException | InterruptedException e) {
+      System.err.println("cannot start: " + e.getMessage());
+      Runtime.getRuntime().halt(FAILED);
+    }
+    Runtime.getRuntime().addShutdownHook(new Thread(() -> drain(instance), "drain"));
+  }
+
+  private static void drain(EntryInstance instance) {
+    try {
+      instance
+          .drain()
+          .toCompletionStage()
+          .toCompletableFuture()
+          .get(DRAIN_MINUTES, TimeUnit.MINUTES);
+      Runtime.getRuntime().halt(0);
+    } catch (ExecutionException | TimeoutException | InterruptedException e) {
+      Runtime.getRuntime().halt(FAILED);
+    }
+  }
+}
--- /dev/null
+++ b/org.oatlug.entry/src/org/oatlug/entry/PeerDispatch.java
@@ -0,0 +1,71 @@
+// Copyright (c) 2026, the oatlug authors
+// SPDX-License-Identifier: BSD-3-Clause
+
+package org.oatlug.entry;
+
+import io.smallrye.mutiny.Uni;
+import org.oatlug.internal.billing.BillingSystem;
+import org.oatlug.internal.config.ConfigurationSystem;
+import org.oatlug.internal.ledger.Ledger;
+import org.oatlug.internal.membership.Membership;
+import org.oatlug.internal.peer.Member;
+import org.oatlug.internal.peer.PeerHandler;
+import org.oatlug.internal.peer.PeerMessage;
+import org.oatlug.internal.rollout.RolloutGuard;
+import org.oatlug.internal.table.Tables;
+
+/**
+ * Hands each message of a peer to the system that it is for. Used from one event loop.
+ *
+ * @param tables the tables
+ * @param membership answers probes
+ * @param configuration answers digests and takes objects
+ * @param ledger takes entries
+ * @param billing takes bills
+ * @param guard takes evidence
+ */
+record PeerDispatch(
+    Tables tables,
+    Membership membership,
+    ConfigurationSystem configuration,
+    Ledger ledger,
+    BillingSystem billing,
+    RolloutGuard guard)
+    implements PeerHandler {
+
+  @Override
+  public Uni<PeerMessage> handle(Member from, PeerMessage message) {
+    if (message instanceof PeerMessage.Ping || message instanceof PeerMessage.PingFor) {
+      return membership.handle(from, message);
+    }
+    if (message instanceof PeerMessage.Digest
+        || message instanceof PeerMessage.BucketDigests
+        || message instanceof PeerMessage.Objects) {
+      return configuration.handle(from, message);
+    }
+    if (message instanceof PeerMessage.Submit submit) {
+      return ledger.submitted(submit);
+    }
+    return Uni.createFrom().item(answerAtOnce(from, message));
+  }
+
+  private PeerMessage answerAtOnce(Member from, PeerMessage message) {
+    if (message instanceof PeerMessage.HoldBill || message instanceof PeerMessage.DropBills) {
+      return billing.handle(message);
+    }
+    if (message instanceof PeerMessage.VersionQuery query) {
+      String kind = query.key().kind();
+      long version = tables.catalogue().objectVersion(kind, query.key().name());
+      return new PeerMessage.VersionAnswer(version);
+    }
+    if (message instanceof PeerMessage.UpstreamLeaving leaving) {
+      tables.upstreams().row(leaving.upstream()).markLeaving();
+      return new PeerMessage.Done();
+    }
+    if (message instanceof PeerMessage.GuardEvidence evidence) {
+      guard.handle(from, evidence);
+      return new PeerMessage.Done();
+    }
+    return new PeerMessage.Failed("unexpected message");
+  }
+}
--- /dev/null
+++ b/org.oatlug.pgm/src/org/oatlug/pgm/Session.java
@@ -0,0 +1,127 @@
+// Copyright (c) 2026, the oatlug authors
+// SPDX-License-Identifier: BSD-3-Clause
+
+package org.oatlug.pgm;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.smallrye.mutiny.Uni;
+import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
+import io.vertx.core.file.FileSystemOptions;
+import io.vertx.ext.web.client.HttpRequest;
+import io.vertx.ext.web.client.WebClient;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.time.Duration;
+import java.util.Optional;
+import org.oatlug.config.Settings;
+import org.oatlug.errors.OatlugException;
+import org.oatlug.errors.PlatformUnavailableException;
+import org.oatlug.errors.UsageException;
+import org.oatlug.internal.platform.HttpPlatform;
+import org.oatlug.internal.util.Json;
+import org.oatlug.internal.util.Unis;
+import org.oatlug.platform.Platform;
+
+/** The connections and the output of one call of the command line. Used from one thread. */
+final class Session implements AutoCloseable {
+  private static final Duration PATIENCE = Duration.ofSeconds(20);
+  private static final long REQUEST_MILLIS = 5000;
+
+  private Optional<Vertx> vertx = Optional.empty();
+  private final Optional<Settings.Address> platform;
+  private final Optional<Settings.Address> instance;
+  private final boolean json;
+  private final PrintStream out;
+
+  private Session(
+      Optional<Settings.Address> platform,
+      Optional<Settings.Address> instance,
+      boolean json,
+      PrintStream out) {
+    this.platform = platform;
+    this.instance = instance;
+    this.json = json;
+    this.out = out;
+  }
+
+  static Session open(
+      Optional<Settings.Address> platform,
+      Optional<Settings.Address> instance,
+      boolean json,
+      PrintStream out) {
+    return new Session(platform, instance, json, out);
+  }
+
+  /** Returns the runtime, started on first use, because a check without connection needs none. */
+  private Vertx vertx() {
+    if (vertx.isEmpty()) {
+      FileSystemOptions files =
+          new FileSystemOptions().setClassPathResolvingEnabled(false).setFileCachingEnabled(false);
+      VertxOptions options = new VertxOptions().setEventLoopPoolSize(1);
+      vertx = Optional.of(Vertx.vertx(options.setFileSystemOptions(files)));
+    }
+    return vertx.get();
+  }
+
+  /** Returns the platform that the caller named. */
+  Platform platform() throws UsageException {
+    Settings.Address address =
+        platform.orElseThrow(() -> new UsageException("--platform HOST:PORT is missing"));
+    return HttpPlatform.create(vertx(), address);
+  }
+
+  /** Returns the answer of the instance's operator port. */
+  JsonNode askInstance(String path, String... parameters) throws OatlugException {
+    Settings.Address address =
+        instance.orElseThrow(() -> new UsageException("--instance HOST:PORT is missing"));
+    HttpRequest<io.vertx.core.buffer.Buffer> request =
+        WebClient.create(vertx()).get(address.port(), address.host(), path).timeout(REQUEST_MILLIS);
+    for (int index = 0; index < parameters.length; index += 2) {
+      request.addQueryParam(parameters[index], parameters[index + 1]);
+    }
+    String body =
+        await(
+            Unis.fromFuture(request::send)
+                .map(io.vertx.ext.web.client.HttpResponse::bodyAsString)
+                .onFailure()
+                .transform(e -> new PlatformUnavailableException(address + path, e)));
+    try {
+      return Json.STRICT.readTree(body);
+    } catch (IOException e) {
+      throw new PlatformUnavailableException(address + path, e);
+    }
+  }
+
+  /** Waits for the item. */
+  <T> T await(Uni<T> uni) throws OatlugException {
+    try {
+      return uni.await().atMost(PATIENCE);
+    } catch (RuntimeException e) {
+      Throwable cause = e.getCause() == null ? e : e.getCause();
+      if (cause instanceof OatlugException known) {
+        throw known;
+      }
+      throw new PlatformUnavailableException("in time", e);
+    }
+  }
+
+  boolean isJson() {
+    return json;
+  }
+
+  /** Prints a line. */
+  void print(String line) {
+    out.println(line);
+  }
+
+  /** Prints a value as JSON for programs, or the table for people. */
+  void print(JsonNode value, TextTable table) {
+    out.println(json ? value.toPrettyString() : table.toString());
+  }
+
+  @Override
+  public void close() {
+    vertx.ifPresent(Vertx::close);
+  }
+}
--- /dev/null
+++ b/org.oatlug.pgm/src/org/oatlug/pgm/package-info.java
@@ -0,0 +1,2 @@
+/** The operators' command line, one class a command. */
+package org.oatlug.pgm;
--- /dev/null
+++ b/org.oatlug.test/tst/org/oatlug/test/ObjectJoinTest.java
@@ -0,0 +1,70 @@
+// Copyright (c) 2026, the oatlug authors
+// SPDX-License-Identifier: BSD-3-Clause
+
+package org.oatlug.test;
+
+import static org.testng.Assert.assertEquals;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.oatlug.api.ObjectKey;
+import org.oatlug.internal.config.ObjectJoin;
+import org.oatlug.internal.util.Json;
+import org.oatlug.platform.StoredObject;
+
+/** Shows that published objects never revert, whatever the order, loss and repetition. */
+class ObjectJoinTest {
+  private static final String SEED = "20261202";
+
+  @Property(seed = SEED)
+  void testAnyOrderAndRepetitionEndsAtTheSameObjects(
+      @ForAll @Size(max = 40) List<@IntRange(min = 0, max = 5) Integer> names,
+      @ForAll @IntRange(min = 0, max = 1000) int shuffle) {
+    List<StoredObject> history = history(names);
+    List<StoredObject> disturbed = new ArrayList<>(history);
+    disturbed.addAll(history.subList(0, history.size() / 2));
+    Collections.shuffle(disturbed, new Random(shuffle));
+    ObjectJoin inOrder = joinOf(history);
+    ObjectJoin inDisorder = joinOf(disturbed);
+    assertEquals(List.copyOf(inDisorder.all()), List.copyOf(inOrder.all()));
+    assertEquals(inDisorder.digest(), inOrder.digest());
+    assertEquals(inDisorder.bucketDigests(), inOrder.bucketDigests());
+  }
+
+  @Property(seed = SEED)
+  void testLateObjectLowersNoVersion(
+      @ForAll @Size(min = 1, max = 40) List<@IntRange(min = 0, max = 3) Integer> names,
+      @ForAll @IntRange(min = 0, max = 1000) int shuffle) {
+    List<StoredObject> disturbed = new ArrayList<>(history(names));
+    Collections.shuffle(disturbed, new Random(shuffle));
+    ObjectJoin join = ObjectJoin.create();
+    for (StoredObject object : disturbed) {
+      long before = join.get(object.key()).map(StoredObject::version).orElse(0L);
+      join.merge(object);
+      long after = join.get(object.key()).orElseThrow().version();
+      assertEquals(after, Math.max(before, object.version()));
+    }
+  }
+
+  private static ObjectJoin joinOf(List<StoredObject> objects) {
+    ObjectJoin join = ObjectJoin.create();
+    objects.forEach(join::merge);
+    return join;
+  }
+
+  /** Returns one object a name, its platform version growing along the list. */
+  private static List<StoredObject> history(List<Integer> names) {
+    List<StoredObject> history = new ArrayList<>();
+    for (int index = 0; index < names.size(); index++) {
+      ObjectKey key = ObjectKey.valueOf("version", "v" + names.get(index));
+      history.add(new StoredObject(key, index + 1, Json.STRICT.createObjectNode()));
+    }
+    return history;
+  }
+}
--- /dev/null
+++ b/org.oatlug.test/tst/org/oatlug/test/package-info.java
@@ -0,0 +1,2 @@
+/** The tests of all modules. */
+package org.oatlug.test;
--- /dev/null
+++ b/org.oatlug/src/org/oatlug/api/RefusalReason.java
@@ -0,0 +1,56 @@
+// Copyright (c) 2026, the oatlug authors
+// SPDX-License-Identifier: BSD-3-Clause
+
+package org.oatlug.api;
+
+import java.util.Locale;
+
+/**
+ * Why a request was refused; each reason has a counter of its own. Immutable.
+ *
+ * <p>The number is the HTTP status that the caller receives.
+ */
+public enum RefusalReason {
+  KEY_MISSING(401),
+  KEY_UNKNOWN(401),
+  BODY_INVALID(400),
+  BODY_TOO_LARGE(413),
+  HEADER_INVALID(400),
+  MODEL_UNKNOWN(404),
+  ROUTE_UNKNOWN(404),
+  NOT_ALLOWED(403),
+  SESSION_INVALID(400),
+  VERSION_WITHDRAWN(409),
+  RATE_LIMITED(429),
+  OVERLOADED(503),
+  DEADLINE_PASSED(504),
+  NO_UPSTREAM(503),
+  UPSTREAM_FAILED(502),
+  UPSTREAM_REFUSED(503),
+  LEDGER_UNAVAILABLE(503),
+  STILL_RUNNING(409),
+  ANSWER_LOST(409),
+  MAY_HAVE_RUN(409),
+  KEY_REUSED(422),
+  KEY_EXPIRED(409),
+  WITNESS_FULL(503),
+  NOT_READY(503),
+  STOPPING(503),
+  CONFIGURATION_UNCONFIRMED(503);
+
+  private final int status;
+
+  RefusalReason(int status) {
+    this.status = status;
+  }
+
+  /** Returns the HTTP status of this reason. */
+  public int status() {
+    return status;
+  }
+
+  /** Returns the name used in answers and metrics, such as {@code rate-limited}. */
+  public String text() {
+    return name().toLowerCase(Locale.ROOT).replace('_', '-');
+  }
+}
--- /dev/null
+++ b/org.oatlug/src/org/oatlug/config/Kinds.java
@@ -0,0 +1,106 @@
+// Copyright (c) 2026, the oatlug authors
+// SPDX-License-Identifier: BSD-3-Clause
+
+package org.oatlug.config;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonMappingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.stream.Collectors;
+import org.oatlug.api.ObjectKey;
+import org.oatlug.errors.ConfigurationInvalidException;
+import org.oatlug.internal.util.Json;
+
+/**
+ * The catalogue of configuration kinds and the reading of their content.
+ *
+ * <p>Invariant: content is either read whole and typed or refused with the path of the field at
+ * fault. Stateless, thread-safe.
+ */
+public final class Kinds {
+  public static final String WORKSPACE = "workspace";
+  public static final String MODEL = "model";
+  public static final String VERSION = "version";
+  public static final String CASCADE = "cascade";
+  public static final String POLICY = "policy";
+  public static final String ROLLOUT = "rollout";
+  public static final String UPSTREAM = "upstream";
+  public static final String SERVICE = "service";
+
+  /** All kinds, in the order in which a deployment publishes them. */
+  public static final List<String> ALL =
+      List.of(MODEL, VERSION, CASCADE, POLICY, WORKSPACE, SERVICE, UPSTREAM, ROLLOUT);
+
+  static final String PUBLISH_ID = "publishId";
+
+  private static final String DELETED = "deleted";
+  private static final Map<String, Class<?>> TYPES =
+      Map.of(
+          WORKSPACE, Workspace.class,
+          MODEL, Model.class,
+          VERSION, Version.class,
+          CASCADE, Cascade.class,
+          POLICY, Policy.class,
+          ROLLOUT, Rollout.class,
+          UPSTREAM, Upstream.class,
+          SERVICE, Service.class);
+
+  private Kinds() {}
+
+  /**
+   * Reads the content of an object.
+   *
+   * @return the typed content, empty for a tombstone
+   * @throws ConfigurationInvalidException if the kind or a field is unknown, missing or wrong
+   */
+  public static Optional<Object> read(ObjectKey key, JsonNode value)
+      throws ConfigurationInvalidException {
+    Class<?> type = TYPES.get(key.kind());
+    if (type == null) {
+      throw new ConfigurationInvalidException(key.toString(), "unknown kind");
+    }
+    if (isTombstone(value)) {
+      return Optional.empty();
+    }
+    try {
+      Object content = Json.STRICT.treeToValue(withoutPublishId(value), type);
+      ContentRules.check(key, content);
+      return Optional.of(content);
+    } catch (JsonMappingException e) {
+      throw new ConfigurationInvalidException(key + fieldPath(e), e.getOriginalMessage());
+    } catch (JsonProcessingException e) {
+      throw new ConfigurationInvalidException(key.toString(), e.getOriginalMessage());
+    }
+  }
+
+  /** Returns the content without the mark of the publish that wrote it. */
+  public static JsonNode withoutPublishId(JsonNode value) {
+    if (value instanceof ObjectNode object && object.has(PUBLISH_ID)) {
+      return object.deepCopy().without(PUBLISH_ID);
+    }
+    return value;
+  }
+
+  /** Returns the content that marks a deleted object. */
+  public static ObjectNode tombstone() {
+    return Json.STRICT.createObjectNode().put(DELETED, true);
+  }
+
+  /** Returns whether {@code value} marks a deleted object. */
+  public static boolean isTombstone(JsonNode value) {
+    return value.path(DELETED).asBoolean(false);
+  }
+
+  private static String fieldPath(JsonMappingException failure) {
+    return failure.getPath().stream()
+        .map(JsonMappingException.Reference::getFieldName)
+        .filter(Objects::nonNull)
+        .map(name -> "." + name)
+        .collect(Collectors.joining());
+  }
+}
--- /dev/null
+++ b/org.oatlug/src/org/oatlug/config/SettingsFile.java
@@ -0,0 +1,64 @@
+// Copyright (c) 2026, the oatlug authors
+// SPDX-License-Identifier: BSD-3-Clause
+
+package org.oatlug.config;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.networknt.schema.JsonSchema;
+import com.networknt.schema.JsonSchemaFactory;
+import com.networknt.schema.SpecVersion;
+import com.networknt.schema.ValidationMessage;
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import org.oatlug.errors.SettingsInvalidException;
+import org.oatlug.internal.util.Json;
+
+/**
+ * Reads and checks a settings file against its schema.
+ *
+ * <p>Invariant: settings are taken whole or not at all. Stateless, thread-safe.
+ */
+public final class SettingsFile {
+  private static final String SCHEMA = "settings.schema.json";
+
+  private SettingsFile() {}
+
+  /**
+   * Reads a file.
+   *
+   * @throws SettingsInvalidException if it cannot be read or breaks the schema, with the path of
+   *     each field at fault
+   */
+  public static Settings read(Path file) throws SettingsInvalidException {
+    JsonNode tree = readTree(file);
+    List<String> problems =
+        schema().validate(tree).stream().map(ValidationMessage::getMessage).sorted().toList();
+    if (!problems.isEmpty()) {
+      throw new SettingsInvalidException(problems);
+    }
+    try {
+      return Json.STRICT.treeToValue(tree, Settings.class);
+    } catch (JsonProcessingException e) {
+      throw new SettingsInvalidException(List.of(e.getOriginalMessage()));
+    }
+  }
+
+  private static JsonNode readTree(Path file) throws SettingsInvalidException {
+    try {
+      return Json.STRICT.readTree(Files.readString(file));
+    } catch (JsonProcessingException e) {
+      throw new SettingsInvalidException(List.of(file + ": " + e.getOriginalMessage()));
+    } catch (IOException e) {
+      throw new SettingsInvalidException(List.of(file + ": cannot be read"));
+    }
+  }
+
+  private static JsonSchema schema() {
+    InputStream stream = SettingsFile.class.getResourceAsStream(SCHEMA);
+    return JsonSchemaFactory.getInstance(SpecVersion.VersionFlag.V202012).getSchema(stream);
+  }
+}
--- /dev/null
+++ b/org.oatlug/src/org/oatlug/errors/PeerUnavailableException.java
@@ -0,0 +1,26 @@
+// Copyright (c) 2026, the oatlug authors
+// SPDX-License-Identifier: BSD-3-Clause
+
+package org.oatlug.errors;
+
+/** A peer that cannot be reached or did not answer in time. Immutable. */
+public final class PeerUnavailableException extends OatlugException {
+  private static final long serialVersionUID = 1L;
+
+  private final String peer;
+
+  /**
+   * Creates the failure.
+   *
+   * @param peer the name of the peer
+   */
+  public PeerUnavailableException(String peer) {
+    super(ErrorText.format(ErrorText.get().peerUnavailable, peer));
+    this.peer = peer;
+  }
+
+  /** Returns the name of the peer. */
+  public String peer() {
+    return peer;
+  }
+}
--- /dev/null
+++ b/org.oatlug/src/org/oatlug/errors/package-info.java
@@ -0,0 +1,2 @@
+/** One checked exception class for each failure. */
+package org.oatlug.errors;
--- /dev/null
+++ b/org.oatlug/src/org/oatlug/internal/billing/package-info.java
@@ -0,0 +1,2 @@
+/** Bills that two witnesses hold until the ledger has them. */
+package org.oatlug.internal.billing;
--- /dev/null
+++ b/org.oatlug/src/org/oatlug/internal/cascade/package-info.java
@@ -0,0 +1,2 @@
+/** The choice of the cascade stage from rated answers. */
+package org.oatlug.internal.cascade;
--- /dev/null
+++ b/org.oatlug/src/org/oatlug/internal/config/Catalogue.java
@@ -0,0 +1,225 @@
+// Copyright (c) 2026, the oatlug authors
+// SPDX-License-Identifier: BSD-3-Clause
+
+package org.oatlug.internal.config;
+
+import com.google.common.flogger.FluentLogger;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.oatlug.api.ObjectKey;
+import org.oatlug.api.VersionState;
+import org.oatlug.config.Cascade;
+import org.oatlug.config.Kinds;
+import org.oatlug.config.Policy;
+import org.oatlug.config.Rollout;
+import org.oatlug.config.Service;
+import org.oatlug.config.Upstream;
+import org.oatlug.config.Version;
+import org.oatlug.config.Workspace;
+import org.oatlug.errors.ConfigurationInvalidException;
+import org.oatlug.errors.PolicyInvalidException;
+import org.oatlug.platform.StoredObject;
+
+/**
+ * The typed view of the published objects, with the indexes of the request path.
+ *
+ * <p>Invariant: it shows the newest version of each object. An object that cannot be read is
+ * absent, so references to it deny. Owned by one event loop, not thread-safe.
+ */
+public final class Catalogue {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  private final ObjectJoin join = ObjectJoin.create();
+  private final Map<ObjectKey, Object> contents = new TreeMap<>();
+  private final Map<String, PolicyProgram> programs = new HashMap<>();
+  private final Map<String, String> workspaceByKeyHash = new HashMap<>();
+  private final Map<String, List<String>> upstreamsByService = new HashMap<>();
+  private final Map<String, List<String>> versionsByModel = new HashMap<>();
+
+  private Catalogue() {}
+
+  /** Returns an empty catalogue. */
+  public static Catalogue create() {
+    return new Catalogue();
+  }
+
+  /** Takes an object in and returns whether it was newer than what was known. */
+  public boolean merge(StoredObject object) {
+    if (!join.merge(object)) {
+      return false;
+    }
+    Optional<Object> content = read(object);
+    if (content.isPresent()) {
+      contents.put(object.key(), content.get());
+    } else {
+      contents.remove(object.key());
+    }
+    index(object.key().kind());
+    return true;
+  }
+
+  /** Returns the join below this view. */
+  public ObjectJoin join() {
+    return join;
+  }
+
+  /** Returns whether anything was published yet. */
+  public boolean isEmpty() {
+    return contents.isEmpty();
+  }
+
+  /** Returns the workspace that has the key with this hash. */
+  public Optional<String> workspaceByKeyHash(String keyHash) {
+    return Optional.ofNullable(workspaceByKeyHash.get(keyHash));
+  }
+
+  /** Returns the workspace of this name. */
+  public Optional<Workspace> workspace(String name) {
+    return content(Kinds.WORKSPACE, name, Workspace.class);
+  }
+
+  /** Returns the version of this name. */
+  public Optional<Version> version(String name) {
+    return content(Kinds.VERSION, name, Version.class);
+  }
+
+  /** Returns the cascade of this name. */
+  public Optional<Cascade> cascade(String name) {
+    return content(Kinds.CASCADE, name, Cascade.class);
+  }
+
+  /** Returns the upstream of this name. */
+  public Optional<Upstream> upstream(String name) {
+    return content(Kinds.UPSTREAM, name, Upstream.class);
+  }
+
+  /** Returns the service application of this name. */
+  public Optional<Service> service(String name) {
+    return content(Kinds.SERVICE, name, Service.class);
+  }
+
+  /** Returns the compiled policy of this name. */
+  public Optional<PolicyProgram> program(String policy) {
+    return Optional.ofNullable(programs.get(policy));
+  }
+
+  /** Returns whether a model of this name is published. */
+  public boolean hasModel(String name) {
+    return contents.containsKey(ObjectKey.valueOf(Kinds.MODEL, name));
+  }
+
+  /** Returns the roll-out of this name. */
+  public Optional<Rollout> rolloutNamed(String name) {
+    return content(Kinds.ROLLOUT, name, Rollout.class);
+  }
+
+  /** Returns the roll-out of the model that runs or is halted. */
+  public Optional<Rollout> rollout(String model) {
+    return names(Kinds.ROLLOUT).stream()
+        .flatMap(name -> content(Kinds.ROLLOUT, name, Rollout.class).stream())
+        .filter(rollout -> rollout.model().equals(model))
+        .filter(rollout -> rollout.state() != Rollout.State.FINISHED)
+        .findFirst();
+  }
+
+  /**
+   * Returns the current version of the model.
+   *
+   * <p>Between the two writes of a promotion two versions are current; the one published last
+   * counts.
+   */
+  public Optional<String> currentVersion(String model) {
+    return versionsByModel.getOrDefault(model, List.of()).stream()
+        .filter(name -> version(name).orElseThrow().state() == VersionState.CURRENT)
+        .max(Comparator.comparingLong(name -> objectVersion(Kinds.VERSION, name)));
+  }
+
+  /** Returns the names of the upstreams that serve a version or an application. */
+  public List<String> upstreamsServing(String served) {
+    return upstreamsByService.getOrDefault(served, List.of());
+  }
+
+  /** Returns the names of all objects of the kind. */
+  public List<String> names(String kind) {
+    List<String> names = new ArrayList<>();
+    for (ObjectKey key : contents.keySet()) {
+      if (key.kind().equals(kind)) {
+        names.add(key.name());
+      }
+    }
+    return names;
+  }
+
+  /** Returns the platform's version of the object, 0 if it is not known. */
+  public long objectVersion(String kind, String name) {
+    return join.get(ObjectKey.valueOf(kind, name)).map(StoredObject::version).orElse(0L);
+  }
+
+  private <T> Optional<T> content(String kind, String name, Class<T> type) {
+    return Optional.ofNullable(contents.get(ObjectKey.valueOf(kind, name))).map(type::cast);
+  }
+
+  private static Optional<Object> read(StoredObject object) {
+    try {
+      return Kinds.read(object.key(), object.value());
+    } catch (ConfigurationInvalidException e) {
+      logger.atWarning().log("object %s is passed over: %s", object.key(), e.getMessage());
+      return Optional.empty();
+    }
+  }
+
+  private void index(String kind) {
+    switch (kind) {
+      case Kinds.WORKSPACE -> indexWorkspaces();
+      case Kinds.UPSTREAM -> indexUpstreams();
+      case Kinds.VERSION -> indexVersions();
+      case Kinds.POLICY -> indexPolicies();
+      default -> {
+        // The other kinds are found by name.
+      }
+    }
+  }
+
+  private void indexWorkspaces() {
+    workspaceByKeyHash.clear();
+    for (String name : names(Kinds.WORKSPACE)) {
+      for (String hash : workspace(name).orElseThrow().keyHashes()) {
+        workspaceByKeyHash.put(hash, name);
+      }
+    }
+  }
+
+  private void indexUpstreams() {
+    upstreamsByService.clear();
+    for (String name : names(Kinds.UPSTREAM)) {
+      for (String served : upstream(name).orElseThrow().serves()) {
+        upstreamsByService.computeIfAbsent(served, unused -> new ArrayList<>()).add(name);
+      }
+    }
+  }
+
+  private void indexVersions() {
+    versionsByModel.clear();
+    for (String name : names(Kinds.VERSION)) {
+      String model = version(name).orElseThrow().model();
+      versionsByModel.computeIfAbsent(model, unused -> new ArrayList<>()).add(name);
+    }
+  }
+
+  private void indexPolicies() {
+    programs.clear();
+    for (String name : names(Kinds.POLICY)) {
+      String text = content(Kinds.POLICY, name, Policy.class).orElseThrow().program();
+      try {
+        programs.put(name, PolicyProgram.compile(name, text));
+      } catch (PolicyInvalidException e) {
+        logger.atWarning().log("policy %s is passed over: %s", name, e.getMessage());
+      }
+    }
+  }
+}
--- /dev/null
+++ b/org.oatlug/src/org/oatlug/internal/config/package-info.java
@@ -0,0 +1,2 @@
+/** The join of published objects and the compiled form of policies. */
+package org.oatlug.internal.config;
--- /dev/null
+++ b/org.oatlug/src/org/oatlug/internal/engine/LoadSystem.java
@@ -0,0 +1,135 @@
+// Copyright (c) 2026, the oatlug authors
+// SPDX-License-Identifier: BSD-3-Clause
+
+package org.oatlug.internal.engine;
+
+import io.vertx.core.buffer.Buffer;
+import io.vertx.ext.web.client.HttpResponse;
+import io.vertx.ext.web.client.WebClient;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.oatlug.config.Kinds;
+import org.oatlug.config.Upstream;
+import org.oatlug.internal.metrics.Meters;
+import org.oatlug.internal.table.Tables;
+import org.oatlug.internal.table.UpstreamRow;
+import org.oatlug.internal.util.Hashes;
+import org.oatlug.internal.util.TickSystem;
+
+/**
+ * Reads the load reports of upstreams.
+ *
+ * <p>Each instance reads at most a fixed number of upstreams, chosen by rendezvous rank, so that
+ * its cost does not grow with the pool. An upstream that reports that it is leaving is out at once.
+ * Owned by one event loop, not thread-safe.
+ */
+public final class LoadSystem implements TickSystem {
+  private static final Duration INTERVAL = Duration.ofMillis(1000);
+  private static final long PATIENCE_MILLIS = 800;
+  private static final int MAXIMUM_READ = 24;
+  private static final String PATH = "/load";
+
+  private final String instance;
+  private final Tables tables;
+  private final WebClient client;
+  private final InstantSource clock;
+  private final Meters meters;
+  private final java.util.function.Consumer<String> onLeaving;
+  private final Set<String> reading = new HashSet<>();
+  private Instant next = Instant.EPOCH;
+
+  private LoadSystem(
+      String instance,
+      Tables tables,
+      WebClient client,
+      InstantSource clock,
+      Meters meters,
+      java.util.function.Consumer<String> onLeaving) {
+    this.instance = instance;
+    this.tables = tables;
+    this.client = client;
+    this.clock = clock;
+    this.meters = meters;
+    this.onLeaving = onLeaving;
+  }
+
+  /**
+   * Returns a system that reads the upstreams of the tables.
+   *
+   * @param onLeaving is told the name of an upstream that newly says it is leaving
+   */
+  public static LoadSystem create(
+      String instance,
+      Tables tables,
+      WebClient client,
+      InstantSource clock,
+      Meters meters,
+      java.util.function.Consumer<String> onLeaving) {
+    return new LoadSystem(instance, tables, client, clock, meters, onLeaving);
+  }
+
+  /**
+   * A load report.
+   *
+   * @param running requests that run
+   * @param waiting requests that wait
+   * @param leaving whether the upstream is about to go
+   */
+  public record LoadReport(int running, int waiting, boolean leaving) {}
+
+  @Override
+  public void tick() {
+    Instant now = clock.instant();
+    if (now.isBefore(next)) {
+      return;
+    }
+    next = now.plus(INTERVAL);
+    for (String name : chosen()) {
+      tables.catalogue().upstream(name).ifPresent(upstream -> read(name, upstream));
+    }
+  }
+
+  private List<String> chosen() {
+    List<String> names = new ArrayList<>(tables.catalogue().names(Kinds.UPSTREAM));
+    if (names.size() <= MAXIMUM_READ) {
+      return names;
+    }
+    return Hashes.rendezvous(instance, names).subList(0, MAXIMUM_READ);
+  }
+
+  private void read(String name, Upstream upstream) {
+    if (!reading.add(name)) {
+      return;
+    }
+    client
+        .get(upstream.port(), upstream.host(), PATH)
+        .timeout(PATIENCE_MILLIS)
+        .send()
+        .onComplete(
+            response -> received(name, response),
+            failure -> {
+              reading.remove(name);
+              meters.count("upstream.load-report-missing");
+            });
+  }
+
+  private void received(String name, HttpResponse<Buffer> response) {
+    reading.remove(name);
+    try {
+      LoadReport report = response.bodyAsJson(LoadReport.class);
+      UpstreamRow row = tables.upstreams().row(name);
+      boolean news = report.leaving() && !row.leaving();
+      row.report(report.running(), report.waiting(), report.leaving(), clock.instant());
+      if (news) {
+        onLeaving.accept(name);
+      }
+    } catch (RuntimeException e) {
+      meters.count("upstream.load-report-malformed");
+    }
+  }
+}
--- /dev/null
+++ b/org.oatlug/src/org/oatlug/internal/engine/UpstreamCaller.java
@@ -0,0 +1,169 @@
+// Copyright (c) 2026, the oatlug authors
+// SPDX-License-Identifier: BSD-3-Clause
+
+package org.oatlug.internal.engine;
+
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpClientRequest;
+import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.PoolOptions;
+import io.vertx.core.http.RequestOptions;
+import java.time.Duration;
+import java.util.Map;
+import org.oatlug.config.Upstream;
+import org.oatlug.errors.UpstreamFailedException;
+import org.oatlug.errors.UpstreamFailedException.Progress;
+
+/**
+ * Sends one attempt to one upstream over HTTP.
+ *
+ * <p>Invariant: a failure says how far the attempt came. A request that may not be repeated goes
+ * over a connection of its own, because one taken from a pool may have been closed by the other
+ * side, which cannot be told from a request that ran. Used from one event loop.
+ */
+public final class UpstreamCaller {
+  private static final int CONNECT_MILLIS = 1000;
+  private static final int POOL_SIZE = 512;
+  private static final int OK = 200;
+  private static final int TOO_MANY_REQUESTS = 429;
+  private static final int UNAVAILABLE = 503;
+  private static final int FIRST_SERVER_ERROR = 500;
+
+  private final Vertx vertx;
+  private final HttpClient pooled;
+  private final HttpClient single;
+
+  private UpstreamCaller(Vertx vertx, HttpClient pooled, HttpClient single) {
+    this.vertx = vertx;
+    this.pooled = pooled;
+    this.single = single;
+  }
+
+  /** Returns a caller with its own pool of connections. */
+  public static UpstreamCaller create(Vertx vertx) {
+    HttpClientOptions keep = new HttpClientOptions().setConnectTimeout(CONNECT_MILLIS);
+    HttpClientOptions once =
+        new HttpClientOptions().setConnectTimeout(CONNECT_MILLIS).setKeepAlive(false);
+    PoolOptions pool = new PoolOptions().setHttp1MaxSize(POOL_SIZE);
+    return new UpstreamCaller(
+        vertx, vertx.createHttpClient(keep, pool), vertx.createHttpClient(once, pool));
+  }
+
+  /**
+   * What is sent.
+   *
+   * @param method the HTTP method
+   * @param path the path with its query
+   * @param headers the headers
+   * @param body the body
+   * @param repeatable whether the request may run more than once
+   * @param firstByte how long the answer may take to begin
+   */
+  public record Call(
+      HttpMethod method,
+      String path,
+      Map<String, String> headers,
+      Buffer body,
+      boolean repeatable,
+      Duration firstByte) {}
+
+  /** One attempt that can be cancelled. Used from one event loop. */
+  public static final class Attempt {
+    private HttpClientRequest request;
+    private boolean cancelled;
+
+    /** Cancels the attempt at the upstream, if it was sent. */
+    public void cancel() {
+      cancelled = true;
+      if (request != null) {
+        request.reset();
+      }
+    }
+
+    /** Returns whether the attempt was cancelled. */
+    public boolean isCancelled() {
+      return cancelled;
+    }
+  }
+
+  /**
+   * Sends the call.
+   *
+   * @return the answer, paused; or a failure with {@link UpstreamFailedException}
+   */
+  public Future<HttpClientResponse> send(
+      String name, Upstream upstream, Call call, Attempt attempt) {
+    RequestOptions options =
+        new RequestOptions()
+            .setHost(upstream.host())
+            .setPort(upstream.port())
+            .setMethod(call.method())
+            .setURI(call.path());
+    HttpClient client = call.repeatable() ? pooled : single;
+    return client
+        .request(options)
+        .recover(failure -> failed(name, Progress.NOT_SENT, failure.getMessage()))
+        .compose(request -> sendOn(name, request, call, attempt))
+        .compose(response -> judge(name, call, response));
+  }
+
+  private Future<HttpClientResponse> sendOn(
+      String name, HttpClientRequest request, Call call, Attempt attempt) {
+    if (attempt.isCancelled()) {
+      request.reset();
+      return failed(name, Progress.NOT_SENT, "cancelled");
+    }
+    attempt.request = request;
+    call.headers().forEach(request::putHeader);
+    Promise<HttpClientResponse> promise = Promise.promise();
+    long timer =
+        vertx.setTimer(
+            call.firstByte().toMillis(),
+            unused -> {
+              if (promise.tryFail(new IllegalStateException("no answer in time"))) {
+                request.reset();
+              }
+            });
+    request
+        .send(call.body())
+        .onComplete(
+            response -> {
+              response.pause();
+              promise.tryComplete(response);
+            },
+            promise::tryFail);
+    return promise
+        .future()
+        .onComplete(unused -> vertx.cancelTimer(timer))
+        .recover(failure -> failed(name, Progress.SENT, failure.getMessage()));
+  }
+
+  private static Future<HttpClientResponse> judge(
+      String name, Call call, HttpClientResponse response) {
+    int status = response.statusCode();
+    if (status == UNAVAILABLE || status == TOO_MANY_REQUESTS) {
+      response.resume();
+      return failed(name, Progress.REFUSED, "status " + status);
+    }
+    if (status >= FIRST_SERVER_ERROR && call.repeatable()) {
+      response.resume();
+      return failed(name, Progress.SENT, "status " + status);
+    }
+    return Future.succeededFuture(response);
+  }
+
+  /** Returns whether the answer carries what was asked for. */
+  public static boolean isGood(HttpClientResponse response) {
+    return response.statusCode() == OK;
+  }
+
+  private static <T> Future<T> failed(String name, Progress progress, String problem) {
+    return Future.failedFuture(new UpstreamFailedException(name, progress, problem));
+  }
+}
--- /dev/null
+++ b/org.oatlug/src/org/oatlug/internal/engine/package-info.java
@@ -0,0 +1,2 @@
+/** The client side of upstreams. */
+package org.oatlug.internal.engine;
--- /dev/null
+++ b/org.oatlug/src/org/oatlug/internal/http/Admission.java
@@ -0,0 +1,158 @@
+// Copyright (c) 2026, the oatlug authors
+// SPDX-License-Identifier: BSD-3-Clause
+
+package org.oatlug.internal.http;
+
+import io.vertx.core.http.HttpServerRequest;
+import io.vertx.ext.web.RoutingContext;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Optional;
+import java.util.UUID;
+import org.oatlug.api.Refusal;
+import org.oatlug.api.RefusalReason;
+import org.oatlug.config.Workspace;
+import org.oatlug.errors.ErrorText;
+import org.oatlug.errors.RefusedException;
+import org.oatlug.errors.SessionTokenInvalidException;
+import org.oatlug.internal.limit.OpenRequests;
+import org.oatlug.internal.session.SessionToken;
+import org.oatlug.internal.util.Hashes;
+
+/**
+ * Lets a request in or refuses it before anything runs.
+ *
+ * <p>Invariant: whatever is refused here did not run. Used from one event loop.
+ */
+final class Admission {
+  private static final String BEARER = "Bearer ";
+  private static final Duration DEFAULT_DEADLINE = Duration.ofMinutes(10);
+  private static final Duration COME_BACK = Duration.ofSeconds(1);
+  private static final int MAXIMUM_HEADER = 4096;
+
+  private final Services services;
+
+  Admission(Services services) {
+    this.services = services;
+  }
+
+  /** What is known of an admitted request. Immutable. */
+  record Ticket(
+      String id,
+      String workspaceName,
+      Workspace workspace,
+      Instant started,
+      Instant deadline,
+      Optional<SessionToken> session) {}
+
+  /** Admits the request, which then has to be ended, or refuses it with an answer. */
+  Optional<CallerRequest> admit(RoutingContext context) {
+    String id = UUID.randomUUID().toString();
+    try {
+      Ticket ticket = check(id, context.request());
+      admitOpen(ticket.workspace());
+      return Optional.of(
+          new CallerRequest(ticket, context, services.meters(), services.open()::close));
+    } catch (RefusedException e) {
+      services.meters().refused(e.refusal().reason());
+      Problem.send(context.response(), e.refusal(), id);
+      return Optional.empty();
+    }
+  }
+
+  /** Returns the workspace whose key the request carries. */
+  String authenticate(HttpServerRequest request) throws RefusedException {
+    String header = request.getHeader(Headers.AUTHORIZATION);
+    if (header == null || !header.startsWith(BEARER)) {
+      throw refused(RefusalReason.KEY_MISSING, ErrorText.get().keyMissing);
+    }
+    String hash = Hashes.sha256(header.substring(BEARER.length()).trim());
+    return services
+        .tables()
+        .catalogue()
+        .workspaceByKeyHash(hash)
+        .orElseThrow(() -> refused(RefusalReason.KEY_UNKNOWN, ErrorText.get().keyUnknown));
+  }
+
+  private Ticket check(String id, HttpServerRequest request) throws RefusedException {
+    Instant now = services.clock().instant();
+    if (services.tables().catalogue().isEmpty()) {
+      throw retryLater(RefusalReason.NOT_READY, ErrorText.get().notReady);
+    }
+    String name = authenticate(request);
+    Workspace workspace = services.tables().catalogue().workspace(name).orElseThrow();
+    final Instant deadline = now.plus(deadlineOf(request));
+    final Optional<SessionToken> session = sessionOf(request, name);
+    checkLength(request, Headers.IDEMPOTENCY_KEY);
+    checkLength(request, Headers.TASK);
+    Optional<Duration> wait = services.limits().take(name, workspace, now);
+    if (wait.isPresent()) {
+      String text = ErrorText.get().rateLimited;
+      throw new RefusedException(Refusal.retryAfter(RefusalReason.RATE_LIMITED, text, wait.get()));
+    }
+    return new Ticket(id, name, workspace, now, deadline, session);
+  }
+
+  private void admitOpen(Workspace workspace) throws RefusedException {
+    OpenRequests.Result result = services.open().admit(workspace.priority());
+    if (result == OpenRequests.Result.STOPPING) {
+      throw retryLater(RefusalReason.STOPPING, ErrorText.get().stopping);
+    }
+    if (result == OpenRequests.Result.OVERLOADED) {
+      throw retryLater(RefusalReason.OVERLOADED, ErrorText.get().overloaded);
+    }
+  }
+
+  private static Duration deadlineOf(HttpServerRequest request) throws RefusedException {
+    String header = request.getHeader(Headers.DEADLINE);
+    if (header == null) {
+      return DEFAULT_DEADLINE;
+    }
+    try {
+      long millis = Long.parseLong(header.trim());
+      if (millis > 0 && millis <= DEFAULT_DEADLINE.toMillis()) {
+        return Duration.ofMillis(millis);
+      }
+    } catch (NumberFormatException e) {
+      throw invalid(Headers.DEADLINE);
+    }
+    throw invalid(Headers.DEADLINE);
+  }
+
+  private Optional<SessionToken> sessionOf(HttpServerRequest request, String workspace)
+      throws RefusedException {
+    String header = request.getHeader(Headers.SESSION);
+    if (header == null || !header.contains(".")) {
+      return Optional.empty();
+    }
+    try {
+      SessionToken token = SessionToken.verify(header, services.sessionKeys());
+      if (!token.workspace().equals(workspace)) {
+        throw refused(RefusalReason.SESSION_INVALID, "the session is of another workspace");
+      }
+      return Optional.of(token);
+    } catch (SessionTokenInvalidException e) {
+      throw refused(RefusalReason.SESSION_INVALID, e.getMessage());
+    }
+  }
+
+  private static void checkLength(HttpServerRequest request, String name) throws RefusedException {
+    String value = request.getHeader(name);
+    if (value != null && (value.isBlank() || value.length() > MAXIMUM_HEADER)) {
+      throw invalid(name);
+    }
+  }
+
+  private static RefusedException invalid(String header) {
+    String text = ErrorText.format(ErrorText.get().headerInvalid, header);
+    return refused(RefusalReason.HEADER_INVALID, text);
+  }
+
+  private static RefusedException refused(RefusalReason reason, String text) {
+    return new RefusedException(Refusal.notRun(reason, text));
+  }
+
+  private static RefusedException retryLater(RefusalReason reason, String text) {
+    return new RefusedException(Refusal.retryAfter(reason, text, COME_BACK));
+  }
+}
--- /dev/null
+++ b/org.oatlug/src/org/oatlug/internal/http/CallerServer.java
@@ -0,0 +1,251 @@
+// Copyright (c) 2026, the oatlug authors
+// SPDX-License-Identifier: BSD-3-Clause
+
+package org.oatlug.internal.http;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.smallrye.mutiny.Uni;
+import io.vertx.core.Future;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerOptions;
+import io.vertx.core.http.HttpServerResponse;
+import io.vertx.core.net.PemKeyCertOptions;
+import io.vertx.ext.web.Router;
+import io.vertx.ext.web.RoutingContext;
+import io.vertx.ext.web.handler.BodyHandler;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.UUID;
+import java.util.function.Function;
+import org.oatlug.api.Refusal;
+import org.oatlug.api.RefusalReason;
+import org.oatlug.config.Kinds;
+import org.oatlug.config.Service;
+import org.oatlug.config.Settings;
+import org.oatlug.errors.ErrorText;
+import org.oatlug.errors.RefusedException;
+import org.oatlug.internal.ledger.ClaimDesk;
+import org.oatlug.internal.ledger.LedgerEntry;
+import org.oatlug.internal.routing.RouteRequest;
+import org.oatlug.internal.util.Hashes;
+
+/** The server that callers talk to. Used from one event loop. */
+public final class CallerServer {
+  private static final int MAXIMUM_HEADERS = 16 * 1024;
+  private static final int TOO_LARGE = 413;
+  private static final String SERVICES = "/v1/services/";
+
+  private final Services services;
+  private final Admission admission;
+
+  private CallerServer(Services services) {
+    this.services = services;
+    this.admission = new Admission(services);
+  }
+
+  /** Returns the server of an instance, which does not listen yet. */
+  public static CallerServer create(Services services) {
+    return new CallerServer(services);
+  }
+
+  /** Starts to accept callers. */
+  public Future<HttpServer> listen() {
+    Settings.Listener listener = services.settings().callers();
+    HttpServerOptions options =
+        new HttpServerOptions()
+            .setHost(listener.host())
+            .setPort(listener.port())
+            .setMaxHeaderSize(MAXIMUM_HEADERS);
+    listener
+        .tls()
+        .ifPresent(
+            tls ->
+                options
+                    .setSsl(true)
+                    .setKeyCertOptions(
+                        new PemKeyCertOptions()
+                            .addCertPath(tls.certificate())
+                            .addKeyPath(tls.key())));
+    return services.vertx().createHttpServer(options).requestHandler(router()).listen();
+  }
+
+  private Router router() {
+    Router router = Router.router(services.vertx());
+    int limit = services.settings().limits().bodyBytes();
+    router.route().handler(BodyHandler.create(false).setBodyLimit(limit));
+    router.post("/v1/chat/completions").handler(this::chat);
+    router.get("/v1/models").handler(this::models);
+    router.route(SERVICES + "*").handler(this::service);
+    router.errorHandler(TOO_LARGE, this::tooLarge);
+    router.errorHandler(404, this::unknownRoute);
+    router.errorHandler(405, this::unknownRoute);
+    router.errorHandler(500, this::failed);
+    return router;
+  }
+
+  private void chat(RoutingContext context) {
+    Optional<CallerRequest> admitted = admission.admit(context);
+    if (admitted.isEmpty()) {
+      return;
+    }
+    CallerRequest request = admitted.get();
+    try {
+      ChatBody body = ChatBody.read(bodyOf(context));
+      String fingerprint = Hashes.sha256(body.node().toString());
+      claimed(request, fingerprint, claim -> new ChatPlan(services, request, body, claim));
+    } catch (RefusedException e) {
+      request.refuse(e.refusal());
+    }
+  }
+
+  private void service(RoutingContext context) {
+    Optional<CallerRequest> admitted = admission.admit(context);
+    if (admitted.isEmpty()) {
+      return;
+    }
+    CallerRequest request = admitted.get();
+    try {
+      ServicePlan.Target target = targetOf(context);
+      Buffer body = bodyOf(context);
+      String what = target.method() + "\n" + target.path() + "\n" + body;
+      String fingerprint = Hashes.sha256(what);
+      claimed(
+          request, fingerprint, claim -> new ServicePlan(services, request, target, body, claim));
+    } catch (RefusedException e) {
+      request.refuse(e.refusal());
+    }
+  }
+
+  /** Claims the request if it carries a key, and then forwards it or answers from the ledger. */
+  private void claimed(
+      CallerRequest request, String fingerprint, Function<Optional<ClaimDesk.Claim>, Plan> planOf) {
+    Optional<String> key = request.header(Headers.IDEMPOTENCY_KEY);
+    if (key.isEmpty()) {
+      new Forwarding(services, request, planOf.apply(Optional.empty())).start();
+      return;
+    }
+    Uni<ClaimDesk.Claim> claim =
+        services.claims().claim(request.workspaceName() + "\n" + key.get(), fingerprint);
+    claim
+        .subscribe()
+        .with(
+            granted -> {
+              if (granted.recorded().isPresent()) {
+                replay(request, granted.recorded().get());
+              } else {
+                new Forwarding(services, request, planOf.apply(Optional.of(granted))).start();
+              }
+            },
+            failure -> {
+              if (failure instanceof RefusedException refused) {
+                request.refuse(refused.refusal());
+              } else {
+                request.fail(failure);
+              }
+            });
+  }
+
+  private void replay(CallerRequest request, LedgerEntry.Outcome outcome) {
+    if (request.isEnded()) {
+      return;
+    }
+    services.meters().count("answer.replayed");
+    HttpServerResponse response = request.response();
+    response.setStatusCode(outcome.status());
+    response.putHeader("Content-Type", outcome.contentType());
+    response.putHeader(Headers.REQUEST_ID, request.id());
+    response.putHeader(Headers.REPLAYED, "true");
+    request.finish();
+    response.end(outcome.body());
+  }
+
+  private ServicePlan.Target targetOf(RoutingContext context) throws RefusedException {
+    String rest = context.request().uri().substring(SERVICES.length());
+    int slash = rest.indexOf('/');
+    String application = slash < 0 ? rest : rest.substring(0, slash);
+    String path = slash < 0 ? "/" : rest.substring(slash);
+    String method = context.request().method().name();
+    return services
+        .tables()
+        .catalogue()
+        .service(application)
+        .flatMap(service -> routeOf(service, method, path))
+        .map(
+            route ->
+                new ServicePlan.Target(
+                    application, context.request().method(), path, route.repeatable()))
+        .orElseThrow(() -> unknown(method + " " + application + path));
+  }
+
+  private static Optional<Service.Route> routeOf(Service service, String method, String path) {
+    return service.routes().stream()
+        .filter(route -> route.method().equals(method) && path.startsWith(route.prefix()))
+        .findFirst();
+  }
+
+  private void models(RoutingContext context) {
+    try {
+      String workspace = admission.authenticate(context.request());
+      ObjectNode answer = org.oatlug.internal.util.Json.STRICT.createObjectNode();
+      answer.put("object", "list");
+      ArrayNode data = answer.putArray("data");
+      for (String kind : new String[] {Kinds.MODEL, Kinds.CASCADE}) {
+        for (String name : services.tables().catalogue().names(kind)) {
+          if (mayUse(workspace, name)) {
+            data.addObject().put("id", name).put("object", kind);
+          }
+        }
+      }
+      context.response().putHeader("Content-Type", "application/json").end(answer.toString());
+    } catch (RefusedException e) {
+      services.meters().refused(e.refusal().reason());
+      Problem.send(context.response(), e.refusal(), UUID.randomUUID().toString());
+    }
+  }
+
+  private boolean mayUse(String workspace, String target) {
+    RouteRequest request = new RouteRequest(workspace, target, "", Map.of(), 0, 0, 0, Set.of());
+    return services
+        .router()
+        .decide(request, services.tables(), services.clock().instant())
+        .route()
+        .isPresent();
+  }
+
+  private void tooLarge(RoutingContext context) {
+    int limit = services.settings().limits().bodyBytes();
+    String text = ErrorText.format(ErrorText.get().bodyTooLarge, Integer.toString(limit));
+    refuse(context, Refusal.notRun(RefusalReason.BODY_TOO_LARGE, text));
+  }
+
+  private void unknownRoute(RoutingContext context) {
+    refuse(context, unknown(context.request().path()).refusal());
+  }
+
+  private void failed(RoutingContext context) {
+    com.google.common.flogger.FluentLogger.forEnclosingClass()
+        .atSevere()
+        .withCause(context.failure())
+        .log("a request failed");
+    String text = ErrorText.format(ErrorText.get().bodyInvalid, "it cannot be handled");
+    refuse(context, Refusal.notRun(RefusalReason.BODY_INVALID, text));
+  }
+
+  private void refuse(RoutingContext context, Refusal refusal) {
+    services.meters().refused(refusal.reason());
+    Problem.send(context.response(), refusal, UUID.randomUUID().toString());
+  }
+
+  private static RefusedException unknown(String route) {
+    String text = ErrorText.format(ErrorText.get().routeUnknown, route);
+    return new RefusedException(Refusal.notRun(RefusalReason.ROUTE_UNKNOWN, text));
+  }
+
+  private static Buffer bodyOf(RoutingContext context) {
+    Buffer body = context.body().buffer();
+    return body == null ? Buffer.buffer() : body;
+  }
+}
--- /dev/null
+++ b/org.oatlug/src/org/oatlug/internal/http/Forwarding.java
@@ -0,0 +1,298 @@
+// Copyright (c) 2026, the oatlug authors
+// SPDX-License-Identifier: BSD-3-Clause
+
+package org.oatlug.internal.http;
+
+import com.google.common.flogger.FluentLogger;
+import io.vertx.core.http.HttpClientResponse;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashSet;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.Set;
+import org.oatlug.api.Refusal;
+import org.oatlug.api.RefusalReason;
+import org.oatlug.config.Upstream;
+import org.oatlug.errors.ErrorText;
+import org.oatlug.errors.RefusedException;
+import org.oatlug.errors.UpstreamFailedException;
+import org.oatlug.errors.UpstreamFailedException.Progress;
+import org.oatlug.internal.engine.UpstreamCaller;
+import org.oatlug.internal.routing.RoutingDecision;
+import org.oatlug.internal.routing.RoutingDecision.Route;
+import org.oatlug.internal.table.UpstreamRow;
+
+/**
+ * Brings one request to an upstream and retries where that is safe.
+ *
+ * <p>Invariants: where a request goes is decided anew before each attempt and checked last before
+ * bytes leave. A request that may not be repeated is not tried again once a byte may have left,
+ * unless an upstream whose refusals are trusted refused it; it is not cancelled either, so that its
+ * outcome is known. Retries stay within the retry budget and the deadline and go to another
+ * upstream. Each reservation is released once. Used from one event loop.
+ */
+final class Forwarding {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final Duration COME_BACK = Duration.ofSeconds(1);
+  private static final Duration CONFIRM_PATIENCE = Duration.ofSeconds(3);
+  private static final long CONFIRM_POLL_MILLIS = 10;
+
+  private final Services services;
+  private final CallerRequest request;
+  private final Plan plan;
+  private final Set<String> failed = new HashSet<>();
+  private UpstreamCaller.Attempt attempt = new UpstreamCaller.Attempt();
+  private boolean dispatched;
+  private boolean mayHaveRun;
+  private boolean reported;
+  private long deadlineTimer;
+
+  Forwarding(Services services, CallerRequest request, Plan plan) {
+    this.services = services;
+    this.request = request;
+    this.plan = plan;
+  }
+
+  /** Starts the request. */
+  void start() {
+    services.retries().firstTry();
+    request.onGone(this::callerGone);
+    Duration left = Duration.between(services.clock().instant(), request.deadline());
+    long millis = Math.max(1, left.toMillis());
+    deadlineTimer = services.vertx().setTimer(millis, unused -> deadlinePassed());
+    tryOnce();
+  }
+
+  private void tryOnce() {
+    whenConfirmed(services.clock().instant().plus(CONFIRM_PATIENCE), this::decide);
+  }
+
+  /** Waits until the configuration is confirmed after a pause of the process. */
+  private void whenConfirmed(Instant limit, Runnable then) {
+    services.pause().check();
+    boolean late = services.clock().instant().isAfter(limit);
+    if (services.tables().freshness().isConfirmed() || request.isEnded() || late) {
+      then.run();
+      return;
+    }
+    services.vertx().setTimer(CONFIRM_POLL_MILLIS, unused -> whenConfirmed(limit, then));
+  }
+
+  private void decide() {
+    if (request.isEnded()) {
+      unanswered();
+      return;
+    }
+    if (!services.tables().freshness().isConfirmed()) {
+      refuse(RefusalReason.CONFIGURATION_UNCONFIRMED, ErrorText.get().configurationUnconfirmed);
+      return;
+    }
+    RoutingDecision decision = plan.decide(Set.copyOf(failed), services.clock().instant());
+    if (decision.route().isEmpty()) {
+      refuseDecision(decision);
+      return;
+    }
+    Route route = decision.route().get();
+    UpstreamRow row = services.tables().upstreams().row(route.upstream());
+    row.reserve();
+    plan.prepare(route)
+        .subscribe()
+        .with(unused -> prepared(route, row), failure -> unprepared(row, failure));
+  }
+
+  private void prepared(Route route, UpstreamRow row) {
+    Instant limit = services.clock().instant().plus(CONFIRM_PATIENCE);
+    whenConfirmed(limit, () -> dispatch(route, row));
+  }
+
+  private void unprepared(UpstreamRow row, Throwable failure) {
+    row.release();
+    if (failure instanceof RefusedException refused) {
+      end(refused.refusal());
+    } else {
+      logger.atSevere().withCause(failure).log("request %s was not prepared", request.id());
+      refuse(RefusalReason.LEDGER_UNAVAILABLE, ErrorText.get().ledgerUnavailable);
+    }
+  }
+
+  private void dispatch(Route route, UpstreamRow row) {
+    if (request.isEnded()) {
+      row.release();
+      unanswered();
+      return;
+    }
+    Optional<Upstream> upstream = services.tables().catalogue().upstream(route.upstream());
+    boolean gone = upstream.isEmpty() || upstream.get().leaving() || row.leaving();
+    boolean confirmed = services.tables().freshness().isConfirmed();
+    if (gone || !confirmed || !plan.stillAllowed(route)) {
+      services.meters().count("retry.route-changed");
+      row.release();
+      tryOnce();
+      return;
+    }
+    attempt = new UpstreamCaller.Attempt();
+    dispatched = true;
+    Instant sent = services.clock().instant();
+    services
+        .caller()
+        .send(route.upstream(), upstream.get(), plan.call(route), attempt)
+        .onComplete(
+            response -> answered(route, row, sent, response),
+            failure -> attemptFailed(route, row, upstream.get(), failure));
+  }
+
+  private void answered(Route route, UpstreamRow row, Instant sent, HttpClientResponse response) {
+    Duration toFirstByte = Duration.between(sent, services.clock().instant());
+    services.meters().time("upstream.first-byte", toFirstByte);
+    plan.answered(
+        route,
+        response,
+        new Plan.Ending() {
+          @Override
+          public void whole() {
+            answerTaken(row, sent);
+            reported = true;
+          }
+
+          @Override
+          public void escalate() {
+            answerTaken(row, sent);
+            mayHaveRun = true;
+            services.meters().count("retry.cascade-escalation");
+            tryOnce();
+          }
+
+          @Override
+          public void broken(String problem) {
+            row.release();
+            answerBroken(route, row, problem);
+          }
+        });
+  }
+
+  private void answerTaken(UpstreamRow row, Instant sent) {
+    row.release();
+    row.succeeded(Duration.between(sent, services.clock().instant()));
+    services.vertx().cancelTimer(deadlineTimer);
+  }
+
+  private void answerBroken(Route route, UpstreamRow row, String problem) {
+    mayHaveRun = true;
+    dispatched = false;
+    if (request.isEnded()) {
+      unanswered();
+      return;
+    }
+    logger.atWarning().log(
+        "answer of %s to request %s broke off: %s", route.upstream(), request.id(), problem);
+    row.failed(services.clock().instant());
+    plan.attemptFailed(route);
+    failed.add(route.upstream());
+    boolean begun = request.response().headWritten();
+    if (!begun && plan.isRepeatable() && mayRetry("answer-broken")) {
+      tryOnce();
+      return;
+    }
+    String text = ErrorText.format(ErrorText.get().upstreamFailed, route.upstream(), problem);
+    refuse(RefusalReason.UPSTREAM_FAILED, text);
+  }
+
+  private void attemptFailed(Route route, UpstreamRow row, Upstream upstream, Throwable failure) {
+    dispatched = false;
+    row.release();
+    UpstreamFailedException known =
+        failure instanceof UpstreamFailedException typed
+            ? typed
+            : new UpstreamFailedException(
+                route.upstream(), Progress.SENT, failure.getClass().getSimpleName());
+    boolean trusted = known.progress() == Progress.REFUSED && upstream.trustedRefusals();
+    boolean ran = known.progress() != Progress.NOT_SENT && !trusted;
+    mayHaveRun |= ran;
+    if (request.isEnded()) {
+      unanswered();
+      return;
+    }
+    row.failed(services.clock().instant());
+    failed.add(route.upstream());
+    if (known.progress() == Progress.SENT) {
+      plan.attemptFailed(route);
+    }
+    boolean safe = !ran || plan.isRepeatable();
+    if (safe && mayRetry(known.progress().name().toLowerCase(Locale.ROOT).replace('_', '-'))) {
+      tryOnce();
+      return;
+    }
+    boolean refused = known.progress() == Progress.REFUSED;
+    refuse(
+        refused ? RefusalReason.UPSTREAM_REFUSED : RefusalReason.UPSTREAM_FAILED,
+        known.getMessage());
+  }
+
+  private boolean mayRetry(String cause) {
+    boolean inTime = services.clock().instant().isBefore(request.deadline());
+    if (!inTime || !services.retries().takeRetry()) {
+      services.meters().count("retry.not-in-budget");
+      return false;
+    }
+    services.meters().count("retry.upstream-" + cause);
+    return true;
+  }
+
+  private void refuseDecision(RoutingDecision decision) {
+    RefusalReason reason = decision.refusal().orElse(RefusalReason.NO_UPSTREAM);
+    ErrorText texts = ErrorText.get();
+    String pattern =
+        switch (reason) {
+          case MODEL_UNKNOWN -> texts.modelUnknown;
+          case NOT_ALLOWED -> texts.notAllowed;
+          case VERSION_WITHDRAWN -> texts.versionWithdrawn;
+          default -> texts.noUpstream;
+        };
+    refuse(reason, ErrorText.format(pattern, plan.target()));
+  }
+
+  private void refuse(RefusalReason reason, String text) {
+    if (mayHaveRun || dispatched) {
+      end(Refusal.unknown(reason, text));
+      return;
+    }
+    boolean passing = reason.status() >= RefusalReason.UPSTREAM_FAILED.status();
+    end(passing ? Refusal.retryAfter(reason, text, COME_BACK) : Refusal.notRun(reason, text));
+  }
+
+  private void end(Refusal refusal) {
+    unanswered();
+    request.refuse(refusal);
+  }
+
+  private void unanswered() {
+    services.vertx().cancelTimer(deadlineTimer);
+    if (!reported) {
+      reported = true;
+      plan.unanswered(mayHaveRun || dispatched);
+    }
+  }
+
+  /** The outcome of a request that may not be repeated is still wanted when its caller is not. */
+  private void callerGone() {
+    if (plan.isRepeatable()) {
+      attempt.cancel();
+    }
+  }
+
+  private void deadlinePassed() {
+    if (request.isEnded()) {
+      return;
+    }
+    String text = ErrorText.get().deadlinePassed;
+    if (plan.isRepeatable()) {
+      refuse(RefusalReason.DEADLINE_PASSED, text);
+      attempt.cancel();
+    } else if (mayHaveRun || dispatched) {
+      request.refuse(Refusal.unknown(RefusalReason.DEADLINE_PASSED, text));
+    } else {
+      request.refuse(Refusal.notRun(RefusalReason.DEADLINE_PASSED, text));
+    }
+  }
+}
--- /dev/null
+++ b/org.oatlug/src/org/oatlug/internal/http/package-info.java
@@ -0,0 +1,2 @@
+/** The servers that callers and operators talk to. */
+package org.oatlug.internal.http;
--- /dev/null
+++ b/org.oatlug/src/org/oatlug/internal/ledger/ClaimDesk.java
@@ -0,0 +1,186 @@
+// Copyright (c) 2026, the oatlug authors
+// SPDX-License-Identifier: BSD-3-Clause
+
+package org.oatlug.internal.ledger;
+
+import io.smallrye.mutiny.Uni;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.Optional;
+import java.util.UUID;
+import java.util.function.Function;
+import org.oatlug.api.NotRun;
+import org.oatlug.api.Refusal;
+import org.oatlug.api.RefusalReason;
+import org.oatlug.errors.ErrorText;
+import org.oatlug.errors.RefusedException;
+import org.oatlug.internal.membership.Membership;
+import org.oatlug.internal.metrics.Meters;
+import org.oatlug.internal.util.TickSystem;
+
+/**
+ * Claims requests that may run at most once, and records how they ended.
+ *
+ * <p>Invariants: an attempt is dispatched only after its claim was granted while it was still
+ * wanted. An attempt that was given up is never dispatched, even if the grant comes late; it is
+ * voided, so that the caller's retry may run. A void or an outcome that cannot be entered is tried
+ * again until it is. Owned by one event loop, not thread-safe.
+ */
+public final class ClaimDesk implements TickSystem {
+  private static final Duration COME_BACK = Duration.ofSeconds(2);
+  private static final Duration RETRY_INTERVAL = Duration.ofMillis(500);
+  private static final int MAXIMUM_UNRECORDED = 10_000;
+
+  private final Function<LedgerEntry, Uni<LedgerResult>> ledger;
+  private final Membership membership;
+  private final InstantSource clock;
+  private final Meters meters;
+  private final Deque<LedgerEntry> unrecorded = new ArrayDeque<>();
+  private Instant nextRetry = Instant.EPOCH;
+
+  private ClaimDesk(
+      Function<LedgerEntry, Uni<LedgerResult>> ledger,
+      Membership membership,
+      InstantSource clock,
+      Meters meters) {
+    this.ledger = ledger;
+    this.membership = membership;
+    this.clock = clock;
+    this.meters = meters;
+  }
+
+  /**
+   * Returns a desk.
+   *
+   * @param ledger enters an entry and waits for its confirmation
+   */
+  public static ClaimDesk create(
+      Function<LedgerEntry, Uni<LedgerResult>> ledger,
+      Membership membership,
+      InstantSource clock,
+      Meters meters) {
+    return new ClaimDesk(ledger, membership, clock, meters);
+  }
+
+  /**
+   * A granted claim, or the recorded outcome of an earlier request with the key.
+   *
+   * @param key the key
+   * @param attempt the attempt that may be dispatched
+   * @param recorded the outcome to answer with, empty if the attempt may be dispatched
+   */
+  public record Claim(String key, String attempt, Optional<LedgerEntry.Outcome> recorded) {}
+
+  /**
+   * Claims a key.
+   *
+   * <p>Fails with {@link RefusedException} when the request must not run.
+   *
+   * @param key workspace and the caller's key
+   * @param fingerprint a hash of the request
+   */
+  public Uni<Claim> claim(String key, String fingerprint) {
+    String attempt = UUID.randomUUID().toString();
+    long born = clock.instant().toEpochMilli();
+    String process = membership.self().process();
+    LedgerEntry.Claim entry = new LedgerEntry.Claim(key, attempt, fingerprint, process, born);
+    return ledger
+        .apply(entry)
+        .onFailure()
+        .transform(unused -> giveUp(key, attempt))
+        .onItem()
+        .transformToUni(result -> judge(entry, result));
+  }
+
+  /** Gives up an attempt that was not dispatched. */
+  public void release(Claim claim) {
+    record(new LedgerEntry.Void(claim.key(), claim.attempt()));
+  }
+
+  /** Records how a claimed request ended; the result comes when it is confirmed or was queued. */
+  public Uni<Void> end(LedgerEntry.Outcome outcome) {
+    return ledger
+        .apply(outcome)
+        .onFailure()
+        .invoke(unused -> queue(outcome))
+        .onFailure()
+        .recoverWithNull()
+        .replaceWithVoid();
+  }
+
+  /** Returns the number of outcomes and voids that are not entered yet. */
+  public int unrecorded() {
+    return unrecorded.size();
+  }
+
+  @Override
+  public void tick() {
+    Instant now = clock.instant();
+    if (now.isBefore(nextRetry)) {
+      return;
+    }
+    nextRetry = now.plus(RETRY_INTERVAL);
+    for (int count = unrecorded.size(); count > 0; count--) {
+      meters.count("retry.ledger-entry");
+      record(unrecorded.removeFirst());
+    }
+  }
+
+  private RefusedException giveUp(String key, String attempt) {
+    record(new LedgerEntry.Void(key, attempt));
+    String text = ErrorText.get().ledgerUnavailable;
+    return new RefusedException(
+        Refusal.retryAfter(RefusalReason.LEDGER_UNAVAILABLE, text, COME_BACK));
+  }
+
+  private Uni<Claim> judge(LedgerEntry.Claim entry, LedgerResult result) {
+    return switch (result.kind()) {
+      case GRANTED ->
+          Uni.createFrom().item(new Claim(entry.key(), entry.attempt(), Optional.empty()));
+      case ENDED -> ended(entry, result.outcome().orElseThrow());
+      case TAKEN -> refuse(taken(result.process().orElseThrow()));
+      case REUSED -> refuse(Refusal.notRun(RefusalReason.KEY_REUSED, ErrorText.get().keyReused));
+      default -> refuse(Refusal.notRun(RefusalReason.KEY_EXPIRED, ErrorText.get().keyExpired));
+    };
+  }
+
+  private Uni<Claim> ended(LedgerEntry.Claim entry, LedgerEntry.Outcome outcome) {
+    return switch (outcome.kind()) {
+      case ANSWERED ->
+          Uni.createFrom().item(new Claim(entry.key(), entry.attempt(), Optional.of(outcome)));
+      case ANSWER_NOT_KEPT -> {
+        String text = ErrorText.get().answerLost;
+        yield refuse(new Refusal(RefusalReason.ANSWER_LOST, NotRun.NO, text, Optional.empty()));
+      }
+      case MAY_HAVE_RUN ->
+          refuse(Refusal.unknown(RefusalReason.MAY_HAVE_RUN, ErrorText.get().mayHaveRun));
+    };
+  }
+
+  private Refusal taken(String process) {
+    if (membership.isGone(process)) {
+      return Refusal.unknown(RefusalReason.MAY_HAVE_RUN, ErrorText.get().mayHaveRun);
+    }
+    String text = ErrorText.get().stillRunning;
+    return new Refusal(RefusalReason.STILL_RUNNING, NotRun.UNKNOWN, text, Optional.of(COME_BACK));
+  }
+
+  private static Uni<Claim> refuse(Refusal refusal) {
+    return Uni.createFrom().failure(new RefusedException(refusal));
+  }
+
+  private void record(LedgerEntry entry) {
+    ledger.apply(entry).subscribe().with(result -> {}, failure -> queue(entry));
+  }
+
+  private void queue(LedgerEntry entry) {
+    if (unrecorded.size() >= MAXIMUM_UNRECORDED) {
+      meters.count("ledger.unrecorded-dropped");
+      return;
+    }
+    unrecorded.addLast(entry);
+  }
+}
--- /dev/null
+++ b/org.oatlug/src/org/oatlug/internal/ledger/Shard.java
@@ -0,0 +1,284 @@
+// Copyright (c) 2026, the oatlug authors
+// SPDX-License-Identifier: BSD-3-Clause
+
+package org.oatlug.internal.ledger;
+
+import com.codahale.metrics.MetricRegistry;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.google.common.flogger.FluentLogger;
+import io.smallrye.mutiny.Uni;
+import io.smallrye.mutiny.subscription.UniEmitter;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.UUID;
+import org.oatlug.api.ObjectKey;
+import org.oatlug.errors.ConflictException;
+import org.oatlug.errors.LedgerUnavailableException;
+import org.oatlug.internal.metrics.Meters;
+import org.oatlug.internal.util.Json;
+import org.oatlug.platform.Platform;
+import org.oatlug.platform.StoredObject;
+
+/**
+ * One shard as a writer of it sees it: a state that was read, and entries that wait to be written.
+ *
+ * <p>Invariant: a result is only given once the head that holds its entry is confirmed. More than
+ * one writer is safe, because the head is written by conditional update; after a conflict or a lost
+ * reply the head is read back and the waiting entries are applied to it again, which changes
+ * nothing for those already in it. No clock stands in this argument. Owned by one event loop, not
+ * thread-safe.
+ */
+public final class Shard {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  static final String KIND = "ledger";
+  private static final int SEAL_ABOVE_BYTES = 64 * 1024;
+  private static final int GIVE_UP_AFTER_FAILURES = 2;
+
+  private final int number;
+  private final Platform platform;
+  private final InstantSource clock;
+  private final Duration retention;
+  private final Duration interval;
+  private final Duration patience;
+  private final Meters meters;
+  private final List<Waiting> waiting = new ArrayList<>();
+  private final Set<String> loadedSegments = new HashSet<>();
+
+  private ShardState state;
+  private ShardHead head = ShardHead.EMPTY;
+  private long version;
+  private boolean known;
+  private boolean busy;
+  private int platformFailures;
+  private Instant nextFlush = Instant.EPOCH;
+
+  private Shard(
+      int number, Platform platform, InstantSource clock, Options options, Meters meters) {
+    this.number = number;
+    this.platform = platform;
+    this.clock = clock;
+    this.retention = options.retention();
+    this.interval = options.interval();
+    this.patience = options.patience();
+    this.meters = meters;
+    this.state = new ShardState(retention);
+  }
+
+  /**
+   * How a shard is written.
+   *
+   * @param retention how long claims are kept
+   * @param interval the shortest time between two writes
+   * @param patience how long an entry may wait for its confirmation
+   */
+  public record Options(Duration retention, Duration interval, Duration patience) {}
+
+  /** Returns a writer of the shard that has read nothing yet. */
+  public static Shard create(
+      int number, Platform platform, InstantSource clock, Options options, MetricRegistry metrics) {
+    return new Shard(number, platform, clock, options, Meters.of(metrics));
+  }
+
+  private record Waiting(
+      LedgerEntry entry, Instant since, UniEmitter<? super LedgerResult> emitter) {}
+
+  /**
+   * Enters an entry and waits for its confirmation.
+   *
+   * <p>Fails with {@link LedgerUnavailableException} when it was not confirmed in time; it may then
+   * still take effect.
+   */
+  public Uni<LedgerResult> submit(LedgerEntry entry) {
+    return Uni.createFrom()
+        .emitter(
+            emitter -> {
+              waiting.add(new Waiting(entry, clock.instant(), emitter));
+              flushIfDue();
+            });
+  }
+
+  /** Writes what waits and gives up what waited too long. */
+  public void tick() {
+    giveUpLate();
+    flushIfDue();
+  }
+
+  /** Returns the number of keys that are kept. */
+  public int size() {
+    return state.size();
+  }
+
+  private void giveUpLate() {
+    Instant oldest = clock.instant().minus(patience);
+    List<Waiting> late = waiting.stream().filter(one -> one.since().isBefore(oldest)).toList();
+    giveUp(late);
+  }
+
+  private void giveUp(List<Waiting> entries) {
+    waiting.removeAll(entries);
+    for (Waiting one : entries) {
+      meters.count("ledger.given-up");
+      one.emitter().fail(new LedgerUnavailableException(null));
+    }
+  }
+
+  private void flushIfDue() {
+    boolean due = !clock.instant().isBefore(nextFlush);
+    if (busy || !due || waiting.isEmpty()) {
+      return;
+    }
+    busy = true;
+    nextFlush = clock.instant().plus(interval);
+    Uni<Void> read = known ? Uni.createFrom().voidItem() : load();
+    read.onItem()
+        .transformToUni(unused -> write())
+        .subscribe()
+        .with(unused -> done(), this::failed);
+  }
+
+  private void done() {
+    busy = false;
+    platformFailures = 0;
+  }
+
+  private void failed(Throwable failure) {
+    known = false;
+    busy = false;
+    if (failure instanceof ConflictException) {
+      meters.count("ledger.conflict");
+      return;
+    }
+    meters.count("ledger.platform-failure");
+    platformFailures++;
+    if (platformFailures >= GIVE_UP_AFTER_FAILURES) {
+      giveUp(List.copyOf(waiting));
+    }
+  }
+
+  private Uni<Void> write() {
+    List<Waiting> batch = List.copyOf(waiting);
+    long now = clock.instant().toEpochMilli();
+    List<LedgerEntry> added = new ArrayList<>();
+    List<LedgerResult> results = new ArrayList<>();
+    for (Waiting one : batch) {
+      ShardState.Applied applied = state.apply(one.entry(), now);
+      results.add(applied.result());
+      if (applied.changed()) {
+        added.add(one.entry());
+      }
+    }
+    if (added.isEmpty()) {
+      confirm(batch, results);
+      return Uni.createFrom().voidItem();
+    }
+    List<LedgerEntry> entries = new ArrayList<>(head.entries());
+    entries.addAll(added);
+    return writeHead(new ShardHead(head.segments(), entries))
+        .invoke(unused -> confirm(batch, results));
+  }
+
+  private Uni<Void> writeHead(ShardHead next) {
+    JsonNode value = Json.STRICT.valueToTree(next);
+    if (sizeOf(value) > SEAL_ABOVE_BYTES) {
+      return seal(next).onItem().transformToUni(this::put);
+    }
+    return put(next);
+  }
+
+  private Uni<Void> put(ShardHead next) {
+    return platform
+        .put(headKey(), version, Json.STRICT.valueToTree(next))
+        .invoke(
+            newVersion -> {
+              head = next;
+              version = newVersion;
+            })
+        .replaceWithVoid();
+  }
+
+  /** Moves the entries into a segment of a name that was never used, and drops old segments. */
+  private Uni<ShardHead> seal(ShardHead full) {
+    long now = clock.instant().toEpochMilli();
+    String name = "shard-" + number + "-" + UUID.randomUUID();
+    final JsonNode content = Json.STRICT.valueToTree(new ShardHead.SegmentContent(full.entries()));
+    List<ShardHead.Segment> segments = new ArrayList<>();
+    for (ShardHead.Segment segment : full.segments()) {
+      if (segment.sealedMillis() >= now - retention.toMillis()) {
+        segments.add(segment);
+      }
+    }
+    segments.add(new ShardHead.Segment(name, now));
+    loadedSegments.add(name);
+    meters.count("ledger.sealed");
+    state.forget(now);
+    return platform
+        .put(ObjectKey.valueOf(KIND, name), 0, content)
+        .replaceWith(new ShardHead(segments, List.of()));
+  }
+
+  private void confirm(List<Waiting> batch, List<LedgerResult> results) {
+    waiting.removeAll(batch);
+    for (int index = 0; index < batch.size(); index++) {
+      batch.get(index).emitter().complete(results.get(index));
+    }
+  }
+
+  private Uni<Void> load() {
+    state = new ShardState(retention);
+    loadedSegments.clear();
+    return platform.get(headKey()).onItem().transformToUni(this::loadHead);
+  }
+
+  private Uni<Void> loadHead(Optional<StoredObject> stored) {
+    ShardHead read =
+        stored.map(object -> LedgerReader.parse(object, ShardHead.class)).orElse(ShardHead.EMPTY);
+    Uni<Void> segments = Uni.createFrom().voidItem();
+    for (ShardHead.Segment segment : read.segments()) {
+      segments = segments.onItem().transformToUni(unused -> loadSegment(segment.name()));
+    }
+    return segments.invoke(
+        () -> {
+          applyAll(read.entries());
+          head = read;
+          version = stored.map(StoredObject::version).orElse(0L);
+          known = true;
+        });
+  }
+
+  private Uni<Void> loadSegment(String name) {
+    return platform
+        .get(ObjectKey.valueOf(KIND, name))
+        .onItem()
+        .transformToUni(
+            stored -> {
+              if (stored.isEmpty()) {
+                logger.atSevere().log("segment %s is missing", name);
+                return Uni.createFrom().failure(new LedgerUnavailableException(null));
+              }
+              applyAll(LedgerReader.parse(stored.get(), ShardHead.SegmentContent.class).entries());
+              loadedSegments.add(name);
+              return Uni.createFrom().voidItem();
+            });
+  }
+
+  private void applyAll(List<LedgerEntry> entries) {
+    long now = clock.instant().toEpochMilli();
+    for (LedgerEntry entry : entries) {
+      state.apply(entry, now);
+    }
+  }
+
+  private ObjectKey headKey() {
+    return ObjectKey.valueOf(KIND, "shard-" + number);
+  }
+
+  private static int sizeOf(JsonNode value) {
+    return value.toString().length();
+  }
+}
--- /dev/null
+++ b/org.oatlug/src/org/oatlug/internal/limit/RetryBudget.java
@@ -0,0 +1,38 @@
+// Copyright (c) 2026, the oatlug authors
+// SPDX-License-Identifier: BSD-3-Clause
+
+package org.oatlug.internal.limit;
+
+/**
+ * Allows retries as a share of first tries.
+ *
+ * <p>Invariant: retries never exceed the share of first tries plus a small reserve, so that retries
+ * cannot multiply an overload. Owned by one event loop, not thread-safe.
+ */
+public final class RetryBudget {
+  private static final double SHARE = 0.2;
+  private static final double RESERVE = 10;
+
+  private double balance = RESERVE;
+
+  private RetryBudget() {}
+
+  /** Returns a budget with its reserve. */
+  public static RetryBudget create() {
+    return new RetryBudget();
+  }
+
+  /** Counts a first try. */
+  public void firstTry() {
+    balance = Math.min(RESERVE, balance + SHARE);
+  }
+
+  /** Takes a retry out of the budget, if it allows one. */
+  public boolean takeRetry() {
+    if (balance < 1) {
+      return false;
+    }
+    balance -= 1;
+    return true;
+  }
+}
--- /dev/null
+++ b/org.oatlug/src/org/oatlug/internal/limit/package-info.java
@@ -0,0 +1,2 @@
+/** Rate limits, admission and the retry budget. */
+package org.oatlug.internal.limit;
--- /dev/null
+++ b/org.oatlug/src/org/oatlug/internal/membership/package-info.java
@@ -0,0 +1,2 @@
+/** Which instances are live, by probes and suspicion. */
+package org.oatlug.internal.membership;
--- /dev/null
+++ b/org.oatlug/src/org/oatlug/internal/metrics/Meters.java
@@ -0,0 +1,51 @@
+// Copyright (c) 2026, the oatlug authors
+// SPDX-License-Identifier: BSD-3-Clause
+
+package org.oatlug.internal.metrics;
+
+import com.codahale.metrics.MetricRegistry;
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+import org.oatlug.api.RefusalReason;
+
+/** The names of the counters and timers, and the way to count. Immutable, thread-safe. */
+public final class Meters {
+  private final MetricRegistry registry;
+
+  private Meters(MetricRegistry registry) {
+    this.registry = registry;
+  }
+
+  /** Returns the meters of a registry; every refusal reason has its counter from the start. */
+  public static Meters of(MetricRegistry registry) {
+    Meters meters = new Meters(registry);
+    for (RefusalReason reason : RefusalReason.values()) {
+      registry.counter(refusalName(reason));
+    }
+    return meters;
+  }
+
+  /** Counts one more of {@code name}. */
+  public void count(String name) {
+    registry.counter(name).inc();
+  }
+
+  /** Counts a refusal. */
+  public void refused(RefusalReason reason) {
+    registry.counter(refusalName(reason)).inc();
+  }
+
+  /** Records a duration. */
+  public void time(String name, Duration duration) {
+    registry.timer(name).update(duration.toNanos(), TimeUnit.NANOSECONDS);
+  }
+
+  /** Returns the registry. */
+  public MetricRegistry registry() {
+    return registry;
+  }
+
+  private static String refusalName(RefusalReason reason) {
+    return "refusal." + reason.text();
+  }
+}
--- /dev/null
+++ b/org.oatlug/src/org/oatlug/internal/metrics/package-info.java
@@ -0,0 +1,2 @@
+/** Counters and timers. */
+package org.oatlug.internal.metrics;
--- /dev/null
+++ b/org.oatlug/src/org/oatlug/internal/peer/PeerHandler.java
@@ -0,0 +1,14 @@
+// Copyright (c) 2026, the oatlug authors
+// SPDX-License-Identifier: BSD-3-Clause
+
+package org.oatlug.internal.peer;
+
+import io.smallrye.mutiny.Uni;
+
+/** Answers messages of other instances. Used from one event loop. */
+@FunctionalInterface
+public interface PeerHandler {
+
+  /** Returns the answer; a failure is reported to the peer as such. */
+  Uni<PeerMessage> handle(Member from, PeerMessage message);
+}
--- /dev/null
+++ b/org.oatlug/src/org/oatlug/internal/peer/PeerMessage.java
@@ -0,0 +1,97 @@
+// Copyright (c) 2026, the oatlug authors
+// SPDX-License-Identifier: BSD-3-Clause
+
+package org.oatlug.internal.peer;
+
+import com.fasterxml.jackson.annotation.JsonSubTypes;
+import com.fasterxml.jackson.annotation.JsonTypeInfo;
+import java.util.List;
+import org.oatlug.api.ObjectKey;
+import org.oatlug.internal.billing.Bill;
+import org.oatlug.internal.ledger.LedgerEntry;
+import org.oatlug.internal.ledger.LedgerResult;
+import org.oatlug.platform.StoredObject;
+
+/** A message between entry instances. Immutable. Ages are in milliseconds. */
+@JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "t")
+@JsonSubTypes({
+  @JsonSubTypes.Type(value = PeerMessage.Challenge.class, name = "challenge"),
+  @JsonSubTypes.Type(value = PeerMessage.Hello.class, name = "hello"),
+  @JsonSubTypes.Type(value = PeerMessage.Welcome.class, name = "welcome"),
+  @JsonSubTypes.Type(value = PeerMessage.Ping.class, name = "ping"),
+  @JsonSubTypes.Type(value = PeerMessage.PingFor.class, name = "pingFor"),
+  @JsonSubTypes.Type(value = PeerMessage.Ack.class, name = "ack"),
+  @JsonSubTypes.Type(value = PeerMessage.Digest.class, name = "digest"),
+  @JsonSubTypes.Type(value = PeerMessage.BucketDigests.class, name = "buckets"),
+  @JsonSubTypes.Type(value = PeerMessage.Objects.class, name = "objects"),
+  @JsonSubTypes.Type(value = PeerMessage.VersionQuery.class, name = "versionQuery"),
+  @JsonSubTypes.Type(value = PeerMessage.VersionAnswer.class, name = "versionAnswer"),
+  @JsonSubTypes.Type(value = PeerMessage.Submit.class, name = "submit"),
+  @JsonSubTypes.Type(value = PeerMessage.Submitted.class, name = "submitted"),
+  @JsonSubTypes.Type(value = PeerMessage.HoldBill.class, name = "holdBill"),
+  @JsonSubTypes.Type(value = PeerMessage.DropBills.class, name = "dropBills"),
+  @JsonSubTypes.Type(value = PeerMessage.UpstreamLeaving.class, name = "upstreamLeaving"),
+  @JsonSubTypes.Type(value = PeerMessage.GuardEvidence.class, name = "guard"),
+  @JsonSubTypes.Type(value = PeerMessage.Done.class, name = "done"),
+  @JsonSubTypes.Type(value = PeerMessage.Failed.class, name = "failed")
+})
+public sealed interface PeerMessage {
+
+  /** The first message of the accepting side. */
+  record Challenge(String nonce) implements PeerMessage {}
+
+  /** The first message of the calling side, with its proof of the shared key. */
+  record Hello(Member member, String nonce, String proof) implements PeerMessage {}
+
+  /** The accepting side's proof of the shared key. */
+  record Welcome(Member member, String proof) implements PeerMessage {}
+
+  /** A probe, with news of members. */
+  record Ping(List<Member> news) implements PeerMessage {}
+
+  /** Asks the receiver to probe {@code target} in the sender's place. */
+  record PingFor(String target, List<Member> news) implements PeerMessage {}
+
+  /** The answer to a probe, with news of members. */
+  record Ack(List<Member> news) implements PeerMessage {}
+
+  /** The digest over all objects, and the age of the last platform contact, -1 if there is none. */
+  record Digest(long digest, long contactAge) implements PeerMessage {}
+
+  /** The digests of the buckets; the answer carries the objects of those that differ. */
+  record BucketDigests(long[] digests, long contactAge) implements PeerMessage {}
+
+  /** Objects; when {@code forward} is set the receiver passes on those that were new to it. */
+  record Objects(List<StoredObject> objects, long contactAge, boolean forward)
+      implements PeerMessage {}
+
+  /** Asks which version of an object is in force. */
+  record VersionQuery(ObjectKey key) implements PeerMessage {}
+
+  /** The version of an object that is in force, 0 if there is none. */
+  record VersionAnswer(long version) implements PeerMessage {}
+
+  /** Entries for the ledger shard that the receiver owns. */
+  record Submit(int shard, List<LedgerEntry> entries) implements PeerMessage {}
+
+  /** The confirmed results, in the order of the entries. */
+  record Submitted(List<LedgerResult> results) implements PeerMessage {}
+
+  /** Asks the receiver to keep a bill until the ledger has it. */
+  record HoldBill(Bill bill) implements PeerMessage {}
+
+  /** Says that the bills are in the ledger or void. */
+  record DropBills(List<String> ids) implements PeerMessage {}
+
+  /** Says that an upstream is leaving. */
+  record UpstreamLeaving(String upstream) implements PeerMessage {}
+
+  /** The evidence of one instance against a candidate version, a logarithm. */
+  record GuardEvidence(String candidate, double logEvidence) implements PeerMessage {}
+
+  /** An answer without content. */
+  record Done() implements PeerMessage {}
+
+  /** An answer to a message that could not be served. */
+  record Failed(String reason) implements PeerMessage {}
+}
--- /dev/null
+++ b/org.oatlug/src/org/oatlug/internal/peer/PeerProof.java
@@ -0,0 +1,45 @@
+// Copyright (c) 2026, the oatlug authors
+// SPDX-License-Identifier: BSD-3-Clause
+
+package org.oatlug.internal.peer;
+
+import com.google.common.hash.Hashing;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+
+/**
+ * The proof that a peer has the shared key.
+ *
+ * <p>Each side proves it over the other's nonce and its own role, so that a proof cannot be played
+ * back or reflected. Immutable, thread-safe.
+ */
+final class PeerProof {
+  private final byte[] key;
+
+  private PeerProof(byte[] key) {
+    this.key = key;
+  }
+
+  static PeerProof withKey(String key) {
+    return new PeerProof(key.getBytes(StandardCharsets.UTF_8));
+  }
+
+  String ofCaller(String acceptorNonce, String callerNonce, Member caller) {
+    return mac("caller", acceptorNonce, callerNonce, caller.toString());
+  }
+
+  String ofAcceptor(String acceptorNonce, String callerNonce, Member acceptor) {
+    return mac("acceptor", acceptorNonce, callerNonce, acceptor.toString());
+  }
+
+  static boolean same(String expected, String given) {
+    byte[] one = expected.getBytes(StandardCharsets.UTF_8);
+    byte[] other = given.getBytes(StandardCharsets.UTF_8);
+    return MessageDigest.isEqual(one, other);
+  }
+
+  private String mac(String... parts) {
+    String text = String.join("\n", parts);
+    return Hashing.hmacSha256(key).hashString(text, StandardCharsets.UTF_8).toString();
+  }
+}
--- /dev/null
+++ b/org.oatlug/src/org/oatlug/internal/peer/package-info.java
@@ -0,0 +1,2 @@
+/** The framed protocol between instances. */
+package org.oatlug.internal.peer;
--- /dev/null
+++ b/org.oatlug/src/org/oatlug/internal/platform/HttpPlatform.java
@@ -0,0 +1,181 @@
+// Copyright (c) 2026, the oatlug authors
+// SPDX-License-Identifier: BSD-3-Clause
+
+package org.oatlug.internal.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.smallrye.mutiny.Uni;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.ext.web.client.HttpRequest;
+import io.vertx.ext.web.client.HttpResponse;
+import io.vertx.ext.web.client.WebClient;
+import io.vertx.ext.web.client.WebClientOptions;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.oatlug.api.ObjectKey;
+import org.oatlug.config.Settings;
+import org.oatlug.errors.ConflictException;
+import org.oatlug.errors.PlatformBusyException;
+import org.oatlug.errors.PlatformUnavailableException;
+import org.oatlug.internal.util.Json;
+import org.oatlug.internal.util.Unis;
+import org.oatlug.platform.Platform;
+import org.oatlug.platform.StoredObject;
+
+/**
+ * The object API over HTTP and JSON.
+ *
+ * <p>Objects: {@code GET} and {@code PUT /objects/KIND/NAME} with {@code If-Match: VERSION}; lists:
+ * {@code GET /objects?kinds=A,B}; watches: {@code GET /watch?kinds=A,B&since=REVISION}; instances:
+ * {@code GET /instances}. Immutable; used from one event loop.
+ */
+public final class HttpPlatform implements Platform {
+  private static final long CALL_MILLIS = 1000;
+  private static final long LIST_MILLIS = 5000;
+  private static final long WATCH_MILLIS = 15_000;
+  private static final int OK = 200;
+  private static final int NOT_FOUND = 404;
+  private static final int CONFLICT = 412;
+  private static final int TOO_MANY = 429;
+
+  private final WebClient client;
+
+  private HttpPlatform(WebClient client) {
+    this.client = client;
+  }
+
+  /** Returns the adapter of the platform at {@code address}. */
+  public static HttpPlatform create(Vertx vertx, Settings.Address address) {
+    WebClientOptions options =
+        new WebClientOptions()
+            .setDefaultHost(address.host())
+            .setDefaultPort(address.port())
+            .setConnectTimeout((int) CALL_MILLIS);
+    return new HttpPlatform(WebClient.create(vertx, options));
+  }
+
+  @Override
+  public Uni<Optional<StoredObject>> get(ObjectKey key) {
+    HttpRequest<Buffer> request = client.get(pathOf(key)).timeout(CALL_MILLIS);
+    return call("get " + key, request::send).map(response -> objectIn(key, response));
+  }
+
+  @Override
+  public Uni<Batch> list(List<String> kinds) {
+    HttpRequest<Buffer> request =
+        client.get("/objects").addQueryParam("kinds", String.join(",", kinds)).timeout(LIST_MILLIS);
+    return call("list", request::send).map(HttpPlatform::batchIn);
+  }
+
+  @Override
+  public Uni<Batch> watch(List<String> kinds, long revision) {
+    HttpRequest<Buffer> request =
+        client
+            .get("/watch")
+            .addQueryParam("kinds", String.join(",", kinds))
+            .addQueryParam("since", Long.toString(revision))
+            .timeout(WATCH_MILLIS);
+    return call("watch", request::send).map(HttpPlatform::batchIn);
+  }
+
+  @Override
+  public Uni<Long> put(ObjectKey key, long expected, JsonNode value) {
+    Buffer body = Buffer.buffer(value.toString());
+    HttpRequest<Buffer> request =
+        client
+            .put(pathOf(key))
+            .putHeader("If-Match", Long.toString(expected))
+            .putHeader("Content-Type", "application/json")
+            .timeout(CALL_MILLIS);
+    return call("put " + key, () -> request.sendBuffer(body))
+        .onItem()
+        .transformToUni(
+            response -> {
+              if (response.statusCode() == CONFLICT) {
+                Optional<StoredObject> current = objectIn(key, response);
+                return Uni.createFrom().failure(new ConflictException(key, expected, current));
+              }
+              return Uni.createFrom().item(tree(response).path("version").asLong());
+            });
+  }
+
+  @Override
+  public Uni<List<ListedInstance>> instances() {
+    HttpRequest<Buffer> request = client.get("/instances").timeout(CALL_MILLIS);
+    return call("instances", request::send)
+        .map(
+            response -> {
+              List<ListedInstance> listed = new ArrayList<>();
+              for (JsonNode node : tree(response)) {
+                listed.add(Json.STRICT.convertValue(node, ListedInstance.class));
+              }
+              return listed;
+            });
+  }
+
+  private static Uni<HttpResponse<Buffer>> call(
+      String operation, java.util.function.Supplier<Future<HttpResponse<Buffer>>> send) {
+    return Unis.fromFuture(send)
+        .onFailure()
+        .transform(failure -> new PlatformUnavailableException(operation, failure))
+        .onItem()
+        .transformToUni(response -> checked(operation, response));
+  }
+
+  private static Uni<HttpResponse<Buffer>> checked(
+      String operation, HttpResponse<Buffer> response) {
+    int status = response.statusCode();
+    if (status == OK || status == NOT_FOUND || status == CONFLICT) {
+      return Uni.createFrom().item(response);
+    }
+    if (status == TOO_MANY) {
+      return Uni.createFrom().failure(new PlatformBusyException(operation));
+    }
+    return Uni.createFrom().failure(new PlatformUnavailableException(operation, null));
+  }
+
+  private static String pathOf(ObjectKey key) {
+    return "/objects/" + key.kind() + "/" + key.name();
+  }
+
+  private static Optional<StoredObject> objectIn(ObjectKey key, HttpResponse<Buffer> response) {
+    if (response.statusCode() == NOT_FOUND) {
+      return Optional.empty();
+    }
+    JsonNode node = tree(response);
+    if (!node.has("version")) {
+      return Optional.empty();
+    }
+    return Optional.of(new StoredObject(key, node.path("version").asLong(), node.get("value")));
+  }
+
+  private static Batch batchIn(HttpResponse<Buffer> response) {
+    JsonNode node = tree(response);
+    List<StoredObject> objects = new ArrayList<>();
+    for (JsonNode one : node.path("objects")) {
+      ObjectKey key = ObjectKey.valueOf(one.path("kind").asText(), one.path("name").asText());
+      objects.add(new StoredObject(key, one.path("version").asLong(), one.get("value")));
+    }
+    return new Batch(node.path("revision").asLong(), objects);
+  }
+
+  private static JsonNode tree(HttpResponse<Buffer> response) {
+    Buffer body = response.body();
+    if (body == null) {
+      return emptyObject();
+    }
+    try {
+      return Json.STRICT.readTree(body.getBytes());
+    } catch (java.io.IOException e) {
+      return emptyObject();
+    }
+  }
+
+  private static ObjectNode emptyObject() {
+    return Json.STRICT.createObjectNode();
+  }
+}
--- /dev/null
+++ b/org.oatlug/src/org/oatlug/internal/platform/package-info.java
@@ -0,0 +1,2 @@
+/** The HTTP adapter of the object API. */
+package org.oatlug.internal.platform;
--- /dev/null
+++ b/org.oatlug/src/org/oatlug/internal/rollout/SequentialTest.java
@@ -0,0 +1,81 @@
+// Copyright (c) 2026, the oatlug authors
+// SPDX-License-Identifier: BSD-3-Clause
+
+package org.oatlug.internal.rollout;
+
+/**
+ * A test whether a candidate fails more often than the current version, valid at any stopping time.
+ *
+ * <p>Outcomes of the two versions are paired in their order of arrival. If the candidate is no
+ * worse, the candidate is the one that failed in at most half of the pairs in which just one
+ * failed. The test bets against that with several stakes at once; the mean wealth is a
+ * supermartingale, so by Ville's inequality it ever exceeds {@code 1 / alpha} with a probability of
+ * {@code alpha} at most. Not thread-safe.
+ */
+public final class SequentialTest {
+  private static final double[] STAKES = {0.2, 0.5, 0.8};
+  private static final int MAXIMUM_UNPAIRED = 64;
+
+  private final double[] logWealth = new double[STAKES.length];
+  private final java.util.ArrayDeque<Boolean> current = new java.util.ArrayDeque<>();
+  private final java.util.ArrayDeque<Boolean> candidate = new java.util.ArrayDeque<>();
+
+  private SequentialTest() {}
+
+  /** Returns a test without evidence. */
+  public static SequentialTest create() {
+    return new SequentialTest();
+  }
+
+  /** Takes in an outcome of the current version. */
+  public void current(boolean failed) {
+    add(current, failed);
+    pair();
+  }
+
+  /** Takes in an outcome of the candidate. */
+  public void candidate(boolean failed) {
+    add(candidate, failed);
+    pair();
+  }
+
+  /** Returns the logarithm of the evidence against the candidate; 0 is none. */
+  public double logEvidence() {
+    double sum = 0;
+    for (double wealth : logWealth) {
+      sum += Math.exp(wealth);
+    }
+    return Math.log(sum / STAKES.length);
+  }
+
+  /**
+   * Returns whether the evidence refutes that the candidate is no worse, at error {@code alpha}.
+   */
+  public boolean refutes(double alpha) {
+    return logEvidence() >= -Math.log(alpha);
+  }
+
+  private static void add(java.util.ArrayDeque<Boolean> outcomes, boolean failed) {
+    if (outcomes.size() >= MAXIMUM_UNPAIRED) {
+      outcomes.removeFirst();
+    }
+    outcomes.addLast(failed);
+  }
+
+  private void pair() {
+    while (!current.isEmpty() && !candidate.isEmpty()) {
+      boolean candidateFailed = candidate.removeFirst();
+      boolean currentFailed = current.removeFirst();
+      if (candidateFailed != currentFailed) {
+        bet(candidateFailed);
+      }
+    }
+  }
+
+  private void bet(boolean candidateFailed) {
+    for (int index = 0; index < STAKES.length; index++) {
+      double stake = STAKES[index];
+      logWealth[index] += Math.log(candidateFailed ? 1 + stake : 1 - stake);
+    }
+  }
+}
--- /dev/null
+++ b/org.oatlug/src/org/oatlug/internal/routing/Router.java
@@ -0,0 +1,287 @@
+// Copyright (c) 2026, the oatlug authors
+// SPDX-License-Identifier: BSD-3-Clause
+
+package org.oatlug.internal.routing;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+import org.oatlug.api.RefusalReason;
+import org.oatlug.api.VersionState;
+import org.oatlug.config.Cascade;
+import org.oatlug.config.Rollout;
+import org.oatlug.config.Upstream;
+import org.oatlug.config.Version;
+import org.oatlug.config.Workspace;
+import org.oatlug.internal.cascade.StageChooser;
+import org.oatlug.internal.config.PolicyProgram;
+import org.oatlug.internal.routing.RoutingDecision.PassedOver;
+import org.oatlug.internal.routing.RoutingDecision.Reason;
+import org.oatlug.internal.routing.RoutingDecision.Route;
+import org.oatlug.internal.table.Tables;
+import org.oatlug.internal.table.UpstreamRow;
+
+/**
+ * Decides which model, version and upstream answers a request.
+ *
+ * <p>Invariants: a route's version is allowed by the policy of the workspace and not withdrawn at
+ * the moment of the decision; a session that is bound to a version of the model gets that version
+ * or a refusal; anything that is referenced and missing denies. The decision changes no table.
+ * Owned by one event loop, not thread-safe.
+ */
+public final class Router {
+  private static final int PERCENT = 100;
+
+  private final String zone;
+  private final StageChooser stageChooser;
+  private final UpstreamChooser upstreamChooser;
+  private final RandomGenerator random;
+
+  private Router(
+      String zone,
+      StageChooser stageChooser,
+      UpstreamChooser upstreamChooser,
+      RandomGenerator random) {
+    this.zone = zone;
+    this.stageChooser = stageChooser;
+    this.upstreamChooser = upstreamChooser;
+    this.random = random;
+  }
+
+  /**
+   * Returns a router.
+   *
+   * @param zone the availability zone of this instance
+   * @param stageChooser chooses the stage of a cascade
+   * @param upstreamChooser chooses among upstreams
+   * @param random the source of chance
+   */
+  public static Router create(
+      String zone,
+      StageChooser stageChooser,
+      UpstreamChooser upstreamChooser,
+      RandomGenerator random) {
+    return new Router(zone, stageChooser, upstreamChooser, random);
+  }
+
+  /** Decides where the request goes as the tables stand. */
+  public RoutingDecision decide(RouteRequest request, Tables tables, Instant now) {
+    List<PassedOver> passedOver = new ArrayList<>();
+    Optional<Cascade> cascade = tables.catalogue().cascade(request.target());
+    if (cascade.isPresent()) {
+      return decideCascade(request, cascade.get(), tables, now, passedOver);
+    }
+    if (!tables.catalogue().hasModel(request.target())) {
+      return RoutingDecision.refused(RefusalReason.MODEL_UNKNOWN, passedOver);
+    }
+    return decideModel(request, request.target(), 0, tables, now, passedOver);
+  }
+
+  /** Decides which upstream of a plain service answers. */
+  public RoutingDecision decideService(RouteRequest request, Tables tables, Instant now) {
+    List<PassedOver> passedOver = new ArrayList<>();
+    return chooseUpstream(request, "", request.target(), 0, tables, now, passedOver);
+  }
+
+  /**
+   * Returns whether the route still holds; asked last before bytes go to an upstream.
+   *
+   * @param newSession whether the request was not bound to the version before
+   */
+  public boolean stillAllowed(
+      RouteRequest request, Route route, Tables tables, boolean newSession) {
+    Optional<Version> version = tables.catalogue().version(route.version());
+    if (version.isEmpty() || version.get().state() == VersionState.WITHDRAWN) {
+      return false;
+    }
+    boolean retiring = version.get().state() == VersionState.RETIRING;
+    return allowed(request, route.model(), route.version(), tables) && !(retiring && newSession);
+  }
+
+  private RoutingDecision decideCascade(
+      RouteRequest request,
+      Cascade cascade,
+      Tables tables,
+      Instant now,
+      List<PassedOver> passedOver) {
+    int chosen =
+        stageChooser.choose(cascade, request.workspace(), request.task(), tables.ratings(), random);
+    int start = Math.max(chosen, request.minimumStage());
+    List<Integer> order = stageOrder(start, request.minimumStage(), cascade.stages().size());
+    RoutingDecision last = RoutingDecision.refused(RefusalReason.NO_UPSTREAM, passedOver);
+    for (int stage : order) {
+      String model = cascade.stages().get(stage);
+      last = decideModel(request, model, stage, tables, now, passedOver);
+      if (last.route().isPresent() || isFinal(last)) {
+        return last;
+      }
+    }
+    return last;
+  }
+
+  private static boolean isFinal(RoutingDecision decision) {
+    return decision.refusal().equals(Optional.of(RefusalReason.VERSION_WITHDRAWN));
+  }
+
+  private static List<Integer> stageOrder(int start, int minimum, int size) {
+    List<Integer> order = new ArrayList<>();
+    for (int stage = start; stage < size; stage++) {
+      order.add(stage);
+    }
+    for (int stage = Math.min(start, size) - 1; stage >= minimum; stage--) {
+      order.add(stage);
+    }
+    return order;
+  }
+
+  private RoutingDecision decideModel(
+      RouteRequest request,
+      String model,
+      int stage,
+      Tables tables,
+      Instant now,
+      List<PassedOver> passedOver) {
+    String bound = request.session().get(model);
+    if (bound != null) {
+      return decideBound(request, model, bound, stage, tables, now, passedOver);
+    }
+    for (String version : newSessionVersions(model, tables, now, passedOver)) {
+      if (!allowed(request, model, version, tables)) {
+        passedOver.add(new PassedOver(version, Reason.DENIED_BY_POLICY));
+        continue;
+      }
+      RoutingDecision decision =
+          chooseUpstream(request, model, version, stage, tables, now, passedOver);
+      if (decision.route().isPresent()) {
+        return decision;
+      }
+    }
+    boolean denied = passedOver.stream().anyMatch(Router::isDenial);
+    RefusalReason reason = denied ? RefusalReason.NOT_ALLOWED : RefusalReason.NO_UPSTREAM;
+    return RoutingDecision.refused(reason, passedOver);
+  }
+
+  private static boolean isDenial(PassedOver passed) {
+    return passed.reason() == Reason.DENIED_BY_POLICY;
+  }
+
+  private RoutingDecision decideBound(
+      RouteRequest request,
+      String model,
+      String version,
+      int stage,
+      Tables tables,
+      Instant now,
+      List<PassedOver> passedOver) {
+    Optional<Version> content = tables.catalogue().version(version);
+    if (content.isEmpty() || content.get().state() == VersionState.WITHDRAWN) {
+      passedOver.add(new PassedOver(version, Reason.VERSION_WITHDRAWN));
+      return RoutingDecision.refused(RefusalReason.VERSION_WITHDRAWN, passedOver);
+    }
+    if (!allowed(request, model, version, tables)) {
+      passedOver.add(new PassedOver(version, Reason.DENIED_BY_POLICY));
+      return RoutingDecision.refused(RefusalReason.NOT_ALLOWED, passedOver);
+    }
+    return chooseUpstream(request, model, version, stage, tables, now, passedOver);
+  }
+
+  /** Returns the versions a new session may get, the preferred one first. */
+  private List<String> newSessionVersions(
+      String model, Tables tables, Instant now, List<PassedOver> passedOver) {
+    List<String> versions = new ArrayList<>();
+    candidate(model, tables, now, passedOver).ifPresent(versions::add);
+    Optional<String> current = tables.catalogue().currentVersion(model);
+    if (current.isEmpty()) {
+      passedOver.add(new PassedOver(model, Reason.NO_CURRENT_VERSION));
+    }
+    current.ifPresent(versions::add);
+    return versions;
+  }
+
+  private Optional<String> candidate(
+      String model, Tables tables, Instant now, List<PassedOver> passedOver) {
+    Optional<Rollout> rollout = tables.catalogue().rollout(model);
+    if (rollout.isEmpty()) {
+      return Optional.empty();
+    }
+    String candidate = rollout.get().candidate();
+    Optional<Version> content = tables.catalogue().version(candidate);
+    boolean runs = content.map(Version::state).equals(Optional.of(VersionState.CANDIDATE));
+    boolean halted = rollout.get().state() == Rollout.State.HALTED;
+    if (!runs) {
+      return Optional.empty();
+    }
+    if (halted || tables.haltedHere().contains(candidate)) {
+      passedOver.add(new PassedOver(candidate, Reason.CANDIDATE_HALTED));
+      return Optional.empty();
+    }
+    if (!tables.freshness().isFresh(now)) {
+      passedOver.add(new PassedOver(candidate, Reason.CONFIGURATION_STALE));
+      return Optional.empty();
+    }
+    boolean drawn = random.nextInt(PERCENT) < rollout.get().weightPercent();
+    return drawn ? Optional.of(candidate) : Optional.empty();
+  }
+
+  private static boolean allowed(
+      RouteRequest request, String model, String version, Tables tables) {
+    Optional<Workspace> workspace = tables.catalogue().workspace(request.workspace());
+    if (workspace.isEmpty()) {
+      return false;
+    }
+    Optional<PolicyProgram> program = tables.catalogue().program(workspace.get().policy());
+    PolicyProgram.Subject subject =
+        new PolicyProgram.Subject(
+            request.workspace(), model, version, request.task(), workspace.get().priority());
+    return program.map(policy -> policy.allows(subject)).orElse(false);
+  }
+
+  private RoutingDecision chooseUpstream(
+      RouteRequest request,
+      String model,
+      String version,
+      int stage,
+      Tables tables,
+      Instant now,
+      List<PassedOver> passedOver) {
+    List<UpstreamChooser.Candidate> candidates = new ArrayList<>();
+    for (String name : tables.catalogue().upstreamsServing(version)) {
+      Upstream upstream = tables.catalogue().upstream(name).orElseThrow();
+      UpstreamRow row = tables.upstreams().row(name);
+      Optional<Reason> obstacle = obstacle(request, upstream, row, now);
+      if (obstacle.isPresent()) {
+        passedOver.add(new PassedOver(name, obstacle.get()));
+        continue;
+      }
+      boolean local = upstream.zone().equals(zone);
+      candidates.add(new UpstreamChooser.Candidate(row, upstream, local));
+    }
+    if (candidates.isEmpty()) {
+      return RoutingDecision.refused(RefusalReason.NO_UPSTREAM, passedOver);
+    }
+    UpstreamChooser.Candidate taken = upstreamChooser.choose(candidates, request, now, random);
+    for (UpstreamChooser.Candidate candidate : candidates) {
+      if (candidate != taken) {
+        passedOver.add(new PassedOver(candidate.row().name(), Reason.UPSTREAM_COSTLIER));
+      }
+    }
+    Route route = new Route(model, version, taken.row().name(), stage);
+    return RoutingDecision.routed(route, passedOver);
+  }
+
+  private static Optional<Reason> obstacle(
+      RouteRequest request, Upstream upstream, UpstreamRow row, Instant now) {
+    if (upstream.leaving() || row.leaving()) {
+      return Optional.of(Reason.UPSTREAM_LEAVING);
+    }
+    if (request.excluded().contains(row.name())) {
+      return Optional.of(Reason.UPSTREAM_FAILED_BEFORE);
+    }
+    if (row.ejected(now)) {
+      return Optional.of(Reason.UPSTREAM_EJECTED);
+    }
+    return Optional.empty();
+  }
+}
--- /dev/null
+++ b/org.oatlug/src/org/oatlug/internal/routing/UpstreamChooser.java
@@ -0,0 +1,28 @@
+// Copyright (c) 2026, the oatlug authors
+// SPDX-License-Identifier: BSD-3-Clause
+
+package org.oatlug.internal.routing;
+
+import java.time.Instant;
+import java.util.List;
+import java.util.random.RandomGenerator;
+import org.oatlug.config.Upstream;
+import org.oatlug.internal.table.UpstreamRow;
+
+/** Chooses one of the upstreams that may answer; implementations keep no state between calls. */
+@FunctionalInterface
+public interface UpstreamChooser {
+
+  /** Returns one of the candidates, of which there is at least one. */
+  Candidate choose(
+      List<Candidate> candidates, RouteRequest request, Instant now, RandomGenerator random);
+
+  /**
+   * An upstream that may answer.
+   *
+   * @param row what is known of it
+   * @param upstream its configuration
+   * @param local whether it is in this instance's availability zone
+   */
+  record Candidate(UpstreamRow row, Upstream upstream, boolean local) {}
+}
--- /dev/null
+++ b/org.oatlug/src/org/oatlug/internal/session/SessionKeys.java
@@ -0,0 +1,26 @@
+// Copyright (c) 2026, the oatlug authors
+// SPDX-License-Identifier: BSD-3-Clause
+
+package org.oatlug.internal.session;
+
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * The keys that sign sessions: one signs, the others still verify. Immutable, thread-safe.
+ *
+ * @param signingKeyId the id of the key that signs
+ * @param keys the keys by id
+ */
+public record SessionKeys(String signingKeyId, Map<String, String> keys) {
+
+  /** Returns the key with this id. */
+  public Optional<String> key(String id) {
+    return Optional.ofNullable(keys.get(id));
+  }
+
+  @Override
+  public String toString() {
+    return "SessionKeys[" + signingKeyId + "]";
+  }
+}
--- /dev/null
+++ b/org.oatlug/src/org/oatlug/internal/session/package-info.java
@@ -0,0 +1,2 @@
+/** Signed session tokens. */
+package org.oatlug.internal.session;
--- /dev/null
+++ b/org.oatlug/src/org/oatlug/internal/table/UpstreamRow.java
@@ -0,0 +1,142 @@
+// Copyright (c) 2026, the oatlug authors
+// SPDX-License-Identifier: BSD-3-Clause
+
+package org.oatlug.internal.table;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/**
+ * What one instance knows of one upstream.
+ *
+ * <p>Invariant: {@code inFlight} equals the attempts that were reserved and not yet released. A
+ * reservation counts into {@code dispatchedSinceReport} until the next load report. Owned by one
+ * event loop, not thread-safe.
+ */
+public final class UpstreamRow {
+  private static final int REMEMBERED_PREFIXES = 256;
+  private static final int EJECT_AFTER_FAILURES = 3;
+  private static final Duration EJECT_FOR = Duration.ofSeconds(5);
+  private static final double SMOOTHING = 0.2;
+
+  private final String name;
+  private final Map<Long, Boolean> prefixes =
+      new LinkedHashMap<>(16, 0.75f, true) {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<Long, Boolean> eldest) {
+          return size() > REMEMBERED_PREFIXES;
+        }
+      };
+  private int inFlight;
+  private int reportedRunning;
+  private int reportedWaiting;
+  private Instant reportedAt = Instant.EPOCH;
+  private int dispatchedSinceReport;
+  private int finishedSinceReport;
+  private boolean leaving;
+  private int failuresInRow;
+  private Instant ejectedUntil = Instant.EPOCH;
+  private double meanServiceMillis;
+
+  UpstreamRow(String name) {
+    this.name = name;
+  }
+
+  /** Returns the name of the upstream. */
+  public String name() {
+    return name;
+  }
+
+  /** Counts an attempt that is about to be dispatched. */
+  public void reserve() {
+    inFlight++;
+    dispatchedSinceReport++;
+  }
+
+  /** Ends a reservation. */
+  public void release() {
+    inFlight--;
+    finishedSinceReport++;
+  }
+
+  /** Takes in a load report that arrived at {@code now}. */
+  public void report(int running, int waiting, boolean nowLeaving, Instant now) {
+    reportedRunning = running;
+    reportedWaiting = waiting;
+    reportedAt = now;
+    dispatchedSinceReport = 0;
+    finishedSinceReport = 0;
+    if (nowLeaving) {
+      leaving = true;
+    }
+  }
+
+  /** Takes in an answer that took {@code service}. */
+  public void succeeded(Duration service) {
+    failuresInRow = 0;
+    double millis = service.toMillis();
+    double old = meanServiceMillis;
+    meanServiceMillis = old == 0 ? millis : old + SMOOTHING * (millis - old);
+  }
+
+  /** Takes in a failure; several in a row keep the upstream out for a while. */
+  public void failed(Instant now) {
+    failuresInRow++;
+    if (failuresInRow >= EJECT_AFTER_FAILURES) {
+      ejectedUntil = now.plus(EJECT_FOR);
+    }
+  }
+
+  /** Marks that the upstream said it is leaving; it stays so under this name. */
+  public void markLeaving() {
+    leaving = true;
+  }
+
+  /** Remembers that the upstream has seen the prompt prefix. */
+  public void rememberPrefix(long prefix) {
+    prefixes.put(prefix, Boolean.TRUE);
+  }
+
+  /** Returns whether the upstream has probably cached the prompt prefix. */
+  public boolean hasPrefix(long prefix) {
+    return prefixes.containsKey(prefix);
+  }
+
+  /** Returns whether the upstream said it is leaving. */
+  public boolean leaving() {
+    return leaving;
+  }
+
+  /** Returns whether the upstream is kept out after failures. */
+  public boolean ejected(Instant now) {
+    return now.isBefore(ejectedUntil);
+  }
+
+  /** Returns the attempts of this instance that are open. */
+  public int inFlight() {
+    return inFlight;
+  }
+
+  /** Returns the age of the last load report, a day at most. */
+  public Duration reportAge(Instant now) {
+    Duration age = Duration.between(reportedAt, now);
+    Duration limit = Duration.ofDays(1);
+    return age.compareTo(limit) > 0 ? limit : age;
+  }
+
+  /** Returns the requests at the upstream as known: reported, plus own changes since. */
+  public int expectedLoad() {
+    int reported = reportedRunning + reportedWaiting;
+    int expected = reported + dispatchedSinceReport - finishedSinceReport;
+    return Math.max(inFlight, expected);
+  }
+
+  /** Returns the mean time of an answer in milliseconds, 0 if none was seen. */
+  public double meanServiceMillis() {
+    return meanServiceMillis;
+  }
+}
--- /dev/null
+++ b/org.oatlug/src/org/oatlug/internal/table/package-info.java
@@ -0,0 +1,2 @@
+/** The tables that hold the state of one instance. */
+package org.oatlug.internal.table;
--- /dev/null
+++ b/org.oatlug/src/org/oatlug/internal/util/Hashes.java
@@ -0,0 +1,34 @@
+// Copyright (c) 2026, the oatlug authors
+// SPDX-License-Identifier: BSD-3-Clause
+
+package org.oatlug.internal.util;
+
+import com.google.common.hash.Hashing;
+import java.nio.charset.StandardCharsets;
+import java.util.Comparator;
+import java.util.List;
+
+/** Hashes that are the same on every instance. Stateless, thread-safe. */
+public final class Hashes {
+  private Hashes() {}
+
+  /** Returns the SHA-256 of {@code text} in hexadecimal. */
+  public static String sha256(String text) {
+    return Hashing.sha256().hashString(text, StandardCharsets.UTF_8).toString();
+  }
+
+  /** Returns a 64-bit hash of the parts. */
+  public static long hash64(String... parts) {
+    String joined = String.join("\n", parts);
+    return Hashing.murmur3_128().hashString(joined, StandardCharsets.UTF_8).asLong();
+  }
+
+  /** Returns the members by rendezvous rank for {@code subject}, first rank first. */
+  public static List<String> rendezvous(String subject, List<String> members) {
+    return members.stream()
+        .sorted(
+            Comparator.comparingLong((String member) -> hash64(subject, member))
+                .thenComparing(Comparator.naturalOrder()))
+        .toList();
+  }
+}
--- /dev/null
+++ b/org.oatlug/src/org/oatlug/internal/util/Json.java
@@ -0,0 +1,36 @@
+// Copyright (c) 2026, the oatlug authors
+// SPDX-License-Identifier: BSD-3-Clause
+
+package org.oatlug.internal.util;
+
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.datatype.jdk8.Jdk8Module;
+import org.msgpack.jackson.dataformat.MessagePackFactory;
+
+/** The object mappers of oatlug. Immutable after creation, thread-safe. */
+public final class Json {
+  /** Refuses unknown fields, null for numbers and text after the value. */
+  public static final ObjectMapper STRICT =
+      JsonMapper.builder()
+          .addModule(new Jdk8Module())
+          .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
+          .enable(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES)
+          .disable(DeserializationFeature.ACCEPT_FLOAT_AS_INT)
+          .build();
+
+  /**
+   * Reads and writes MessagePack; passes over unknown fields, so that newer peers are understood.
+   */
+  public static final ObjectMapper MESSAGE_PACK = messagePack();
+
+  private Json() {}
+
+  private static ObjectMapper messagePack() {
+    ObjectMapper mapper = new ObjectMapper(new MessagePackFactory());
+    mapper.registerModule(new Jdk8Module());
+    mapper.disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES);
+    return mapper;
+  }
+}
--- /dev/null
+++ b/org.oatlug/src/org/oatlug/internal/util/package-info.java
@@ -0,0 +1,2 @@
+/** Small helpers without state of their own. */
+package org.oatlug.internal.util;
--- /dev/null
+++ b/org.oatlug/src/org/oatlug/platform/Platform.java
@@ -0,0 +1,67 @@
+// Copyright (c) 2026, the oatlug authors
+// SPDX-License-Identifier: BSD-3-Clause
+
+package org.oatlug.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.smallrye.mutiny.Uni;
+import java.util.List;
+import java.util.Optional;
+import org.oatlug.api.ObjectKey;
+
+/**
+ * The platform's object API, as far as oatlug uses it.
+ *
+ * <p>Every call fails with {@link org.oatlug.errors.PlatformUnavailableException} when there is no
+ * answer and with {@link org.oatlug.errors.PlatformBusyException} when the platform's rate is used
+ * up. Implementations are used from one event loop.
+ */
+public interface Platform {
+
+  /** Returns the object, empty if there is none. */
+  Uni<Optional<StoredObject>> get(ObjectKey key);
+
+  /** Returns all objects of the kinds and the revision up to which the answer holds. */
+  Uni<Batch> list(List<String> kinds);
+
+  /**
+   * Writes the object if its version is still {@code expected}.
+   *
+   * <p>Fails with {@link org.oatlug.errors.ConflictException} when it is not.
+   *
+   * @param expected the version that was read, 0 if there was none
+   * @return the new version
+   */
+  Uni<Long> put(ObjectKey key, long expected, JsonNode value);
+
+  /**
+   * Waits for changes of the kinds after {@code revision}.
+   *
+   * @return the changes, empty after the platform's waiting time
+   */
+  Uni<Batch> watch(List<String> kinds, long revision);
+
+  /** Returns the platform's list of instances, which lags. */
+  Uni<List<ListedInstance>> instances();
+
+  /**
+   * Objects and the revision up to which they are complete.
+   *
+   * @param revision the platform's revision
+   * @param objects the objects, each at its newest version
+   */
+  record Batch(long revision, List<StoredObject> objects) {}
+
+  /**
+   * An entry instance as the platform lists it.
+   *
+   * @param name the name, never used again for another process
+   * @param zone the availability zone
+   * @param rack the rack, a failure domain
+   * @param host the IP number
+   * @param peerPort the port of the peers' protocol
+   * @param leaving whether the platform is about to stop it
+   */
+  record ListedInstance(
+      String name, String zone, String rack, String host, int peerPort, boolean leaving) {}
+}
--- /dev/null
+++ b/org.oatlug/src/org/oatlug/platform/package-info.java
@@ -0,0 +1,2 @@
+/** The interface to the platform's object API. */
+package org.oatlug.platform;
