Confirm ledger results that change nothing against the platform's head

Cause: a shard writer answered entries that change nothing from its own state. When another writer had moved the head on, an outcome was dropped as "already there" (its claim was not known) and a duplicate was told "still running" for ever. Found by killing and freezing instances while callers retry: key kill-5-2 was never decided within 40 s. Ruled out: a lost void (the claim was granted), a caller that went away (the service had run the order), the restarted process (its epoch was known).

Change: a batch that adds no entry is answered only after the head was read and found to be the one the state came from; otherwise the state is read anew. Two tests of it failed first: expected RECORDED but found ALREADY, expected ENDED but found TAKEN. Also the process test harness (relays, signals, the stand-ins' records), a property test of racing, crashing, reply-losing writers, and its control without conditional updates.

--- a/org.oatlug.entry/src/org/oatlug/entry/EntryInstance.java
+++ b/org.oatlug.entry/src/org/oatlug/entry/EntryInstance.java
@@ -80,8 +80,8 @@
             settings.name(),
             settings.zone(),
             settings.rack(),
-            settings.peers().host(),
-            settings.peers().port(),
+            settings.peers().reachedAt().host(),
+            settings.peers().reachedAt().port(),
             clock.instant().toEpochMilli(),
             0,
             Member.State.ALIVE);
--- a/org.oatlug.standin/src/org/oatlug/standin/Relay.java
+++ b/org.oatlug.standin/src/org/oatlug/standin/Relay.java
@@ -33,6 +33,7 @@
   private final int port;
   private final List<NetSocket> open = new ArrayList<>();
   private Mode mode = Mode.PASS;
+  private String cutSource = "";
   private long delayMillis;
 
   private Relay(Vertx vertx, String host, int port) {
@@ -60,13 +61,23 @@
     }
   }
 
+  /** Cuts connections from addresses that start with {@code prefix}; an empty one cuts none. */
+  public void cutFrom(String prefix) {
+    cutSource = prefix;
+    List.copyOf(open).stream().filter(this::isFromCut).forEach(NetSocket::close);
+  }
+
+  private boolean isFromCut(NetSocket socket) {
+    return !cutSource.isEmpty() && socket.remoteAddress().host().startsWith(cutSource);
+  }
+
   /** Delays bytes in each direction. */
   public void delay(long millis) {
     delayMillis = millis;
   }
 
   private void accept(NetSocket near) {
-    if (mode == Mode.CUT) {
+    if (mode == Mode.CUT || isFromCut(near)) {
       near.close();
       return;
     }
--- /dev/null
+++ b/org.oatlug.test/tst/org/oatlug/test/AtMostOnceProcessTest.java
@@ -0,0 +1,145 @@
+// Copyright (c) 2026, the oatlug authors
+// SPDX-License-Identifier: BSD-3-Clause
+
+package org.oatlug.test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import org.testng.annotations.AfterClass;
+import org.testng.annotations.BeforeClass;
+import org.testng.annotations.Test;
+
+/** Shows that a request that may not be repeated runs at most once; the service's record counts. */
+public class AtMostOnceProcessTest {
+  private static final int INSTANCES = 3;
+  private TestCluster cluster;
+
+  /** Starts the processes. */
+  @BeforeClass
+  public void start() throws IOException {
+    cluster = TestCluster.start(INSTANCES, 1, 2);
+  }
+
+  /** Ends them. */
+  @AfterClass(alwaysRun = true)
+  public void stop() throws IOException {
+    cluster.close();
+  }
+
+  /** The same keys race through all instances. */
+  @Test
+  public void testRacingCallersRunOnce() throws IOException {
+    List<CompletableFuture<Http.Answer>> answers = new ArrayList<>();
+    for (int round = 0; round < 20; round++) {
+      for (int index = 0; index < INSTANCES; index++) {
+        answers.add(Http.sendAsync(cluster.order(index, "race-" + round)));
+      }
+    }
+    for (CompletableFuture<Http.Answer> answer : answers) {
+      int status = answer.join().status();
+      assertTrue(status == 200 || status == 409, answer.join().body());
+    }
+    for (int round = 0; round < 20; round++) {
+      String key = "race-" + round;
+      Await.until(key + " answered", () -> Http.send(cluster.order(0, key)).status() == 200);
+      assertEquals(cluster.runs().get(key), Integer.valueOf(1), key);
+    }
+  }
+
+  /** An upstream runs the order and cuts the connection; nobody runs it again. */
+  @Test
+  public void testOrderThatRanWithoutAnswerRunsNoSecondTime() throws IOException {
+    for (int port : cluster.servicePorts) {
+      cluster.faults(port, "{\"cutAfterRun\":1}");
+    }
+    Http.Answer first = Http.send(cluster.order(0, "cut-1"));
+    assertEquals(first.notRun(), "unknown", first.body());
+    for (int index = 0; index < INSTANCES; index++) {
+      int instance = index;
+      Await.until(
+          "outcome known",
+          () -> Http.send(cluster.order(instance, "cut-1")).reason().equals("may-have-run"));
+    }
+    assertEquals(cluster.runs().get("cut-1"), Integer.valueOf(1));
+    for (int port : cluster.servicePorts) {
+      cluster.faults(port, "{}");
+    }
+  }
+
+  /** The platform is away: refused at once and not run; when it is back the key runs once. */
+  @Test
+  public void testPlatformAwayRefusesAndDoesNotRun() throws IOException {
+    cluster.faults(cluster.platformPort, "{\"down\":-1}");
+    Http.Answer refused = Http.send(cluster.order(0, "away-1"));
+    assertEquals(refused.reason(), "ledger-unavailable", refused.body());
+    assertEquals(refused.notRun(), "yes");
+    assertTrue(!refused.header("Retry-After").isEmpty());
+    assertEquals(cluster.runs().get("away-1"), null);
+    cluster.faults(cluster.platformPort, "{}");
+    Await.until("runs", () -> Http.send(cluster.order(1, "away-1")).status() == 200);
+    assertEquals(cluster.runs().get("away-1"), Integer.valueOf(1));
+  }
+
+  /** Replies of the platform are lost after the write took effect. */
+  @Test
+  public void testLostRepliesRunOnce() throws IOException {
+    for (int round = 0; round < 10; round++) {
+      String key = "lost-" + round;
+      cluster.faults(cluster.platformPort, "{\"loseReply\":1}");
+      Await.until(key, () -> Http.send(cluster.order(1, key)).status() == 200);
+      Await.until(key, () -> Http.send(cluster.order(2, key)).status() == 200);
+      assertEquals(cluster.runs().get(key), Integer.valueOf(1), key);
+    }
+    cluster.faults(cluster.platformPort, "{}");
+  }
+
+  /** Instances are killed and frozen in turn while callers retry through the others. */
+  @Test(dependsOnMethods = {"testLostRepliesRunOnce", "testRacingCallersRunOnce"})
+  public void testKilledAndFrozenInstancesRunOnce() throws IOException {
+    for (int round = 0; round < 6; round++) {
+      int victim = round % INSTANCES;
+      List<CompletableFuture<Http.Answer>> answers = new ArrayList<>();
+      for (int index = 0; index < INSTANCES; index++) {
+        for (int number = 0; number < 5; number++) {
+          answers.add(Http.sendAsync(cluster.order(index, "kill-" + round + "-" + number)));
+        }
+      }
+      boolean freeze = round % 2 == 1;
+      if (freeze) {
+        cluster.signal(victim, "STOP");
+      } else {
+        cluster.kill(victim);
+      }
+      for (int number = 0; number < 5; number++) {
+        answers.add(
+            Http.sendAsync(
+                cluster.order((victim + 1) % INSTANCES, "kill-" + round + "-" + number)));
+      }
+      Await.pause(1500);
+      if (freeze) {
+        cluster.signal(victim, "CONT");
+      } else {
+        cluster.startEntry(victim);
+      }
+      cluster.awaitReady(victim);
+      answers.forEach(answer -> answer.handle((done, failure) -> true).join());
+      for (int number = 0; number < 5; number++) {
+        String key = "kill-" + round + "-" + number;
+        Await.until(key + " decided", () -> isDecided(Http.send(cluster.order(victim, key))));
+      }
+    }
+    for (Map.Entry<String, Integer> run : cluster.runs().entrySet()) {
+      assertEquals(run.getValue(), Integer.valueOf(1), run.getKey());
+    }
+  }
+
+  private static boolean isDecided(Http.Answer answer) {
+    return answer.status() == 200 || answer.reason().equals("may-have-run");
+  }
+}
--- /dev/null
+++ b/org.oatlug.test/tst/org/oatlug/test/Http.java
@@ -0,0 +1,78 @@
+// Copyright (c) 2026, the oatlug authors
+// SPDX-License-Identifier: BSD-3-Clause
+
+package org.oatlug.test;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import org.oatlug.internal.util.Json;
+
+/** A small HTTP client for tests. Thread-safe. */
+final class Http {
+  private static final Duration PATIENCE = Duration.ofSeconds(30);
+  private static final HttpClient CLIENT =
+      HttpClient.newBuilder()
+          .version(HttpClient.Version.HTTP_1_1)
+          .connectTimeout(Duration.ofSeconds(5))
+          .build();
+
+  private Http() {}
+
+  /** An answer. */
+  record Answer(int status, String body, HttpResponse<String> response) {
+    JsonNode json() {
+      try {
+        return Json.STRICT.readTree(body);
+      } catch (IOException e) {
+        throw new IllegalStateException(body, e);
+      }
+    }
+
+    String header(String name) {
+      return response.headers().firstValue(name).orElse("");
+    }
+
+    String reason() {
+      return json().path("reason").asText();
+    }
+
+    String notRun() {
+      return json().path("notRun").asText();
+    }
+  }
+
+  static HttpRequest.Builder to(int port, String path) {
+    return HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + port + path)).timeout(PATIENCE);
+  }
+
+  static Answer get(int port, String path) throws IOException {
+    return send(to(port, path).GET());
+  }
+
+  static Answer put(int port, String path, String body) throws IOException {
+    return send(to(port, path).PUT(HttpRequest.BodyPublishers.ofString(body)));
+  }
+
+  static Answer send(HttpRequest.Builder request) throws IOException {
+    try {
+      HttpResponse<String> response =
+          CLIENT.send(request.build(), HttpResponse.BodyHandlers.ofString());
+      return new Answer(response.statusCode(), response.body(), response);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      throw new IOException(e);
+    }
+  }
+
+  static CompletableFuture<Answer> sendAsync(HttpRequest.Builder request) {
+    return CLIENT
+        .sendAsync(request.build(), HttpResponse.BodyHandlers.ofString())
+        .thenApply(response -> new Answer(response.statusCode(), response.body(), response));
+  }
+}
--- /dev/null
+++ b/org.oatlug.test/tst/org/oatlug/test/ShardTest.java
@@ -0,0 +1,240 @@
+// Copyright (c) 2026, the oatlug authors
+// SPDX-License-Identifier: BSD-3-Clause
+
+package org.oatlug.test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import com.codahale.metrics.MetricRegistry;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.oatlug.internal.billing.Bill;
+import org.oatlug.internal.ledger.LedgerEntry;
+import org.oatlug.internal.ledger.LedgerReader;
+import org.oatlug.internal.ledger.LedgerResult;
+import org.oatlug.internal.ledger.Shard;
+
+/**
+ * Shows what the ledger promises, with several writers of one shard that pause, crash, race and
+ * lose replies: a key is granted to one attempt, an id is billed once.
+ */
+class ShardTest {
+  private static final String SEED = "20261202";
+  private static final Duration TICK = Duration.ofMillis(50);
+  private static final int WRITERS = 3;
+  private static final int KEYS = 4;
+  private static final int STEPS = 200;
+  private static final int SMALL_HEAD = 1500;
+
+  private final FakeClock clock = new FakeClock();
+
+  private Shard writer(FakePlatform platform) {
+    Shard.Options options =
+        new Shard.Options(Duration.ofHours(24), TICK, Duration.ofSeconds(2), SMALL_HEAD);
+    return Shard.create(0, platform, clock, options, new MetricRegistry());
+  }
+
+  private LedgerEntry.Claim claim(String key, String attempt) {
+    long born = clock.instant().toEpochMilli();
+    return new LedgerEntry.Claim(key, attempt, "fingerprint", "process@1", born);
+  }
+
+  private static LedgerEntry.Outcome outcome(String key, String attempt) {
+    return new LedgerEntry.Outcome(
+        key, attempt, LedgerEntry.Outcome.Kind.ANSWERED, 200, "text/plain", "answer");
+  }
+
+  private LedgerResult.Kind submit(Shard shard, LedgerEntry entry) {
+    List<LedgerResult> results = new ArrayList<>();
+    shard.submit(entry).subscribe().with(results::add, failure -> {});
+    for (int tick = 0; tick < 4 && results.isEmpty(); tick++) {
+      clock.advance(TICK);
+      shard.tick();
+    }
+    return results.get(0).kind();
+  }
+
+  /** A writer whose state is old must not answer from it. */
+  @Example
+  void testWriterWithOldStateSeesOutcomeOfAnotherWriter() {
+    FakePlatform platform = FakePlatform.create();
+    Shard one = writer(platform);
+    Shard other = writer(platform);
+    assertEquals(submit(one, claim("k", "a")), LedgerResult.Kind.GRANTED);
+    assertEquals(submit(other, outcome("k", "a")), LedgerResult.Kind.RECORDED);
+    assertEquals(submit(one, claim("k", "b")), LedgerResult.Kind.ENDED);
+  }
+
+  /** An outcome that reaches a writer which has not seen the claim is not lost. */
+  @Example
+  void testOutcomeAtWriterWithOldStateIsRecorded() {
+    FakePlatform platform = FakePlatform.create();
+    Shard one = writer(platform);
+    Shard other = writer(platform);
+    assertEquals(submit(one, claim("first", "x")), LedgerResult.Kind.GRANTED);
+    assertEquals(submit(other, claim("k", "a")), LedgerResult.Kind.GRANTED);
+    assertEquals(submit(one, outcome("k", "a")), LedgerResult.Kind.RECORDED);
+    assertEquals(submit(other, claim("k", "b")), LedgerResult.Kind.ENDED);
+  }
+
+  /** A void that overtakes its claim keeps the claim out. */
+  @Example
+  void testVoidBeforeItsClaimKeepsTheClaimOut() {
+    FakePlatform platform = FakePlatform.create();
+    Shard one = writer(platform);
+    assertEquals(submit(one, new LedgerEntry.Void("k", "a")), LedgerResult.Kind.RECORDED);
+    assertEquals(submit(one, claim("k", "a")), LedgerResult.Kind.VOIDED);
+    assertEquals(submit(one, claim("k", "b")), LedgerResult.Kind.GRANTED);
+  }
+
+  /** A claim that is older than the retention is refused, never taken as new. */
+  @Example
+  void testClaimOlderThanRetentionIsRefused() {
+    FakePlatform platform = FakePlatform.create();
+    LedgerEntry.Claim old = claim("k", "a");
+    clock.advance(Duration.ofHours(25));
+    assertEquals(submit(writer(platform), old), LedgerResult.Kind.EXPIRED);
+  }
+
+  @Property(seed = SEED)
+  void testKeyIsGrantedToOneAttemptThatRuns(@ForAll Random random) {
+    History history = new History(FakePlatform.create(), random);
+    history.run();
+    assertTrue(history.overrun().isEmpty(), "ran twice: " + history.overrun());
+    assertFalse(history.billedTwice(), "an id is billed twice");
+  }
+
+  /** Without conditional updates the same histories run a key twice: the check can see it. */
+  @Example
+  void testWithoutConditionalUpdatesKeysRunTwice() {
+    boolean seen = false;
+    for (int seed = 0; seed < 100 && !seen; seed++) {
+      History history = new History(FakePlatform.unconditional(), new Random(seed));
+      history.run();
+      seen = !history.overrun().isEmpty();
+    }
+    assertTrue(seen);
+  }
+
+  /** Random steps of callers, writers and the platform. */
+  private final class History {
+    private final FakePlatform platform;
+    private final Random random;
+    private final List<Shard> writers = new ArrayList<>();
+    private final Map<String, Set<String>> runs = new HashMap<>();
+    private final Set<String> givenUp = new HashSet<>();
+    private int attempts;
+
+    History(FakePlatform platform, Random random) {
+      this.platform = platform;
+      this.random = random;
+      platform.waitForTest(true);
+      for (int index = 0; index < WRITERS; index++) {
+        writers.add(writer(platform));
+      }
+    }
+
+    void run() {
+      for (int step = 0; step < STEPS; step++) {
+        step();
+      }
+      platform.waitForTest(false);
+      platform.deliverAll();
+    }
+
+    private void step() {
+      int index = random.nextInt(WRITERS);
+      switch (random.nextInt(8)) {
+        case 0 -> claimAt(writers.get(index));
+        case 1 -> billAt(writers.get(index));
+        case 2, 3 -> deliverOne(random.nextInt(5) == 0);
+        case 4, 5 -> writers.get(index).tick();
+        case 6 -> clock.advance(Duration.ofMillis(random.nextInt(400)));
+        default -> crashRarely(index);
+      }
+    }
+
+    private void claimAt(Shard shard) {
+      String key = "key-" + random.nextInt(KEYS);
+      String attempt = "attempt-" + attempts++;
+      LedgerEntry.Claim entry = claim(key, attempt);
+      shard
+          .submit(entry)
+          .subscribe()
+          .with(result -> decided(shard, entry, result), failure -> giveUp(shard, entry));
+      if (random.nextInt(4) == 0) {
+        Shard second = writers.get(random.nextInt(WRITERS));
+        second
+            .submit(entry)
+            .subscribe()
+            .with(result -> decided(shard, entry, result), failure -> {});
+      }
+    }
+
+    private void decided(Shard shard, LedgerEntry.Claim claim, LedgerResult result) {
+      boolean granted = result.kind() == LedgerResult.Kind.GRANTED;
+      if (!granted || givenUp.contains(claim.attempt())) {
+        return;
+      }
+      runs.computeIfAbsent(claim.key(), unused -> new HashSet<>()).add(claim.attempt());
+      if (random.nextBoolean()) {
+        LedgerEntry end = outcome(claim.key(), claim.attempt());
+        shard.submit(end).subscribe().with(done -> {}, failure -> {});
+      }
+    }
+
+    private void giveUp(Shard shard, LedgerEntry.Claim claim) {
+      Set<String> ran = runs.getOrDefault(claim.key(), Set.of());
+      if (!ran.contains(claim.attempt())) {
+        givenUp.add(claim.attempt());
+        LedgerEntry given = new LedgerEntry.Void(claim.key(), claim.attempt());
+        shard.submit(given).subscribe().with(done -> {}, failure -> {});
+      }
+    }
+
+    private void billAt(Shard shard) {
+      int amount = random.nextInt(100);
+      String id = "request-" + random.nextInt(KEYS);
+      Bill bill = new Bill(id, "w", "v", 1, amount, amount, true, "process@1");
+      LedgerEntry entry = new LedgerEntry.Billed(bill);
+      shard.submit(entry).subscribe().with(done -> {}, failure -> {});
+    }
+
+    private void deliverOne(boolean replyLost) {
+      if (platform.pending() > 0) {
+        platform.deliver(random.nextInt(platform.pending()), replyLost);
+      }
+    }
+
+    private void crashRarely(int index) {
+      if (random.nextInt(10) == 0) {
+        writers.set(index, writer(platform));
+      }
+    }
+
+    Optional<String> overrun() {
+      return runs.entrySet().stream()
+          .filter(entry -> entry.getValue().size() > 1)
+          .map(Map.Entry::getKey)
+          .findFirst();
+    }
+
+    boolean billedTwice() {
+      List<Bill> bills = LedgerReader.of(platform).bills(1).await().indefinitely();
+      Set<String> ids = new HashSet<>();
+      return bills.stream().anyMatch(bill -> !ids.add(bill.id()));
+    }
+  }
+}
--- a/org.oatlug/src/org/oatlug/config/Settings.java
+++ b/org.oatlug/src/org/oatlug/config/Settings.java
@@ -69,10 +69,21 @@
    * @param port the port
    * @param key the shared key
    * @param seeds instances to begin with when the platform is away
+   * @param advertised where others connect, if not where this instance listens
    * @param tls the files of TLS, empty for none
    */
   public record Peers(
-      String host, int port, String key, List<Platform.ListedInstance> seeds, Optional<Tls> tls) {
+      String host,
+      int port,
+      String key,
+      List<Platform.ListedInstance> seeds,
+      Optional<Address> advertised,
+      Optional<Tls> tls) {
+    /** Returns where other instances connect. */
+    public Address reachedAt() {
+      return advertised.orElse(new Address(host, port));
+    }
+
     @Override
     public String toString() {
       return "Peers[" + host + ":" + port + "]";
--- a/org.oatlug/src/org/oatlug/internal/ledger/Ledger.java
+++ b/org.oatlug/src/org/oatlug/internal/ledger/Ledger.java
@@ -31,6 +31,7 @@
 public final class Ledger {
   private static final Duration OWNER_PATIENCE = Duration.ofMillis(700);
   private static final Duration ENTRY_PATIENCE = Duration.ofMillis(2000);
+  private static final int SEAL_ABOVE_BYTES = 64 * 1024;
 
   private final List<Shard> shards = new ArrayList<>();
   private final Membership membership;
@@ -54,7 +55,8 @@
     Ledger ledger = new Ledger(membership, network, Meters.of(metrics));
     Duration interval = flushInterval(settings);
     Duration retention = Duration.ofHours(settings.retentionHours());
-    Shard.Options options = new Shard.Options(retention, interval, ENTRY_PATIENCE);
+    Shard.Options options =
+        new Shard.Options(retention, interval, ENTRY_PATIENCE, SEAL_ABOVE_BYTES);
     for (int number = 0; number < settings.shards(); number++) {
       ledger.shards.add(Shard.create(number, platform, clock, options, metrics));
     }
--- a/org.oatlug/src/org/oatlug/internal/ledger/Shard.java
+++ b/org.oatlug/src/org/oatlug/internal/ledger/Shard.java
@@ -12,10 +12,8 @@
 import java.time.Instant;
 import java.time.InstantSource;
 import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 import java.util.UUID;
 import org.oatlug.api.ObjectKey;
 import org.oatlug.errors.ConflictException;
@@ -28,16 +26,16 @@
 /**
  * One shard as a writer of it sees it: a state that was read, and entries that wait to be written.
  *
- * <p>Invariant: a result is only given once the head that holds its entry is confirmed. More than
- * one writer is safe, because the head is written by conditional update; after a conflict or a lost
- * reply the head is read back and the waiting entries are applied to it again, which changes
- * nothing for those already in it. No clock stands in this argument. Owned by one event loop, not
- * thread-safe.
+ * <p>Invariant: a result is only given once the head that holds its entry is confirmed, or, if the
+ * entry changes nothing, once the head was read and found to be the one that this state came from.
+ * More than one writer is safe, because the head is written by conditional update; after a conflict
+ * or a lost reply the head is read back and the waiting entries are applied to it again, which
+ * changes nothing for those already in it. No clock stands in this argument. Owned by one event
+ * loop, not thread-safe.
  */
 public final class Shard {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   static final String KIND = "ledger";
-  private static final int SEAL_ABOVE_BYTES = 64 * 1024;
   private static final int GIVE_UP_AFTER_FAILURES = 2;
 
   private final int number;
@@ -46,9 +44,9 @@
   private final Duration retention;
   private final Duration interval;
   private final Duration patience;
+  private final int sealAboveBytes;
   private final Meters meters;
   private final List<Waiting> waiting = new ArrayList<>();
-  private final Set<String> loadedSegments = new HashSet<>();
 
   private ShardState state;
   private ShardHead head = ShardHead.EMPTY;
@@ -66,6 +64,7 @@
     this.retention = options.retention();
     this.interval = options.interval();
     this.patience = options.patience();
+    this.sealAboveBytes = options.sealAboveBytes();
     this.meters = meters;
     this.state = new ShardState(retention);
   }
@@ -76,8 +75,10 @@
    * @param retention how long claims are kept
    * @param interval the shortest time between two writes
    * @param patience how long an entry may wait for its confirmation
+   * @param sealAboveBytes how large a head may grow before its entries move to a segment
    */
-  public record Options(Duration retention, Duration interval, Duration patience) {}
+  public record Options(
+      Duration retention, Duration interval, Duration patience, int sealAboveBytes) {}
 
   /** Returns a writer of the shard that has read nothing yet. */
   public static Shard create(
@@ -174,8 +175,7 @@
       }
     }
     if (added.isEmpty()) {
-      confirm(batch, results);
-      return Uni.createFrom().voidItem();
+      return verify(batch, results);
     }
     List<LedgerEntry> entries = new ArrayList<>(head.entries());
     entries.addAll(added);
@@ -183,9 +183,26 @@
         .invoke(unused -> confirm(batch, results));
   }
 
+  /** Answers a batch that changes nothing, if no other writer has moved the head on meanwhile. */
+  private Uni<Void> verify(List<Waiting> batch, List<LedgerResult> results) {
+    return platform
+        .get(headKey())
+        .onItem()
+        .transformToUni(
+            stored -> {
+              long standing = stored.map(StoredObject::version).orElse(0L);
+              if (standing == version) {
+                confirm(batch, results);
+                return Uni.createFrom().voidItem();
+              }
+              forget();
+              return loadHead(stored).onItem().transformToUni(unused -> write());
+            });
+  }
+
   private Uni<Void> writeHead(ShardHead next) {
     JsonNode value = Json.STRICT.valueToTree(next);
-    if (sizeOf(value) > SEAL_ABOVE_BYTES) {
+    if (sizeOf(value) > sealAboveBytes) {
       return seal(next).onItem().transformToUni(this::put);
     }
     return put(next);
@@ -214,7 +231,6 @@
       }
     }
     segments.add(new ShardHead.Segment(name, now));
-    loadedSegments.add(name);
     meters.count("ledger.sealed");
     state.forget(now);
     return platform
@@ -229,9 +245,13 @@
     }
   }
 
-  private Uni<Void> load() {
+  private void forget() {
+    known = false;
     state = new ShardState(retention);
-    loadedSegments.clear();
+  }
+
+  private Uni<Void> load() {
+    forget();
     return platform.get(headKey()).onItem().transformToUni(this::loadHead);
   }
 
@@ -262,7 +282,6 @@
                 return Uni.createFrom().failure(new LedgerUnavailableException(null));
               }
               applyAll(LedgerReader.parse(stored.get(), ShardHead.SegmentContent.class).entries());
-              loadedSegments.add(name);
               return Uni.createFrom().voidItem();
             });
   }
--- a/org.oatlug/src/org/oatlug/internal/peer/TcpPeers.java
+++ b/org.oatlug/src/org/oatlug/internal/peer/TcpPeers.java
@@ -138,7 +138,10 @@
 
   private static NetClientOptions clientOptions(Settings.Peers settings) {
     NetClientOptions options =
-        new NetClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MILLIS).setTcpNoDelay(true);
+        new NetClientOptions()
+            .setConnectTimeout(CONNECT_TIMEOUT_MILLIS)
+            .setLocalAddress(settings.host())
+            .setTcpNoDelay(true);
     Optional<Settings.Tls> tls = settings.tls();
     tls.ifPresent(
         files ->
