--- a/org.oatlug.standin/src/org/oatlug/standin/PlatformStandin.java
+++ b/org.oatlug.standin/src/org/oatlug/standin/PlatformStandin.java
@@ -27,7 +27,6 @@
 public final class PlatformStandin {
   private static final int WRITES_PER_SECOND = 100;
   private static final int READS_PER_SECOND = 2000;
-  private static final long WATCH_MILLIS = 5000;
   private static final int BODY_LIMIT = 1024 * 1024;
   private static final String CONFLICT = "conflict";
 
@@ -174,7 +173,8 @@
       reply(context, batch(kinds, objects.values(), since, revision));
       return;
     }
-    long timer = vertx.setTimer(WATCH_MILLIS, unused -> wake(context));
+    long wait = Math.max(1, Long.parseLong(context.request().getParam("wait")));
+    long timer = vertx.setTimer(wait, unused -> wake(context));
     Watch watch = new Watch(kinds, since, context, timer);
     watches.add(watch);
     context.response().closeHandler(unused -> drop(watch));
--- /dev/null
+++ b/org.oatlug.test/tst/org/oatlug/test/AnswerProcessTest.java
@@ -0,0 +1,262 @@
+// Copyright (c) 2026, the oatlug authors
+// SPDX-License-Identifier: BSD-3-Clause
+
+package org.oatlug.test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.Socket;
+import java.net.http.HttpRequest;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.testng.annotations.AfterClass;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeClass;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Shows that answers are whole and the caller's own, and that "not run" is true. */
+public class AnswerProcessTest {
+  private TestCluster cluster;
+
+  /** Starts the processes. */
+  @BeforeClass
+  public void start() throws IOException {
+    cluster = TestCluster.start(2, 2, 2);
+  }
+
+  /** Ends them. */
+  @AfterClass(alwaysRun = true)
+  public void stop() throws IOException {
+    cluster.close();
+  }
+
+  /** Mends every upstream. */
+  @AfterMethod(alwaysRun = true)
+  public void mend() throws IOException {
+    engineFaults("{}");
+    serviceFaults("{}");
+    Await.until(
+        "upstreams in use again",
+        () -> Http.send(cluster.chat(0, "small", false, 1)).status() == 200);
+    Await.until(
+        "services in use again",
+        () -> Http.send(cluster.order(0, "mend-" + System.nanoTime())).status() == 200);
+  }
+
+  private void engineFaults(String json) throws IOException {
+    for (int port : cluster.enginePorts) {
+      cluster.faults(port, json);
+    }
+  }
+
+  private void serviceFaults(String json) throws IOException {
+    for (int port : cluster.servicePorts) {
+      cluster.faults(port, json);
+    }
+  }
+
+  /** Returns engine faults and whether the request may have run under them. */
+  @DataProvider
+  public Object[][] engineFaultTable() {
+    return new Object[][] {
+      {"{\"refuse\":-1}", false},
+      {"{\"fail\":-1}", true},
+      {"{\"cutAfter\":2}", true},
+      {"{\"wrongRequest\":-1}", true},
+      {"{\"hang\":-1}", true},
+    };
+  }
+
+  /** Whatever the engines do, "not run: yes" means that no engine has a record of the request. */
+  @Test(dataProvider = "engineFaultTable")
+  public void testNotRunIsTrueForChats(String faults, boolean runs) throws IOException {
+    engineFaults(faults);
+    Http.Answer answer =
+        Http.send(cluster.chat(0, "small", false, 4).header("Oatlug-Deadline-Ms", "3000"));
+    assertFalse(answer.status() == 200, answer.body());
+    String id = answer.json().path("requestId").asText();
+    boolean recorded =
+        cluster.records().stream().anyMatch(one -> one.path("requestId").asText().equals(id));
+    assertEquals(recorded, runs, answer.body());
+    assertEquals(answer.notRun(), runs ? "unknown" : "yes", answer.body());
+  }
+
+  /** Returns service faults and whether the order may have run under them. */
+  @DataProvider
+  public Object[][] serviceFaultTable() {
+    return new Object[][] {
+      {"{\"refuse\":-1}", false}, {"{\"cutAfterRun\":-1}", true}, {"{\"hang\":-1}", true},
+    };
+  }
+
+  /** The same for orders, which also run no second time. */
+  @Test(dataProvider = "serviceFaultTable")
+  public void testNotRunIsTrueForOrders(String faults, boolean runs) throws IOException {
+    String key = "fault-" + faults;
+    serviceFaults(faults);
+    Http.Answer answer = Http.send(cluster.order(1, key));
+    assertFalse(answer.status() == 200, answer.body());
+    assertEquals(answer.notRun(), runs ? "unknown" : "yes", answer.body());
+    assertEquals(cluster.runs().getOrDefault(key, 0), Integer.valueOf(runs ? 1 : 0));
+  }
+
+  /** A stream that breaks off ends with a typed event, never as if it were whole. */
+  @Test
+  public void testCutStreamEndsWithTypedEvent() throws IOException {
+    engineFaults("{\"cutAfter\":3}");
+    Http.Answer answer = Http.send(cluster.chat(0, "small", true, 10));
+    assertTrue(answer.body().contains("event: error"), answer.body());
+    assertTrue(answer.body().contains("\"reason\":\"upstream-failed\""), answer.body());
+    assertFalse(answer.body().contains("[DONE]"), answer.body());
+    assertEquals(answer.body().split("\"content\":\"t1 \"", -1).length, 2, "begun twice");
+  }
+
+  /** An engine that hands out another request's answer is not passed on. */
+  @Test
+  public void testAnswerOfAnotherRequestIsNotPassedOn() throws IOException {
+    cluster.faults(cluster.enginePorts.get(0), "{\"wrongRequest\":-1}");
+    for (int number = 0; number < 10; number++) {
+      Http.Answer answer = Http.send(cluster.chat(0, "small", false, 2));
+      assertEquals(answer.status(), 200, answer.body());
+      assertEquals(answer.json().path("id").asText(), answer.header("Oatlug-Request-Id"));
+    }
+  }
+
+  /** Callers at the same time each get their own whole answer. */
+  @Test
+  public void testManyCallersEachGetTheirOwnAnswer() {
+    List<CompletableFuture<Http.Answer>> answers = new ArrayList<>();
+    for (int number = 0; number < 60; number++) {
+      boolean stream = number % 2 == 0;
+      answers.add(Http.sendAsync(cluster.chat(number % 2, "small", stream, number + 1)));
+    }
+    for (int number = 0; number < answers.size(); number++) {
+      Http.Answer answer = answers.get(number).join();
+      String id = answer.header("Oatlug-Request-Id");
+      assertTrue(answer.body().contains("t" + (number + 1) + " "), answer.body());
+      assertFalse(answer.body().contains("t" + (number + 2) + " "), answer.body());
+      if (number % 2 == 0) {
+        assertEquals(answer.body().split(id, -1).length - 1, number + 1);
+        assertTrue(answer.body().endsWith("data: [DONE]\n\n"), answer.body());
+      }
+    }
+  }
+
+  /** A caller that reads slowly gets its whole answer. */
+  @Test
+  public void testSlowCallerGetsWholeAnswer() throws IOException {
+    String body =
+        "{\"model\":\"small\",\"stream\":true,\"max_tokens\":300,"
+            + "\"messages\":[{\"role\":\"user\",\"content\":\"long\"}]}";
+    try (Socket socket = new Socket()) {
+      socket.setReceiveBufferSize(4096);
+      socket.connect(new java.net.InetSocketAddress("127.0.0.1", cluster.callerPort(0)));
+      String head =
+          "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer "
+              + TestCluster.KEY
+              + "\r\nConnection: close\r\nContent-Length: "
+              + body.length()
+              + "\r\n\r\n";
+      socket.getOutputStream().write((head + body).getBytes(StandardCharsets.UTF_8));
+      StringBuilder text = new StringBuilder();
+      InputStream in = socket.getInputStream();
+      byte[] buffer = new byte[512];
+      for (int read = in.read(buffer); read >= 0; read = in.read(buffer)) {
+        text.append(new String(buffer, 0, read, StandardCharsets.UTF_8));
+        Await.pause(5);
+      }
+      assertTrue(text.toString().contains("t300 "), "the end is missing");
+      assertTrue(text.toString().contains("[DONE]"), "the closing event is missing");
+    }
+  }
+
+  /** Returns bad requests and the reason that each is refused with. */
+  @DataProvider
+  public Object[][] badRequestTable() {
+    String good = "{\"model\":\"small\",\"messages\":[{\"role\":\"user\",\"content\":\"x\"}]}";
+    String key = "Bearer " + TestCluster.KEY;
+    return new Object[][] {
+      {"/v1/chat/completions", "", good, "key-missing"},
+      {"/v1/chat/completions", "Bearer wrong", good, "key-unknown"},
+      {"/v1/chat/completions", key, "{", "body-invalid"},
+      {"/v1/chat/completions", key, "[]", "body-invalid"},
+      {"/v1/chat/completions", key, "{\"model\":1,\"messages\":[]}", "body-invalid"},
+      {"/v1/chat/completions", key, "{\"model\":\"small\",\"messages\":[]}", "body-invalid"},
+      {"/v1/chat/completions", key, good.replace("small", "none"), "model-unknown"},
+      {"/v1/chat/completions", key, good + " ".repeat(70_000), "body-too-large"},
+      {
+        "/v1/chat/completions",
+        "Bearer key-of-the-narrow",
+        good.replace("small", "large"),
+        "not-allowed"
+      },
+      {"/v1/services/none/x", key, "", "route-unknown"},
+      {"/v1/services/parts/none", key, "", "route-unknown"},
+      {"/v1/none", key, "", "route-unknown"},
+    };
+  }
+
+  /** Bad input gets a typed answer, and the process stays up. */
+  @Test(dataProvider = "badRequestTable")
+  public void testBadRequestGetsTypedRefusal(String path, String key, String body, String reason)
+      throws IOException {
+    HttpRequest.Builder request =
+        Http.to(cluster.callerPort(0), path).POST(HttpRequest.BodyPublishers.ofString(body));
+    if (!key.isEmpty()) {
+      request.header("Authorization", key);
+    }
+    Http.Answer answer = Http.send(request);
+    assertEquals(answer.header("Content-Type"), "application/problem+json", answer.body());
+    assertEquals(answer.reason(), reason, answer.body());
+    assertEquals(answer.notRun(), "yes");
+    assertFalse(answer.body().contains("Exception"), answer.body());
+    assertTrue(cluster.entry(0).isAlive());
+  }
+
+  /** Headers that are wrong get a typed answer. */
+  @Test
+  public void testBadHeadersGetTypedRefusal() throws IOException {
+    Http.Answer deadline =
+        Http.send(cluster.chat(0, "small", false, 1).header("Oatlug-Deadline-Ms", "soon"));
+    assertEquals(deadline.reason(), "header-invalid", deadline.body());
+    Http.Answer session =
+        Http.send(cluster.chat(0, "small", false, 1).header("Oatlug-Session", "k1.a.b"));
+    assertEquals(session.reason(), "session-invalid", session.body());
+  }
+
+  /** Frames that are malformed, oversize or unproved close the connection and nothing else. */
+  @Test
+  public void testMalformedPeerFramesAreCutOff() throws IOException {
+    byte[][] frames = {
+      ByteBuffer.allocate(8).putInt(4).putInt(-1).array(),
+      ByteBuffer.allocate(4).putInt(Integer.MAX_VALUE).array(),
+      ByteBuffer.allocate(4).putInt(-5).array(),
+      "GET / HTTP/1.1\r\n\r\n".getBytes(StandardCharsets.UTF_8),
+    };
+    for (byte[] frame : frames) {
+      try (Socket socket = new Socket("127.0.0.1", cluster.peerPort(0))) {
+        socket.setSoTimeout(20_000);
+        socket.getOutputStream().write(frame);
+        InputStream in = socket.getInputStream();
+        byte[] buffer = new byte[1024];
+        int read = in.read(buffer);
+        while (read >= 0) {
+          read = in.read(buffer);
+        }
+      } catch (java.net.SocketException e) {
+        assertTrue(cluster.entry(0).isAlive(), e.getMessage());
+      }
+    }
+    JsonNode status = Http.get(cluster.operatorPort(0), "/status").json();
+    assertTrue(status.path("ready").asBoolean(), status.toString());
+  }
+}
--- /dev/null
+++ b/org.oatlug.test/tst/org/oatlug/test/ConfigurationProcessTest.java
@@ -0,0 +1,335 @@
+// Copyright (c) 2026, the oatlug authors
+// SPDX-License-Identifier: BSD-3-Clause
+
+package org.oatlug.test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.concurrent.CompletableFuture;
+import org.oatlug.pgm.ExitCode;
+import org.oatlug.standin.Relay;
+import org.testng.annotations.AfterClass;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeClass;
+import org.testng.annotations.Test;
+
+/** Shows that accepted configuration comes into force everywhere and never reverts. */
+public class ConfigurationProcessTest {
+  private static final int INSTANCES = 5;
+  private TestCluster cluster;
+  private final TreeMap<String, Long> published = new TreeMap<>();
+  private int names;
+
+  /** Starts the processes; zones hall-a and hall-b have two instances each. */
+  @BeforeClass
+  public void start() throws IOException {
+    cluster = TestCluster.start(INSTANCES, 3, 1);
+  }
+
+  /** Ends them. */
+  @AfterClass(alwaysRun = true)
+  public void stop() throws IOException {
+    cluster.close();
+  }
+
+  /** Mends everything. */
+  @AfterMethod(alwaysRun = true)
+  public void mend() throws IOException {
+    cluster.faults(cluster.platformPort, "{}");
+    cluster.platformRelay(0).mode(Relay.Mode.PASS);
+    cluster.cutZone(0, false);
+    for (int index = 0; index < INSTANCES; index++) {
+      cluster.awaitReady(index);
+    }
+  }
+
+  /** Publishes a change of a version that no test used before, and returns its name. */
+  private String addVersion() {
+    String name = "small-t" + names++;
+    ExitCode code = cluster.oatlug("version", "add", name, "small", "--cost", "7");
+    assertEquals(code, ExitCode.OK, cluster.lastOutput());
+    String text = cluster.lastOutput().trim();
+    published.put(name, Long.parseLong(text.substring(text.lastIndexOf(' ') + 1)));
+    return name;
+  }
+
+  private boolean isInForce(int index, String name) throws IOException {
+    return versionAt(index, name) >= published.get(name);
+  }
+
+  private long versionAt(int index, String name) throws IOException {
+    JsonNode answer =
+        Http.get(cluster.operatorPort(index), "/in-force?kind=version&name=" + name).json();
+    return answer.path("instances").path(TestCluster.nameOf(index)).asLong();
+  }
+
+  private void awaitEverywhere(String name) {
+    for (int index = 0; index < INSTANCES; index++) {
+      int instance = index;
+      Await.until(name + " in force", () -> isInForce(instance, name));
+    }
+  }
+
+  /** A publish whose reply was lost is read back and recognised. */
+  @Test
+  public void testLostReplyOfPublishIsRecognised() throws IOException {
+    cluster.faults(cluster.platformPort, "{\"loseReply\":1}");
+    awaitEverywhere(addVersion());
+  }
+
+  /** Watches miss changes and lists are stale; nothing reverts and all comes into force. */
+  @Test
+  public void testStaleReadsAndGapsNeverRevert() throws IOException {
+    TreeMap<Integer, Long> highest = new TreeMap<>();
+    String name = addVersion();
+    awaitEverywhere(name);
+    cluster.faults(cluster.platformPort, "{\"gap\":2,\"staleRead\":6}");
+    for (String step : new String[] {"promote", "retire"}) {
+      assertEquals(cluster.oatlug("version", step, name), ExitCode.OK, cluster.lastOutput());
+      for (int look = 0; look < 20; look++) {
+        int index = look % INSTANCES;
+        long seen = versionAt(index, name);
+        assertTrue(seen >= highest.getOrDefault(index, 0L), "reverted at " + index);
+        highest.put(index, seen);
+      }
+    }
+    assertEquals(cluster.oatlug("version", "promote", "small-v1", "--wait"), ExitCode.OK);
+  }
+
+  /** The readers of a zone are killed while an operator publishes. */
+  @Test
+  public void testKilledReadersAreReplaced() throws IOException {
+    cluster.kill(0);
+    cluster.kill(1);
+    String name = addVersion();
+    for (int index = 2; index < INSTANCES; index++) {
+      int instance = index;
+      Await.until(name + " in force", () -> isInForce(instance, name));
+    }
+    cluster.startEntry(0);
+    cluster.startEntry(1);
+    cluster.awaitReady(0);
+    cluster.awaitReady(1);
+    awaitEverywhere(name);
+  }
+
+  /** A zone that is cut off from the platform takes changes from the other zones. */
+  @Test
+  public void testZoneWithoutPlatformTakesChangesFromOthers() throws IOException {
+    cluster.platformRelay(0).mode(Relay.Mode.CUT);
+    awaitEverywhere(addVersion());
+  }
+
+  /** A zone that is cut off wholly serves on, and takes the changes when it is joined again. */
+  @Test
+  public void testCutZoneServesOnAndCatchesUp() throws IOException {
+    cluster.platformRelay(0).mode(Relay.Mode.CUT);
+    cluster.cutZone(0, true);
+    String name = addVersion();
+    assertEquals(Http.send(cluster.chat(0, "small", false, 2)).status(), 200);
+    assertFalse(isInForce(0, name));
+    cluster.platformRelay(0).mode(Relay.Mode.PASS);
+    cluster.cutZone(0, false);
+    awaitEverywhere(name);
+  }
+
+  /** An instance that starts while the platform is away takes the configuration of its peers. */
+  @Test
+  public void testNewInstanceStartsFromPeers() throws IOException {
+    String name = addVersion();
+    awaitEverywhere(name);
+    cluster.faults(cluster.platformPort, "{\"down\":-1}");
+    cluster.kill(3);
+    cluster.startEntry(3);
+    cluster.awaitReady(3);
+    Await.until("peers' configuration", () -> isInForce(3, name));
+    assertEquals(Http.send(cluster.chat(3, "small", false, 2)).status(), 200);
+  }
+
+  /** Two operators race: no change of either is overwritten unseen. */
+  @Test
+  public void testRacingOperatorsSeeConflicts() throws IOException {
+    String name = addVersion();
+    List<CompletableFuture<ExitCode>> operators = new ArrayList<>();
+    for (String step : new String[] {"withdraw", "promote", "retire"}) {
+      operators.add(
+          CompletableFuture.supplyAsync(
+              () ->
+                  org.oatlug.pgm.Oatlug.run(
+                      new String[] {
+                        "version", step, name, "--platform", "127.0.0.1:" + cluster.platformPort
+                      },
+                      System.out,
+                      System.out)));
+    }
+    for (CompletableFuture<ExitCode> operator : operators) {
+      ExitCode code = operator.join();
+      boolean typed = code == ExitCode.OK || code == ExitCode.CONFLICT || code == ExitCode.INVALID;
+      assertTrue(typed, code.toString());
+    }
+    cluster.oatlug("version", "promote", "small-v1");
+    cluster.oatlug("version", "withdraw", name);
+    assertEquals(cluster.oatlug("version", "promote", name), ExitCode.INVALID);
+  }
+
+  /** A session keeps its version while another is promoted, and is refused when it is withdrawn. */
+  @Test(dependsOnMethods = "testRacingOperatorsSeeConflicts")
+  public void testSessionKeepsItsVersion() throws IOException {
+    Http.Answer first = Http.send(cluster.chat(0, "small", false, 1));
+    String version = first.header("Oatlug-Version");
+    String session = first.header("Oatlug-Session");
+    String next = addVersion();
+    cluster.oatlug("version", "promote", next, "--wait");
+    for (int index = 0; index < INSTANCES; index++) {
+      Http.Answer answer =
+          Http.send(cluster.chat(index, "small", false, 1).header("Oatlug-Session", session));
+      assertEquals(answer.header("Oatlug-Version"), version, answer.body());
+    }
+    cluster.oatlug("version", "promote", "small-v1", "--wait");
+    assertEquals(version, "small-v1");
+  }
+
+  /** A named session is bound once, whatever instance it comes to. */
+  @Test(dependsOnMethods = "testSessionKeepsItsVersion")
+  public void testNamedSessionIsBoundOnce() throws IOException {
+    String rollout = "named";
+    cluster.oatlug(
+        "rollout",
+        "start",
+        rollout,
+        "--model",
+        "small",
+        "--candidate",
+        "small-w",
+        "--weight",
+        "50",
+        "--wait");
+    TreeSet<String> used = new TreeSet<>();
+    for (int number = 0; number < 12; number++) {
+      String name = "foreman-" + number;
+      String version = "";
+      for (int index = 0; index < INSTANCES; index++) {
+        Http.Answer answer =
+            Http.send(cluster.chat(index, "small", false, 1).header("Oatlug-Session", name));
+        assertEquals(answer.status(), 200, answer.body());
+        version = version.isEmpty() ? answer.header("Oatlug-Version") : version;
+        assertEquals(answer.header("Oatlug-Version"), version, name);
+      }
+      used.add(version);
+    }
+    assertTrue(used.contains("small-w"), "the candidate was never used: " + used);
+    cluster.oatlug("rollout", "finish", rollout, "--wait");
+  }
+
+  /** A zone that is cut off gives a version under roll-out no new sessions after the bound. */
+  @Test(dependsOnMethods = "testNamedSessionIsBoundOnce")
+  public void testCutZoneStopsCandidate() throws IOException {
+    cluster.oatlug(
+        "rollout",
+        "start",
+        "cut",
+        "--model",
+        "small",
+        "--candidate",
+        "small-c",
+        "--weight",
+        "100",
+        "--wait");
+    Await.until("candidate used", () -> usesCandidate(0));
+    cluster.platformRelay(0).mode(Relay.Mode.CUT);
+    cluster.cutZone(0, true);
+    Await.until("candidate stopped", () -> !usesCandidate(0));
+    assertTrue(usesCandidate(1), "the other zones go on");
+    cluster.platformRelay(0).mode(Relay.Mode.PASS);
+    cluster.cutZone(0, false);
+    Await.until("candidate used again", () -> usesCandidate(0));
+    cluster.oatlug("rollout", "finish", "cut", "--wait");
+  }
+
+  private boolean usesCandidate(int index) throws IOException {
+    Http.Answer answer = Http.send(cluster.chat(index, "small", false, 1));
+    return answer.header("Oatlug-Version").equals("small-c");
+  }
+
+  /** A version is withdrawn under load; once in force, no engine gets a request for it. */
+  @Test(dependsOnMethods = "testCutZoneStopsCandidate")
+  public void testWithdrawnVersionGetsNothingNew() throws IOException {
+    String next = addVersion();
+    cluster.oatlug("version", "promote", next, "--wait");
+    Load load = new Load();
+    load.start();
+    final String session = Http.send(cluster.chat(0, "small", false, 1)).header("Oatlug-Session");
+    cluster.signal(1, "STOP");
+    cluster.oatlug("version", "promote", "small-v1");
+    cluster.oatlug("version", "withdraw", next);
+    cluster.oatlug("version", "withdraw", next, "--wait");
+    Await.until("in force at the others", () -> isInForce(2, next));
+    for (int index : new int[] {0, 2, 3, 4}) {
+      Await.until("withdrawn", () -> refusedAsWithdrawn(index, session));
+    }
+    final long before = requestsFor(next);
+    cluster.signal(1, "CONT");
+    for (int number = 0; number < 50; number++) {
+      Http.send(cluster.chat(number % INSTANCES, "small", number % 3 == 0, 1));
+    }
+    load.stop();
+    assertEquals(requestsFor(next), before, "a withdrawn version got a request");
+    assertTrue(refusedAsWithdrawn(1, session));
+  }
+
+  private boolean refusedAsWithdrawn(int index, String session) throws IOException {
+    Http.Answer answer =
+        Http.send(cluster.chat(index, "small", false, 1).header("Oatlug-Session", session));
+    if (answer.status() == 200) {
+      return false;
+    }
+    assertEquals(answer.reason(), "version-withdrawn", answer.body());
+    assertEquals(answer.notRun(), "yes");
+    return true;
+  }
+
+  private long requestsFor(String version) throws IOException {
+    return cluster.records().stream()
+        .filter(record -> record.path("version").asText().equals(version))
+        .count();
+  }
+
+  /** Requests from a thread of its own to the instances that are not frozen. */
+  private final class Load {
+    private volatile boolean running = true;
+    private Thread thread;
+
+    void start() {
+      thread = new Thread(this::run, "load");
+      thread.start();
+    }
+
+    private void run() {
+      int number = 0;
+      while (running && number < 5000) {
+        try {
+          Http.send(cluster.chat(new int[] {0, 2, 3, 4}[number++ % 4], "small", true, 2));
+        } catch (IOException e) {
+          assertFalse(running && number < 0, e.getMessage());
+        }
+      }
+    }
+
+    void stop() {
+      running = false;
+      try {
+        thread.join();
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+      }
+    }
+  }
+}
--- a/org.oatlug.test/tst/org/oatlug/test/FakePlatform.java
+++ b/org.oatlug.test/tst/org/oatlug/test/FakePlatform.java
@@ -5,6 +5,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import io.smallrye.mutiny.Uni;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -93,7 +94,7 @@
   }
 
   @Override
-  public Uni<Batch> watch(List<String> kinds, long since) {
+  public Uni<Batch> watch(List<String> kinds, long since, Duration wait) {
     return call(() -> Uni.createFrom().item(batch(kinds, since)));
   }
 
--- a/org.oatlug.test/tst/org/oatlug/test/TestCluster.java
+++ b/org.oatlug.test/tst/org/oatlug/test/TestCluster.java
@@ -38,6 +38,7 @@
 
   private static final String[] ZONES = {"hall-a", "hall-b", "hall-c"};
   private static final String HOST = "127.0.0.1";
+  private static final int TEST_VERSIONS = 20;
 
   private final Path directory;
   private final Vertx vertx = Vertx.vertx();
@@ -60,16 +61,25 @@
   /** Starts a cluster; instance numbers count from 0, zones go round. */
   static TestCluster start(int entryCount, int engineCount, int serviceCount) throws IOException {
     TestCluster cluster = new TestCluster(Files.createTempDirectory("oatlug-test"));
-    cluster.startStandins(engineCount, serviceCount);
-    cluster.listInstances(entryCount);
+    try {
+      cluster.startAll(entryCount, engineCount, serviceCount);
+      return cluster;
+    } catch (IOException | RuntimeException | Error e) {
+      cluster.close();
+      throw e;
+    }
+  }
+
+  private void startAll(int entryCount, int engineCount, int serviceCount) throws IOException {
+    startStandins(engineCount, serviceCount);
+    listInstances(entryCount);
     for (int index = 0; index < entryCount; index++) {
-      cluster.startEntry(index);
+      startEntry(index);
     }
-    cluster.publishDeployment();
+    publishDeployment();
     for (int index = 0; index < entryCount; index++) {
-      cluster.awaitReady(index);
+      awaitReady(index);
     }
-    return cluster;
   }
 
   private void startStandins(int engineCount, int serviceCount) throws IOException {
@@ -200,8 +210,14 @@
       spec.put("model", version.substring(0, version.indexOf('-'))).put("state", "current");
       spec.put("costPerThousandTokens", 1000);
     }
-    ObjectNode candidate = object(objects, "version", "small-v2");
-    candidate.put("model", "small").put("state", "candidate").put("costPerThousandTokens", 1000);
+    List<String> candidates = new ArrayList<>(List.of("small-v2", "small-w", "small-c"));
+    for (int number = 0; number < TEST_VERSIONS; number++) {
+      candidates.add("small-t" + number);
+    }
+    for (String name : candidates) {
+      ObjectNode candidate = object(objects, "version", name);
+      candidate.put("model", "small").put("state", "candidate").put("costPerThousandTokens", 1000);
+    }
     ObjectNode cascade = object(objects, "cascade", "both");
     cascade.put("safeStage", 0).put("qualityTarget", 0.9).putArray("stages").add("small");
     cascade.withArray("stages").add("large");
@@ -214,8 +230,8 @@
     routes.addObject().put("method", "POST").put("prefix", "/orders").put("repeatable", false);
     for (int index = 0; index < enginePorts.size(); index++) {
       ObjectNode spec = upstream(objects, "engine-" + index, "engine", enginePorts.get(index));
-      spec.put("zone", zoneOf(index)).putArray("serves").add("small-v1").add("small-v2");
-      spec.withArray("serves").add("large-v1");
+      spec.put("zone", zoneOf(index)).putArray("serves").add("small-v1").add("large-v1");
+      candidates.forEach(spec.withArray("serves")::add);
     }
     for (int index = 0; index < servicePorts.size(); index++) {
       ObjectNode spec = upstream(objects, "parts-" + index, "service", servicePorts.get(index));
@@ -223,7 +239,10 @@
     }
     Path path = directory.resolve("objects.json");
     Files.writeString(path, file.toString());
-    oatlug("apply", "-f", path.toString());
+    ExitCode code = oatlug("apply", "-f", path.toString());
+    if (code != ExitCode.OK) {
+      throw new IOException(lastOutput);
+    }
   }
 
   private static ObjectNode object(ArrayNode objects, String kind, String name) {
@@ -335,14 +354,12 @@
     return records;
   }
 
-  /** Returns how many bills the ledger holds for each request. */
-  Map<String, Integer> bills() throws IOException {
+  /** Returns all bills in the ledger. */
+  List<JsonNode> bills() throws IOException {
     oatlug("bills", "--output", "json");
-    Map<String, Integer> counts = new TreeMap<>();
-    for (JsonNode bill : Json.STRICT.readTree(lastOutput)) {
-      counts.merge(bill.path("id").asText(), 1, Integer::sum);
-    }
-    return counts;
+    List<JsonNode> bills = new ArrayList<>();
+    Json.STRICT.readTree(lastOutput).forEach(bills::add);
+    return bills;
   }
 
   HttpRequest.Builder order(int index, String key) {
--- a/org.oatlug/src/org/oatlug/internal/billing/BillingSystem.java
+++ b/org.oatlug/src/org/oatlug/internal/billing/BillingSystem.java
@@ -146,7 +146,7 @@
       submit(bill);
     }
     for (Bill bill : List.copyOf(held.values())) {
-      if (membership.isGone(bill.process())) {
+      if (membership.isLost(bill.process())) {
         submit(bill);
       }
     }
--- a/org.oatlug/src/org/oatlug/internal/config/ConfigurationSystem.java
+++ b/org.oatlug/src/org/oatlug/internal/config/ConfigurationSystem.java
@@ -39,6 +39,7 @@
   private static final Duration RETRY_INTERVAL = Duration.ofMillis(500);
   private static final Duration PATIENCE = Duration.ofMillis(800);
   private static final int TREE_WIDTH = 4;
+  private static final int WATCHES_PER_BOUND = 3;
 
   private final Tables tables;
   private final Platform platform;
@@ -160,7 +161,8 @@
   }
 
   private Uni<Void> watchOnce() {
-    return platform.watch(Kinds.ALL, revision).invoke(this::received).replaceWithVoid();
+    Duration wait = tables.freshness().bound().dividedBy(WATCHES_PER_BOUND);
+    return platform.watch(Kinds.ALL, revision, wait).invoke(this::received).replaceWithVoid();
   }
 
   private void received(Platform.Batch batch) {
--- a/org.oatlug/src/org/oatlug/internal/http/ChatPlan.java
+++ b/org.oatlug/src/org/oatlug/internal/http/ChatPlan.java
@@ -246,7 +246,7 @@
     @Override
     public void progressed() {
       bill = Optional.of(billOf(route, stream.tokens(), false));
-      if (stream.tokens() % PROGRESS_EVERY == 0) {
+      if (stream.tokens() % PROGRESS_EVERY == 1) {
         services.billing().progress(bill.get());
       }
     }
@@ -405,6 +405,7 @@
     answer.putHeader(Headers.UPSTREAM, route.upstream());
   }
 
+  /** Returns the bill so far; nothing is owed before the first token of the answer. */
   private Bill billOf(Route route, int answerTokens, boolean complete) {
     long price =
         services
@@ -414,7 +415,8 @@
             .map(Version::costPerThousandTokens)
             .orElse(0L);
     long earlier = bill.filter(Bill::complete).map(Bill::cost).orElse(0L);
-    long cost = earlier + price * (body.promptTokens() + answerTokens) / THOUSAND;
+    boolean owed = complete || answerTokens > 0;
+    long cost = earlier + (owed ? price * (body.promptTokens() + answerTokens) / THOUSAND : 0);
     return new Bill(
         request.id(),
         request.workspaceName(),
--- a/org.oatlug/src/org/oatlug/internal/ledger/ClaimDesk.java
+++ b/org.oatlug/src/org/oatlug/internal/ledger/ClaimDesk.java
@@ -161,7 +161,7 @@
   }
 
   private Refusal taken(String process) {
-    if (membership.isGone(process)) {
+    if (membership.isLost(process)) {
       return Refusal.unknown(RefusalReason.MAY_HAVE_RUN, ErrorText.get().mayHaveRun);
     }
     String text = ErrorText.get().stillRunning;
--- a/org.oatlug/src/org/oatlug/internal/membership/Membership.java
+++ b/org.oatlug/src/org/oatlug/internal/membership/Membership.java
@@ -37,6 +37,8 @@
   private static final Duration PROBE_PATIENCE = Duration.ofMillis(400);
   private static final Duration SUSPICION = Duration.ofMillis(2000);
   private static final Duration UNREACHABLE_FOR = Duration.ofSeconds(3);
+  private static final Duration WATCHED_FOR = Duration.ofSeconds(5);
+  private static final Duration LOST_AFTER = Duration.ofSeconds(8);
   private static final int HELPERS = 2;
   private static final int NEWS_REPEATS = 8;
   private static final int NEWS_PER_MESSAGE = 8;
@@ -48,6 +50,8 @@
   private final Map<String, Member> members = new TreeMap<>();
   private final Map<String, Instant> suspectedSince = new HashMap<>();
   private final Map<String, Instant> unreachableUntil = new HashMap<>();
+  private final Map<String, Instant> silentSince = new HashMap<>();
+  private final Map<String, Instant> watched = new HashMap<>();
   private final Map<String, Integer> news = new HashMap<>();
   private final List<String> probeOrder = new ArrayList<>();
   private Member self;
@@ -166,6 +170,23 @@
     return replaced || known.state() == Member.State.DEAD;
   }
 
+  /**
+   * Returns whether the process is gone, or of another zone and did not answer for long.
+   *
+   * <p>Asking makes this instance probe the process for a while. A process that is only cut off
+   * looks lost, too; what is done about a lost process must be right in both cases.
+   */
+  public boolean isLost(String process) {
+    if (isGone(process)) {
+      return true;
+    }
+    String name = process.substring(0, Math.max(process.lastIndexOf('@'), 0));
+    Instant now = clock.instant();
+    watched.put(name, now.plus(WATCHED_FOR));
+    Instant since = silentSince.get(name);
+    return since != null && now.isAfter(since.plus(LOST_AFTER));
+  }
+
   /** Returns whether this instance is one of the readers of its availability zone. */
   public boolean isReader() {
     int rank = readerRank().indexOf(self.name());
@@ -206,6 +227,7 @@
   /** Remembers that an instance did not answer, so that no duty is looked for there. */
   public void unreachable(Member member) {
     unreachableUntil.put(member.name(), clock.instant().plus(UNREACHABLE_FOR));
+    silentSince.putIfAbsent(member.name(), clock.instant());
   }
 
   /** Returns whether the instance answered, or was not asked, lately. */
@@ -240,6 +262,17 @@
     nextProbe = now.plus(PROBE_INTERVAL);
     nextTarget().ifPresent(this::probe);
     probeRemote();
+    probeWatched(now);
+  }
+
+  private void probeWatched(Instant now) {
+    watched.values().removeIf(until -> until.isBefore(now));
+    for (String name : watched.keySet()) {
+      Member target = members.get(name);
+      if (target != null && !target.zone().equals(self.zone())) {
+        ping(target).subscribe().with(answer -> {}, failure -> {});
+      }
+    }
   }
 
   private static boolean lives(Member member) {
@@ -276,12 +309,14 @@
   private Uni<PeerMessage> ping(Member target) {
     return network
         .ask(target, new PeerMessage.Ping(takeNews()), PROBE_PATIENCE)
-        .invoke(this::learn)
+        .invoke(answer -> answered(target, answer))
         .onFailure()
         .invoke(unused -> unreachable(target));
   }
 
-  private void learn(PeerMessage answer) {
+  private void answered(Member target, PeerMessage answer) {
+    unreachableUntil.remove(target.name());
+    silentSince.remove(target.name());
     if (answer instanceof PeerMessage.Ack ack) {
       ack.news().forEach(this::merge);
     }
@@ -320,7 +355,7 @@
       return;
     }
     Member target = remote.get(random.nextInt(remote.size()));
-    ping(target).subscribe().with(answer -> unreachableUntil.remove(target.name()), failure -> {});
+    ping(target).subscribe().with(answer -> {}, failure -> {});
   }
 
   private void refute(Member heard) {
--- a/org.oatlug/src/org/oatlug/internal/platform/HttpPlatform.java
+++ b/org.oatlug/src/org/oatlug/internal/platform/HttpPlatform.java
@@ -13,6 +13,7 @@
 import io.vertx.ext.web.client.HttpResponse;
 import io.vertx.ext.web.client.WebClient;
 import io.vertx.ext.web.client.WebClientOptions;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -30,13 +31,12 @@
  * The object API over HTTP and JSON.
  *
  * <p>Objects: {@code GET} and {@code PUT /objects/KIND/NAME} with {@code If-Match: VERSION}; lists:
- * {@code GET /objects?kinds=A,B}; watches: {@code GET /watch?kinds=A,B&since=REVISION}; instances:
- * {@code GET /instances}. Immutable; used from one event loop.
+ * {@code GET /objects?kinds=A,B}; watches: {@code GET /watch?kinds=A,B&since=REVISION&wait=MILLIS};
+ * instances: {@code GET /instances}. Immutable; used from one event loop.
  */
 public final class HttpPlatform implements Platform {
   private static final long CALL_MILLIS = 1000;
   private static final long LIST_MILLIS = 5000;
-  private static final long WATCH_MILLIS = 15_000;
   private static final int OK = 200;
   private static final int NOT_FOUND = 404;
   private static final int CONFLICT = 412;
@@ -72,13 +72,14 @@
   }
 
   @Override
-  public Uni<Batch> watch(List<String> kinds, long revision) {
+  public Uni<Batch> watch(List<String> kinds, long revision, Duration wait) {
     HttpRequest<Buffer> request =
         client
             .get("/watch")
             .addQueryParam("kinds", String.join(",", kinds))
             .addQueryParam("since", Long.toString(revision))
-            .timeout(WATCH_MILLIS);
+            .addQueryParam("wait", Long.toString(wait.toMillis()))
+            .timeout(wait.toMillis() + CALL_MILLIS);
     return call("watch", request::send).map(HttpPlatform::batchIn);
   }
 
--- a/org.oatlug/src/org/oatlug/internal/table/Freshness.java
+++ b/org.oatlug/src/org/oatlug/internal/table/Freshness.java
@@ -27,6 +27,11 @@
     return new Freshness(bound);
   }
 
+  /** Returns the age above which the configuration is stale. */
+  public Duration bound() {
+    return bound;
+  }
+
   /** Takes in a platform contact that was {@code age} ago. */
   public void learn(Duration age, Instant now) {
     Instant then = now.minus(age);
--- a/org.oatlug/src/org/oatlug/platform/Platform.java
+++ b/org.oatlug/src/org/oatlug/platform/Platform.java
@@ -5,6 +5,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import io.smallrye.mutiny.Uni;
+import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 import org.oatlug.api.ObjectKey;
@@ -37,9 +38,10 @@
   /**
    * Waits for changes of the kinds after {@code revision}.
    *
-   * @return the changes, empty after the platform's waiting time
+   * @param wait how long to wait for the first change
+   * @return the changes, empty after the waiting time
    */
-  Uni<Batch> watch(List<String> kinds, long revision);
+  Uni<Batch> watch(List<String> kinds, long revision, Duration wait);
 
   /** Returns the platform's list of instances, which lags. */
   Uni<List<ListedInstance>> instances();
