Measure the decisions against baselines in virtual time

Cause: nothing said how good the decisions are.

The router can shed by priority. A candidate's evidence is now the mean of its two tests' wealth (a maximum of two is no valid bet), and instances share an error of 0.4% together and 0.05% alone.

--- /dev/null
+++ b/org.oatlug.benchmarks/src/org/oatlug/benchmarks/CascadeBench.java
@@ -0,0 +1,106 @@
+// Copyright (c) 2026, the oatlug authors
+// SPDX-License-Identifier: BSD-3-Clause
+
+package org.oatlug.benchmarks;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import org.oatlug.config.Cascade;
+import org.oatlug.internal.cascade.ConfidentStage;
+import org.oatlug.internal.cascade.RatingTable;
+import org.oatlug.internal.cascade.StageChooser;
+
+/**
+ * Cost of cascades at the quality target, with the real stage choice, against the strongest model
+ * and a fixed choice by length. Stateless.
+ */
+final class CascadeBench {
+  private static final Cascade CASCADE = new Cascade(List.of("small", "medium", "large"), 2, 0.9);
+  private static final int[] COST_PER_THOUSAND = {200, 900, 4000};
+  private static final int REQUESTS = 40_000;
+  private static final int RUNS = 5;
+  private static final int INSTANCES = 7;
+  private static final double RATED_SHARE = 0.2;
+
+  /** The true share of answers that meet the target, by task and stage. */
+  private static final Map<String, double[]> QUALITY =
+      Map.of(
+          "tag", new double[] {0.95, 0.97, 0.99},
+          "question", new double[] {0.60, 0.93, 0.97},
+          "specification", new double[] {0.10, 0.55, 0.96});
+
+  private static final List<String> TASKS = List.of("tag", "question", "specification");
+  private static final double[] SHARES = {0.5, 0.42, 0.08};
+  private static final int[] TOKENS = {140, 520, 3500};
+
+  private CascadeBench() {}
+
+  static void run(ArrayNode rows) {
+    System.out.printf(
+        "%nCascades: cost for 1000 requests, share of answers that meet the target (%.0f%%)%n",
+        CASCADE.qualityTarget() * 100);
+    System.out.printf("%-30s %12s %12s%n", "policy", "cost", "target met");
+    StageChooser strongest = (cascade, workspace, task, ratings, random) -> 2;
+    StageChooser byLength =
+        (cascade, workspace, task, ratings, random) -> TASKS.indexOf(task) == 0 ? 0 : 1;
+    measure(rows, "always strongest", strongest, 1);
+    measure(rows, "fixed by length", byLength, 1);
+    measure(rows, "confident stage", ConfidentStage.create(), 1);
+    measure(rows, "confident, no rating later", ConfidentStage.create(), 0.5);
+    measure(rows, "confident, never a rating", ConfidentStage.create(), 0);
+  }
+
+  private static void measure(
+      ArrayNode rows, String name, StageChooser chooser, double ratedUntil) {
+    double cost = 0;
+    double met = 0;
+    for (int run = 0; run < RUNS; run++) {
+      double[] one = runOnce(chooser, ratedUntil, new Random(run));
+      cost += one[0] / RUNS;
+      met += one[1] / RUNS;
+    }
+    System.out.printf("%-30s %12.0f %11.1f%%%n", name, cost, met * 100);
+    rows.addObject()
+        .put("group", "cascade")
+        .put("policy", name)
+        .put("costPerThousandRequests", cost)
+        .put("targetMet", met);
+  }
+
+  private static double[] runOnce(StageChooser chooser, double ratedUntil, Random random) {
+    RatingTable[] tables = new RatingTable[INSTANCES];
+    for (int index = 0; index < INSTANCES; index++) {
+      tables[index] = RatingTable.create();
+    }
+    double cost = 0;
+    int met = 0;
+    for (int number = 0; number < REQUESTS; number++) {
+      int task = draw(random);
+      String name = TASKS.get(task);
+      RatingTable ratings = tables[random.nextInt(INSTANCES)];
+      int stage = chooser.choose(CASCADE, "desk", name, ratings, random);
+      boolean good = random.nextDouble() < QUALITY.get(name)[stage];
+      cost += TOKENS[task] * COST_PER_THOUSAND[stage] / 1000.0;
+      met += good ? 1 : 0;
+      boolean rated = number < REQUESTS * ratedUntil && random.nextDouble() < RATED_SHARE;
+      if (rated) {
+        String model = CASCADE.stages().get(stage);
+        ratings.rated(new RatingTable.Subject("desk", name, model), good);
+      }
+    }
+    return new double[] {cost / REQUESTS * 1000, (double) met / REQUESTS};
+  }
+
+  private static int draw(Random random) {
+    double left = random.nextDouble();
+    for (int task = 0; task < SHARES.length; task++) {
+      left -= SHARES[task];
+      if (left < 0) {
+        return task;
+      }
+    }
+    return SHARES.length - 1;
+  }
+}
--- /dev/null
+++ b/org.oatlug.benchmarks/src/org/oatlug/benchmarks/RolloutBench.java
@@ -0,0 +1,117 @@
+// Copyright (c) 2026, the oatlug authors
+// SPDX-License-Identifier: BSD-3-Clause
+
+package org.oatlug.benchmarks;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import java.util.Random;
+import org.oatlug.internal.rollout.CandidateEvidence;
+import org.oatlug.internal.rollout.RolloutGuard;
+
+/**
+ * Exposure to bad versions with the real sequential tests, and how often they halt good ones.
+ * Stateless.
+ */
+final class RolloutBench {
+  private static final int INSTANCES = 7;
+  private static final int REQUESTS_PER_SECOND = 20;
+  private static final int ROLLOUT_SECONDS = 3600;
+  private static final double WEIGHT = 0.1;
+  private static final double CURRENT_ERRORS = 0.01;
+  private static final double CURRENT_MISSES = 0.08;
+  private static final double RATED_SHARE = 0.5;
+  private static final int BAD_RUNS = 200;
+  private static final int GOOD_RUNS = 1000;
+
+  private RolloutBench() {}
+
+  /**
+   * What a candidate is like.
+   *
+   * @param errors the share of requests that fail
+   * @param misses the share of answers that miss the target
+   */
+  private record Candidate(String name, double errors, double misses) {}
+
+  static void run(ArrayNode rows) {
+    System.out.printf(
+        "%nRoll-outs: one hour at %d requests/s, %.0f%% for the candidate, %d instances%n",
+        REQUESTS_PER_SECOND, WEIGHT * 100, INSTANCES);
+    System.out.printf(
+        "%-34s %14s %14s %10s %9s%n", "candidate", "no guard", "with guard", "fewer", "halted");
+    measure(rows, new Candidate("20% errors", 0.20, CURRENT_MISSES), BAD_RUNS);
+    measure(rows, new Candidate("5% errors", 0.05, CURRENT_MISSES), BAD_RUNS);
+    measure(rows, new Candidate("35% miss the target", CURRENT_ERRORS, 0.35), BAD_RUNS);
+    measure(rows, new Candidate("16% miss the target", CURRENT_ERRORS, 0.16), BAD_RUNS);
+    measure(rows, new Candidate("as good as current", CURRENT_ERRORS, CURRENT_MISSES), GOOD_RUNS);
+    measure(rows, new Candidate("better than current", 0.005, 0.05), GOOD_RUNS);
+  }
+
+  private static void measure(ArrayNode rows, Candidate candidate, int runs) {
+    double answers = 0;
+    int halted = 0;
+    for (int run = 0; run < runs; run++) {
+      Exposure exposure = runOnce(candidate, new Random(run));
+      answers += (double) exposure.answers() / runs;
+      halted += exposure.halted() ? 1 : 0;
+    }
+    double unguarded = REQUESTS_PER_SECOND * ROLLOUT_SECONDS * WEIGHT;
+    double haltedPercent = 100.0 * halted / runs;
+    System.out.printf(
+        "%-34s %14.0f %14.1f %9.1fx %8.1f%%%n",
+        candidate.name() + " (" + runs + " runs)",
+        unguarded,
+        answers,
+        unguarded / answers,
+        haltedPercent);
+    rows.addObject()
+        .put("group", "rollout")
+        .put("policy", candidate.name())
+        .put("unguardedAnswers", unguarded)
+        .put("guardedAnswers", answers)
+        .put("haltedPercent", haltedPercent);
+  }
+
+  private record Exposure(int answers, boolean halted) {}
+
+  private static Exposure runOnce(Candidate candidate, Random random) {
+    CandidateEvidence[] evidence = new CandidateEvidence[INSTANCES];
+    boolean[] haltedHere = new boolean[INSTANCES];
+    for (int index = 0; index < INSTANCES; index++) {
+      evidence[index] = CandidateEvidence.create();
+    }
+    int answers = 0;
+    for (int second = 0; second < ROLLOUT_SECONDS; second++) {
+      for (int number = 0; number < REQUESTS_PER_SECOND; number++) {
+        int index = random.nextInt(INSTANCES);
+        boolean toCandidate = !haltedHere[index] && random.nextDouble() < WEIGHT;
+        answers += toCandidate ? 1 : 0;
+        observe(evidence[index], toCandidate, candidate, random);
+        haltedHere[index] |= evidence[index].refutesAlone();
+      }
+      double sum = 0;
+      for (CandidateEvidence one : evidence) {
+        sum += one.logEvidence();
+      }
+      if (RolloutGuard.refutesTogether(sum)) {
+        return new Exposure(answers, true);
+      }
+    }
+    boolean anywhere = false;
+    for (boolean one : haltedHere) {
+      anywhere |= one;
+    }
+    return new Exposure(answers, anywhere);
+  }
+
+  private static void observe(
+      CandidateEvidence evidence, boolean ofCandidate, Candidate candidate, Random random) {
+    double errors = ofCandidate ? candidate.errors() : CURRENT_ERRORS;
+    double misses = ofCandidate ? candidate.misses() : CURRENT_MISSES;
+    boolean failed = random.nextDouble() < errors;
+    evidence.add(RolloutGuard.Measure.ERRORS, ofCandidate, failed);
+    if (!failed && random.nextDouble() < RATED_SHARE) {
+      evidence.add(RolloutGuard.Measure.RATINGS, ofCandidate, random.nextDouble() < misses);
+    }
+  }
+}
--- a/org.oatlug.entry/src/org/oatlug/entry/EntryInstance.java
+++ b/org.oatlug.entry/src/org/oatlug/entry/EntryInstance.java
@@ -28,6 +28,7 @@
 import org.oatlug.internal.ledger.Ledger;
 import org.oatlug.internal.limit.OpenRequests;
 import org.oatlug.internal.limit.RetryBudget;
+import org.oatlug.internal.limit.SheddingRule;
 import org.oatlug.internal.limit.WorkspaceLimits;
 import org.oatlug.internal.membership.Membership;
 import org.oatlug.internal.metrics.Meters;
@@ -164,7 +165,12 @@
   }
 
   private Router router() {
-    return Router.create(settings.zone(), ConfidentStage.create(), PredictedCost.create(), random);
+    return Router.create(
+        settings.zone(),
+        ConfidentStage.create(),
+        PredictedCost.create(),
+        SheddingRule.byPriority(),
+        random);
   }
 
   private void tick() {
--- a/org.oatlug.test/tst/org/oatlug/test/RouterTest.java
+++ b/org.oatlug.test/tst/org/oatlug/test/RouterTest.java
@@ -24,6 +24,7 @@
 import org.oatlug.config.Version;
 import org.oatlug.errors.SessionTokenInvalidException;
 import org.oatlug.internal.cascade.ConfidentStage;
+import org.oatlug.internal.limit.SheddingRule;
 import org.oatlug.internal.routing.PredictedCost;
 import org.oatlug.internal.routing.RouteRequest;
 import org.oatlug.internal.routing.Router;
@@ -101,7 +102,12 @@
   private RoutingDecision decide(String target, Map<String, String> session, Random random) {
     RouteRequest request = new RouteRequest("desk", target, "", session, 10, 1, 0, Set.of());
     Router router =
-        Router.create("hall-a", ConfidentStage.create(), PredictedCost.create(), random);
+        Router.create(
+            "hall-a",
+            ConfidentStage.create(),
+            PredictedCost.create(),
+            SheddingRule.never(),
+            random);
     return router.decide(request, tables, clock.instant());
   }
 
@@ -161,7 +167,12 @@
     offerUpstream("engine", false);
     offerVersion("small-v1", "small", "current");
     Router router =
-        Router.create("hall-a", ConfidentStage.create(), PredictedCost.create(), new Random(1));
+        Router.create(
+            "hall-a",
+            ConfidentStage.create(),
+            PredictedCost.create(),
+            SheddingRule.never(),
+            new Random(1));
     RouteRequest request = new RouteRequest("desk", "small", "", Map.of(), 10, 1, 0, Set.of());
     RoutingDecision.Route route =
         router.decide(request, tables, clock.instant()).route().orElseThrow();
--- a/org.oatlug/src/org/oatlug/internal/rollout/RolloutGuard.java
+++ b/org.oatlug/src/org/oatlug/internal/rollout/RolloutGuard.java
@@ -36,8 +36,11 @@
  * until an operator acts. Owned by one event loop, not thread-safe.
  */
 public final class RolloutGuard implements TickSystem {
-  /** The probability with which a good candidate may ever be halted by one test. */
-  public static final double ALPHA = 0.005;
+  /** The probability with which all instances together may ever halt a good candidate. */
+  static final double ALPHA_TOGETHER = 0.004;
+
+  /** The probability with which one instance may ever halt its share of a good candidate. */
+  static final double ALPHA_ALONE = 0.0005;
 
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final Duration INTERVAL = Duration.ofMillis(1000);
@@ -49,7 +52,7 @@
   private final PeerNetwork network;
   private final InstantSource clock;
   private final Meters meters;
-  private final Map<String, Tests> tests = new HashMap<>();
+  private final Map<String, CandidateEvidence> own = new HashMap<>();
   private final Map<String, Map<String, Double>> evidence = new HashMap<>();
   private Instant next = Instant.EPOCH;
 
@@ -85,14 +88,9 @@
     RATINGS
   }
 
-  private record Tests(SequentialTest errors, SequentialTest ratings) {
-    private SequentialTest of(Measure measure) {
-      return measure == Measure.ERRORS ? errors : ratings;
-    }
-
-    private double strongest() {
-      return Math.max(errors.logEvidence(), ratings.logEvidence());
-    }
+  /** Returns whether the evidence of all instances, added up, refutes that a candidate is good. */
+  public static boolean refutesTogether(double logEvidence) {
+    return logEvidence >= -Math.log(ALPHA_TOGETHER);
   }
 
   /** Takes in an outcome of a version. */
@@ -102,13 +100,14 @@
       return;
     }
     String candidate = rollout.get().candidate();
-    SequentialTest test = testsOf(candidate).of(measure);
-    if (version.equals(candidate)) {
-      test.candidate(failed);
-    } else if (tables.catalogue().currentVersion(model).equals(Optional.of(version))) {
-      test.current(failed);
+    boolean ofCandidate = version.equals(candidate);
+    boolean ofCurrent = tables.catalogue().currentVersion(model).equals(Optional.of(version));
+    if (!ofCandidate && !ofCurrent) {
+      return;
     }
-    if (test.refutes(ALPHA) && tables.haltedHere().add(candidate)) {
+    CandidateEvidence seen = ownEvidence(candidate);
+    seen.add(measure, ofCandidate, failed);
+    if (seen.refutesAlone() && tables.haltedHere().add(candidate)) {
       meters.count("rollout.halted-here");
       logger.atWarning().log("candidate %s gets no new sessions from this instance", candidate);
     }
@@ -136,7 +135,7 @@
   }
 
   private void share(String name, Rollout rollout) {
-    double own = testsOf(rollout.candidate()).strongest();
+    double own = ownEvidence(rollout.candidate()).logEvidence();
     Optional<Member> duty = membership.ownerOf("rollout-" + name);
     if (duty.isEmpty() || membership.isSelf(duty.get())) {
       judge(name, rollout, own);
@@ -151,7 +150,7 @@
     for (double other : evidence.getOrDefault(rollout.candidate(), Map.of()).values()) {
       sum += other;
     }
-    if (sum >= -Math.log(ALPHA)) {
+    if (refutesTogether(sum)) {
       halt(name);
     }
   }
@@ -206,8 +205,7 @@
     return tables.catalogue().rolloutNamed(name);
   }
 
-  private Tests testsOf(String candidate) {
-    return tests.computeIfAbsent(
-        candidate, unused -> new Tests(SequentialTest.create(), SequentialTest.create()));
+  private CandidateEvidence ownEvidence(String candidate) {
+    return own.computeIfAbsent(candidate, unused -> CandidateEvidence.create());
   }
 }
--- a/org.oatlug/src/org/oatlug/internal/rollout/SequentialTest.java
+++ b/org.oatlug/src/org/oatlug/internal/rollout/SequentialTest.java
@@ -48,13 +48,6 @@
     return Math.log(sum / STAKES.length);
   }
 
-  /**
-   * Returns whether the evidence refutes that the candidate is no worse, at error {@code alpha}.
-   */
-  public boolean refutes(double alpha) {
-    return logEvidence() >= -Math.log(alpha);
-  }
-
   private static void add(java.util.ArrayDeque<Boolean> outcomes, boolean failed) {
     if (outcomes.size() >= MAXIMUM_UNPAIRED) {
       outcomes.removeFirst();
--- a/org.oatlug/src/org/oatlug/internal/routing/Router.java
+++ b/org.oatlug/src/org/oatlug/internal/routing/Router.java
@@ -17,6 +17,7 @@
 import org.oatlug.config.Workspace;
 import org.oatlug.internal.cascade.StageChooser;
 import org.oatlug.internal.config.PolicyProgram;
+import org.oatlug.internal.limit.SheddingRule;
 import org.oatlug.internal.routing.RoutingDecision.PassedOver;
 import org.oatlug.internal.routing.RoutingDecision.Reason;
 import org.oatlug.internal.routing.RoutingDecision.Route;
@@ -37,16 +38,19 @@
   private final String zone;
   private final StageChooser stageChooser;
   private final UpstreamChooser upstreamChooser;
+  private final SheddingRule shedding;
   private final RandomGenerator random;
 
   private Router(
       String zone,
       StageChooser stageChooser,
       UpstreamChooser upstreamChooser,
+      SheddingRule shedding,
       RandomGenerator random) {
     this.zone = zone;
     this.stageChooser = stageChooser;
     this.upstreamChooser = upstreamChooser;
+    this.shedding = shedding;
     this.random = random;
   }
 
@@ -56,14 +60,16 @@
    * @param zone the availability zone of this instance
    * @param stageChooser chooses the stage of a cascade
    * @param upstreamChooser chooses among upstreams
+   * @param shedding says which upstreams are too full
    * @param random the source of chance
    */
   public static Router create(
       String zone,
       StageChooser stageChooser,
       UpstreamChooser upstreamChooser,
+      SheddingRule shedding,
       RandomGenerator random) {
-    return new Router(zone, stageChooser, upstreamChooser, random);
+    return new Router(zone, stageChooser, upstreamChooser, shedding, random);
   }
 
   /** Decides where the request goes as the tables stand. */
@@ -158,13 +164,17 @@
         return decision;
       }
     }
-    boolean denied = passedOver.stream().anyMatch(Router::isDenial);
-    RefusalReason reason = denied ? RefusalReason.NOT_ALLOWED : RefusalReason.NO_UPSTREAM;
-    return RoutingDecision.refused(reason, passedOver);
+    return RoutingDecision.refused(reasonOf(passedOver), passedOver);
   }
 
-  private static boolean isDenial(PassedOver passed) {
-    return passed.reason() == Reason.DENIED_BY_POLICY;
+  /** Returns what the caller can do most about: wait for a place, ask for less, or come back. */
+  private static RefusalReason reasonOf(List<PassedOver> passedOver) {
+    if (passedOver.stream().anyMatch(passed -> passed.reason() == Reason.UPSTREAM_FULL)) {
+      return RefusalReason.OVERLOADED;
+    }
+    boolean denied =
+        passedOver.stream().anyMatch(passed -> passed.reason() == Reason.DENIED_BY_POLICY);
+    return denied ? RefusalReason.NOT_ALLOWED : RefusalReason.NO_UPSTREAM;
   }
 
   private RoutingDecision decideBound(
@@ -247,6 +257,7 @@
       Instant now,
       List<PassedOver> passedOver) {
     List<UpstreamChooser.Candidate> candidates = new ArrayList<>();
+    boolean full = false;
     for (String name : tables.catalogue().upstreamsServing(version)) {
       Upstream upstream = tables.catalogue().upstream(name).orElseThrow();
       UpstreamRow row = tables.upstreams().row(name);
@@ -255,11 +266,17 @@
         passedOver.add(new PassedOver(name, obstacle.get()));
         continue;
       }
+      if (shedding.isFull(row, upstream, priorityOf(request, tables))) {
+        passedOver.add(new PassedOver(name, Reason.UPSTREAM_FULL));
+        full = true;
+        continue;
+      }
       boolean local = upstream.zone().equals(zone);
       candidates.add(new UpstreamChooser.Candidate(row, upstream, local));
     }
     if (candidates.isEmpty()) {
-      return RoutingDecision.refused(RefusalReason.NO_UPSTREAM, passedOver);
+      RefusalReason reason = full ? RefusalReason.OVERLOADED : RefusalReason.NO_UPSTREAM;
+      return RoutingDecision.refused(reason, passedOver);
     }
     UpstreamChooser.Candidate taken = upstreamChooser.choose(candidates, request, now, random);
     for (UpstreamChooser.Candidate candidate : candidates) {
@@ -271,6 +288,10 @@
     return RoutingDecision.routed(route, passedOver);
   }
 
+  private static int priorityOf(RouteRequest request, Tables tables) {
+    return tables.catalogue().workspace(request.workspace()).map(Workspace::priority).orElse(0);
+  }
+
   private static Optional<Reason> obstacle(
       RouteRequest request, Upstream upstream, UpstreamRow row, Instant now) {
     if (upstream.leaving() || row.leaving()) {
