Learn cascade stages faster, and not at all while ratings stay away

Cause: the stage choice left the strongest model for few requests.

Not reached: the share of the strongest model itself; each instance learns alone, so a small workspace learns slowly.

--- a/org.oatlug/src/org/oatlug/internal/cascade/ConfidentStage.java
+++ b/org.oatlug/src/org/oatlug/internal/cascade/ConfidentStage.java
@@ -9,13 +9,18 @@
 /**
  * The cheapest stage whose share of met ratings is known to reach the target.
  *
- * <p>A stage counts as good enough when the lower bound of its share (Wilson's, one-sided) reaches
- * the target. A stage that may still turn out good enough is tried by a small share of the
- * requests. Without any knowledge the safe stage is taken. Stateless, thread-safe.
+ * <p>A stage is used when the lower bound of its share (Wilson's) reaches the target. A cheaper
+ * stage whose upper bound reaches it is tried by some of the requests: by more while little is
+ * known of it, and by none while ratings stay away. Without knowledge the safe stage is taken.
+ * Stateless, thread-safe.
  */
 public final class ConfidentStage implements StageChooser {
-  private static final double EXPLORED_SHARE = 0.05;
-  private static final double DEVIATIONS = 1.28;
+  private static final double TRIED_WHILE_UNKNOWN = 0.2;
+  private static final double TRIED_AFTERWARDS = 0.05;
+  private static final double KNOWN_FROM = 100;
+  private static final int MOST_UNRATED = 30;
+  private static final double DEVIATIONS_TO_USE = 0.8;
+  private static final double DEVIATIONS_TO_TRY = 2;
 
   private ConfidentStage() {}
 
@@ -27,40 +32,28 @@
   @Override
   public int choose(
       Cascade cascade, String workspace, String task, RatingTable ratings, RandomGenerator random) {
-    int good = cheapestGood(cascade, workspace, task, ratings);
-    boolean explore = random.nextDouble() < EXPLORED_SHARE;
-    if (!explore) {
-      return good;
-    }
-    return cheapestPossible(cascade, workspace, task, ratings, good);
-  }
-
-  private static int cheapestGood(
-      Cascade cascade, String workspace, String task, RatingTable ratings) {
     for (int stage = 0; stage < cascade.stages().size(); stage++) {
-      RatingTable.Counts counts = countsOf(cascade, workspace, task, ratings, stage);
-      if (counts.total() > 0 && bound(counts, -DEVIATIONS) >= cascade.qualityTarget()) {
+      String model = cascade.stages().get(stage);
+      RatingTable.Counts counts = ratings.counts(new RatingTable.Subject(workspace, task, model));
+      if (isGood(counts, cascade.qualityTarget())) {
+        return stage;
+      }
+      boolean cheaper = stage < cascade.safeStage();
+      if (cheaper && isWorthTrying(counts, cascade.qualityTarget(), random.nextDouble())) {
         return stage;
       }
     }
     return cascade.safeStage();
   }
 
-  private static int cheapestPossible(
-      Cascade cascade, String workspace, String task, RatingTable ratings, int good) {
-    for (int stage = 0; stage < good; stage++) {
-      RatingTable.Counts counts = countsOf(cascade, workspace, task, ratings, stage);
-      if (counts.total() == 0 || bound(counts, DEVIATIONS) >= cascade.qualityTarget()) {
-        return stage;
-      }
-    }
-    return good;
+  private static boolean isGood(RatingTable.Counts counts, double target) {
+    return counts.total() > 0 && bound(counts, -DEVIATIONS_TO_USE) >= target;
   }
 
-  private static RatingTable.Counts countsOf(
-      Cascade cascade, String workspace, String task, RatingTable ratings, int stage) {
-    String model = cascade.stages().get(stage);
-    return ratings.counts(new RatingTable.Subject(workspace, task, model));
+  private static boolean isWorthTrying(RatingTable.Counts counts, double target, double drawn) {
+    double share = counts.total() < KNOWN_FROM ? TRIED_WHILE_UNKNOWN : TRIED_AFTERWARDS;
+    boolean possible = counts.total() == 0 || bound(counts, DEVIATIONS_TO_TRY) >= target;
+    return possible && counts.unrated() < MOST_UNRATED && drawn < share;
   }
 
   private static double bound(RatingTable.Counts counts, double deviations) {
--- a/org.oatlug/src/org/oatlug/internal/http/ChatPlan.java
+++ b/org.oatlug/src/org/oatlug/internal/http/ChatPlan.java
@@ -364,12 +364,16 @@
   private Uni<Optional<Boolean>> rate(Route route, String text) {
     RatingClient.Answer answer =
         new RatingClient.Answer(request.id(), request.workspaceName(), task, route.version(), text);
-    return services.rating().rate(answer).invoke(met -> met.ifPresent(one -> rated(route, one)));
-  }
-
-  private void rated(Route route, boolean met) {
     RatingTable.Subject subject =
         new RatingTable.Subject(request.workspaceName(), task, route.model());
+    services.tables().ratings().handedOver(subject);
+    return services
+        .rating()
+        .rate(answer)
+        .invoke(met -> met.ifPresent(one -> rated(route, subject, one)));
+  }
+
+  private void rated(Route route, RatingTable.Subject subject, boolean met) {
     services.tables().ratings().rated(subject, met);
     services.guard().outcome(route.model(), route.version(), RolloutGuard.Measure.RATINGS, !met);
   }
