Choose upstreams by estimated load and prefix home, and wait at the instance

The load reports are old, so all instances chose the same upstream; the service time per upstream fed queueing back into itself.

Change: the load is the mean of the last report with own changes and of own open requests scaled to all instances; a prefix has a home by rank, so that instances agree where it is cached without talking; a request waits at its instance, by priority and for half of its deadline at most, until an upstream has a place, and is decided anew then.

--- a/org.oatlug.benchmarks/src/org/oatlug/benchmarks/Baselines.java
+++ b/org.oatlug.benchmarks/src/org/oatlug/benchmarks/Baselines.java
@@ -11,12 +11,13 @@
   private Baselines() {}
 
   static UpstreamChooser random() {
-    return (candidates, request, now, random) -> candidates.get(random.nextInt(candidates.size()));
+    return (candidates, request, table, random) ->
+        candidates.get(random.nextInt(candidates.size()));
   }
 
   static UpstreamChooser roundRobin() {
     int[] next = new int[1];
-    return (candidates, request, now, random) ->
+    return (candidates, request, table, random) ->
         candidates.get(Math.floorMod(next[0]++, candidates.size()));
   }
 
@@ -24,7 +25,7 @@
    * Chooses the upstream with the fewest open attempts of this instance, by chance among equals.
    */
   static UpstreamChooser leastInFlight() {
-    return (candidates, request, now, random) -> {
+    return (candidates, request, table, random) -> {
       int start = random.nextInt(candidates.size());
       return java.util.stream.IntStream.range(0, candidates.size())
           .mapToObj(index -> candidates.get((start + index) % candidates.size()))
--- a/org.oatlug.benchmarks/src/org/oatlug/benchmarks/EngineModel.java
+++ b/org.oatlug.benchmarks/src/org/oatlug/benchmarks/EngineModel.java
@@ -5,13 +5,14 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.Iterator;
 import java.util.LinkedHashMap;
-import java.util.Map;
 import java.util.function.Consumer;
 
 /**
  * A small model of an engine: slots that share its speed, a queue, prefill and decode times, and a
- * prefix cache that forgets the prefix that was not used for longest. Used from one thread.
+ * prefix cache of so many tokens that forgets the prefix that was not used for longest. Used from
+ * one thread.
  */
 final class EngineModel {
   static final double PREFILL_MILLIS_PER_TOKEN = 0.25;
@@ -19,20 +20,13 @@
   static final double SHARING = 0.04;
 
   private static final double PREFIX_SHARE = 0.8;
-  private static final int CACHED_PREFIXES = 48;
+  private static final int CACHE_TOKENS = 60_000;
 
   private final VirtualTime time;
   private final int slots;
   private final Deque<Job> queue = new ArrayDeque<>();
-  private final Map<Long, Boolean> prefixes =
-      new LinkedHashMap<>(16, 0.75f, true) {
-        private static final long serialVersionUID = 1L;
-
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<Long, Boolean> eldest) {
-          return size() > CACHED_PREFIXES;
-        }
-      };
+  private final LinkedHashMap<Long, Integer> prefixes = new LinkedHashMap<>(16, 0.75f, true);
+  private int cachedTokens;
   private int running;
   double slowFactor = 1;
   boolean fails;
@@ -75,9 +69,22 @@
     }
   }
 
+  /** Returns whether the prefix is cached, and caches it, forgetting those not used for longest. */
+  private boolean useCache(Workload.Request request) {
+    int tokens = (int) (request.requestClass().promptTokens() * PREFIX_SHARE);
+    boolean cached = prefixes.put(request.prefix(), tokens) != null;
+    cachedTokens += cached ? 0 : tokens;
+    Iterator<Integer> eldest = prefixes.values().iterator();
+    while (cachedTokens > CACHE_TOKENS) {
+      cachedTokens -= eldest.next();
+      eldest.remove();
+    }
+    return cached;
+  }
+
   private void start(Job job) {
     running++;
-    boolean cached = prefixes.put(job.request().prefix(), true) != null;
+    boolean cached = useCache(job.request());
     double prompt = job.request().promptTokens() * (cached ? 1 - PREFIX_SHARE : 1);
     double prefill = prompt * PREFILL_MILLIS_PER_TOKEN * slowFactor;
     double token = DECODE_MILLIS * (1 + SHARING * running) * slowFactor;
--- a/org.oatlug.benchmarks/src/org/oatlug/benchmarks/PolicyBench.java
+++ b/org.oatlug.benchmarks/src/org/oatlug/benchmarks/PolicyBench.java
@@ -12,7 +12,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Supplier;
-import org.oatlug.internal.limit.SheddingRule;
+import org.oatlug.internal.limit.CapacityRule;
 import org.oatlug.internal.routing.PredictedCost;
 import org.oatlug.internal.routing.UpstreamChooser;
 import org.oatlug.internal.util.Json;
@@ -20,13 +20,14 @@
 /**
  * The policy bench: prints a table of the decisions against baselines in the same run, and writes
  * it as JSON and as a plot under {@code target/}. Virtual time and fixed seeds: a run repeats
- * exactly.
+ * exactly. Arguments choose parts: choice, faults, overload, cascade, rollout.
  */
 public final class PolicyBench {
   private static final long[] SEEDS = {1, 2, 3};
   private static final double[] LOADS = {0.5, 0.8, 0.95, 1.1};
   private static final double FAULT_LOAD = 0.8;
   private static final String REAL = "predicted cost";
+  private static final String LINE = "cost and line";
   private static final Path TARGET = Path.of("target");
 
   private final ArrayNode rows = Json.STRICT.createArrayNode();
@@ -36,11 +37,16 @@
   /** Runs the bench. */
   public static void main(String[] arguments) throws IOException {
     PolicyBench bench = new PolicyBench();
-    bench.upstreamChoice();
-    bench.faults();
-    bench.overload();
-    CascadeBench.run(bench.rows);
-    RolloutBench.run(bench.rows);
+    Map<String, Runnable> parts = new LinkedHashMap<>();
+    parts.put("choice", bench::upstreamChoice);
+    parts.put("faults", bench::faults);
+    parts.put("overload", bench::overload);
+    parts.put("cascade", () -> CascadeBench.run(bench.rows));
+    parts.put("rollout", () -> RolloutBench.run(bench.rows));
+    List<String> wanted = arguments.length == 0 ? List.copyOf(parts.keySet()) : List.of(arguments);
+    for (String part : wanted) {
+      parts.getOrDefault(part, () -> System.err.println("unknown part " + part)).run();
+    }
     Files.createDirectories(TARGET);
     Files.writeString(TARGET.resolve("policy-bench.json"), bench.rows.toPrettyString());
     BenchPlot.write(bench.rows, TARGET.resolve("policy-bench.png"));
@@ -53,11 +59,16 @@
     choosers.put("round robin", Baselines::roundRobin);
     choosers.put("least in flight", Baselines::leastInFlight);
     choosers.put(REAL, PredictedCost::create);
+    choosers.put(LINE, PredictedCost::create);
     return choosers;
   }
 
+  private static CapacityRule capacityOf(String name) {
+    return name.equals(LINE) ? CapacityRule.slotsAndFewWaiting() : CapacityRule.unbounded();
+  }
+
   private void upstreamChoice() {
-    title("Upstream choice: time to the first token in ms (no shedding)");
+    title("Upstream choice: time to the first token in ms");
     for (Workload workload : List.of(Workload.blueMahoe(), Workload.terminalWayfinding())) {
       for (double load : LOADS) {
         choosers()
@@ -68,7 +79,7 @@
                         workload,
                         name,
                         new PoolRun.Options(
-                            load, chooser, SheddingRule.never(), 200, PoolRun.Fault.NONE)));
+                            load, chooser, capacityOf(name), 200, PoolRun.Fault.NONE)));
       }
     }
   }
@@ -85,26 +96,30 @@
                       group,
                       Workload.blueMahoe(),
                       name,
-                      new PoolRun.Options(FAULT_LOAD, chooser, SheddingRule.never(), lag, fault)));
+                      new PoolRun.Options(FAULT_LOAD, chooser, capacityOf(name), lag, fault)));
     }
   }
 
   private void overload() {
-    title("Overload: answers that begin within their deadline, with and without shedding");
+    title("Overload: answers that begin within their deadline, with and without a waiting line");
     for (Workload workload : List.of(Workload.blueMahoe(), Workload.terminalWayfinding())) {
       for (double load : new double[] {1.0, 1.1, 1.3}) {
         measure(
             "overload",
             workload,
-            "no shedding",
+            "unbounded",
             new PoolRun.Options(
-                load, PredictedCost::create, SheddingRule.never(), 200, PoolRun.Fault.NONE));
+                load, PredictedCost::create, CapacityRule.unbounded(), 200, PoolRun.Fault.NONE));
         measure(
             "overload",
             workload,
-            "shedding",
+            "waiting line",
             new PoolRun.Options(
-                load, PredictedCost::create, SheddingRule.byPriority(), 200, PoolRun.Fault.NONE));
+                load,
+                PredictedCost::create,
+                CapacityRule.slotsAndFewWaiting(),
+                200,
+                PoolRun.Fault.NONE));
       }
     }
   }
--- a/org.oatlug.benchmarks/src/org/oatlug/benchmarks/PoolRun.java
+++ b/org.oatlug.benchmarks/src/org/oatlug/benchmarks/PoolRun.java
@@ -9,14 +9,17 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
 import java.util.function.Supplier;
 import org.HdrHistogram.Histogram;
 import org.oatlug.api.ObjectKey;
+import org.oatlug.api.RefusalReason;
 import org.oatlug.internal.cascade.ConfidentStage;
+import org.oatlug.internal.limit.CapacityRule;
 import org.oatlug.internal.limit.RetryBudget;
-import org.oatlug.internal.limit.SheddingRule;
+import org.oatlug.internal.limit.WaitingLine;
 import org.oatlug.internal.routing.RouteRequest;
 import org.oatlug.internal.routing.Router;
 import org.oatlug.internal.routing.RoutingDecision;
@@ -57,14 +60,14 @@
    *
    * @param load the share of the pool's capacity that is asked for
    * @param chooser makes the chooser of each instance
-   * @param shedding says which upstreams are too full
+   * @param capacity says which upstreams have no place
    * @param reportLagMillis how old load reports are when they arrive
    * @param fault what goes wrong
    */
   record Options(
       double load,
       Supplier<UpstreamChooser> chooser,
-      SheddingRule shedding,
+      CapacityRule capacity,
       double reportLagMillis,
       Fault fault) {}
 
@@ -87,7 +90,8 @@
     int toLeaving;
   }
 
-  private record Entry(Tables tables, Router router, RetryBudget retries, String zone) {}
+  private record Entry(
+      Tables tables, Router router, RetryBudget retries, WaitingLine line, String zone) {}
 
   static Result run(Workload workload, Options options, long seed) {
     PoolRun run = new PoolRun(workload, options, seed);
@@ -107,10 +111,17 @@
       Random source = new Random(random.nextLong());
       Router router =
           Router.create(
-              zone, ConfidentStage.create(), options.chooser().get(), options.shedding(), source);
-      entries.add(new Entry(tables, router, RetryBudget.create(), zone));
+              zone, ConfidentStage.create(), options.chooser().get(), options.capacity(), source);
+      entries.add(new Entry(tables, router, RetryBudget.create(), WaitingLine.create(), zone));
       double offset = 1000.0 * index / workload.instances();
-      time.after(offset, () -> time.every(1000, () -> readLoad(tables)));
+      Entry entry = entries.get(index);
+      time.every(50, () -> entry.line().serve(time.instant()));
+      time.after(
+          offset,
+          () ->
+              time.every(
+                  Double.parseDouble(System.getProperty("period", "1000")),
+                  () -> readLoad(tables)));
     }
     time.after(WARM_UP_MILLIS, this::strike);
     arriveNext();
@@ -170,9 +181,10 @@
       int running = engine.running();
       int waiting = engine.waiting();
       boolean leaving = engine.leaving;
-      UpstreamRow row = tables.upstreams().row(nameOf(index));
+      String name = nameOf(index);
       time.after(
-          options.reportLagMillis(), () -> row.report(running, waiting, leaving, time.instant()));
+          options.reportLagMillis(),
+          () -> tables.upstreams().report(name, running, waiting, leaving, time.instant()));
     }
   }
 
@@ -225,6 +237,13 @@
     }
 
     void next() {
+      if (!goesOn()) {
+        waitInLine();
+      }
+    }
+
+    /** Tries to find a place; returns false if the request has to wait for one. */
+    private boolean goesOn() {
       RouteRequest route =
           new RouteRequest(
               request.requestClass().task(),
@@ -236,11 +255,31 @@
               0,
               Set.copyOf(failed));
       RoutingDecision decision = entry.router().decide(route, entry.tables(), time.instant());
+      if (decision.refusal().equals(Optional.of(RefusalReason.OVERLOADED))) {
+        return false;
+      }
       if (decision.route().isEmpty()) {
-        result.refused += counts ? 1 : 0;
-        return;
+        refuse();
+      } else {
+        dispatch(decision.route().get().upstream());
       }
-      dispatch(decision.route().get().upstream());
+      return true;
+    }
+
+    private void waitInLine() {
+      double left = started + request.requestClass().deadlineMillis() - time.nowMillis();
+      WaitingLine.Waiting waiting =
+          new WaitingLine.Waiting(
+              "m",
+              request.requestClass().priority(),
+              time.instant().plusMillis((long) left),
+              this::goesOn,
+              this::refuse);
+      entry.line().enter(waiting, time.instant()).ifPresent(wait -> refuse());
+    }
+
+    private void refuse() {
+      result.refused += counts ? 1 : 0;
     }
 
     private void dispatch(String name) {
@@ -265,8 +304,10 @@
 
     private void done(UpstreamRow row, String name, double sent, boolean answered) {
       row.release();
+      entry.line().freed(time.instant());
       if (answered) {
         row.succeeded(Duration.ofMillis((long) (time.nowMillis() - sent)));
+        entry.line().serve(time.instant());
         return;
       }
       row.failed(time.instant());
--- a/org.oatlug.entry/src/org/oatlug/entry/EntryInstance.java
+++ b/org.oatlug.entry/src/org/oatlug/entry/EntryInstance.java
@@ -26,9 +26,10 @@
 import org.oatlug.internal.http.Services;
 import org.oatlug.internal.ledger.ClaimDesk;
 import org.oatlug.internal.ledger.Ledger;
+import org.oatlug.internal.limit.CapacityRule;
 import org.oatlug.internal.limit.OpenRequests;
 import org.oatlug.internal.limit.RetryBudget;
-import org.oatlug.internal.limit.SheddingRule;
+import org.oatlug.internal.limit.WaitingLine;
 import org.oatlug.internal.limit.WorkspaceLimits;
 import org.oatlug.internal.membership.Membership;
 import org.oatlug.internal.metrics.Meters;
@@ -121,6 +122,7 @@
         RolloutGuard.create(tables, platform, membership, network, clock, meters);
     late.target = new PeerDispatch(tables, membership, configuration, ledger, billing, guard);
     network.listen().onFailure(failure -> logger.atSevere().withCause(failure).log("peers"));
+    WaitingLine line = WaitingLine.create();
     PauseWatch pause = PauseWatch.create(clock, () -> confirm(tables, configuration));
     LoadSystem load =
         LoadSystem.create(
@@ -149,6 +151,7 @@
             new SessionKeys(settings.sessions().signing(), settings.sessions().keys()),
             OpenRequests.withBound(settings.limits().openRequests()),
             WorkspaceLimits.create(() -> membership.live().size()),
+            line,
             RetryBudget.create(),
             pause,
             meters);
@@ -158,6 +161,7 @@
             membership::tick,
             configuration,
             load,
+            () -> line.serve(clock.instant()),
             ledger::tick,
             claims,
             billing,
@@ -169,7 +173,7 @@
         settings.zone(),
         ConfidentStage.create(),
         PredictedCost.create(),
-        SheddingRule.byPriority(),
+        CapacityRule.slotsAndFewWaiting(),
         random);
   }
 
--- a/org.oatlug.test/tst/org/oatlug/test/RouterTest.java
+++ b/org.oatlug.test/tst/org/oatlug/test/RouterTest.java
@@ -24,7 +24,7 @@
 import org.oatlug.config.Version;
 import org.oatlug.errors.SessionTokenInvalidException;
 import org.oatlug.internal.cascade.ConfidentStage;
-import org.oatlug.internal.limit.SheddingRule;
+import org.oatlug.internal.limit.CapacityRule;
 import org.oatlug.internal.routing.PredictedCost;
 import org.oatlug.internal.routing.RouteRequest;
 import org.oatlug.internal.routing.Router;
@@ -106,7 +106,7 @@
             "hall-a",
             ConfidentStage.create(),
             PredictedCost.create(),
-            SheddingRule.never(),
+            CapacityRule.unbounded(),
             random);
     return router.decide(request, tables, clock.instant());
   }
@@ -171,7 +171,7 @@
             "hall-a",
             ConfidentStage.create(),
             PredictedCost.create(),
-            SheddingRule.never(),
+            CapacityRule.unbounded(),
             new Random(1));
     RouteRequest request = new RouteRequest("desk", "small", "", Map.of(), 10, 1, 0, Set.of());
     RoutingDecision.Route route =
--- a/org.oatlug/src/org/oatlug/internal/engine/LoadSystem.java
+++ b/org.oatlug/src/org/oatlug/internal/engine/LoadSystem.java
@@ -124,7 +124,9 @@
       LoadReport report = response.bodyAsJson(LoadReport.class);
       UpstreamRow row = tables.upstreams().row(name);
       boolean news = report.leaving() && !row.leaving();
-      row.report(report.running(), report.waiting(), report.leaving(), clock.instant());
+      tables
+          .upstreams()
+          .report(name, report.running(), report.waiting(), report.leaving(), clock.instant());
       if (news) {
         onLeaving.accept(name);
       }
--- a/org.oatlug/src/org/oatlug/internal/http/Forwarding.java
+++ b/org.oatlug/src/org/oatlug/internal/http/Forwarding.java
@@ -19,6 +19,7 @@
 import org.oatlug.errors.UpstreamFailedException;
 import org.oatlug.errors.UpstreamFailedException.Progress;
 import org.oatlug.internal.engine.UpstreamCaller;
+import org.oatlug.internal.limit.WaitingLine;
 import org.oatlug.internal.routing.RoutingDecision;
 import org.oatlug.internal.routing.RoutingDecision.Route;
 import org.oatlug.internal.table.UpstreamRow;
@@ -88,10 +89,47 @@
       refuse(RefusalReason.CONFIGURATION_UNCONFIRMED, ErrorText.get().configurationUnconfirmed);
       return;
     }
+    if (!findsPlace()) {
+      waitInLine();
+    }
+  }
+
+  /** Waits at this instance until an upstream has a place, or refuses at once. */
+  private void waitInLine() {
+    Instant now = services.clock().instant();
+    Instant longest = now.plusMillis(services.settings().limits().firstByteMillis());
+    Instant deadline = longest.isBefore(request.deadline()) ? longest : request.deadline();
+    WaitingLine.Waiting waiting =
+        new WaitingLine.Waiting(
+            plan.target(),
+            request.workspace().priority(),
+            deadline,
+            this::findsPlace,
+            () -> refuse(RefusalReason.OVERLOADED, ErrorText.get().overloaded));
+    services.meters().count("line.asked");
+    services.line().enter(waiting, now).ifPresent(wait -> end(overloaded(wait)));
+  }
+
+  private Refusal overloaded(Duration wait) {
+    String text = ErrorText.get().overloaded;
+    return mayHaveRun
+        ? Refusal.unknown(RefusalReason.OVERLOADED, text)
+        : Refusal.retryAfter(RefusalReason.OVERLOADED, text, wait);
+  }
+
+  /** Decides where the request goes; returns false if it has to wait for a place. */
+  private boolean findsPlace() {
+    if (request.isEnded()) {
+      unanswered();
+      return true;
+    }
     RoutingDecision decision = plan.decide(Set.copyOf(failed), services.clock().instant());
+    if (decision.refusal().equals(Optional.of(RefusalReason.OVERLOADED))) {
+      return false;
+    }
     if (decision.route().isEmpty()) {
       refuseDecision(decision);
-      return;
+      return true;
     }
     Route route = decision.route().get();
     UpstreamRow row = services.tables().upstreams().row(route.upstream());
@@ -99,6 +137,15 @@
     plan.prepare(route)
         .subscribe()
         .with(unused -> prepared(route, row), failure -> unprepared(row, failure));
+    return true;
+  }
+
+  /** Gives the place back, and lets those that wait try for it. */
+  private void release(UpstreamRow row) {
+    row.release();
+    Instant now = services.clock().instant();
+    services.line().freed(now);
+    services.vertx().runOnContext(unused -> services.line().serve(now));
   }
 
   private void prepared(Route route, UpstreamRow row) {
@@ -107,7 +154,7 @@
   }
 
   private void unprepared(UpstreamRow row, Throwable failure) {
-    row.release();
+    release(row);
     if (failure instanceof RefusedException refused) {
       end(refused.refusal());
     } else {
@@ -118,7 +165,7 @@
 
   private void dispatch(Route route, UpstreamRow row) {
     if (request.isEnded()) {
-      row.release();
+      release(row);
       unanswered();
       return;
     }
@@ -127,7 +174,7 @@
     boolean confirmed = services.tables().freshness().isConfirmed();
     if (gone || !confirmed || !plan.stillAllowed(route)) {
       services.meters().count("retry.route-changed");
-      row.release();
+      release(row);
       tryOnce();
       return;
     }
@@ -165,14 +212,14 @@
 
           @Override
           public void broken(String problem) {
-            row.release();
+            release(row);
             answerBroken(route, row, problem);
           }
         });
   }
 
   private void answerTaken(UpstreamRow row, Instant sent) {
-    row.release();
+    release(row);
     row.succeeded(Duration.between(sent, services.clock().instant()));
     services.vertx().cancelTimer(deadlineTimer);
   }
@@ -200,7 +247,7 @@
 
   private void attemptFailed(Route route, UpstreamRow row, Upstream upstream, Throwable failure) {
     dispatched = false;
-    row.release();
+    release(row);
     UpstreamFailedException known =
         failure instanceof UpstreamFailedException typed
             ? typed
--- a/org.oatlug/src/org/oatlug/internal/http/Services.java
+++ b/org.oatlug/src/org/oatlug/internal/http/Services.java
@@ -15,6 +15,7 @@
 import org.oatlug.internal.ledger.Ledger;
 import org.oatlug.internal.limit.OpenRequests;
 import org.oatlug.internal.limit.RetryBudget;
+import org.oatlug.internal.limit.WaitingLine;
 import org.oatlug.internal.limit.WorkspaceLimits;
 import org.oatlug.internal.membership.Membership;
 import org.oatlug.internal.metrics.Meters;
@@ -45,6 +46,7 @@
  * @param sessionKeys the keys that sign sessions
  * @param open the open requests
  * @param limits the rates of workspaces
+ * @param line the requests that wait for a place
  * @param retries the retry budget
  * @param pause finds out that the process stood still
  * @param meters the counters
@@ -67,6 +69,7 @@
     SessionKeys sessionKeys,
     OpenRequests open,
     WorkspaceLimits limits,
+    WaitingLine line,
     RetryBudget retries,
     PauseWatch pause,
     Meters meters) {
--- a/org.oatlug/src/org/oatlug/internal/limit/CapacityRule.java
+++ b/org.oatlug/src/org/oatlug/internal/limit/CapacityRule.java
@@ -5,40 +5,37 @@
 
 import org.oatlug.config.Upstream;
 import org.oatlug.internal.table.UpstreamRow;
+import org.oatlug.internal.table.UpstreamTable;
 
-/** Says which upstreams are too full for a priority; implementations keep no state. */
+/** Says which upstreams have no place now; implementations keep no state. */
 @FunctionalInterface
-public interface SheddingRule {
+public interface CapacityRule {
 
   /**
-   * Returns whether a request of the priority, from 0 to 9, had to wait too long there.
+   * Returns whether a request had to wait at the upstream.
    *
-   * @param row what is known of the upstream
+   * @param table what is known of all upstreams
+   * @param row what is known of this one
    * @param upstream its configuration
    */
-  boolean isFull(UpstreamRow row, Upstream upstream, int priority);
+  boolean isFull(UpstreamTable table, UpstreamRow row, Upstream upstream);
 
   /**
-   * Returns the rule that lets a queue grow to a share of the slots that rises with the priority.
+   * Returns the rule that an upstream is full when its slots are, and a few requests wait.
    *
-   * <p>Requests that would wait behind a longer queue than that miss their deadline anyway, and
-   * make others miss theirs.
+   * <p>The few bridge the time in which an instance learns that a slot is free; more of them would
+   * bind requests to one upstream while another one has a free slot.
    */
-  static SheddingRule byPriority() {
-    return (row, upstream, priority) -> {
-      double allowed = upstream.slots() * (LEAST_QUEUE + QUEUE_PER_PRIORITY * priority);
-      return row.expectedLoad() - upstream.slots() >= allowed;
-    };
+  static CapacityRule slotsAndFewWaiting() {
+    return (table, row, upstream) ->
+        table.estimatedLoad(row) >= upstream.slots() * (1 + WAITING_SHARE);
   }
 
-  /** Returns the rule that never sheds. */
-  static SheddingRule never() {
-    return (row, upstream, priority) -> false;
+  /** Returns the rule that no upstream is ever full. */
+  static CapacityRule unbounded() {
+    return (table, row, upstream) -> false;
   }
 
-  /** The queue that the lowest priority may join, as a share of the slots. */
-  double LEAST_QUEUE = 0.25;
-
-  /** What each step of priority adds to it. */
-  double QUEUE_PER_PRIORITY = 0.15;
+  /** How many requests may wait at an upstream, as a share of its slots. */
+  double WAITING_SHARE = 0.25;
 }
--- a/org.oatlug/src/org/oatlug/internal/routing/PredictedCost.java
+++ b/org.oatlug/src/org/oatlug/internal/routing/PredictedCost.java
@@ -3,26 +3,29 @@
 
 package org.oatlug.internal.routing;
 
-import java.time.Duration;
-import java.time.Instant;
 import java.util.List;
 import java.util.random.RandomGenerator;
 import org.oatlug.internal.table.UpstreamRow;
+import org.oatlug.internal.table.UpstreamTable;
 
 /**
- * The upstream with the lowest predicted time, with chance in proportion to the age of what is
- * known.
+ * The upstream with the lowest predicted time to the first token.
  *
- * <p>The prediction is the wait behind the requests that exceed the slots, plus the service time,
- * less what a cached prefix saves. Load reports lag, so all instances would choose the same
- * upstream; the older the report, the more the choice is spread. Immutable, thread-safe.
+ * <p>The prediction is the wait behind the requests that exceed the slots, plus what the requests
+ * that run beside it slow it down, plus the prefill, less what a cached prefix saves. The wait is
+ * smoothed, because the load is only estimated. Each prefix has a home, the first upstream by rank,
+ * which is taken to have it cached: all instances then send it there unless the home is busy, and
+ * it is cached there indeed. Immutable, thread-safe. Source: the placement cost of waiting and
+ * cached prefixes in the paper cited in {@code docs/design/upstream-choice.md}.
  */
 public final class PredictedCost implements UpstreamChooser {
-  private static final double DEFAULT_SERVICE_MILLIS = 500;
-  private static final double PREFIX_SAVING = 0.3;
-  private static final double REMOTE_PENALTY_MILLIS = 20;
-  private static final double SPREAD_PER_AGE = 0.02;
-  private static final double MAXIMUM_SPREAD_MILLIS = 200;
+  private static final double SERVICE_MILLIS = 1500;
+  private static final double SHARING = 0.02;
+  private static final double UNCERTAINTY = 1.5;
+  private static final double PREFILL_MILLIS_PER_TOKEN = 0.25;
+  private static final double PREFILL_LEFT_WHEN_CACHED = 0.2;
+  private static final double REMOTE_MILLIS = 2;
+  private static final double LINEAR_ABOVE = 30;
 
   private PredictedCost() {}
 
@@ -33,13 +36,15 @@
 
   @Override
   public Candidate choose(
-      List<Candidate> candidates, RouteRequest request, Instant now, RandomGenerator random) {
-    double base = baseService(candidates);
+      List<Candidate> candidates,
+      RouteRequest request,
+      UpstreamTable table,
+      RandomGenerator random) {
+    long home = homeRank(candidates, request);
     Candidate best = candidates.get(0);
     double bestCost = Double.POSITIVE_INFINITY;
     for (Candidate candidate : candidates) {
-      double spread = spreadMillis(candidate.row().reportAge(now));
-      double cost = cost(candidate, request, base) + random.nextDouble() * spread;
+      double cost = cost(candidate, request, table, home) + random.nextDouble();
       if (cost < bestCost) {
         best = candidate;
         bestCost = cost;
@@ -48,35 +53,31 @@
     return best;
   }
 
-  /** Returns the predicted milliseconds until the answer. */
-  static double cost(Candidate candidate, RouteRequest request, double baseService) {
-    UpstreamRow row = candidate.row();
-    double seen = row.meanServiceMillis();
-    double service = seen > 0 ? seen : baseService;
-    int slots = candidate.upstream().slots();
-    int load = row.expectedLoad();
-    double waiting = Math.max(0, load + 1 - slots);
-    double wait = waiting / slots * service;
-    double sharing = service * load / (2.0 * slots);
-    double saved = row.hasPrefix(request.prefix()) ? PREFIX_SAVING * service : 0;
-    double remote = candidate.local() ? 0 : REMOTE_PENALTY_MILLIS;
-    return wait + service + sharing - saved + remote;
-  }
-
-  private static double baseService(List<Candidate> candidates) {
-    double sum = 0;
-    int seen = 0;
+  private static long homeRank(List<Candidate> candidates, RouteRequest request) {
+    long home = Long.MAX_VALUE;
     for (Candidate candidate : candidates) {
-      double mean = candidate.row().meanServiceMillis();
-      if (mean > 0) {
-        sum += mean;
-        seen++;
-      }
+      home = Math.min(home, candidate.row().rankFor(request.prefix()));
     }
-    return seen == 0 ? DEFAULT_SERVICE_MILLIS : sum / seen;
+    return home;
+  }
+
+  /** Returns the predicted milliseconds to the first token. */
+  private static double cost(
+      Candidate candidate, RouteRequest request, UpstreamTable table, long home) {
+    UpstreamRow row = candidate.row();
+    double load = table.estimatedLoad(row);
+    boolean cached = row.hasPrefix(request.prefix()) || row.rankFor(request.prefix()) == home;
+    double prefillShare = cached ? PREFILL_LEFT_WHEN_CACHED : 1;
+    double prefill = prefillShare * request.promptTokens() * PREFILL_MILLIS_PER_TOKEN;
+    double sharing = SHARING * load * SERVICE_MILLIS;
+    double remote = candidate.local() ? 0 : REMOTE_MILLIS;
+    return waitMillis(load, candidate.upstream().slots()) + sharing + prefill + remote;
   }
 
-  private static double spreadMillis(Duration age) {
-    return Math.min(MAXIMUM_SPREAD_MILLIS, age.toMillis() * SPREAD_PER_AGE);
+  /** Returns the expected wait for a slot; the excess is smoothed over the load's uncertainty. */
+  private static double waitMillis(double load, int slots) {
+    double excess = (load + 1 - slots) / UNCERTAINTY;
+    double smoothed = excess > LINEAR_ABOVE ? excess : Math.log1p(Math.exp(excess));
+    return smoothed * UNCERTAINTY / slots * SERVICE_MILLIS;
   }
 }
--- a/org.oatlug/src/org/oatlug/internal/routing/Router.java
+++ b/org.oatlug/src/org/oatlug/internal/routing/Router.java
@@ -17,7 +17,7 @@
 import org.oatlug.config.Workspace;
 import org.oatlug.internal.cascade.StageChooser;
 import org.oatlug.internal.config.PolicyProgram;
-import org.oatlug.internal.limit.SheddingRule;
+import org.oatlug.internal.limit.CapacityRule;
 import org.oatlug.internal.routing.RoutingDecision.PassedOver;
 import org.oatlug.internal.routing.RoutingDecision.Reason;
 import org.oatlug.internal.routing.RoutingDecision.Route;
@@ -38,19 +38,19 @@
   private final String zone;
   private final StageChooser stageChooser;
   private final UpstreamChooser upstreamChooser;
-  private final SheddingRule shedding;
+  private final CapacityRule capacity;
   private final RandomGenerator random;
 
   private Router(
       String zone,
       StageChooser stageChooser,
       UpstreamChooser upstreamChooser,
-      SheddingRule shedding,
+      CapacityRule capacity,
       RandomGenerator random) {
     this.zone = zone;
     this.stageChooser = stageChooser;
     this.upstreamChooser = upstreamChooser;
-    this.shedding = shedding;
+    this.capacity = capacity;
     this.random = random;
   }
 
@@ -60,16 +60,16 @@
    * @param zone the availability zone of this instance
    * @param stageChooser chooses the stage of a cascade
    * @param upstreamChooser chooses among upstreams
-   * @param shedding says which upstreams are too full
+   * @param capacity says which upstreams have no place
    * @param random the source of chance
    */
   public static Router create(
       String zone,
       StageChooser stageChooser,
       UpstreamChooser upstreamChooser,
-      SheddingRule shedding,
+      CapacityRule capacity,
       RandomGenerator random) {
-    return new Router(zone, stageChooser, upstreamChooser, shedding, random);
+    return new Router(zone, stageChooser, upstreamChooser, capacity, random);
   }
 
   /** Decides where the request goes as the tables stand. */
@@ -266,7 +266,7 @@
         passedOver.add(new PassedOver(name, obstacle.get()));
         continue;
       }
-      if (shedding.isFull(row, upstream, priorityOf(request, tables))) {
+      if (capacity.isFull(tables.upstreams(), row, upstream)) {
         passedOver.add(new PassedOver(name, Reason.UPSTREAM_FULL));
         full = true;
         continue;
@@ -278,7 +278,8 @@
       RefusalReason reason = full ? RefusalReason.OVERLOADED : RefusalReason.NO_UPSTREAM;
       return RoutingDecision.refused(reason, passedOver);
     }
-    UpstreamChooser.Candidate taken = upstreamChooser.choose(candidates, request, now, random);
+    UpstreamChooser.Candidate taken =
+        upstreamChooser.choose(candidates, request, tables.upstreams(), random);
     for (UpstreamChooser.Candidate candidate : candidates) {
       if (candidate != taken) {
         passedOver.add(new PassedOver(candidate.row().name(), Reason.UPSTREAM_COSTLIER));
@@ -288,10 +289,6 @@
     return RoutingDecision.routed(route, passedOver);
   }
 
-  private static int priorityOf(RouteRequest request, Tables tables) {
-    return tables.catalogue().workspace(request.workspace()).map(Workspace::priority).orElse(0);
-  }
-
   private static Optional<Reason> obstacle(
       RouteRequest request, Upstream upstream, UpstreamRow row, Instant now) {
     if (upstream.leaving() || row.leaving()) {
--- a/org.oatlug/src/org/oatlug/internal/routing/UpstreamChooser.java
+++ b/org.oatlug/src/org/oatlug/internal/routing/UpstreamChooser.java
@@ -3,11 +3,11 @@
 
 package org.oatlug.internal.routing;
 
-import java.time.Instant;
 import java.util.List;
 import java.util.random.RandomGenerator;
 import org.oatlug.config.Upstream;
 import org.oatlug.internal.table.UpstreamRow;
+import org.oatlug.internal.table.UpstreamTable;
 
 /** Chooses one of the upstreams that may answer; implementations keep no state between calls. */
 @FunctionalInterface
@@ -15,7 +15,10 @@
 
   /** Returns one of the candidates, of which there is at least one. */
   Candidate choose(
-      List<Candidate> candidates, RouteRequest request, Instant now, RandomGenerator random);
+      List<Candidate> candidates,
+      RouteRequest request,
+      UpstreamTable table,
+      RandomGenerator random);
 
   /**
    * An upstream that may answer.
--- a/org.oatlug/src/org/oatlug/internal/table/UpstreamRow.java
+++ b/org.oatlug/src/org/oatlug/internal/table/UpstreamRow.java
@@ -7,6 +7,7 @@
 import java.time.Instant;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import org.oatlug.internal.util.Hashes;
 
 /**
  * What one instance knows of one upstream.
@@ -22,6 +23,7 @@
   private static final double SMOOTHING = 0.2;
 
   private final String name;
+  private final long nameHash;
   private final Map<Long, Boolean> prefixes =
       new LinkedHashMap<>(16, 0.75f, true) {
         private static final long serialVersionUID = 1L;
@@ -44,6 +46,12 @@
 
   UpstreamRow(String name) {
     this.name = name;
+    this.nameHash = Hashes.hash64(name);
+  }
+
+  /** Returns the rank of this upstream for a prompt prefix, the same at every instance. */
+  public long rankFor(long prefix) {
+    return Hashes.combine(prefix, nameHash);
   }
 
   /** Returns the name of the upstream. */
@@ -63,8 +71,12 @@
     finishedSinceReport++;
   }
 
-  /** Takes in a load report that arrived at {@code now}. */
-  public void report(int running, int waiting, boolean nowLeaving, Instant now) {
+  /** Returns the load of the last report. */
+  int reportedLoad() {
+    return reportedRunning + reportedWaiting;
+  }
+
+  void report(int running, int waiting, boolean nowLeaving, Instant now) {
     reportedRunning = running;
     reportedWaiting = waiting;
     reportedAt = now;
--- a/org.oatlug/src/org/oatlug/internal/table/UpstreamTable.java
+++ b/org.oatlug/src/org/oatlug/internal/table/UpstreamTable.java
@@ -3,13 +3,18 @@
 
 package org.oatlug.internal.table;
 
+import java.time.Instant;
 import java.util.Collection;
 import java.util.Map;
 import java.util.TreeMap;
 
 /** The rows of all upstreams that were met. Owned by one event loop, not thread-safe. */
 public final class UpstreamTable {
+  private static final double SMOOTHING = 0.1;
+  private static final double OWN_WEIGHT = 0.5;
+
   private final Map<String, UpstreamRow> rows = new TreeMap<>();
+  private double loadPerOwn = 1;
 
   private UpstreamTable() {}
 
@@ -23,6 +28,33 @@
     return rows.computeIfAbsent(name, UpstreamRow::new);
   }
 
+  /** Takes in a load report that arrived at {@code now}. */
+  public void report(String name, int running, int waiting, boolean leaving, Instant now) {
+    row(name).report(running, waiting, leaving, now);
+    int reported = 0;
+    int own = 0;
+    for (UpstreamRow row : rows.values()) {
+      reported += row.reportedLoad();
+      own += row.inFlight();
+    }
+    if (own > 0) {
+      double ratio = Math.max(1, (double) reported / own);
+      loadPerOwn += SMOOTHING * (ratio - loadPerOwn);
+    }
+  }
+
+  /**
+   * Returns the estimated number of requests at the upstream.
+   *
+   * <p>The mean of two estimates: the last report with this instance's changes since, which is old,
+   * and this instance's own open requests scaled up to all instances, which is coarse. Own requests
+   * alone keep instances from choosing alike; reports alone make them.
+   */
+  public double estimatedLoad(UpstreamRow row) {
+    double scaled = row.inFlight() * loadPerOwn;
+    return OWN_WEIGHT * scaled + (1 - OWN_WEIGHT) * row.expectedLoad();
+  }
+
   /** Returns all rows, ordered by name. */
   public Collection<UpstreamRow> all() {
     return rows.values();
--- a/org.oatlug/src/org/oatlug/internal/util/Hashes.java
+++ b/org.oatlug/src/org/oatlug/internal/util/Hashes.java
@@ -23,6 +23,11 @@
     return Hashing.murmur3_128().hashString(joined, StandardCharsets.UTF_8).asLong();
   }
 
+  /** Returns a 64-bit hash of two numbers. */
+  public static long combine(long one, long other) {
+    return Hashing.murmur3_128().newHasher().putLong(one).putLong(other).hash().asLong();
+  }
+
   /** Returns the members by rendezvous rank for {@code subject}, first rank first. */
   public static List<String> rendezvous(String subject, List<String> members) {
     return members.stream()
