--- a/org.oatlug.test/tst/org/oatlug/test/Ports.java
+++ b/org.oatlug.test/tst/org/oatlug/test/Ports.java
@@ -12,7 +12,7 @@
   private static final int FIRST = 20_000;
   private static final int LAST = 32_000;
 
-  private static int next = FIRST + (int) (ProcessHandle.current().pid() % 100) * 100;
+  private static int next = FIRST + (int) (ProcessHandle.current().pid() % 24) * 500;
 
   private Ports() {}
 
--- a/org.oatlug.test/tst/org/oatlug/test/ShardTest.java
+++ b/org.oatlug.test/tst/org/oatlug/test/ShardTest.java
@@ -43,7 +43,7 @@
   private Shard writer(FakePlatform platform) {
     Shard.Options options =
         new Shard.Options(Duration.ofHours(24), TICK, Duration.ofSeconds(2), SMALL_HEAD);
-    return Shard.create(0, platform, clock, options, new MetricRegistry());
+    return Shard.create("bills-0", platform, clock, options, new MetricRegistry());
   }
 
   private LedgerEntry.Claim claim(String key, String attempt) {
--- a/org.oatlug/src/org/oatlug/internal/config/Catalogue.java
+++ b/org.oatlug/src/org/oatlug/internal/config/Catalogue.java
@@ -10,7 +10,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import org.oatlug.api.ObjectKey;
 import org.oatlug.api.VersionState;
 import org.oatlug.config.Cascade;
@@ -50,17 +52,31 @@
 
   /** Takes an object in and returns whether it was newer than what was known. */
   public boolean merge(StoredObject object) {
-    if (!join.merge(object)) {
-      return false;
+    return !mergeAll(List.of(object)).isEmpty();
+  }
+
+  /** Takes objects in and returns those that were newer than what was known. */
+  public List<StoredObject> mergeAll(List<StoredObject> objects) {
+    List<StoredObject> fresh = new ArrayList<>();
+    Set<String> kinds = new TreeSet<>();
+    for (StoredObject object : objects) {
+      if (join.merge(object)) {
+        fresh.add(object);
+        kinds.add(object.key().kind());
+        take(object);
+      }
     }
+    kinds.forEach(this::index);
+    return fresh;
+  }
+
+  private void take(StoredObject object) {
     Optional<Object> content = read(object);
     if (content.isPresent()) {
       contents.put(object.key(), content.get());
     } else {
       contents.remove(object.key());
     }
-    index(object.key().kind());
-    return true;
   }
 
   /** Returns the join below this view. */
--- a/org.oatlug/src/org/oatlug/internal/config/ConfigurationSystem.java
+++ b/org.oatlug/src/org/oatlug/internal/config/ConfigurationSystem.java
@@ -110,7 +110,7 @@
       return Uni.createFrom().item(answer);
     }
     PeerMessage.Objects objects = (PeerMessage.Objects) message;
-    List<StoredObject> fresh = mergeAll(objects.objects());
+    List<StoredObject> fresh = tables.catalogue().mergeAll(objects.objects());
     if (objects.forward() && !fresh.isEmpty()) {
       forward(fresh);
     }
@@ -169,23 +169,13 @@
     revision = batch.revision();
     Freshness freshness = tables.freshness();
     freshness.learn(Duration.ZERO, clock.instant());
-    List<StoredObject> fresh = mergeAll(batch.objects());
+    List<StoredObject> fresh = tables.catalogue().mergeAll(batch.objects());
     if (!fresh.isEmpty()) {
       logger.atInfo().log("%d objects came into force at revision %d", fresh.size(), revision);
       forward(fresh);
     }
   }
 
-  private List<StoredObject> mergeAll(List<StoredObject> objects) {
-    List<StoredObject> fresh = new ArrayList<>();
-    for (StoredObject object : objects) {
-      if (tables.catalogue().merge(object)) {
-        fresh.add(object);
-      }
-    }
-    return fresh;
-  }
-
   /** Passes objects on to this instance's children in the tree of the newest of them. */
   private void forward(List<StoredObject> objects) {
     long newest = objects.stream().mapToLong(StoredObject::version).max().orElse(0);
@@ -265,7 +255,7 @@
   }
 
   private void takeDifference(PeerMessage.Objects objects) {
-    List<StoredObject> fresh = mergeAll(objects.objects());
+    List<StoredObject> fresh = tables.catalogue().mergeAll(objects.objects());
     learnAge(objects.contactAge());
     if (!fresh.isEmpty()) {
       meters.count("configuration.repaired");
--- a/org.oatlug/src/org/oatlug/internal/ledger/Ledger.java
+++ b/org.oatlug/src/org/oatlug/internal/ledger/Ledger.java
@@ -9,7 +9,9 @@
 import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.TreeMap;
 import org.oatlug.config.Settings;
 import org.oatlug.errors.LedgerUnavailableException;
 import org.oatlug.internal.membership.Membership;
@@ -23,17 +25,22 @@
 /**
  * The way from any instance to the shard of a key.
  *
- * <p>An entry goes to the owner of the shard, the first live instance by rendezvous rank, which
- * batches the writes of all instances. If the owner does not answer, this instance writes itself:
- * ownership saves writes, it is no part of the safety argument. Owned by one event loop, not
- * thread-safe.
+ * <p>Claims and bills have shards of their own, so that a new owner of claims need not read bills
+ * before it answers; bills are written less often and in larger segments. An entry goes to the
+ * owner of the shard, the first live instance by rendezvous rank, which batches the writes of all
+ * instances. If the owner does not answer, this instance writes itself: ownership saves writes, it
+ * is no part of the safety argument. Owned by one event loop, not thread-safe.
  */
 public final class Ledger {
   private static final Duration OWNER_PATIENCE = Duration.ofMillis(700);
   private static final Duration ENTRY_PATIENCE = Duration.ofMillis(2000);
-  private static final int SEAL_ABOVE_BYTES = 64 * 1024;
+  private static final Duration BILL_INTERVAL = Duration.ofSeconds(1);
+  private static final Duration BILL_PATIENCE = Duration.ofSeconds(4);
+  private static final int CLAIM_HEAD_BYTES = 64 * 1024;
+  private static final int BILL_HEAD_BYTES = 256 * 1024;
 
-  private final List<Shard> shards = new ArrayList<>();
+  private final Map<String, Shard> claims = new TreeMap<>();
+  private final Map<String, Shard> bills = new TreeMap<>();
   private final Membership membership;
   private final PeerNetwork network;
   private final Meters meters;
@@ -53,21 +60,32 @@
       PeerNetwork network,
       MetricRegistry metrics) {
     Ledger ledger = new Ledger(membership, network, Meters.of(metrics));
-    Duration interval = flushInterval(settings);
     Duration retention = Duration.ofHours(settings.retentionHours());
-    Shard.Options options =
-        new Shard.Options(retention, interval, ENTRY_PATIENCE, SEAL_ABOVE_BYTES);
+    Shard.Options claims =
+        new Shard.Options(retention, claimInterval(settings), ENTRY_PATIENCE, CLAIM_HEAD_BYTES);
+    Shard.Options bills =
+        new Shard.Options(retention, BILL_INTERVAL, BILL_PATIENCE, BILL_HEAD_BYTES);
     for (int number = 0; number < settings.shards(); number++) {
-      ledger.shards.add(Shard.create(number, platform, clock, options, metrics));
+      String claimName = claimShard(number);
+      String billName = billShard(number);
+      ledger.claims.put(claimName, Shard.create(claimName, platform, clock, claims, metrics));
+      ledger.bills.put(billName, Shard.create(billName, platform, clock, bills, metrics));
     }
     return ledger;
   }
 
-  /** Returns the time between two writes of a shard that keeps all shards within their share. */
-  static Duration flushInterval(Settings.Ledger settings) {
-    return Duration.ofSeconds(1)
-        .multipliedBy(settings.shards())
-        .dividedBy(settings.writesPerSecond());
+  static String claimShard(int number) {
+    return "claims-" + number;
+  }
+
+  static String billShard(int number) {
+    return "bills-" + number;
+  }
+
+  /** Returns the time between two writes of a claim shard that keeps all shards in their share. */
+  static Duration claimInterval(Settings.Ledger settings) {
+    int forClaims = Math.max(1, settings.writesPerSecond() - settings.shards());
+    return Duration.ofSeconds(1).multipliedBy(settings.shards()).dividedBy(forClaims);
   }
 
   /**
@@ -77,26 +95,33 @@
    * then still take effect.
    */
   public Uni<LedgerResult> submit(LedgerEntry entry) {
-    int number = Math.floorMod(Hashes.hash64("shard", entry.key()), shards.size());
-    Optional<Member> owner = membership.ownerOf("shard-" + number);
+    boolean billed = entry instanceof LedgerEntry.Billed;
+    int number = Math.floorMod(Hashes.hash64("shard", entry.key()), claims.size());
+    String name = billed ? billShard(number) : claimShard(number);
+    Shard shard = billed ? bills.get(name) : claims.get(name);
+    Duration patience = billed ? BILL_PATIENCE : OWNER_PATIENCE;
+    Optional<Member> owner = membership.ownerOf(name);
     if (owner.isEmpty() || membership.isSelf(owner.get())) {
-      return shards.get(number).submit(entry);
+      return shard.submit(entry);
     }
     return network
-        .ask(owner.get(), new PeerMessage.Submit(number, List.of(entry)), OWNER_PATIENCE)
+        .ask(owner.get(), new PeerMessage.Submit(name, List.of(entry)), patience)
         .onItem()
         .transformToUni(Ledger::firstResult)
         .onFailure()
         .recoverWithUni(
             () -> {
               meters.count("retry.ledger-owner");
-              return shards.get(number).submit(entry);
+              return shard.submit(entry);
             });
   }
 
   /** Enters the entries of another instance. */
   public Uni<PeerMessage> submitted(PeerMessage.Submit message) {
-    Shard shard = shards.get(Math.floorMod(message.shard(), shards.size()));
+    Shard shard = claims.getOrDefault(message.shard(), bills.get(message.shard()));
+    if (shard == null) {
+      return Uni.createFrom().item(new PeerMessage.Failed("unknown shard"));
+    }
     List<Uni<LedgerResult>> results = new ArrayList<>();
     for (LedgerEntry entry : message.entries()) {
       results.add(shard.submit(entry));
@@ -109,7 +134,8 @@
 
   /** Lets each shard write. */
   public void tick() {
-    shards.forEach(Shard::tick);
+    claims.values().forEach(Shard::tick);
+    bills.values().forEach(Shard::tick);
   }
 
   private static Uni<LedgerResult> firstResult(PeerMessage answer) {
--- a/org.oatlug/src/org/oatlug/internal/ledger/LedgerReader.java
+++ b/org.oatlug/src/org/oatlug/internal/ledger/LedgerReader.java
@@ -27,11 +27,11 @@
     return new LedgerReader(platform);
   }
 
-  /** Returns the bills of the shards from 0 up to the first that has no head. */
+  /** Returns the bills of so many shards. */
   public Uni<List<Bill>> bills(int shards) {
     Uni<List<Bill>> all = Uni.createFrom().item(new ArrayList<>());
     for (int shard = 0; shard < shards; shard++) {
-      ObjectKey key = ObjectKey.valueOf(Shard.KIND, "shard-" + shard);
+      ObjectKey key = ObjectKey.valueOf(Shard.KIND, Ledger.billShard(shard));
       all = all.onItem().transformToUni(bills -> readHead(key, bills));
     }
     return all;
--- a/org.oatlug/src/org/oatlug/internal/ledger/Shard.java
+++ b/org.oatlug/src/org/oatlug/internal/ledger/Shard.java
@@ -12,8 +12,10 @@
 import java.time.Instant;
 import java.time.InstantSource;
 import java.util.ArrayList;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.UUID;
 import org.oatlug.api.ObjectKey;
 import org.oatlug.errors.ConflictException;
@@ -38,7 +40,7 @@
   static final String KIND = "ledger";
   private static final int GIVE_UP_AFTER_FAILURES = 2;
 
-  private final int number;
+  private final String name;
   private final Platform platform;
   private final InstantSource clock;
   private final Duration retention;
@@ -46,19 +48,20 @@
   private final Duration patience;
   private final int sealAboveBytes;
   private final Meters meters;
-  private final List<Waiting> waiting = new ArrayList<>();
+  private final Set<Waiting> waiting = new LinkedHashSet<>();
 
   private ShardState state;
   private ShardHead head = ShardHead.EMPTY;
   private long version;
   private boolean known;
+  private boolean staleState;
   private boolean busy;
   private int platformFailures;
   private Instant nextFlush = Instant.EPOCH;
 
   private Shard(
-      int number, Platform platform, InstantSource clock, Options options, Meters meters) {
-    this.number = number;
+      String name, Platform platform, InstantSource clock, Options options, Meters meters) {
+    this.name = name;
     this.platform = platform;
     this.clock = clock;
     this.retention = options.retention();
@@ -82,12 +85,26 @@
 
   /** Returns a writer of the shard that has read nothing yet. */
   public static Shard create(
-      int number, Platform platform, InstantSource clock, Options options, MetricRegistry metrics) {
-    return new Shard(number, platform, clock, options, Meters.of(metrics));
+      String name,
+      Platform platform,
+      InstantSource clock,
+      Options options,
+      MetricRegistry metrics) {
+    return new Shard(name, platform, clock, options, Meters.of(metrics));
   }
 
-  private record Waiting(
-      LedgerEntry entry, Instant since, UniEmitter<? super LedgerResult> emitter) {}
+  /** An entry that waits; each one is only equal to itself. */
+  private static final class Waiting {
+    private final LedgerEntry entry;
+    private final Instant since;
+    private final UniEmitter<? super LedgerResult> emitter;
+
+    Waiting(LedgerEntry entry, Instant since, UniEmitter<? super LedgerResult> emitter) {
+      this.entry = entry;
+      this.since = since;
+      this.emitter = emitter;
+    }
+  }
 
   /**
    * Enters an entry and waits for its confirmation.
@@ -117,15 +134,15 @@
 
   private void giveUpLate() {
     Instant oldest = clock.instant().minus(patience);
-    List<Waiting> late = waiting.stream().filter(one -> one.since().isBefore(oldest)).toList();
+    List<Waiting> late = waiting.stream().filter(one -> one.since.isBefore(oldest)).toList();
     giveUp(late);
   }
 
   private void giveUp(List<Waiting> entries) {
-    waiting.removeAll(entries);
+    entries.forEach(waiting::remove);
     for (Waiting one : entries) {
       meters.count("ledger.given-up");
-      one.emitter().fail(new LedgerUnavailableException(null));
+      one.emitter.fail(new LedgerUnavailableException(null));
     }
   }
 
@@ -168,10 +185,10 @@
     List<LedgerEntry> added = new ArrayList<>();
     List<LedgerResult> results = new ArrayList<>();
     for (Waiting one : batch) {
-      ShardState.Applied applied = state.apply(one.entry(), now);
+      ShardState.Applied applied = state.apply(one.entry, now);
       results.add(applied.result());
       if (applied.changed()) {
-        added.add(one.entry());
+        added.add(one.entry);
       }
     }
     if (added.isEmpty()) {
@@ -215,6 +232,8 @@
             newVersion -> {
               head = next;
               version = newVersion;
+              known = !staleState;
+              staleState = false;
             })
         .replaceWithVoid();
   }
@@ -222,7 +241,7 @@
   /** Moves the entries into a segment of a name that was never used, and drops old segments. */
   private Uni<ShardHead> seal(ShardHead full) {
     long now = clock.instant().toEpochMilli();
-    String name = "shard-" + number + "-" + UUID.randomUUID();
+    String segmentName = name + "-" + UUID.randomUUID();
     final JsonNode content = Json.STRICT.valueToTree(new ShardHead.SegmentContent(full.entries()));
     List<ShardHead.Segment> segments = new ArrayList<>();
     for (ShardHead.Segment segment : full.segments()) {
@@ -230,18 +249,18 @@
         segments.add(segment);
       }
     }
-    segments.add(new ShardHead.Segment(name, now));
+    segments.add(new ShardHead.Segment(segmentName, now));
     meters.count("ledger.sealed");
-    state.forget(now);
+    staleState = segments.size() <= full.segments().size();
     return platform
-        .put(ObjectKey.valueOf(KIND, name), 0, content)
+        .put(ObjectKey.valueOf(KIND, segmentName), 0, content)
         .replaceWith(new ShardHead(segments, List.of()));
   }
 
   private void confirm(List<Waiting> batch, List<LedgerResult> results) {
-    waiting.removeAll(batch);
+    batch.forEach(waiting::remove);
     for (int index = 0; index < batch.size(); index++) {
-      batch.get(index).emitter().complete(results.get(index));
+      batch.get(index).emitter.complete(results.get(index));
     }
   }
 
@@ -271,14 +290,14 @@
         });
   }
 
-  private Uni<Void> loadSegment(String name) {
+  private Uni<Void> loadSegment(String segment) {
     return platform
-        .get(ObjectKey.valueOf(KIND, name))
+        .get(ObjectKey.valueOf(KIND, segment))
         .onItem()
         .transformToUni(
             stored -> {
               if (stored.isEmpty()) {
-                logger.atSevere().log("segment %s is missing", name);
+                logger.atSevere().log("segment %s is missing", segment);
                 return Uni.createFrom().failure(new LedgerUnavailableException(null));
               }
               applyAll(LedgerReader.parse(stored.get(), ShardHead.SegmentContent.class).entries());
@@ -294,7 +313,7 @@
   }
 
   private ObjectKey headKey() {
-    return ObjectKey.valueOf(KIND, "shard-" + number);
+    return ObjectKey.valueOf(KIND, name);
   }
 
   private static int sizeOf(JsonNode value) {
--- a/org.oatlug/src/org/oatlug/internal/ledger/ShardState.java
+++ b/org.oatlug/src/org/oatlug/internal/ledger/ShardState.java
@@ -6,7 +6,6 @@
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.Iterator;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -67,18 +66,6 @@
     return claims.size() + bindings.size() + bills.size();
   }
 
-  /** Forgets claims that are older than the retention, and counts them. */
-  int forget(long nowMillis) {
-    int before = claims.size();
-    Iterator<ClaimRow> rows = claims.values().iterator();
-    while (rows.hasNext()) {
-      if (isExpired(rows.next().claim(), nowMillis)) {
-        rows.remove();
-      }
-    }
-    return before - claims.size();
-  }
-
   private Applied claim(LedgerEntry.Claim claim, long nowMillis) {
     if (isExpired(claim, nowMillis)) {
       return Applied.unchanged(LedgerResult.of(LedgerResult.Kind.EXPIRED));
--- a/org.oatlug/src/org/oatlug/internal/peer/PeerMessage.java
+++ b/org.oatlug/src/org/oatlug/internal/peer/PeerMessage.java
@@ -72,7 +72,7 @@
   record VersionAnswer(long version) implements PeerMessage {}
 
   /** Entries for the ledger shard that the receiver owns. */
-  record Submit(int shard, List<LedgerEntry> entries) implements PeerMessage {}
+  record Submit(String shard, List<LedgerEntry> entries) implements PeerMessage {}
 
   /** The confirmed results, in the order of the entries. */
   record Submitted(List<LedgerResult> results) implements PeerMessage {}
