--- /dev/null
+++ b/org.oatlug.benchmarks/src/org/oatlug/benchmarks/LatencyBench.java
@@ -0,0 +1,78 @@
+// Copyright (c) 2026, the oatlug authors
+// SPDX-License-Identifier: BSD-3-Clause
+
+package org.oatlug.benchmarks;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.util.concurrent.TimeUnit;
+import org.HdrHistogram.Histogram;
+
+/**
+ * The latency that an entry instance adds to a streamed request, against the engine directly, in
+ * turn. Needs {@code ./demo --keep}; arguments: the ports of the instance and of the engine.
+ */
+public final class LatencyBench {
+  private static final int REQUESTS = 400;
+  private static final int WARM_UP = 100;
+  private static final int DEFAULT_ENTRY = 7101;
+  private static final int DEFAULT_ENGINE = 7201;
+  private static final String BODY =
+      "{\"model\":\"%s\",\"stream\":true,\"max_tokens\":4,"
+          + "\"messages\":[{\"role\":\"user\",\"content\":\"which cleat\"}]}";
+
+  private final HttpClient client =
+      HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+
+  private LatencyBench() {}
+
+  /** Runs the measurement. */
+  public static void main(String[] arguments) throws IOException, InterruptedException {
+    int entry = arguments.length > 0 ? Integer.parseInt(arguments[0]) : DEFAULT_ENTRY;
+    int engine = arguments.length > 1 ? Integer.parseInt(arguments[1]) : DEFAULT_ENGINE;
+    LatencyBench bench = new LatencyBench();
+    Histogram routed = new Histogram(3);
+    Histogram direct = new Histogram(3);
+    for (int number = 0; number < WARM_UP + REQUESTS; number++) {
+      long throughEntry = bench.firstByteMicros(entry, "small");
+      long atEngine = bench.firstByteMicros(engine, "small-v1");
+      if (number >= WARM_UP) {
+        routed.recordValue(throughEntry);
+        direct.recordValue(atEngine);
+      }
+    }
+    System.out.printf("%-28s %10s %10s%n", "first byte, microseconds", "p50", "p95");
+    print("engine directly", direct);
+    print("through an entry instance", routed);
+  }
+
+  private static void print(String what, Histogram times) {
+    System.out.printf(
+        "%-28s %10d %10d%n", what, times.getValueAtPercentile(50), times.getValueAtPercentile(95));
+  }
+
+  private long firstByteMicros(int port, String model) throws IOException, InterruptedException {
+    HttpRequest request =
+        HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + port + "/v1/chat/completions"))
+            .header("Authorization", "Bearer key-estimators")
+            .POST(HttpRequest.BodyPublishers.ofString(String.format(BODY, model)))
+            .build();
+    long start = System.nanoTime();
+    HttpResponse<InputStream> response =
+        client.send(request, HttpResponse.BodyHandlers.ofInputStream());
+    try (InputStream body = response.body()) {
+      int first = body.read();
+      final long micros = TimeUnit.NANOSECONDS.toMicros(System.nanoTime() - start);
+      if (first < 0 || response.statusCode() != 200) {
+        throw new IOException("status " + response.statusCode());
+      }
+      body.transferTo(OutputStream.nullOutputStream());
+      return micros;
+    }
+  }
+}
--- /dev/null
+++ b/org.oatlug.test/tst/org/oatlug/test/PublisherTest.java
@@ -0,0 +1,164 @@
+// Copyright (c) 2026, the oatlug authors
+// SPDX-License-Identifier: BSD-3-Clause
+
+package org.oatlug.test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertThrows;
+import static org.testng.Assert.assertTrue;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.oatlug.api.ObjectKey;
+import org.oatlug.config.Publisher;
+import org.oatlug.config.SettingsFile;
+import org.oatlug.errors.ConfigurationInvalidException;
+import org.oatlug.errors.ConflictException;
+import org.oatlug.errors.SettingsInvalidException;
+import org.oatlug.internal.util.Json;
+import org.oatlug.pgm.ExitCode;
+import org.oatlug.pgm.Oatlug;
+import org.oatlug.platform.StoredObject;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Shows what operators are told of a publish, of bad objects and of bad settings. */
+public class PublisherTest {
+  private static final ObjectKey KEY = ObjectKey.valueOf("version", "small-v1");
+
+  private static final String GOOD_VERSION =
+      "{\"model\":\"m\",\"state\":\"current\",\"costPerThousandTokens\":1}";
+  private static final String GOOD_UPSTREAM =
+      "{\"kind\":\"engine\",\"host\":\"h\",\"port\":7001,\"zone\":\"z\",\"serves\":[\"v\"],"
+          + "\"slots\":1,\"trustedRefusals\":true,\"leaving\":false}";
+
+  private static ObjectNode version(String state) {
+    ObjectNode node = Json.STRICT.createObjectNode();
+    return node.put("model", "small").put("state", state).put("costPerThousandTokens", 1);
+  }
+
+  /** A write whose reply was lost is recognised when it is read back. */
+  @Test
+  public void testLostReplyIsRecognised() {
+    FakePlatform platform = FakePlatform.create();
+    platform.waitForTest(true);
+    List<Publisher.Published> results = new ArrayList<>();
+    List<Throwable> failures = new ArrayList<>();
+    Publisher.to(platform)
+        .publish(KEY, version("current"))
+        .subscribe()
+        .with(results::add, failures::add);
+    platform.deliver(0, false);
+    platform.deliver(0, true);
+    platform.deliverAll();
+    assertEquals(failures, List.of());
+    assertEquals(results.get(0).result(), Publisher.Published.Result.CREATED);
+  }
+
+  /** An operator who read an older version gets a conflict that shows the object as it stands. */
+  @Test
+  public void testLostRaceIsConflictThatShowsBoth() {
+    FakePlatform platform = FakePlatform.create();
+    Publisher publisher = Publisher.to(platform);
+    publisher.publish(KEY, version("current")).await().indefinitely();
+    List<Throwable> failures = new ArrayList<>();
+    publisher
+        .publishOver(KEY, Optional.empty(), version("retiring"))
+        .subscribe()
+        .with(done -> {}, failures::add);
+    ConflictException conflict = (ConflictException) failures.get(0);
+    assertEquals(conflict.expected(), 0L);
+    StoredObject standing = conflict.current().orElseThrow();
+    assertEquals(standing.value().path("state").asText(), "current");
+  }
+
+  /** A withdrawn version never comes back under its name. */
+  @Test
+  public void testWithdrawnVersionNeverComesBack() {
+    FakePlatform platform = FakePlatform.create();
+    Publisher publisher = Publisher.to(platform);
+    publisher.publish(KEY, version("withdrawn")).await().indefinitely();
+    List<Throwable> failures = new ArrayList<>();
+    publisher.publish(KEY, version("current")).subscribe().with(done -> {}, failures::add);
+    assertTrue(failures.get(0) instanceof ConfigurationInvalidException, failures.toString());
+  }
+
+  /** Returns objects that are wrong and what the message has to name. */
+  @DataProvider
+  public Object[][] badObjectTable() {
+    return new Object[][] {
+      {"policy", "{\"program\":\"model ==\"}", "policy/x.program: x:1:9"},
+      {"policy", "{\"program\":\"model + 1\"}", "policy/x.program: x:1:7"},
+      {"version", "{\"model\":\"m\",\"state\":\"new\",\"costPerThousandTokens\":1}", ".state"},
+      {"version", GOOD_VERSION.replace("}", ",\"x\":1}"), ".x: is unknown"},
+      {"version", "{\"model\":\"m\",\"state\":\"current\"}", ".costPerThousandTokens: is missing"},
+      {"upstream", GOOD_UPSTREAM.replace("7001", "0"), ".port"},
+      {"cascade", "{\"stages\":[],\"safeStage\":0,\"qualityTarget\":0.9}", ".stages"},
+      {"nothing", "{}", "unknown kind"},
+    };
+  }
+
+  /** The offline check names the object, the field and, for a policy, line and column. */
+  @Test(dataProvider = "badObjectTable")
+  public void testCheckNamesWhatIsWrong(String kind, String spec, String named) throws IOException {
+    Path file = Files.createTempFile("oatlug", ".json");
+    String object = "{\"kind\":\"" + kind + "\",\"name\":\"x\",\"spec\":" + spec + "}";
+    Files.writeString(file, "{\"objects\":[" + object + "]}");
+    ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+    PrintStream out = new PrintStream(bytes);
+    ExitCode code = Oatlug.run(new String[] {"check", "-f", file.toString()}, out, out);
+    assertEquals(code, ExitCode.INVALID);
+    assertTrue(bytes.toString().contains(named), bytes.toString());
+  }
+
+  /** Both example deployments are good. */
+  @Test
+  public void testExampleDeploymentsAreGood() {
+    for (String name : new String[] {"blue-mahoe", "terminal-wayfinding"}) {
+      ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+      PrintStream out = new PrintStream(bytes);
+      String file = "../deploy/" + name + "/objects.json";
+      ExitCode code = Oatlug.run(new String[] {"check", "-f", file}, out, out);
+      assertEquals(code, ExitCode.OK, bytes.toString());
+    }
+  }
+
+  /** Every command has a usage text with an example. */
+  @Test
+  public void testEveryCommandHasHelp() {
+    for (String name :
+        List.of(
+            "apply", "check", "get", "version", "rollout", "policy", "status", "explain",
+            "bills")) {
+      ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+      PrintStream out = new PrintStream(bytes);
+      assertEquals(Oatlug.run(new String[] {name, "--help"}, out, out), ExitCode.OK);
+      assertTrue(bytes.toString().contains("example: oatlug " + name), bytes.toString());
+    }
+  }
+
+  /** Settings with an unknown or wrong field are refused with the path of the field. */
+  @Test
+  public void testBadSettingsNameTheField() throws IOException {
+    Path file = Files.createTempFile("oatlug", ".json");
+    Files.writeString(file, "{\"name\":\"x\",\"zoen\":\"y\",\"operators\":{\"port\":\"a\"}}");
+    SettingsInvalidException failure = null;
+    try {
+      SettingsFile.read(file);
+    } catch (SettingsInvalidException e) {
+      failure = e;
+    }
+    String text = String.join("\n", failure.problems());
+    assertTrue(text.contains("zoen"), text);
+    assertTrue(text.contains("$.operators.port"), text);
+    Files.writeString(file, "{");
+    assertThrows(SettingsInvalidException.class, () -> SettingsFile.read(file));
+  }
+}
--- a/org.oatlug/src/org/oatlug/config/Kinds.java
+++ b/org.oatlug/src/org/oatlug/config/Kinds.java
@@ -6,6 +6,7 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonMappingException;
 import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.exc.UnrecognizedPropertyException;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.List;
 import java.util.Map;
@@ -39,6 +40,7 @@
   static final String PUBLISH_ID = "publishId";
 
   private static final String DELETED = "deleted";
+  private static final String MISSING_NUMBER = "Cannot map `null`";
   private static final Map<String, Class<?>> TYPES =
       Map.of(
           WORKSPACE, Workspace.class,
@@ -72,7 +74,7 @@
       ContentRules.check(key, content);
       return Optional.of(content);
     } catch (JsonMappingException e) {
-      throw new ConfigurationInvalidException(key + fieldPath(e), e.getOriginalMessage());
+      throw new ConfigurationInvalidException(key + fieldPath(e), problemOf(e));
     } catch (JsonProcessingException e) {
       throw new ConfigurationInvalidException(key.toString(), e.getOriginalMessage());
     }
@@ -96,6 +98,14 @@
     return value.path(DELETED).asBoolean(false);
   }
 
+  private static String problemOf(JsonMappingException failure) {
+    if (failure instanceof UnrecognizedPropertyException unknown) {
+      return "is unknown, known are " + unknown.getKnownPropertyIds();
+    }
+    boolean missing = failure.getOriginalMessage().startsWith(MISSING_NUMBER);
+    return missing ? "is missing" : failure.getOriginalMessage();
+  }
+
   private static String fieldPath(JsonMappingException failure) {
     return failure.getPath().stream()
         .map(JsonMappingException.Reference::getFieldName)
