Bound what a ledger writer keeps, and seal by entries only

Claims, voids and bindings were only forgotten by reading the whole shard anew at each dropped segment. Cause 2: the size at which a head is sealed counted the names of its segments; with many segments each write sealed: 205 objects for 300 claims.

Change: billed ids are kept as 64-bit hashes by hour of birth; claims, voids, bindings and ids older than the retention are forgotten in place; bills carry their birth, and one older than the retention is refused and counted (bill.expired). The seal counts entries.

Tests: testWriterForgetsWhatIsOlderThanRetention, testBillOlderThanRetentionIsRefused, testManySegmentsDoNotSealEachWrite (failed first: 205 objects expected fewer than 100). A mutation showed that RouterTest kept its tables between tries and so was always fresh; each try has new tables now, and the exposure check can fail.

--- a/org.oatlug.benchmarks/src/org/oatlug/benchmarks/CapacitySlopes.java
+++ b/org.oatlug.benchmarks/src/org/oatlug/benchmarks/CapacitySlopes.java
@@ -191,7 +191,8 @@
 
   private static Bill bill(int number) {
     String id = "0c7a3c34-6a54-4a8c-9f0e-" + (100_000_000_000L + number);
-    return new Bill(id, "workspace-17", "small-v1", 300, 120, 420, true, "entry-1@1796213852744");
+    String process = "entry-1@1796213852744";
+    return new Bill(id, "workspace-17", "small-v1", 300, 120, 420, true, process, BORN);
   }
 
   private static Member member(int number) {
--- a/org.oatlug.test/tst/org/oatlug/test/RouterTest.java
+++ b/org.oatlug.test/tst/org/oatlug/test/RouterTest.java
@@ -46,7 +46,7 @@
       Map.of("all", "true", "none", "false", "small-only", "model == 'small'");
 
   private final FakeClock clock = new FakeClock();
-  private final Tables tables = Tables.create(Freshness.withBound(Duration.ofSeconds(10)));
+  private Tables tables = freshTables();
   private long revision;
 
   private void publish(String kind, String name, ObjectNode spec) {
@@ -63,7 +63,13 @@
     publish("version", name, spec.put("costPerThousandTokens", 1));
   }
 
+  private static Tables freshTables() {
+    return Tables.create(Freshness.withBound(Duration.ofSeconds(10)));
+  }
+
+  /** Publishes a random deployment into new tables; one test object serves all tries. */
   private void offerRandom(Random random) {
+    tables = freshTables();
     POLICIES.forEach((name, text) -> publish("policy", name, spec().put("program", text)));
     List<String> names = List.copyOf(POLICIES.keySet());
     ObjectNode workspace = spec().put("policy", names.get(random.nextInt(names.size())));
--- a/org.oatlug.test/tst/org/oatlug/test/ShardTest.java
+++ b/org.oatlug.test/tst/org/oatlug/test/ShardTest.java
@@ -33,6 +33,7 @@
 class ShardTest {
   private static final String SEED = "20261202";
   private static final Duration TICK = Duration.ofMillis(50);
+  private static final long START = new FakeClock().instant().toEpochMilli();
   private static final int WRITERS = 3;
   private static final int KEYS = 4;
   private static final int STEPS = 200;
@@ -108,6 +109,55 @@
     assertEquals(submit(writer(platform), old), LedgerResult.Kind.EXPIRED);
   }
 
+  /** A bill that waited longer than ids are kept is refused, never entered a second time. */
+  @Example
+  void testBillOlderThanRetentionIsRefused() {
+    FakePlatform platform = FakePlatform.create();
+    Shard shard = writer(platform);
+    Bill bill = new Bill("r", "w", "v", 1, 1, 1, true, "process@1", START);
+    assertEquals(submit(shard, new LedgerEntry.Billed(bill)), LedgerResult.Kind.RECORDED);
+    assertEquals(submit(shard, new LedgerEntry.Billed(bill)), LedgerResult.Kind.ALREADY);
+    clock.advance(Duration.ofHours(25));
+    assertEquals(submit(shard, new LedgerEntry.Billed(bill)), LedgerResult.Kind.EXPIRED);
+  }
+
+  /** Under load for longer than the retention, what a writer keeps stays bounded. */
+  @Example
+  void testWriterForgetsWhatIsOlderThanRetention() {
+    FakePlatform platform = FakePlatform.create();
+    Shard shard = writer(platform);
+    int most = 0;
+    for (int hour = 0; hour < 60; hour++) {
+      for (int number = 0; number < 20; number++) {
+        String name = hour + "-" + number;
+        long born = clock.instant().toEpochMilli();
+        final Bill bill = new Bill(name, "w", "v", 1, 1, 1, true, "process@1", born);
+        submit(shard, claim(name, "attempt-" + name));
+        submit(shard, new LedgerEntry.Void("other", "void-" + name));
+        submit(shard, new LedgerEntry.Binding("session-" + name, "v1"));
+        submit(shard, new LedgerEntry.Billed(bill));
+      }
+      most = Math.max(most, shard.size());
+      clock.advance(Duration.ofHours(1));
+    }
+    assertTrue(most <= 80 * 27, "kept " + most);
+    long old = clock.instant().minus(Duration.ofHours(2)).toEpochMilli();
+    Bill again = new Bill("58-3", "w", "v", 1, 1, 1, true, "process@1", old);
+    assertEquals(submit(shard, new LedgerEntry.Billed(again)), LedgerResult.Kind.ALREADY);
+  }
+
+  /** A head that names many segments does not seal at each write. */
+  @Example
+  void testManySegmentsDoNotSealEachWrite() {
+    FakePlatform platform = FakePlatform.create();
+    Shard shard = writer(platform);
+    for (int number = 0; number < 300; number++) {
+      submit(shard, claim("key-" + number, "attempt-" + number));
+    }
+    int objects = platform.list(List.of("ledger")).await().indefinitely().objects().size();
+    assertTrue(objects < 100, objects + " objects for 300 claims");
+  }
+
   @Property(seed = SEED)
   void testKeyIsGrantedToOneAttemptThatRuns(@ForAll Random random) {
     History history = new History(FakePlatform.create(), random);
@@ -206,8 +256,9 @@
 
     private void billAt(Shard shard) {
       int amount = random.nextInt(100);
+      long bornMillis = START;
       String id = "request-" + random.nextInt(KEYS);
-      Bill bill = new Bill(id, "w", "v", 1, amount, amount, true, "process@1");
+      Bill bill = new Bill(id, "w", "v", 1, amount, amount, true, "process@1", bornMillis);
       LedgerEntry entry = new LedgerEntry.Billed(bill);
       shard.submit(entry).subscribe().with(done -> {}, failure -> {});
     }
--- a/org.oatlug/src/org/oatlug/internal/billing/Bill.java
+++ b/org.oatlug/src/org/oatlug/internal/billing/Bill.java
@@ -14,6 +14,8 @@
  * @param cost in millionths of the billing unit
  * @param complete whether the answer is complete
  * @param process the process that answers the request, a name and an epoch
+ * @param bornMillis when the request came, in milliseconds since 1970; the same in all forms of a
+ *     bill
  */
 public record Bill(
     String id,
@@ -23,4 +25,5 @@
     int answerTokens,
     long cost,
     boolean complete,
-    String process) {}
+    String process,
+    long bornMillis) {}
--- a/org.oatlug/src/org/oatlug/internal/billing/BillingSystem.java
+++ b/org.oatlug/src/org/oatlug/internal/billing/BillingSystem.java
@@ -3,6 +3,7 @@
 
 package org.oatlug.internal.billing;
 
+import com.google.common.flogger.FluentLogger;
 import io.smallrye.mutiny.Uni;
 import java.time.Duration;
 import java.time.Instant;
@@ -33,6 +34,7 @@
  * here when the platform is away, up to a bound. Owned by one event loop, not thread-safe.
  */
 public final class BillingSystem implements TickSystem {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final int MAXIMUM_HELD = 20_000;
   private static final int SUBMITTED_AT_ONCE = 256;
   private static final int WITNESSES = 2;
@@ -179,14 +181,18 @@
         .apply(new LedgerEntry.Billed(bill))
         .subscribe()
         .with(
-            result -> confirmed(bill.id()),
+            result -> entered(bill.id(), result),
             failure -> {
               submitting.remove(bill.id());
               meters.count("retry.bill");
             });
   }
 
-  private void confirmed(String id) {
+  private void entered(String id, LedgerResult result) {
+    if (result.kind() == LedgerResult.Kind.EXPIRED) {
+      meters.count("bill.expired");
+      logger.atSevere().log("bill %s waited longer than ids are kept and is not entered", id);
+    }
     submitting.remove(id);
     own.remove(id);
     held.remove(id);
--- a/org.oatlug/src/org/oatlug/internal/http/ChatPlan.java
+++ b/org.oatlug/src/org/oatlug/internal/http/ChatPlan.java
@@ -429,7 +429,8 @@
         answerTokens,
         cost,
         complete,
-        services.membership().self().process());
+        services.membership().self().process(),
+        request.started().toEpochMilli());
   }
 
   private static JsonNode read(Buffer content) {
--- a/org.oatlug/src/org/oatlug/internal/ledger/Shard.java
+++ b/org.oatlug/src/org/oatlug/internal/ledger/Shard.java
@@ -54,7 +54,6 @@
   private ShardHead head = ShardHead.EMPTY;
   private long version;
   private boolean known;
-  private boolean staleState;
   private boolean busy;
   private int platformFailures;
   private Instant nextFlush = Instant.EPOCH;
@@ -218,8 +217,7 @@
   }
 
   private Uni<Void> writeHead(ShardHead next) {
-    JsonNode value = Json.STRICT.valueToTree(next);
-    if (sizeOf(value) > sealAboveBytes) {
+    if (sizeOf(next.entries()) > sealAboveBytes) {
       return seal(next).onItem().transformToUni(this::put);
     }
     return put(next);
@@ -232,8 +230,6 @@
             newVersion -> {
               head = next;
               version = newVersion;
-              known = !staleState;
-              staleState = false;
             })
         .replaceWithVoid();
   }
@@ -251,7 +247,7 @@
     }
     segments.add(new ShardHead.Segment(segmentName, now));
     meters.count("ledger.sealed");
-    staleState = segments.size() <= full.segments().size();
+    state.forget(now);
     return platform
         .put(ObjectKey.valueOf(KIND, segmentName), 0, content)
         .replaceWith(new ShardHead(segments, List.of()));
@@ -316,7 +312,8 @@
     return ObjectKey.valueOf(KIND, name);
   }
 
-  private static int sizeOf(JsonNode value) {
-    return value.toString().length();
+  private static int sizeOf(List<LedgerEntry> entries) {
+    JsonNode tree = Json.STRICT.valueToTree(entries);
+    return tree.toString().length();
   }
 }
--- a/org.oatlug/src/org/oatlug/internal/ledger/ShardState.java
+++ b/org.oatlug/src/org/oatlug/internal/ledger/ShardState.java
@@ -4,11 +4,11 @@
 package org.oatlug.internal.ledger;
 
 import java.time.Duration;
-import java.util.HashMap;
-import java.util.HashSet;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
+import java.util.function.Predicate;
 import org.oatlug.internal.billing.Bill;
 
 /**
@@ -20,10 +20,10 @@
  */
 final class ShardState {
   private final Duration retention;
-  private final Map<String, ClaimRow> claims = new HashMap<>();
-  private final Map<String, String> bindings = new HashMap<>();
-  private final Map<String, Bill> bills = new HashMap<>();
-  private final Set<String> voided = new HashSet<>();
+  private final Map<String, ClaimRow> claims = new LinkedHashMap<>();
+  private final Map<String, BindingRow> bindings = new LinkedHashMap<>();
+  private final Map<String, Long> voided = new LinkedHashMap<>();
+  private final BilledIds billed = new BilledIds();
 
   ShardState(Duration retention) {
     this.retention = retention;
@@ -31,6 +31,8 @@
 
   private record ClaimRow(LedgerEntry.Claim claim, Optional<LedgerEntry.Outcome> outcome) {}
 
+  private record BindingRow(String version, long enteredMillis) {}
+
   /** Whether an entry changed the state, and what became of it. */
   record Applied(boolean changed, LedgerResult result) {
     private static Applied changed(LedgerResult.Kind kind) {
@@ -46,31 +48,46 @@
     if (entry instanceof LedgerEntry.Claim claim) {
       return claim(claim, nowMillis);
     } else if (entry instanceof LedgerEntry.Void given) {
-      return giveUp(given);
+      return giveUp(given, nowMillis);
     } else if (entry instanceof LedgerEntry.Outcome outcome) {
       return end(outcome);
-    } else if (entry instanceof LedgerEntry.Billed billed) {
-      return enterBill(billed.bill());
+    } else if (entry instanceof LedgerEntry.Billed entered) {
+      return enterBill(entered.bill(), nowMillis);
     } else {
-      return bind((LedgerEntry.Binding) entry);
+      return bind((LedgerEntry.Binding) entry, nowMillis);
     }
   }
 
-  /** Returns the bill of this id. */
-  Optional<Bill> bill(String id) {
-    return Optional.ofNullable(bills.get(id));
-  }
-
   /** Returns the number of keys that are kept. */
   int size() {
-    return claims.size() + bindings.size() + bills.size();
+    return claims.size() + bindings.size() + voided.size() + billed.size();
+  }
+
+  /**
+   * Forgets what is older than the retention.
+   *
+   * <p>Rows stand in the order of their entry, so only those at the front are looked at.
+   */
+  void forget(long nowMillis) {
+    long limit = nowMillis - retention.toMillis();
+    dropWhile(claims, row -> row.claim().bornMillis() < limit);
+    dropWhile(bindings, row -> row.enteredMillis() < limit);
+    dropWhile(voided, enteredMillis -> enteredMillis < limit);
+    billed.forgetBefore(limit);
+  }
+
+  private static <V> void dropWhile(Map<String, V> rows, Predicate<V> isOld) {
+    Iterator<V> values = rows.values().iterator();
+    while (values.hasNext() && isOld.test(values.next())) {
+      values.remove();
+    }
   }
 
   private Applied claim(LedgerEntry.Claim claim, long nowMillis) {
     if (isExpired(claim, nowMillis)) {
       return Applied.unchanged(LedgerResult.of(LedgerResult.Kind.EXPIRED));
     }
-    if (voided.contains(claim.attempt())) {
+    if (voided.containsKey(claim.attempt())) {
       return Applied.unchanged(LedgerResult.of(LedgerResult.Kind.VOIDED));
     }
     ClaimRow row = claims.get(claim.key());
@@ -94,8 +111,8 @@
     return LedgerResult.taken(row.claim().process());
   }
 
-  private Applied giveUp(LedgerEntry.Void given) {
-    boolean added = voided.add(given.attempt());
+  private Applied giveUp(LedgerEntry.Void given, long nowMillis) {
+    boolean added = voided.putIfAbsent(given.attempt(), nowMillis) == null;
     ClaimRow row = claims.get(given.key());
     boolean holds = row != null && row.claim().attempt().equals(given.attempt());
     if (holds && row.outcome().isEmpty()) {
@@ -115,16 +132,20 @@
     return Applied.changed(LedgerResult.Kind.RECORDED);
   }
 
-  private Applied enterBill(Bill bill) {
-    if (bills.putIfAbsent(bill.id(), bill) != null) {
+  private Applied enterBill(Bill bill, long nowMillis) {
+    if (bill.bornMillis() < nowMillis - retention.toMillis()) {
+      return Applied.unchanged(LedgerResult.of(LedgerResult.Kind.EXPIRED));
+    }
+    if (!billed.add(bill)) {
       return Applied.unchanged(LedgerResult.of(LedgerResult.Kind.ALREADY));
     }
     return Applied.changed(LedgerResult.Kind.RECORDED);
   }
 
-  private Applied bind(LedgerEntry.Binding binding) {
-    String known = bindings.putIfAbsent(binding.key(), binding.version());
-    String standing = known == null ? binding.version() : known;
+  private Applied bind(LedgerEntry.Binding binding, long nowMillis) {
+    BindingRow row = new BindingRow(binding.version(), nowMillis);
+    BindingRow known = bindings.putIfAbsent(binding.key(), row);
+    String standing = known == null ? binding.version() : known.version();
     return new Applied(known == null, LedgerResult.bound(standing));
   }
 
