Let the engine stand-in hand out another request's answer whole

Cause: a mutation that takes any answer passed testAnswerOfAnotherRequestIsNotPassedOn, because the stand-in only changed the echoed header and not the answer. Change: under wrongRequest the answer carries the other id, too.

--- a/org.oatlug.standin/src/org/oatlug/standin/EngineStandin.java
+++ b/org.oatlug.standin/src/org/oatlug/standin/EngineStandin.java
@@ -60,6 +60,7 @@
     private final int tokens;
     private final int promptTokens;
     private final boolean cached;
+    private String answeredId = "";
     private int sent;
     private boolean gone;
 
@@ -153,13 +154,13 @@
 
   private void begin(Job job) {
     String id = job.record.getString("requestId", "");
-    String echoed = faults.strikes("wrongRequest") ? "another" : id;
+    job.answeredId = faults.strikes("wrongRequest") ? "another" : id;
     HttpServerResponse response = job.context.response();
     if (job.gone) {
       finish(job);
       return;
     }
-    response.putHeader("X-Request-Id", echoed).putHeader("X-Engine", name);
+    response.putHeader("X-Request-Id", job.answeredId).putHeader("X-Engine", name);
     if (job.stream) {
       response.setChunked(true).putHeader("Content-Type", "text/event-stream");
     }
@@ -198,7 +199,7 @@
     JsonObject delta = new JsonObject().put("content", "t" + job.sent + " ");
     JsonObject choice = new JsonObject().put("index", 0).put("delta", delta);
     return new JsonObject()
-        .put("id", job.record.getString("requestId"))
+        .put("id", job.answeredId)
         .put("object", "chat.completion.chunk")
         .put("model", job.record.getString("version"))
         .put("choices", new JsonArray().add(choice))
@@ -226,7 +227,7 @@
     JsonObject usage = new JsonObject();
     usage.put("prompt_tokens", job.promptTokens).put("completion_tokens", job.sent);
     return new JsonObject()
-        .put("id", job.record.getString("requestId"))
+        .put("id", job.answeredId)
         .put("object", "chat.completion")
         .put("model", job.record.getString("version"))
         .put("choices", new JsonArray().add(choice))
