Sharpen the proofs that mutations showed to be weak

Without witnesses the killed instance's bills still came, because it was killed before it had dispatched anything. Without the confirmation after a pause the withdrawn version got nothing, because no request was waiting at the frozen instance.

--- a/org.oatlug.test/tst/org/oatlug/test/BillingProcessTest.java
+++ b/org.oatlug.test/tst/org/oatlug/test/BillingProcessTest.java
@@ -36,11 +36,14 @@
   @Test
   public void testRequestsOfKilledInstanceAreBilledOnce() throws IOException {
     List<CompletableFuture<Http.Answer>> answers = new ArrayList<>();
+    int before = cluster.records().size();
+    for (int number = 0; number < 12; number++) {
+      answers.add(Http.sendAsync(cluster.chat(0, "small", true, 150 + 10 * number)));
+    }
+    Await.until("engines work for it", () -> cluster.records().size() >= before + 12);
     for (int number = 0; number < 12; number++) {
-      answers.add(Http.sendAsync(cluster.chat(0, "small", true, 5 + 20 * number)));
       answers.add(Http.sendAsync(cluster.chat(1, "small", number % 2 == 0, 10)));
     }
-    Await.until("engines work", () -> cluster.records().size() >= 8);
     cluster.kill(0);
     answers.forEach(answer -> answer.handle((done, failure) -> true).join());
     awaitBilledOnce();
--- a/org.oatlug.test/tst/org/oatlug/test/ConfigurationProcessTest.java
+++ b/org.oatlug.test/tst/org/oatlug/test/ConfigurationProcessTest.java
@@ -268,6 +268,10 @@
     load.start();
     final String session = Http.send(cluster.chat(0, "small", false, 1)).header("Oatlug-Session");
     cluster.signal(1, "STOP");
+    List<CompletableFuture<Http.Answer>> queued = new ArrayList<>();
+    for (int number = 0; number < 30; number++) {
+      queued.add(Http.sendAsync(cluster.chat(1, "small", false, 1)));
+    }
     cluster.oatlug("version", "promote", "small-v1");
     cluster.oatlug("version", "withdraw", next);
     cluster.oatlug("version", "withdraw", next, "--wait");
@@ -281,6 +285,7 @@
       Http.send(cluster.chat(number % INSTANCES, "small", number % 3 == 0, 1));
     }
     load.stop();
+    queued.forEach(answer -> answer.handle((done, failure) -> true).join());
     assertEquals(requestsFor(next), before, "a withdrawn version got a request");
     assertTrue(refusedAsWithdrawn(1, session));
   }
