Read as a newcomer: take twins together, drop dead code, name log fields

Cause: the taking of whole answers and the TLS options stood twice, ChatPlan mixed bills with answers, UpstreamRow kept a service time that nothing uses any more, and the request id stood only in the text of log lines.

Change: WholeAnswer, TlsFiles, BillDraft, LogKeys; the id is a field of its own in the JSON lines; dead code is gone.

--- a/org.oatlug.benchmarks/src/org/oatlug/benchmarks/CapacitySlopes.java
+++ b/org.oatlug.benchmarks/src/org/oatlug/benchmarks/CapacitySlopes.java
@@ -8,7 +8,6 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.smallrye.mutiny.Uni;
 import java.time.Duration;
-import java.time.Instant;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -154,7 +153,7 @@
   private static Object upstreams(int size) {
     UpstreamTable table = UpstreamTable.create();
     for (int number = 0; number < size; number++) {
-      table.report("engine-" + number, 1, 0, false, Instant.EPOCH);
+      table.report("engine-" + number, 1, 0, false);
     }
     return table;
   }
--- a/org.oatlug.benchmarks/src/org/oatlug/benchmarks/PoolRun.java
+++ b/org.oatlug.benchmarks/src/org/oatlug/benchmarks/PoolRun.java
@@ -184,7 +184,7 @@
       String name = nameOf(index);
       time.after(
           options.reportLagMillis(),
-          () -> tables.upstreams().report(name, running, waiting, leaving, time.instant()));
+          () -> tables.upstreams().report(name, running, waiting, leaving));
     }
   }
 
@@ -306,7 +306,7 @@
       row.release();
       entry.line().freed(time.instant());
       if (answered) {
-        row.succeeded(Duration.ofMillis((long) (time.nowMillis() - sent)));
+        row.succeeded();
         entry.line().serve(time.instant());
         return;
       }
--- a/org.oatlug.entry/src/org/oatlug/entry/EntryInstance.java
+++ b/org.oatlug.entry/src/org/oatlug/entry/EntryInstance.java
@@ -5,6 +5,7 @@
 
 import com.codahale.metrics.MetricRegistry;
 import com.google.common.flogger.FluentLogger;
+import io.smallrye.mutiny.Uni;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import io.vertx.core.VerticleBase;
@@ -34,6 +35,7 @@
 import org.oatlug.internal.membership.Membership;
 import org.oatlug.internal.metrics.Meters;
 import org.oatlug.internal.peer.Member;
+import org.oatlug.internal.peer.PeerHandler;
 import org.oatlug.internal.peer.PeerMessage;
 import org.oatlug.internal.peer.PeerNetwork;
 import org.oatlug.internal.peer.TcpPeers;
@@ -252,14 +254,13 @@
         });
   }
 
-  /** Stands in for the dispatch while the parts that it needs are made. */
-  private static final class LatePeers implements org.oatlug.internal.peer.PeerHandler {
-    private org.oatlug.internal.peer.PeerHandler target =
-        (from, message) ->
-            io.smallrye.mutiny.Uni.createFrom().item(new PeerMessage.Failed("starting"));
+  /** Answers peers that come before the parts are made, and then hands their messages on. */
+  private static final class LatePeers implements PeerHandler {
+    private PeerHandler target =
+        (from, message) -> Uni.createFrom().item(new PeerMessage.Failed("starting"));
 
     @Override
-    public io.smallrye.mutiny.Uni<PeerMessage> handle(Member from, PeerMessage message) {
+    public Uni<PeerMessage> handle(Member from, PeerMessage message) {
       return target.handle(from, message);
     }
   }
--- a/org.oatlug/src/org/oatlug/errors/ErrorText.java
+++ b/org.oatlug/src/org/oatlug/errors/ErrorText.java
@@ -20,7 +20,6 @@
   public String conflict;
   public String malformedFrame;
   public String peerUnavailable;
-  public String peerRefused;
   public String platformUnavailable;
   public String platformBusy;
   public String policyInvalid;
--- a/org.oatlug/src/org/oatlug/internal/billing/BillingSystem.java
+++ b/org.oatlug/src/org/oatlug/internal/billing/BillingSystem.java
@@ -13,8 +13,10 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.Function;
 import org.oatlug.internal.ledger.LedgerEntry;
 import org.oatlug.internal.ledger.LedgerResult;
 import org.oatlug.internal.membership.Membership;
@@ -44,7 +46,7 @@
 
   private final Membership membership;
   private final PeerNetwork network;
-  private final java.util.function.Function<LedgerEntry, Uni<LedgerResult>> ledger;
+  private final Function<LedgerEntry, Uni<LedgerResult>> ledger;
   private final InstantSource clock;
   private final Meters meters;
   private final Map<String, Bill> own = new TreeMap<>();
@@ -57,7 +59,7 @@
   private BillingSystem(
       Membership membership,
       PeerNetwork network,
-      java.util.function.Function<LedgerEntry, Uni<LedgerResult>> ledger,
+      Function<LedgerEntry, Uni<LedgerResult>> ledger,
       InstantSource clock,
       Meters meters) {
     this.membership = membership;
@@ -75,7 +77,7 @@
   public static BillingSystem create(
       Membership membership,
       PeerNetwork network,
-      java.util.function.Function<LedgerEntry, Uni<LedgerResult>> ledger,
+      Function<LedgerEntry, Uni<LedgerResult>> ledger,
       InstantSource clock,
       Meters meters) {
     return new BillingSystem(membership, network, ledger, clock, meters);
@@ -245,7 +247,7 @@
         .toList();
   }
 
-  private static java.util.Optional<Member> first(String id, List<Member> peers) {
+  private static Optional<Member> first(String id, List<Member> peers) {
     List<String> names = peers.stream().map(Member::name).toList();
     List<String> ranked = Hashes.rendezvous(id, names);
     return peers.stream()
--- a/org.oatlug/src/org/oatlug/internal/engine/LoadSystem.java
+++ b/org.oatlug/src/org/oatlug/internal/engine/LoadSystem.java
@@ -13,6 +13,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.function.Consumer;
 import org.oatlug.config.Kinds;
 import org.oatlug.config.Upstream;
 import org.oatlug.internal.metrics.Meters;
@@ -39,7 +40,7 @@
   private final WebClient client;
   private final InstantSource clock;
   private final Meters meters;
-  private final java.util.function.Consumer<String> onLeaving;
+  private final Consumer<String> onLeaving;
   private final Set<String> reading = new HashSet<>();
   private Instant next = Instant.EPOCH;
 
@@ -49,7 +50,7 @@
       WebClient client,
       InstantSource clock,
       Meters meters,
-      java.util.function.Consumer<String> onLeaving) {
+      Consumer<String> onLeaving) {
     this.instance = instance;
     this.tables = tables;
     this.client = client;
@@ -69,7 +70,7 @@
       WebClient client,
       InstantSource clock,
       Meters meters,
-      java.util.function.Consumer<String> onLeaving) {
+      Consumer<String> onLeaving) {
     return new LoadSystem(instance, tables, client, clock, meters, onLeaving);
   }
 
@@ -124,9 +125,7 @@
       LoadReport report = response.bodyAsJson(LoadReport.class);
       UpstreamRow row = tables.upstreams().row(name);
       boolean news = report.leaving() && !row.leaving();
-      tables
-          .upstreams()
-          .report(name, report.running(), report.waiting(), report.leaving(), clock.instant());
+      tables.upstreams().report(name, report.running(), report.waiting(), report.leaving());
       if (news) {
         onLeaving.accept(name);
       }
--- a/org.oatlug/src/org/oatlug/internal/http/CallerRequest.java
+++ b/org.oatlug/src/org/oatlug/internal/http/CallerRequest.java
@@ -14,6 +14,7 @@
 import org.oatlug.errors.ErrorText;
 import org.oatlug.internal.metrics.Meters;
 import org.oatlug.internal.session.SessionToken;
+import org.oatlug.internal.util.LogKeys;
 
 /**
  * One admitted request of a caller.
@@ -100,9 +101,12 @@
       return;
     }
     meters.refused(refusal.reason());
-    logger.atInfo().log(
-        "request %s of %s refused: %s, not run: %s",
-        id, workspaceName, refusal.reason().text(), refusal.notRun().text());
+    logger
+        .atInfo()
+        .with(LogKeys.REQUEST_ID, id)
+        .log(
+            "refused for %s: %s, not run: %s",
+            workspaceName, refusal.reason().text(), refusal.notRun().text());
     HttpServerResponse response = response();
     finish();
     if (response.headWritten()) {
@@ -114,7 +118,7 @@
 
   /** Ends the request because a failure has no type; the caller is told no detail. */
   void fail(Throwable failure) {
-    logger.atSevere().withCause(failure).log("request %s failed", id);
+    logger.atSevere().withCause(failure).with(LogKeys.REQUEST_ID, id).log("the request failed");
     refuse(Refusal.unknown(RefusalReason.UPSTREAM_FAILED, ErrorText.get().mayHaveRun));
   }
 
@@ -122,6 +126,7 @@
   void finish() {
     if (!ended) {
       ended = true;
+      logger.atInfo().with(LogKeys.REQUEST_ID, id).log("the request of %s ended", workspaceName);
       onEnd.run();
     }
   }
@@ -129,7 +134,7 @@
   private void gone() {
     if (!ended) {
       meters.count("caller.gone");
-      logger.atInfo().log("caller of request %s went away", id);
+      logger.atInfo().with(LogKeys.REQUEST_ID, id).log("the caller went away");
       finish();
       onGone.run();
     }
--- a/org.oatlug/src/org/oatlug/internal/http/CallerServer.java
+++ b/org.oatlug/src/org/oatlug/internal/http/CallerServer.java
@@ -5,13 +5,13 @@
 
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.common.flogger.FluentLogger;
 import io.smallrye.mutiny.Uni;
 import io.vertx.core.Future;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerResponse;
-import io.vertx.core.net.PemKeyCertOptions;
 import io.vertx.ext.web.Router;
 import io.vertx.ext.web.RoutingContext;
 import io.vertx.ext.web.handler.BodyHandler;
@@ -31,9 +31,12 @@
 import org.oatlug.internal.ledger.LedgerEntry;
 import org.oatlug.internal.routing.RouteRequest;
 import org.oatlug.internal.util.Hashes;
+import org.oatlug.internal.util.Json;
+import org.oatlug.internal.util.TlsFiles;
 
 /** The server that callers talk to. Used from one event loop. */
 public final class CallerServer {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final int MAXIMUM_HEADERS = 16 * 1024;
   private static final int TOO_LARGE = 413;
   private static final String SERVICES = "/v1/services/";
@@ -59,16 +62,7 @@
             .setHost(listener.host())
             .setPort(listener.port())
             .setMaxHeaderSize(MAXIMUM_HEADERS);
-    listener
-        .tls()
-        .ifPresent(
-            tls ->
-                options
-                    .setSsl(true)
-                    .setKeyCertOptions(
-                        new PemKeyCertOptions()
-                            .addCertPath(tls.certificate())
-                            .addKeyPath(tls.key())));
+    TlsFiles.apply(listener.tls(), options);
     return services.vertx().createHttpServer(options).requestHandler(router()).listen();
   }
 
@@ -189,7 +183,7 @@
   private void models(RoutingContext context) {
     try {
       String workspace = admission.authenticate(context.request());
-      ObjectNode answer = org.oatlug.internal.util.Json.STRICT.createObjectNode();
+      ObjectNode answer = Json.STRICT.createObjectNode();
       answer.put("object", "list");
       ArrayNode data = answer.putArray("data");
       for (String kind : new String[] {Kinds.MODEL, Kinds.CASCADE}) {
@@ -226,10 +220,7 @@
   }
 
   private void failed(RoutingContext context) {
-    com.google.common.flogger.FluentLogger.forEnclosingClass()
-        .atSevere()
-        .withCause(context.failure())
-        .log("a request failed");
+    logger.atSevere().withCause(context.failure()).log("a request failed");
     String text = ErrorText.format(ErrorText.get().bodyInvalid, "it cannot be handled");
     refuse(context, Refusal.notRun(RefusalReason.BODY_INVALID, text));
   }
--- a/org.oatlug/src/org/oatlug/internal/http/ChatPlan.java
+++ b/org.oatlug/src/org/oatlug/internal/http/ChatPlan.java
@@ -17,7 +17,6 @@
 import java.util.Set;
 import org.oatlug.api.Refusal;
 import org.oatlug.api.RefusalReason;
-import org.oatlug.config.Version;
 import org.oatlug.errors.ErrorText;
 import org.oatlug.errors.RefusedException;
 import org.oatlug.internal.billing.Bill;
@@ -42,7 +41,6 @@
  */
 final class ChatPlan implements Plan {
   private static final Duration COME_BACK = Duration.ofSeconds(2);
-  private static final int THOUSAND = 1000;
   private static final int PROGRESS_EVERY = 64;
   private static final int MAXIMUM_KEPT_ANSWER = 32 * 1024;
   private static final String JSON_TYPE = "application/json";
@@ -52,8 +50,8 @@
   private final ChatBody body;
   private final String task;
   private final Optional<ClaimDesk.Claim> claim;
+  private final BillDraft bill;
   private RouteRequest routeRequest;
-  private Optional<Bill> bill = Optional.empty();
 
   ChatPlan(
       Services services, CallerRequest request, ChatBody body, Optional<ClaimDesk.Claim> claim) {
@@ -61,6 +59,7 @@
     this.request = request;
     this.body = body;
     this.claim = claim;
+    this.bill = new BillDraft(services, request, body.promptTokens());
     this.task = request.header(Headers.TASK).orElse("");
     Map<String, String> bound = request.session().map(SessionToken::versions).orElse(Map.of());
     this.routeRequest =
@@ -97,8 +96,7 @@
       Refusal refusal = Refusal.retryAfter(RefusalReason.WITNESS_FULL, text, COME_BACK);
       return Uni.createFrom().failure(new RefusedException(refusal));
     }
-    Bill intent = billOf(route, 0, false);
-    bill = Optional.of(intent);
+    Bill intent = bill.intent(route);
     return bindNamedSession(route).onItem().transformToUni(n -> services.billing().open(intent));
   }
 
@@ -157,14 +155,18 @@
   @Override
   public void unanswered(boolean mayHaveRun) {
     if (mayHaveRun) {
-      bill.ifPresent(one -> services.billing().settle(one));
+      bill.current().ifPresent(this::settle);
       claim.ifPresent(one -> endClaim(one, LedgerEntry.Outcome.Kind.MAY_HAVE_RUN, Buffer.buffer()));
     } else {
-      bill.ifPresent(one -> services.billing().cancel(one.id()));
+      bill.current().ifPresent(one -> services.billing().cancel(one.id()));
       claim.ifPresent(services.claims()::release);
     }
   }
 
+  private void settle(Bill last) {
+    services.billing().settle(last).subscribe().with(unused -> {}, request::fail);
+  }
+
   private boolean isOwn(HttpClientResponse response) {
     String echoed = response.getHeader(Headers.UPSTREAM_REQUEST_ID);
     return echoed == null || echoed.equals(request.id());
@@ -199,21 +201,25 @@
   /** Passes on that the engine finds fault with the request itself. */
   private void passRefusalOn(HttpClientResponse response, Ending ending) {
     int status = response.statusCode();
-    response
-        .body()
-        .onComplete(
-            content -> {
-              ending.whole();
-              unanswered(claim.isPresent());
-              if (!request.isEnded()) {
-                HttpServerResponse answer = request.response();
-                answer.setStatusCode(status).putHeader("Content-Type", JSON_TYPE);
-                request.finish();
-                answer.end(content);
-              }
-            },
-            failure -> ending.broken("its answer was cut off"));
-    response.resume();
+    WholeAnswer.take(
+        services.vertx(),
+        response,
+        services.settings().limits().firstByteMillis(),
+        content -> {
+          ending.whole();
+          unanswered(claim.isPresent());
+          sendAsIs(status, content);
+        },
+        ending::broken);
+  }
+
+  private void sendAsIs(int status, Buffer content) {
+    if (!request.isEnded()) {
+      HttpServerResponse answer = request.response();
+      answer.setStatusCode(status).putHeader("Content-Type", JSON_TYPE);
+      request.finish();
+      answer.end(content);
+    }
   }
 
   private void stream(Route route, HttpClientResponse response, Ending ending) {
@@ -245,17 +251,16 @@
 
     @Override
     public void progressed() {
-      bill = Optional.of(billOf(route, stream.tokens(), false));
+      Bill soFar = bill.progressed(route, stream.tokens());
       if (stream.tokens() % PROGRESS_EVERY == 1) {
-        services.billing().progress(bill.get());
+        services.billing().progress(soFar);
       }
     }
 
     @Override
     public void complete(Runnable next) {
       succeeded(route);
-      Bill settled = billOf(route, stream.tokens(), true);
-      bill = Optional.of(settled);
+      Bill settled = bill.complete(route, stream.tokens());
       ending.whole();
       services
           .billing()
@@ -275,7 +280,7 @@
 
     @Override
     public void broken(String problem) {
-      bill = Optional.of(billOf(route, stream.tokens(), false));
+      bill.progressed(route, stream.tokens());
       ending.broken(problem);
     }
 
@@ -286,20 +291,12 @@
   }
 
   private void takeWhole(Route route, HttpClientResponse response, Ending ending) {
-    long patience = services.settings().limits().firstByteMillis();
-    long timer = services.vertx().setTimer(patience, unused -> response.request().reset());
-    response
-        .body()
-        .onComplete(
-            content -> {
-              services.vertx().cancelTimer(timer);
-              wholeTaken(route, content, ending);
-            },
-            failure -> {
-              services.vertx().cancelTimer(timer);
-              ending.broken("its answer was cut off");
-            });
-    response.resume();
+    WholeAnswer.take(
+        services.vertx(),
+        response,
+        services.settings().limits().firstByteMillis(),
+        content -> wholeTaken(route, content, ending),
+        ending::broken);
   }
 
   private void wholeTaken(Route route, Buffer content, Ending ending) {
@@ -311,13 +308,12 @@
     int tokens = node.path("usage").path("completion_tokens").asInt();
     String text = node.path("choices").path(0).path("message").path("content").asText();
     succeeded(route);
-    Bill settled = billOf(route, tokens, true);
+    Bill settled = bill.complete(route, tokens);
     rate(route, text)
         .subscribe()
         .with(
             met -> {
               if (met.equals(Optional.of(false)) && hasStrongerStage(route)) {
-                bill = Optional.of(settled);
                 routeRequest = routeRequest.fromStage(route.stage() + 1);
                 ending.escalate();
               } else {
@@ -328,7 +324,6 @@
   }
 
   private void finishWhole(Route route, Buffer content, Bill settled, Ending ending) {
-    bill = Optional.of(settled);
     ending.whole();
     Uni<Void> recorded =
         claim.isPresent()
@@ -409,30 +404,6 @@
     answer.putHeader(Headers.UPSTREAM, route.upstream());
   }
 
-  /** Returns the bill so far; nothing is owed before the first token of the answer. */
-  private Bill billOf(Route route, int answerTokens, boolean complete) {
-    long price =
-        services
-            .tables()
-            .catalogue()
-            .version(route.version())
-            .map(Version::costPerThousandTokens)
-            .orElse(0L);
-    long earlier = bill.filter(Bill::complete).map(Bill::cost).orElse(0L);
-    boolean owed = complete || answerTokens > 0;
-    long cost = earlier + (owed ? price * (body.promptTokens() + answerTokens) / THOUSAND : 0);
-    return new Bill(
-        request.id(),
-        request.workspaceName(),
-        route.version(),
-        body.promptTokens(),
-        answerTokens,
-        cost,
-        complete,
-        services.membership().self().process(),
-        request.started().toEpochMilli());
-  }
-
   private static JsonNode read(Buffer content) {
     try {
       return Json.STRICT.readTree(content.getBytes());
--- a/org.oatlug/src/org/oatlug/internal/http/Forwarding.java
+++ b/org.oatlug/src/org/oatlug/internal/http/Forwarding.java
@@ -23,6 +23,7 @@
 import org.oatlug.internal.routing.RoutingDecision;
 import org.oatlug.internal.routing.RoutingDecision.Route;
 import org.oatlug.internal.table.UpstreamRow;
+import org.oatlug.internal.util.LogKeys;
 
 /**
  * Brings one request to an upstream and retries where that is safe.
@@ -158,7 +159,11 @@
     if (failure instanceof RefusedException refused) {
       end(refused.refusal());
     } else {
-      logger.atSevere().withCause(failure).log("request %s was not prepared", request.id());
+      logger
+          .atSevere()
+          .withCause(failure)
+          .with(LogKeys.REQUEST_ID, request.id())
+          .log("the request was not prepared");
       refuse(RefusalReason.LEDGER_UNAVAILABLE, ErrorText.get().ledgerUnavailable);
     }
   }
@@ -198,13 +203,13 @@
         new Plan.Ending() {
           @Override
           public void whole() {
-            answerTaken(row, sent);
+            answerTaken(row);
             reported = true;
           }
 
           @Override
           public void escalate() {
-            answerTaken(row, sent);
+            answerTaken(row);
             mayHaveRun = true;
             services.meters().count("retry.cascade-escalation");
             tryOnce();
@@ -218,9 +223,9 @@
         });
   }
 
-  private void answerTaken(UpstreamRow row, Instant sent) {
+  private void answerTaken(UpstreamRow row) {
     release(row);
-    row.succeeded(Duration.between(sent, services.clock().instant()));
+    row.succeeded();
     services.vertx().cancelTimer(deadlineTimer);
   }
 
@@ -231,8 +236,10 @@
       unanswered();
       return;
     }
-    logger.atWarning().log(
-        "answer of %s to request %s broke off: %s", route.upstream(), request.id(), problem);
+    logger
+        .atWarning()
+        .with(LogKeys.REQUEST_ID, request.id())
+        .log("the answer of %s broke off: %s", route.upstream(), problem);
     row.failed(services.clock().instant());
     plan.attemptFailed(route);
     failed.add(route.upstream());
--- a/org.oatlug/src/org/oatlug/internal/http/ServicePlan.java
+++ b/org.oatlug/src/org/oatlug/internal/http/ServicePlan.java
@@ -113,23 +113,17 @@
 
   @Override
   public void answered(Route route, HttpClientResponse response, Ending ending) {
-    long patience = services.settings().limits().firstByteMillis();
-    long timer = services.vertx().setTimer(patience, unused -> response.request().reset());
-    response
-        .body()
-        .onComplete(
-            content -> {
-              services.vertx().cancelTimer(timer);
-              ending.whole();
-              record(response, content)
-                  .subscribe()
-                  .with(unused -> send(route, response, content), request::fail);
-            },
-            failure -> {
-              services.vertx().cancelTimer(timer);
-              ending.broken("its answer was cut off");
-            });
-    response.resume();
+    WholeAnswer.take(
+        services.vertx(),
+        response,
+        services.settings().limits().firstByteMillis(),
+        content -> {
+          ending.whole();
+          record(response, content)
+              .subscribe()
+              .with(unused -> send(route, response, content), request::fail);
+        },
+        ending::broken);
   }
 
   @Override
--- a/org.oatlug/src/org/oatlug/internal/limit/CapacityRule.java
+++ b/org.oatlug/src/org/oatlug/internal/limit/CapacityRule.java
@@ -10,6 +10,8 @@
 /** Says which upstreams have no place now; implementations keep no state. */
 @FunctionalInterface
 public interface CapacityRule {
+  /** How many requests may wait at an upstream, as a share of its slots. */
+  double WAITING_SHARE = 0.25;
 
   /**
    * Returns whether a request had to wait at the upstream.
@@ -35,7 +37,4 @@
   static CapacityRule unbounded() {
     return (table, row, upstream) -> false;
   }
-
-  /** How many requests may wait at an upstream, as a share of its slots. */
-  double WAITING_SHARE = 0.25;
 }
--- a/org.oatlug/src/org/oatlug/internal/peer/TcpPeers.java
+++ b/org.oatlug/src/org/oatlug/internal/peer/TcpPeers.java
@@ -13,7 +13,6 @@
 import io.vertx.core.net.NetServer;
 import io.vertx.core.net.NetServerOptions;
 import io.vertx.core.net.NetSocket;
-import io.vertx.core.net.PemKeyCertOptions;
 import io.vertx.core.net.PemTrustOptions;
 import java.time.Duration;
 import java.util.HashMap;
@@ -24,6 +23,7 @@
 import org.oatlug.config.Settings;
 import org.oatlug.errors.MalformedFrameException;
 import org.oatlug.errors.PeerUnavailableException;
+import org.oatlug.internal.util.TlsFiles;
 import org.oatlug.internal.util.Unis;
 
 /**
@@ -71,16 +71,7 @@
   public Future<NetServer> listen() {
     NetServerOptions options =
         new NetServerOptions().setHost(settings.host()).setPort(settings.port());
-    settings
-        .tls()
-        .ifPresent(
-            tls ->
-                options
-                    .setSsl(true)
-                    .setKeyCertOptions(
-                        new PemKeyCertOptions()
-                            .addCertPath(tls.certificate())
-                            .addKeyPath(tls.key())));
+    TlsFiles.apply(settings.tls(), options);
     return vertx.createNetServer(options).connectHandler(this::accept).listen();
   }
 
--- a/org.oatlug/src/org/oatlug/internal/rollout/SequentialTest.java
+++ b/org.oatlug/src/org/oatlug/internal/rollout/SequentialTest.java
@@ -3,6 +3,8 @@
 
 package org.oatlug.internal.rollout;
 
+import java.util.ArrayDeque;
+
 /**
  * A test whether a candidate fails more often than the current version, valid at any stopping time.
  *
@@ -17,8 +19,8 @@
   private static final int MAXIMUM_UNPAIRED = 64;
 
   private final double[] logWealth = new double[STAKES.length];
-  private final java.util.ArrayDeque<Boolean> current = new java.util.ArrayDeque<>();
-  private final java.util.ArrayDeque<Boolean> candidate = new java.util.ArrayDeque<>();
+  private final ArrayDeque<Boolean> current = new ArrayDeque<>();
+  private final ArrayDeque<Boolean> candidate = new ArrayDeque<>();
 
   private SequentialTest() {}
 
@@ -48,7 +50,7 @@
     return Math.log(sum / STAKES.length);
   }
 
-  private static void add(java.util.ArrayDeque<Boolean> outcomes, boolean failed) {
+  private static void add(ArrayDeque<Boolean> outcomes, boolean failed) {
     if (outcomes.size() >= MAXIMUM_UNPAIRED) {
       outcomes.removeFirst();
     }
--- a/org.oatlug/src/org/oatlug/internal/table/Freshness.java
+++ b/org.oatlug/src/org/oatlug/internal/table/Freshness.java
@@ -5,6 +5,7 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.Optional;
 
 /**
  * How old the newest configuration of this instance can be.
@@ -41,11 +42,11 @@
   }
 
   /** Returns the age of the last known platform contact, empty if there was none. */
-  public java.util.Optional<Duration> age(Instant now) {
+  public Optional<Duration> age(Instant now) {
     if (contact.equals(Instant.MIN)) {
-      return java.util.Optional.empty();
+      return Optional.empty();
     }
-    return java.util.Optional.of(Duration.between(contact, now));
+    return Optional.of(Duration.between(contact, now));
   }
 
   /** Returns whether the configuration is younger than the bound. */
--- a/org.oatlug/src/org/oatlug/internal/table/UpstreamRow.java
+++ b/org.oatlug/src/org/oatlug/internal/table/UpstreamRow.java
@@ -20,7 +20,6 @@
   private static final int REMEMBERED_PREFIXES = 256;
   private static final int EJECT_AFTER_FAILURES = 3;
   private static final Duration EJECT_FOR = Duration.ofSeconds(5);
-  private static final double SMOOTHING = 0.2;
 
   private final String name;
   private final long nameHash;
@@ -36,13 +35,11 @@
   private int inFlight;
   private int reportedRunning;
   private int reportedWaiting;
-  private Instant reportedAt = Instant.EPOCH;
   private int dispatchedSinceReport;
   private int finishedSinceReport;
   private boolean leaving;
   private int failuresInRow;
   private Instant ejectedUntil = Instant.EPOCH;
-  private double meanServiceMillis;
 
   UpstreamRow(String name) {
     this.name = name;
@@ -76,10 +73,10 @@
     return reportedRunning + reportedWaiting;
   }
 
-  void report(int running, int waiting, boolean nowLeaving, Instant now) {
+  /** Takes in a load report. */
+  void report(int running, int waiting, boolean nowLeaving) {
     reportedRunning = running;
     reportedWaiting = waiting;
-    reportedAt = now;
     dispatchedSinceReport = 0;
     finishedSinceReport = 0;
     if (nowLeaving) {
@@ -87,12 +84,9 @@
     }
   }
 
-  /** Takes in an answer that took {@code service}. */
-  public void succeeded(Duration service) {
+  /** Takes in a whole answer. */
+  public void succeeded() {
     failuresInRow = 0;
-    double millis = service.toMillis();
-    double old = meanServiceMillis;
-    meanServiceMillis = old == 0 ? millis : old + SMOOTHING * (millis - old);
   }
 
   /** Takes in a failure; several in a row keep the upstream out for a while. */
@@ -133,22 +127,10 @@
     return inFlight;
   }
 
-  /** Returns the age of the last load report, a day at most. */
-  public Duration reportAge(Instant now) {
-    Duration age = Duration.between(reportedAt, now);
-    Duration limit = Duration.ofDays(1);
-    return age.compareTo(limit) > 0 ? limit : age;
-  }
-
   /** Returns the requests at the upstream as known: reported, plus own changes since. */
   public int expectedLoad() {
     int reported = reportedRunning + reportedWaiting;
     int expected = reported + dispatchedSinceReport - finishedSinceReport;
     return Math.max(inFlight, expected);
   }
-
-  /** Returns the mean time of an answer in milliseconds, 0 if none was seen. */
-  public double meanServiceMillis() {
-    return meanServiceMillis;
-  }
 }
--- a/org.oatlug/src/org/oatlug/internal/table/UpstreamTable.java
+++ b/org.oatlug/src/org/oatlug/internal/table/UpstreamTable.java
@@ -3,7 +3,6 @@
 
 package org.oatlug.internal.table;
 
-import java.time.Instant;
 import java.util.Collection;
 import java.util.Map;
 import java.util.TreeMap;
@@ -28,9 +27,9 @@
     return rows.computeIfAbsent(name, UpstreamRow::new);
   }
 
-  /** Takes in a load report that arrived at {@code now}. */
-  public void report(String name, int running, int waiting, boolean leaving, Instant now) {
-    row(name).report(running, waiting, leaving, now);
+  /** Takes in a load report. */
+  public void report(String name, int running, int waiting, boolean leaving) {
+    row(name).report(running, waiting, leaving);
     int reported = 0;
     int own = 0;
     for (UpstreamRow row : rows.values()) {
