--- a/org.oatlug.benchmarks/src/org/oatlug/benchmarks/LatencyBench.java
+++ b/org.oatlug.benchmarks/src/org/oatlug/benchmarks/LatencyBench.java
@@ -15,13 +15,15 @@
 
 /**
  * The latency that an entry instance adds to a streamed request, against the engine directly, in
- * turn. Needs {@code ./demo --keep}; arguments: the ports of the instance and of the engine.
+ * turn. Needs {@code ./demo --keep}. The requests go round the instances, so that none of them uses
+ * up its share of the workspace's rate.
  */
 public final class LatencyBench {
   private static final int REQUESTS = 400;
   private static final int WARM_UP = 100;
-  private static final int DEFAULT_ENTRY = 7101;
-  private static final int DEFAULT_ENGINE = 7201;
+  private static final int FIRST_ENTRY = 7101;
+  private static final int ENTRIES = 7;
+  private static final int ENGINE = 7201;
   private static final String BODY =
       "{\"model\":\"%s\",\"stream\":true,\"max_tokens\":4,"
           + "\"messages\":[{\"role\":\"user\",\"content\":\"which cleat\"}]}";
@@ -33,14 +35,12 @@
 
   /** Runs the measurement. */
   public static void main(String[] arguments) throws IOException, InterruptedException {
-    int entry = arguments.length > 0 ? Integer.parseInt(arguments[0]) : DEFAULT_ENTRY;
-    int engine = arguments.length > 1 ? Integer.parseInt(arguments[1]) : DEFAULT_ENGINE;
     LatencyBench bench = new LatencyBench();
     Histogram routed = new Histogram(3);
     Histogram direct = new Histogram(3);
     for (int number = 0; number < WARM_UP + REQUESTS; number++) {
-      long throughEntry = bench.firstByteMicros(entry, "small");
-      long atEngine = bench.firstByteMicros(engine, "small-v1");
+      long throughEntry = bench.firstByteMicros(FIRST_ENTRY + number % ENTRIES, "small");
+      long atEngine = bench.firstByteMicros(ENGINE, "small-v1");
       if (number >= WARM_UP) {
         routed.recordValue(throughEntry);
         direct.recordValue(atEngine);
