Tell an asker what is believed of it, so that it can contradict

Cause: an instance that was declared dead while frozen stayed dead for the others when it woke: news are told eight times, and by then they had been told. It went on serving, but got no duties, and its claims counted as those of a process that is gone. Found by the first test of membership. Ruled out: the contradiction itself (it works when the news arrive).

Change: the answer to a probe carries the record of the asker, if that supersedes what the asker says of itself.

--- /dev/null
+++ b/org.oatlug.test/tst/org/oatlug/test/MembershipTest.java
@@ -0,0 +1,186 @@
+// Copyright (c) 2026, the oatlug authors
+// SPDX-License-Identifier: BSD-3-Clause
+
+package org.oatlug.test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import io.smallrye.mutiny.Uni;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeMap;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.oatlug.errors.PeerUnavailableException;
+import org.oatlug.internal.membership.Membership;
+import org.oatlug.internal.peer.Member;
+import org.oatlug.internal.peer.PeerMessage;
+import org.oatlug.internal.peer.PeerNetwork;
+
+/** Shows who is taken to be live: under any order of news, silence, pauses and cuts. */
+class MembershipTest {
+  private static final String SEED = "20261202";
+  private static final Duration TICK = Duration.ofMillis(100);
+
+  private final FakeClock clock = new FakeClock();
+  private final Map<String, Membership> running = new TreeMap<>();
+  private final Set<String> silent = new HashSet<>();
+
+  private static Member member(String name, String zone, long epoch) {
+    return new Member(name, zone, "rack-" + name, "127.0.0.1", 1, epoch, 0, Member.State.ALIVE);
+  }
+
+  private Membership start(String name, String zone, long epoch) {
+    Membership membership =
+        Membership.create(member(name, zone, epoch), clock, new Random(name.hashCode()));
+    membership.connect(networkOf(name));
+    running.put(name, membership);
+    return membership;
+  }
+
+  /** Delivers at once; whoever is silent neither asks nor answers. */
+  private PeerNetwork networkOf(String from) {
+    return (peer, message, patience) -> {
+      Membership target = running.get(peer.name());
+      if (target == null || silent.contains(peer.name()) || silent.contains(from)) {
+        return Uni.createFrom().failure(new PeerUnavailableException(peer.name()));
+      }
+      return target.handle(running.get(from).self(), message);
+    };
+  }
+
+  private void startThree() {
+    for (String name : List.of("a", "b", "c")) {
+      Membership membership = start(name, "hall-a", 1);
+      running.values().forEach(other -> other.merge(membership.self()));
+      running.values().forEach(other -> membership.merge(other.self()));
+    }
+  }
+
+  private void run(int ticks) {
+    for (int tick = 0; tick < ticks; tick++) {
+      clock.advance(TICK);
+      running.forEach(
+          (name, membership) -> {
+            if (!silent.contains(name)) {
+              membership.tick();
+            }
+          });
+    }
+  }
+
+  private Member.State stateAt(String observer, String subject) {
+    return running.get(observer).all().stream()
+        .filter(member -> member.name().equals(subject))
+        .findFirst()
+        .orElseThrow()
+        .state();
+  }
+
+  @Property(seed = SEED)
+  void testNewsInAnyOrderEndAtTheSameRecord(@ForAll Random random) {
+    List<Member> news = new ArrayList<>();
+    for (int number = 0; number < 12; number++) {
+      Member.State[] states = Member.State.values();
+      Member record = member("x", "hall-a", 1 + random.nextInt(3));
+      for (int times = random.nextInt(3); times > 0; times--) {
+        record = record.refuting(record.incarnation(), Member.State.ALIVE);
+      }
+      news.add(record.withState(states[random.nextInt(states.length)]));
+    }
+    Member first = lastOf(news);
+    Collections.shuffle(news, random);
+    assertEquals(lastOf(news), first);
+  }
+
+  private Member lastOf(List<Member> news) {
+    Membership membership = Membership.create(member("me", "hall-a", 1), clock, new Random(1));
+    news.forEach(membership::merge);
+    return membership.all().stream()
+        .filter(member -> member.name().equals("x"))
+        .findFirst()
+        .orElseThrow();
+  }
+
+  /** A silent instance is suspected and then dead; its process is gone, its duties move on. */
+  @Example
+  void testSilentInstanceIsDeclaredDead() {
+    startThree();
+    run(20);
+    assertEquals(stateAt("a", "c"), Member.State.ALIVE);
+    silent.add("c");
+    run(80);
+    assertEquals(stateAt("a", "c"), Member.State.DEAD);
+    assertEquals(stateAt("b", "c"), Member.State.DEAD);
+    assertTrue(running.get("a").isGone("c@1"));
+    for (String duty : List.of("one", "two", "three", "four")) {
+      String owner = running.get("a").ownerOf(duty).orElseThrow().name();
+      assertEquals(running.get("b").ownerOf(duty).orElseThrow().name(), owner);
+      assertFalse(owner.equals("c"));
+    }
+  }
+
+  /** A frozen instance that wakes contradicts its death. */
+  @Example
+  void testWokenInstanceContradictsItsDeath() {
+    startThree();
+    silent.add("c");
+    run(80);
+    silent.remove("c");
+    run(60);
+    assertEquals(stateAt("a", "c"), Member.State.ALIVE);
+    assertEquals(stateAt("b", "c"), Member.State.ALIVE);
+  }
+
+  /** A restarted process replaces the old one, whose records change nothing any more. */
+  @Example
+  void testRestartedProcessReplacesTheOld() {
+    startThree();
+    Member old = running.get("c").self();
+    start("c", "hall-a", 2).merge(running.get("a").self());
+    run(40);
+    running.get("a").merge(old.withState(Member.State.DEAD));
+    assertEquals(stateAt("a", "c"), Member.State.ALIVE);
+    assertTrue(running.get("a").isGone("c@1"));
+    assertFalse(running.get("a").isGone("c@2"));
+  }
+
+  /** Of another zone nobody is declared dead; a silent one is lost to those who ask for it. */
+  @Example
+  void testSilentZoneIsLostAndNotDead() {
+    startThree();
+    Membership far = start("far", "hall-b", 1);
+    running.get("a").merge(far.self());
+    silent.add("far");
+    for (int second = 0; second < 15; second++) {
+      running.get("a").isLost("far@1");
+      run(10);
+    }
+    assertTrue(running.get("a").isLost("far@1"));
+    assertFalse(running.get("a").isGone("far@1"));
+    assertEquals(stateAt("a", "far"), Member.State.ALIVE);
+  }
+
+  /** Two instances of a zone are readers, and all agree which. */
+  @Example
+  void testTwoReadersThatAllAgreeOn() {
+    startThree();
+    long readers = running.values().stream().filter(Membership::isReader).count();
+    assertEquals(readers, 2L);
+    Membership follower =
+        running.values().stream().filter(one -> !one.isReader()).findFirst().orElseThrow();
+    String parent = follower.parent().orElseThrow().name();
+    assertTrue(running.get(parent).isReader());
+    assertTrue(
+        follower.handle(running.get(parent).self(), new PeerMessage.Ping(List.of())) != null);
+  }
+}
--- a/org.oatlug/src/org/oatlug/internal/membership/Membership.java
+++ b/org.oatlug/src/org/oatlug/internal/membership/Membership.java
@@ -241,7 +241,7 @@
     merge(from);
     if (message instanceof PeerMessage.Ping ping) {
       ping.news().forEach(this::merge);
-      return Uni.createFrom().item(new PeerMessage.Ack(takeNews()));
+      return Uni.createFrom().item(new PeerMessage.Ack(newsFor(from)));
     }
     PeerMessage.PingFor request = (PeerMessage.PingFor) message;
     request.news().forEach(this::merge);
@@ -372,6 +372,16 @@
     news.put(name, NEWS_REPEATS);
   }
 
+  /** Returns news, and what is believed of the asker, if it has to contradict that. */
+  private List<Member> newsFor(Member asker) {
+    List<Member> told = takeNews();
+    Member believed = members.get(asker.name());
+    if (believed.supersedes(asker)) {
+      told.add(believed);
+    }
+    return told;
+  }
+
   /** Returns records that were not told often enough yet, and this instance's own. */
   private List<Member> takeNews() {
     List<Member> told = new ArrayList<>();
