--- a/org.oatlug.test/tst/org/oatlug/test/AnswerProcessTest.java
+++ b/org.oatlug.test/tst/org/oatlug/test/AnswerProcessTest.java
@@ -179,6 +179,48 @@
     }
   }
 
+  /** A caller that goes away frees its place at the engine. */
+  @Test
+  public void testCallerThatGoesAwayIsCancelledAtTheEngine() throws IOException {
+    long before = cancelled();
+    String body =
+        "{\"model\":\"small\",\"stream\":true,\"max_tokens\":2000,"
+            + "\"messages\":[{\"role\":\"user\",\"content\":\"long\"}]}";
+    String head =
+        "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer "
+            + TestCluster.KEY
+            + "\r\nContent-Length: "
+            + body.length()
+            + "\r\n\r\n";
+    try (Socket socket = new Socket("127.0.0.1", cluster.callerPort(0))) {
+      socket.getOutputStream().write((head + body).getBytes(StandardCharsets.UTF_8));
+      assertTrue(socket.getInputStream().read() >= 0);
+    }
+    Await.until("cancelled at the engine", () -> cancelled() == before + 1);
+  }
+
+  private long cancelled() throws IOException {
+    return cluster.records().stream()
+        .filter(record -> record.path("end").asText().equals("cancelled"))
+        .count();
+  }
+
+  /** A workspace sees the models and cascades that it may use. */
+  @Test
+  public void testModelsAreThoseTheWorkspaceMayUse() throws IOException {
+    assertEquals(modelsOf(TestCluster.KEY), List.of("large", "small", "both"));
+    assertEquals(modelsOf("key-of-the-narrow"), List.of("small", "both"));
+  }
+
+  private List<String> modelsOf(String key) throws IOException {
+    Http.Answer answer =
+        Http.send(
+            Http.to(cluster.callerPort(0), "/v1/models").header("Authorization", "Bearer " + key));
+    List<String> names = new ArrayList<>();
+    answer.json().path("data").forEach(one -> names.add(one.path("id").asText()));
+    return names;
+  }
+
   /** Returns bad requests and the reason that each is refused with. */
   @DataProvider
   public Object[][] badRequestTable() {
