--- a/org.oatlug.test/tst/org/oatlug/test/TestCluster.java
+++ b/org.oatlug.test/tst/org/oatlug/test/TestCluster.java
@@ -19,6 +19,7 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 import org.oatlug.internal.util.Hashes;
@@ -60,8 +61,22 @@
 
   /** Starts a cluster; instance numbers count from 0, zones go round. */
   static TestCluster start(int entryCount, int engineCount, int serviceCount) throws IOException {
+    return startWith(entryCount, engineCount, serviceCount, false);
+  }
+
+  /** Starts a cluster whose callers and peers speak TLS. */
+  static TestCluster startWithTls(int entryCount, int engineCount, int serviceCount)
+      throws IOException {
+    return startWith(entryCount, engineCount, serviceCount, true);
+  }
+
+  private static TestCluster startWith(
+      int entryCount, int engineCount, int serviceCount, boolean tls) throws IOException {
     TestCluster cluster = new TestCluster(Files.createTempDirectory("oatlug-test"));
     try {
+      if (tls) {
+        cluster.certificate = Optional.of(TestCertificate.create(cluster.directory));
+      }
       cluster.startAll(entryCount, engineCount, serviceCount);
       return cluster;
     } catch (IOException | RuntimeException | Error e) {
@@ -155,11 +170,12 @@
     int[] ports = entryPorts.get(index);
     ObjectNode settings = Json.STRICT.createObjectNode();
     settings.put("name", nameOf(index)).put("zone", zoneOf(index)).put("rack", "rack-" + index);
-    settings.putObject("callers").put("host", HOST).put("port", ports[0]);
+    addTls(settings.putObject("callers").put("host", HOST).put("port", ports[0]));
     settings.putObject("operators").put("host", HOST).put("port", ports[1]);
     ObjectNode peers = settings.putObject("peers");
     peers.put("host", addressOf(index)).put("port", ports[2]).put("key", "a-key-shared-by-peers");
     peers.putObject("advertised").put("host", HOST).put("port", advertised.get(index));
+    addTls(peers);
     ArrayNode seeds = peers.putArray("seeds");
     for (int other = 0; other < advertised.size(); other++) {
       ObjectNode seed = seeds.addObject();
@@ -276,6 +292,19 @@
   }
 
   private String lastOutput = "";
+  private Optional<TestCertificate> certificate = Optional.empty();
+
+  TestCertificate certificate() {
+    return certificate.orElseThrow();
+  }
+
+  private void addTls(ObjectNode listener) {
+    if (certificate.isPresent()) {
+      String trusted = certificate().certificate().toString();
+      ObjectNode tls = listener.putObject("tls").put("certificate", trusted);
+      tls.put("key", certificate().key().toString()).put("trust", trusted);
+    }
+  }
 
   String lastOutput() {
     return lastOutput;
