Keep a session on its model of a cascade

Cause: a session's token bound versions by model only, so its next request through a cascade could be answered by another stage and so another version. Found by ./demo: "the session changed its version", when the first request had tried a cheaper stage. Ruled out: the token (it was verified), the second instance's tables (the version was current there).

Change: a cascade first looks for the highest stage whose model the session is bound to, and stays there.

--- a/org.oatlug.test/tst/org/oatlug/test/RouterTest.java
+++ b/org.oatlug.test/tst/org/oatlug/test/RouterTest.java
@@ -163,6 +163,15 @@
     }
   }
 
+  /** A session that a cascade began on one model stays on it, whatever stage would be chosen. */
+  @Property(seed = SEED)
+  void testSessionStaysOnItsModelOfTheCascade(@ForAll Random random) {
+    offerRandom(random);
+    String model = MODELS.get(random.nextInt(2));
+    RoutingDecision decision = decide("both", Map.of(model, model + "-v1"), random);
+    decision.route().ifPresent(route -> assertEquals(route.version(), model + "-v1"));
+  }
+
   /** A version that is withdrawn between the decision and the dispatch is not dispatched to. */
   @Example
   void testRouteDoesNotOutliveWithdrawal() {
--- a/org.oatlug/src/org/oatlug/internal/routing/Router.java
+++ b/org.oatlug/src/org/oatlug/internal/routing/Router.java
@@ -112,6 +112,12 @@
       Tables tables,
       Instant now,
       List<PassedOver> passedOver) {
+    for (int stage = cascade.stages().size() - 1; stage >= request.minimumStage(); stage--) {
+      String bound = cascade.stages().get(stage);
+      if (request.session().containsKey(bound)) {
+        return decideModel(request, bound, stage, tables, now, passedOver);
+      }
+    }
     int chosen =
         stageChooser.choose(cascade, request.workspace(), request.task(), tables.ratings(), random);
     int start = Math.max(chosen, request.minimumStage());
