--- a/org.oatlug.entry/src/org/oatlug/entry/EntryInstance.java
+++ b/org.oatlug.entry/src/org/oatlug/entry/EntryInstance.java
@@ -15,6 +15,7 @@
 import java.time.InstantSource;
 import java.util.List;
 import java.util.random.RandomGenerator;
+import org.oatlug.config.Kinds;
 import org.oatlug.config.Settings;
 import org.oatlug.internal.billing.BillingSystem;
 import org.oatlug.internal.cascade.ConfidentStage;
@@ -58,7 +59,7 @@
  * stop first stops being ready, goes on accepting while the balancer notices, finishes every open
  * request and hands over what the ledger has not confirmed.
  */
-final class EntryInstance extends VerticleBase {
+final class EntryInstance extends VerticleBase implements Drainable {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final long TICK_MILLIS = 20;
   private static final long STOP_POLL_MILLIS = 20;
@@ -115,11 +116,12 @@
     final ClaimDesk claims = ClaimDesk.create(ledger::submit, membership, clock, meters);
     ConfigurationSystem configuration =
         ConfigurationSystem.create(
-            tables,
+            tables.catalogue(),
+            freshness,
             platform,
             membership,
             network,
-            new ConfigurationSystem.Support(clock, random, meters));
+            new ConfigurationSystem.Support(clock, random, meters, List.of(Kinds.ALL)));
     final RolloutGuard guard =
         RolloutGuard.create(tables, platform, membership, network, clock, meters);
     late.target = new PeerDispatch(tables, membership, configuration, ledger, billing, guard);
@@ -214,8 +216,8 @@
     }
   }
 
-  /** Stops as planned; the result comes when nothing is open any more. */
-  Future<Void> drain() {
+  @Override
+  public Future<Void> drain() {
     Promise<Void> promise = Promise.promise();
     context.runOnContext(
         unused -> {
--- /dev/null
+++ b/org.oatlug.entry/src/org/oatlug/entry/GatewayInstance.java
@@ -0,0 +1,198 @@
+package org.oatlug.entry;
+
+import com.codahale.metrics.MetricRegistry;
+import com.google.common.flogger.FluentLogger;
+import io.smallrye.mutiny.Uni;
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.VerticleBase;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.List;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+import org.oatlug.config.Settings;
+import org.oatlug.gateway.DeploymentAdapter;
+import org.oatlug.gateway.GatewayKinds;
+import org.oatlug.gateway.GatewaySettings;
+import org.oatlug.internal.config.ConfigurationSystem;
+import org.oatlug.internal.gateway.CallerFront;
+import org.oatlug.internal.gateway.GatewayParts;
+import org.oatlug.internal.gateway.GatewayTables;
+import org.oatlug.internal.gateway.InspectionServer;
+import org.oatlug.internal.membership.Membership;
+import org.oatlug.internal.metrics.Meters;
+import org.oatlug.internal.peer.Member;
+import org.oatlug.internal.peer.PeerHandler;
+import org.oatlug.internal.peer.PeerMessage;
+import org.oatlug.internal.peer.TcpPeers;
+import org.oatlug.internal.table.Freshness;
+import org.oatlug.internal.util.MonotonicClock;
+import org.oatlug.internal.util.TickSystem;
+import org.oatlug.platform.Platform;
+
+/**
+ * One entry instance that serves routed services, wired together on one event loop.
+ *
+ * <p>Invariant: tables and systems are only touched by the event loop of this verticle. A planned
+ * stop first stops being ready, goes on accepting while the balancer notices, finishes what it can
+ * within the grace and cuts the rest in time for callers to resume it elsewhere.
+ */
+final class GatewayInstance extends VerticleBase implements Drainable {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final long TICK_MILLIS = 20;
+  private static final long STOP_POLL_MILLIS = 20;
+
+  /** How long a balancer that asks once a second may take to miss two answers. */
+  private static final Duration BALANCER_LAG = Duration.ofMillis(2300);
+
+  /** What is left of the grace when open requests are cut, so that the process ends in time. */
+  private static final Duration CUT_BEFORE_END = Duration.ofMillis(400);
+
+  /** How old the configuration may be before this instance calls it stale. */
+  private static final Duration FRESHNESS = Duration.ofSeconds(12);
+
+  private final GatewaySettings settings;
+  private final DeploymentAdapter adapter;
+  private final InstantSource clock = MonotonicClock.create();
+  private final RandomGenerator random = RandomGenerator.getDefault();
+  private final GatewayTables tables = GatewayTables.create();
+  private Membership membership;
+  private CallerFront front;
+  private List<TickSystem> systems = List.of();
+  private boolean stopping;
+
+  GatewayInstance(GatewaySettings settings, DeploymentAdapter adapter) {
+    this.settings = settings;
+    this.adapter = adapter;
+  }
+
+  @Override
+  public Future<?> start() {
+    GatewaySettings.Endpoint peer = settings.peers().listen();
+    long now = clock.instant().toEpochMilli();
+    Member self =
+        new Member(
+            settings.name(),
+            settings.zone(),
+            settings.name(),
+            peer.host(),
+            peer.port(),
+            now,
+            0,
+            Member.State.ALIVE);
+    membership = Membership.create(self, clock, random);
+    membership.seeds(settings.peers().seeds().stream().map(GatewayInstance::address).toList());
+    Meters meters = Meters.of(new MetricRegistry());
+    wire(meters);
+    vertx.setPeriodic(TICK_MILLIS, unused -> systems.forEach(TickSystem::tick));
+    InspectionServer inspection = InspectionServer.create(vertx, meters, this::isReady);
+    return inspection
+        .listenForReadiness(settings.readiness())
+        .compose(unused -> inspection.listenForMetrics(settings.callers().host(), settings.metrics()))
+        .compose(unused -> front.listen())
+        .onSuccess(unused -> logger.atInfo().log("instance %s listens", settings.name()));
+  }
+
+  private void wire(Meters meters) {
+    Freshness freshness = Freshness.withBound(FRESHNESS);
+    Platform platform = adapter.platform(vertx, settings);
+    LatePeers late = new LatePeers();
+    GatewaySettings.Peers peers = settings.peers();
+    Settings.Peers peerSettings =
+        new Settings.Peers(
+            peers.listen().host(),
+            peers.listen().port(),
+            peers.key(),
+            List.of(),
+            Optional.empty(),
+            Optional.empty());
+    TcpPeers network = TcpPeers.create(vertx, peerSettings, membership::self, late);
+    membership.connect(network);
+    ConfigurationSystem configuration =
+        ConfigurationSystem.create(
+            tables,
+            freshness,
+            platform,
+            membership,
+            network,
+            new ConfigurationSystem.Support(
+                clock,
+                random,
+                meters,
+                List.of(
+                    List.of(GatewayKinds.ROUTING),
+                    List.of(GatewayKinds.UPSTREAM),
+                    List.of(GatewayKinds.ROLLOUT))));
+    late.target = (from, message) -> dispatch(configuration, from, message);
+    network.listen().onFailure(failure -> logger.atSevere().withCause(failure).log("peers"));
+    GatewayParts parts = GatewayParts.create(vertx, settings, clock, adapter, tables, random, meters);
+    front = CallerFront.create(parts, random);
+    systems = List.of(membership::tick, configuration);
+  }
+
+  private Uni<PeerMessage> dispatch(
+      ConfigurationSystem configuration, Member from, PeerMessage message) {
+    if (message instanceof PeerMessage.Ping || message instanceof PeerMessage.PingFor) {
+      return membership.handle(from, message);
+    }
+    if (message instanceof PeerMessage.Digest
+        || message instanceof PeerMessage.BucketDigests
+        || message instanceof PeerMessage.Objects) {
+      return configuration.handle(from, message);
+    }
+    return Uni.createFrom().item(new PeerMessage.Failed("unexpected message"));
+  }
+
+  private static Settings.Address address(GatewaySettings.Endpoint endpoint) {
+    return new Settings.Address(endpoint.host(), endpoint.port());
+  }
+
+  private boolean isReady() {
+    return !stopping && tables.configuration().isPresent() && !tables.upstreamNames().isEmpty();
+  }
+
+  @Override
+  public Future<Void> drain() {
+    Promise<Void> promise = Promise.promise();
+    context.runOnContext(
+        unused -> {
+          logger.atInfo().log("instance %s stops as planned, %d open", settings.name(), front.open());
+          stopping = true;
+          membership.leave();
+          vertx.setTimer(BALANCER_LAG.toMillis(), timer -> finishOpen(promise));
+          long grace = settings.bounds().graceMillis() - CUT_BEFORE_END.toMillis();
+          vertx.setTimer(Math.max(1, grace), timer -> endGrace(promise));
+        });
+    return promise.future();
+  }
+
+  private void finishOpen(Promise<Void> promise) {
+    front.stopKeeping();
+    vertx.setPeriodic(
+        STOP_POLL_MILLIS,
+        timer -> {
+          if (front.open() == 0) {
+            vertx.cancelTimer(timer);
+            promise.tryComplete();
+          }
+        });
+  }
+
+  private void endGrace(Promise<Void> promise) {
+    logger.atInfo().log("instance %s ends its grace, %d cut", settings.name(), front.open());
+    front.cutAll();
+    vertx.setTimer(STOP_POLL_MILLIS, timer -> promise.tryComplete());
+  }
+
+  /** Answers peers that come before the parts are made, and then hands their messages on. */
+  private static final class LatePeers implements PeerHandler {
+    private PeerHandler target =
+        (from, message) -> Uni.createFrom().item(new PeerMessage.Failed("starting"));
+
+    @Override
+    public Uni<PeerMessage> handle(Member from, PeerMessage message) {
+      return target.handle(from, message);
+    }
+  }
+}
--- a/org.oatlug.entry/src/org/oatlug/entry/Oatlugd.java
+++ b/org.oatlug.entry/src/org/oatlug/entry/Oatlugd.java
@@ -3,10 +3,13 @@
 
 package org.oatlug.entry;
 
+import io.vertx.core.VerticleBase;
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
 import io.vertx.core.file.FileSystemOptions;
 import java.nio.file.Path;
+import java.util.List;
+import java.util.ServiceLoader;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
@@ -17,9 +20,11 @@
 import org.oatlug.config.Settings;
 import org.oatlug.config.SettingsFile;
 import org.oatlug.errors.SettingsInvalidException;
+import org.oatlug.gateway.DeploymentAdapter;
+import org.oatlug.gateway.GatewaySettings;
 
 /**
- * The daemon: {@code oatlugd --settings FILE [--check]}.
+ * The daemon: {@code oatlugd [--gateway] --settings FILE [--check]}.
  *
  * <p>Exit codes: 0 after a planned stop or a good check, 1 when it cannot start, 2 for wrong
  * arguments or settings.
@@ -29,7 +34,7 @@
   private static final int WRONG = 2;
   private static final long START_SECONDS = 30;
   private static final long DRAIN_MINUTES = 15;
-  private static final String USAGE = "usage: oatlugd --settings FILE [--check]";
+  private static final String USAGE = "usage: oatlugd [--gateway] (--settings FILE | --settings-variable NAME) [--check]";
 
   private Oatlugd() {}
 
@@ -37,6 +42,10 @@
   public static void main(String[] arguments) {
     try {
       CommandLine line = new DefaultParser().parse(options(), arguments);
+      if (line.hasOption("gateway")) {
+        runGateway(line);
+        return;
+      }
       if (line.hasOption("help") || !line.hasOption("settings")) {
         System.err.println(USAGE);
         System.exit(line.hasOption("help") ? 0 : WRONG);
@@ -46,7 +55,7 @@
         System.out.println("settings are good");
         return;
       }
-      run(settings);
+      run(new EntryInstance(settings));
     } catch (ParseException e) {
       System.err.println(e.getMessage() + System.lineSeparator() + USAGE);
       System.exit(WRONG);
@@ -56,19 +65,46 @@
     }
   }
 
+  private static void runGateway(CommandLine line) throws SettingsInvalidException {
+    GatewaySettings settings = SettingsFile.readGateway(settingsPath(line));
+    if (line.hasOption("check")) {
+      System.out.println("settings are good");
+      return;
+    }
+    DeploymentAdapter adapter =
+        ServiceLoader.load(DeploymentAdapter.class)
+            .findFirst()
+            .orElseThrow(() -> new SettingsInvalidException(List.of("no adapter is installed")));
+    run(new GatewayInstance(settings, adapter));
+  }
+
+  /** Returns the settings file: named itself, or by an environment variable. */
+  private static Path settingsPath(CommandLine line) throws SettingsInvalidException {
+    if (line.hasOption("settings")) {
+      return Path.of(line.getOptionValue("settings"));
+    }
+    String variable = line.getOptionValue("settings-variable", "");
+    String path = System.getenv(variable);
+    if (path == null) {
+      throw new SettingsInvalidException(List.of("the variable '" + variable + "' is not set"));
+    }
+    return Path.of(path);
+  }
+
   private static Options options() {
     return new Options()
         .addOption(null, "settings", true, "the settings file")
+        .addOption(null, "settings-variable", true, "the variable that names the settings file")
+        .addOption(null, "gateway", false, "serve routed services through the installed adapter")
         .addOption(null, "check", false, "check the settings and stop")
         .addOption(null, "help", false, "show the usage");
   }
 
-  private static void run(Settings settings) {
+  private static <T extends VerticleBase & Drainable> void run(T instance) {
     FileSystemOptions files =
         new FileSystemOptions().setClassPathResolvingEnabled(false).setFileCachingEnabled(false);
     VertxOptions options = new VertxOptions().setEventLoopPoolSize(1).setFileSystemOptions(files);
     Vertx vertx = Vertx.vertx(options);
-    EntryInstance instance = new EntryInstance(settings);
     try {
       vertx
           .deployVerticle(instance)
@@ -82,7 +118,7 @@
     Runtime.getRuntime().addShutdownHook(new Thread(() -> drain(instance), "drain"));
   }
 
-  private static void drain(EntryInstance instance) {
+  private static void drain(Drainable instance) {
     try {
       instance
           .drain()
--- a/org.oatlug/src/org/oatlug/config/SettingsFile.java
+++ b/org.oatlug/src/org/oatlug/config/SettingsFile.java
@@ -15,6 +15,7 @@
 import java.nio.file.Path;
 import java.util.List;
 import org.oatlug.errors.SettingsInvalidException;
+import org.oatlug.gateway.GatewaySettings;
 import org.oatlug.internal.util.Json;
 
 /**
@@ -24,6 +25,7 @@
  */
 public final class SettingsFile {
   private static final String SCHEMA = "settings.schema.json";
+  private static final String GATEWAY_SCHEMA = "gateway-settings.schema.json";
 
   private SettingsFile() {}
 
@@ -34,14 +36,29 @@
    *     each field at fault
    */
   public static Settings read(Path file) throws SettingsInvalidException {
+    return read(file, SCHEMA, Settings.class);
+  }
+
+  /**
+   * Reads the file of an instance that serves routed services.
+   *
+   * @throws SettingsInvalidException if it cannot be read or breaks the schema, with the path of
+   *     each field at fault
+   */
+  public static GatewaySettings readGateway(Path file) throws SettingsInvalidException {
+    return read(file, GATEWAY_SCHEMA, GatewaySettings.class);
+  }
+
+  private static <T> T read(Path file, String schema, Class<T> type)
+      throws SettingsInvalidException {
     JsonNode tree = readTree(file);
     List<String> problems =
-        schema().validate(tree).stream().map(ValidationMessage::getMessage).sorted().toList();
+        schema(schema).validate(tree).stream().map(ValidationMessage::getMessage).sorted().toList();
     if (!problems.isEmpty()) {
       throw new SettingsInvalidException(problems);
     }
     try {
-      return Json.STRICT.treeToValue(tree, Settings.class);
+      return Json.STRICT.treeToValue(tree, type);
     } catch (JsonProcessingException e) {
       throw new SettingsInvalidException(List.of(e.getOriginalMessage()));
     }
@@ -57,8 +74,8 @@
     }
   }
 
-  private static JsonSchema schema() {
-    InputStream stream = SettingsFile.class.getResourceAsStream(SCHEMA);
+  private static JsonSchema schema(String name) {
+    InputStream stream = SettingsFile.class.getResourceAsStream(name);
     return JsonSchemaFactory.getInstance(SpecVersion.VersionFlag.V202012).getSchema(stream);
   }
 }
--- a/org.oatlug/src/org/oatlug/errors/ErrorText.java
+++ b/org.oatlug/src/org/oatlug/errors/ErrorText.java
@@ -51,6 +51,10 @@
   public String notReady;
   public String stopping;
   public String configurationUnconfirmed;
+  public String requestInvalid;
+  public String headerTooLarge;
+  public String requestTooSlow;
+  public String upstreamBroke;
 
   private ErrorText() {}
 
--- /dev/null
+++ b/org.oatlug/src/org/oatlug/gateway/AnswerHead.java
@@ -0,0 +1,44 @@
+package org.oatlug.gateway;
+
+import java.util.Optional;
+import java.util.OptionalInt;
+
+/**
+ * The head of an upstream's answer, read from its wire form. Immutable.
+ *
+ * @param status the HTTP status
+ * @param requestId the id of the request that it answers
+ * @param signed whether the upstream signed it
+ * @param verdict what the upstream says of the request
+ * @param load the upstream's load, if it tells
+ * @param confidence the model's opinion of its answer, 0 to 100
+ * @param leaving whether the upstream closes its connections
+ */
+public record AnswerHead(
+    int status,
+    Optional<String> requestId,
+    boolean signed,
+    Verdict verdict,
+    Optional<Load> load,
+    OptionalInt confidence,
+    boolean leaving) {
+
+  /** What an upstream says of the request. */
+  public enum Verdict {
+    /** It ran, or may have run. */
+    RAN,
+    /** It did not run and will not run there. */
+    NOT_RUN,
+    /** It did not run: another upstream has the address now. */
+    WRONG_UPSTREAM
+  }
+
+  /**
+   * The load of an upstream when it answered.
+   *
+   * @param running the requests that ran
+   * @param waiting the requests that waited
+   * @param slots how many may run at once
+   */
+  public record Load(int running, int waiting, int slots) {}
+}
--- /dev/null
+++ b/org.oatlug/src/org/oatlug/gateway/DeploymentAdapter.java
@@ -0,0 +1,21 @@
+package org.oatlug.gateway;
+
+import io.vertx.core.Vertx;
+import org.oatlug.platform.Platform;
+
+/**
+ * Translates between a deployment's wire forms and the types of this package.
+ *
+ * <p>Found by {@link java.util.ServiceLoader}. Stateless, used from one event loop.
+ */
+public interface DeploymentAdapter {
+
+  /** Returns the protocol of callers. */
+  CallerProtocol callers();
+
+  /** Returns the protocol of upstreams. */
+  UpstreamProtocol upstreams();
+
+  /** Returns the store of the deployment, whose objects have the kinds of {@link GatewayKinds}. */
+  Platform platform(Vertx vertx, GatewaySettings settings);
+}
--- /dev/null
+++ b/org.oatlug/src/org/oatlug/gateway/ServiceRollout.java
@@ -0,0 +1,47 @@
+package org.oatlug.gateway;
+
+import com.fasterxml.jackson.annotation.JsonProperty;
+import java.util.Optional;
+
+/**
+ * An order to move the traffic of a service to a version, and how far it came. Immutable.
+ *
+ * @param service the service
+ * @param targetVersion the version to move to
+ * @param durationMillis the time that the move may take
+ * @param progress what the system said of it, empty before it began
+ */
+public record ServiceRollout(
+    String service, String targetVersion, long durationMillis, Optional<Progress> progress) {
+
+  /** How far a roll-out came. */
+  public enum State {
+    @JsonProperty("running")
+    RUNNING,
+    @JsonProperty("succeeded")
+    SUCCEEDED,
+    @JsonProperty("rolled-back")
+    ROLLED_BACK
+  }
+
+  /**
+   * What the system says of a roll-out.
+   *
+   * @param state how far it came
+   * @param targetVersion the version that the state is about; another one is of an earlier order
+   * @param startedAtMillis when it began, in milliseconds since 1970
+   */
+  public record Progress(State state, String targetVersion, long startedAtMillis) {}
+
+  /** Returns the state of the present order, empty if it was not begun yet. */
+  public Optional<State> state() {
+    return progress
+        .filter(known -> known.targetVersion().equals(targetVersion))
+        .map(Progress::state);
+  }
+
+  /** Returns the same order with other progress. */
+  public ServiceRollout withProgress(Progress newProgress) {
+    return new ServiceRollout(service, targetVersion, durationMillis, Optional.of(newProgress));
+  }
+}
--- a/org.oatlug/src/org/oatlug/internal/config/Catalogue.java
+++ b/org.oatlug/src/org/oatlug/internal/config/Catalogue.java
@@ -33,7 +33,7 @@
  * <p>Invariant: it shows the newest version of each object. An object that cannot be read is
  * absent, so references to it deny. Owned by one event loop, not thread-safe.
  */
-public final class Catalogue {
+public final class Catalogue implements ObjectSink {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
   private final ObjectJoin join = ObjectJoin.create();
@@ -55,7 +55,7 @@
     return !mergeAll(List.of(object)).isEmpty();
   }
 
-  /** Takes objects in and returns those that were newer than what was known. */
+  @Override
   public List<StoredObject> mergeAll(List<StoredObject> objects) {
     List<StoredObject> fresh = new ArrayList<>();
     Set<String> kinds = new TreeSet<>();
@@ -79,7 +79,7 @@
     }
   }
 
-  /** Returns the join below this view. */
+  @Override
   public ObjectJoin join() {
     return join;
   }
--- a/org.oatlug/src/org/oatlug/internal/config/ConfigurationSystem.java
+++ b/org.oatlug/src/org/oatlug/internal/config/ConfigurationSystem.java
@@ -9,8 +9,13 @@
 import java.time.Instant;
 import java.time.InstantSource;
 import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
+import java.util.Set;
 import java.util.random.RandomGenerator;
+import org.oatlug.api.ObjectKey;
 import org.oatlug.config.Kinds;
 import org.oatlug.internal.membership.Membership;
 import org.oatlug.internal.metrics.Meters;
@@ -18,7 +23,6 @@
 import org.oatlug.internal.peer.PeerMessage;
 import org.oatlug.internal.peer.PeerNetwork;
 import org.oatlug.internal.table.Freshness;
-import org.oatlug.internal.table.Tables;
 import org.oatlug.internal.util.Hashes;
 import org.oatlug.internal.util.TickSystem;
 import org.oatlug.platform.Platform;
@@ -36,38 +40,41 @@
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final Duration EXCHANGE_INTERVAL = Duration.ofMillis(1000);
   private static final Duration LIST_INTERVAL = Duration.ofSeconds(30);
+  private static final Duration INSTANCES_INTERVAL = Duration.ofSeconds(3);
   private static final Duration RETRY_INTERVAL = Duration.ofMillis(500);
   private static final Duration PATIENCE = Duration.ofMillis(800);
   private static final int TREE_WIDTH = 4;
   private static final int WATCHES_PER_BOUND = 3;
+  private static final int REMOTE_RECEIVERS = 2;
 
-  private final Tables tables;
+  private final ObjectSink objects;
+  private final Freshness freshness;
   private final Platform platform;
   private final Membership membership;
   private final PeerNetwork network;
   private final InstantSource clock;
   private final RandomGenerator random;
   private final Meters meters;
-  private boolean watching;
-  private long revision;
-  private Instant nextList = Instant.EPOCH;
-  private Instant nextWatch = Instant.EPOCH;
+  private final List<Watch> watches;
   private Instant nextExchange = Instant.EPOCH;
   private Instant nextInstances = Instant.EPOCH;
 
   private ConfigurationSystem(
-      Tables tables,
+      ObjectSink objects,
+      Freshness freshness,
       Platform platform,
       Membership membership,
       PeerNetwork network,
       Support support) {
-    this.tables = tables;
+    this.objects = objects;
+    this.freshness = freshness;
     this.platform = platform;
     this.membership = membership;
     this.network = network;
     this.clock = support.clock();
     this.random = support.random();
     this.meters = support.meters();
+    this.watches = support.watchGroups().stream().map(Watch::new).toList();
   }
 
   /**
@@ -76,31 +83,37 @@
    * @param clock the clock
    * @param random the source of chance
    * @param meters the counters
+   * @param watchGroups the kinds that are read; those of one group share a watch
    */
-  public record Support(InstantSource clock, RandomGenerator random, Meters meters) {}
+  public record Support(
+      InstantSource clock,
+      RandomGenerator random,
+      Meters meters,
+      List<List<String>> watchGroups) {}
 
   /** Returns a system that has not read anything yet. */
   public static ConfigurationSystem create(
-      Tables tables,
+      ObjectSink objects,
+      Freshness freshness,
       Platform platform,
       Membership membership,
       PeerNetwork network,
       Support support) {
-    return new ConfigurationSystem(tables, platform, membership, network, support);
+    return new ConfigurationSystem(objects, freshness, platform, membership, network, support);
   }
 
   @Override
   public void tick() {
     Instant now = clock.instant();
     readInstances(now);
-    watch(now);
+    watches.forEach(watch -> watch.tick(now));
     exchange(now);
   }
 
   /** Answers a digest, buckets or objects of a peer. */
   public Uni<PeerMessage> handle(Member from, PeerMessage message) {
     if (message instanceof PeerMessage.Digest digest) {
-      if (digest.digest() == tables.catalogue().join().digest()) {
+      if (digest.digest() == objects.join().digest()) {
         learnAge(digest.contactAge());
       }
       return Uni.createFrom().item(ownDigest());
@@ -110,9 +123,9 @@
       return Uni.createFrom().item(answer);
     }
     PeerMessage.Objects objects = (PeerMessage.Objects) message;
-    List<StoredObject> fresh = tables.catalogue().mergeAll(objects.objects());
+    List<StoredObject> fresh = this.objects.mergeAll(objects.objects());
     if (objects.forward() && !fresh.isEmpty()) {
-      forward(fresh);
+      forward(fresh, false);
     }
     return Uni.createFrom().item(new PeerMessage.Done());
   }
@@ -127,57 +140,117 @@
     if (now.isBefore(nextInstances)) {
       return;
     }
-    nextInstances = now.plus(LIST_INTERVAL.dividedBy(10));
+    nextInstances = now.plus(INSTANCES_INTERVAL);
     if (!membership.isReader() && !membership.zonePeers().isEmpty()) {
       return;
     }
     platform.instances().subscribe().with(membership::listed, failure -> {});
   }
 
-  private void watch(Instant now) {
-    if (watching || now.isBefore(nextWatch) || !membership.isReader()) {
-      return;
+  private Uni<Void> listOnce() {
+    Uni<Void> all = Uni.createFrom().voidItem();
+    for (Watch watch : watches) {
+      all = all.onItem().transformToUni(unused -> watch.listOnce());
     }
-    watching = true;
-    boolean list = revision == 0 || !now.isBefore(nextList);
-    Uni<Void> read = list ? listOnce() : watchOnce();
-    read.subscribe().with(unused -> watching = false, this::watchFailed);
+    return all;
   }
 
-  private void watchFailed(Throwable failure) {
-    meters.count("retry.platform-watch");
-    watching = false;
-    revision = 0;
-    nextWatch = clock.instant().plus(RETRY_INTERVAL);
+  /** Returns tombstones for objects of the kinds that the platform no longer lists. */
+  private List<StoredObject> vanished(List<String> kinds, Platform.Batch batch) {
+    Set<ObjectKey> listed = new HashSet<>();
+    batch.objects().forEach(object -> listed.add(object.key()));
+    List<StoredObject> gone = new ArrayList<>();
+    for (StoredObject known : objects.join().all()) {
+      boolean covered =
+          kinds.contains(known.key().kind()) && known.version() <= batch.revision();
+      if (covered && !listed.contains(known.key()) && !Kinds.isTombstone(known.value())) {
+        gone.add(new StoredObject(known.key(), batch.revision(), Kinds.tombstone()));
+      }
+    }
+    return gone;
   }
 
-  private Uni<Void> listOnce() {
-    return platform.list(Kinds.ALL).invoke(this::listed).replaceWithVoid();
+  private void received(List<StoredObject> received, long revision) {
+    freshness.learn(Duration.ZERO, clock.instant());
+    List<StoredObject> fresh = objects.mergeAll(received);
+    if (!fresh.isEmpty()) {
+      logger.atInfo().log("%d objects came into force at revision %d", fresh.size(), revision);
+      forward(fresh, true);
+    }
   }
 
-  private void listed(Platform.Batch batch) {
-    nextList = clock.instant().plus(LIST_INTERVAL);
-    received(batch);
-  }
+  /** Reads the kinds of one group: a list first, then watches, a list again after any failure. */
+  private final class Watch {
+    private final List<String> kinds;
+    private boolean waiting;
+    private long revision;
+    private int failuresInRow;
+    private Instant nextList = Instant.EPOCH;
+    private Instant nextCall = Instant.EPOCH;
 
-  private Uni<Void> watchOnce() {
-    Duration wait = tables.freshness().bound().dividedBy(WATCHES_PER_BOUND);
-    return platform.watch(Kinds.ALL, revision, wait).invoke(this::received).replaceWithVoid();
-  }
+    Watch(List<String> kinds) {
+      this.kinds = kinds;
+    }
 
-  private void received(Platform.Batch batch) {
-    revision = batch.revision();
-    Freshness freshness = tables.freshness();
-    freshness.learn(Duration.ZERO, clock.instant());
-    List<StoredObject> fresh = tables.catalogue().mergeAll(batch.objects());
-    if (!fresh.isEmpty()) {
-      logger.atInfo().log("%d objects came into force at revision %d", fresh.size(), revision);
-      forward(fresh);
+    void tick(Instant now) {
+      if (waiting || now.isBefore(nextCall) || !membership.isReader()) {
+        return;
+      }
+      waiting = true;
+      boolean list = revision == 0 || !now.isBefore(nextList);
+      Uni<Void> read = list ? listOnce() : watchOnce();
+      read.subscribe().with(unused -> succeeded(), this::failed);
+    }
+
+    Uni<Void> listOnce() {
+      return platform.list(kinds).invoke(this::listed).replaceWithVoid();
+    }
+
+    private void listed(Platform.Batch batch) {
+      nextList = clock.instant().plus(LIST_INTERVAL);
+      revision = batch.revision();
+      List<StoredObject> all = new ArrayList<>(batch.objects());
+      all.addAll(vanished(kinds, batch));
+      received(all, revision);
+    }
+
+    private Uni<Void> watchOnce() {
+      Duration wait = freshness.bound().dividedBy(WATCHES_PER_BOUND);
+      return platform.watch(kinds, revision, wait).invoke(this::changed).replaceWithVoid();
+    }
+
+    private void changed(Platform.Batch batch) {
+      revision = batch.revision();
+      received(batch.objects(), revision);
+    }
+
+    private void succeeded() {
+      if (failuresInRow > 0) {
+        logger.atInfo().log("the platform answers again for %s", kinds);
+      }
+      failuresInRow = 0;
+      waiting = false;
+    }
+
+    private void failed(Throwable failure) {
+      if (failuresInRow == 0) {
+        logger.atWarning().log("the platform fails for %s: %s", kinds, failure.getMessage());
+      }
+      meters.count("retry.platform-watch");
+      waiting = false;
+      revision = 0;
+      nextCall = failuresInRow == 0 ? clock.instant() : clock.instant().plus(RETRY_INTERVAL);
+      failuresInRow++;
     }
   }
 
-  /** Passes objects on to this instance's children in the tree of the newest of them. */
-  private void forward(List<StoredObject> objects) {
+  /**
+   * Passes objects on to this instance's children in the tree of the newest of them.
+   *
+   * @param fromPlatform whether they come from the platform and not from a peer; then they also go
+   *     to a few instances of other zones, which may be cut from it
+   */
+  private void forward(List<StoredObject> objects, boolean fromPlatform) {
     long newest = objects.stream().mapToLong(StoredObject::version).max().orElse(0);
     List<Member> zone = new ArrayList<>(membership.zonePeers());
     zone.add(membership.self());
@@ -193,6 +266,21 @@
         send(peer, message);
       }
     }
+    if (fromPlatform) {
+      remoteReceivers().forEach(peer -> send(peer, message));
+    }
+  }
+
+  /** Returns the first live instances of each other zone. */
+  private List<Member> remoteReceivers() {
+    Map<String, Integer> chosen = new HashMap<>();
+    List<Member> receivers = new ArrayList<>();
+    for (Member peer : membership.remotePeers()) {
+      if (chosen.merge(peer.zone(), 1, Integer::sum) <= REMOTE_RECEIVERS) {
+        receivers.add(peer);
+      }
+    }
+    return receivers;
   }
 
   private void send(Member peer, PeerMessage message) {
@@ -243,11 +331,11 @@
   }
 
   private Uni<Void> compare(Member peer, PeerMessage.Digest digest) {
-    if (digest.digest() == tables.catalogue().join().digest()) {
+    if (digest.digest() == objects.join().digest()) {
       learnAge(digest.contactAge());
       return Uni.createFrom().voidItem();
     }
-    long[] own = tables.catalogue().join().bucketDigests();
+    long[] own = objects.join().bucketDigests();
     return network
         .ask(peer, new PeerMessage.BucketDigests(own, age()), PATIENCE)
         .invoke(answer -> takeDifference((PeerMessage.Objects) answer))
@@ -255,37 +343,37 @@
   }
 
   private void takeDifference(PeerMessage.Objects objects) {
-    List<StoredObject> fresh = tables.catalogue().mergeAll(objects.objects());
+    List<StoredObject> fresh = this.objects.mergeAll(objects.objects());
     learnAge(objects.contactAge());
     if (!fresh.isEmpty()) {
       meters.count("configuration.repaired");
-      forward(fresh);
+      forward(fresh, false);
     }
   }
 
   private List<StoredObject> differing(long[] digests) {
-    long[] own = tables.catalogue().join().bucketDigests();
-    List<StoredObject> objects = new ArrayList<>();
+    long[] own = objects.join().bucketDigests();
+    List<StoredObject> found = new ArrayList<>();
     for (int bucket = 0; bucket < Math.min(own.length, digests.length); bucket++) {
       if (own[bucket] != digests[bucket]) {
-        objects.addAll(tables.catalogue().join().bucket(bucket));
+        found.addAll(objects.join().bucket(bucket));
       }
     }
-    return objects;
+    return found;
   }
 
   private PeerMessage.Digest ownDigest() {
-    return new PeerMessage.Digest(tables.catalogue().join().digest(), age());
+    return new PeerMessage.Digest(objects.join().digest(), age());
   }
 
   private long age() {
-    return tables.freshness().age(clock.instant()).map(Duration::toMillis).orElse(-1L);
+    return freshness.age(clock.instant()).map(Duration::toMillis).orElse(-1L);
   }
 
   /** Learns the age of a peer's platform contact, once this instance has all that the peer has. */
   private void learnAge(long ageMillis) {
     if (ageMillis >= 0) {
-      tables.freshness().learn(Duration.ofMillis(ageMillis), clock.instant());
+      freshness.learn(Duration.ofMillis(ageMillis), clock.instant());
     }
   }
 }
--- a/org.oatlug/src/org/oatlug/internal/config/ObjectJoin.java
+++ b/org.oatlug/src/org/oatlug/internal/config/ObjectJoin.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.TreeMap;
 import org.oatlug.api.ObjectKey;
+import org.oatlug.config.Kinds;
 import org.oatlug.internal.util.Hashes;
 import org.oatlug.platform.StoredObject;
 
@@ -37,7 +38,7 @@
   /** Takes the object in and returns whether it was newer than what was known. */
   public boolean merge(StoredObject object) {
     StoredObject known = objects.get(object.key());
-    if (known != null && known.version() >= object.version()) {
+    if (known != null && rank(known) >= rank(object)) {
       return false;
     }
     if (known != null) {
@@ -84,10 +85,15 @@
   }
 
   private void mix(StoredObject object) {
-    long hash = Hashes.hash64(object.key().toString(), Long.toString(object.version()));
+    long hash = Hashes.hash64(object.key().toString(), Long.toString(rank(object)));
     digests[bucketOf(object.key())] ^= hash;
   }
 
+  /** Orders by version; a tombstone goes before content of the same version. */
+  private static long rank(StoredObject object) {
+    return 2 * object.version() + (Kinds.isTombstone(object.value()) ? 1 : 0);
+  }
+
   private static int bucketOf(ObjectKey key) {
     return Math.floorMod(key.hashCode(), BUCKETS);
   }
--- /dev/null
+++ b/org.oatlug/src/org/oatlug/internal/config/ObjectSink.java
@@ -0,0 +1,14 @@
+package org.oatlug.internal.config;
+
+import java.util.List;
+import org.oatlug.platform.StoredObject;
+
+/** Takes published objects in. Owned by one event loop, not thread-safe. */
+public interface ObjectSink {
+
+  /** Takes objects in and returns those that were newer than what was known. */
+  List<StoredObject> mergeAll(List<StoredObject> objects);
+
+  /** Returns the join of all objects taken in. */
+  ObjectJoin join();
+}
--- /dev/null
+++ b/org.oatlug/src/org/oatlug/internal/gateway/CallerConnection.java
@@ -0,0 +1,96 @@
+package org.oatlug.internal.gateway;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpConnection;
+import java.util.function.Supplier;
+import org.oatlug.gateway.CallerLimits;
+
+/**
+ * One connection of a caller: closes it when it rested too long.
+ *
+ * <p>The limit is read when the time is up, so that a longer one in force by then counts.
+ * Invariant: no connection is closed here while a request on it is open. Used from one event loop.
+ */
+final class CallerConnection {
+  private static final long NO_TIMER = -1;
+
+  private final Vertx vertx;
+  private final HttpConnection connection;
+  private final Supplier<CallerLimits> limits;
+  private int open;
+  private boolean closed;
+  private long restingSince;
+  private long timer = NO_TIMER;
+
+  private CallerConnection(Vertx vertx, HttpConnection connection, Supplier<CallerLimits> limits) {
+    this.vertx = vertx;
+    this.connection = connection;
+    this.limits = limits;
+  }
+
+  /** Watches over a connection that was just opened. */
+  static CallerConnection watch(
+      Vertx vertx, HttpConnection connection, Supplier<CallerLimits> limits) {
+    CallerConnection watched = new CallerConnection(vertx, connection, limits);
+    watched.rest();
+    return watched;
+  }
+
+  /** Notes that the connection is closed. */
+  void closed() {
+    closed = true;
+    cancel();
+  }
+
+  /** Notes that a request began. */
+  void requestBegan() {
+    open++;
+    cancel();
+  }
+
+  /** Notes that a request got its answer. */
+  void requestEnded() {
+    open--;
+    if (open == 0 && !closed) {
+      rest();
+    }
+  }
+
+  /** Returns whether no request is open on it. */
+  boolean isResting() {
+    return open == 0;
+  }
+
+  /** Closes the connection. */
+  void close() {
+    connection.close();
+  }
+
+  private void rest() {
+    restingSince = System.nanoTime();
+    schedule(limits.get().idleTimeoutMillis());
+  }
+
+  private void schedule(long millis) {
+    cancel();
+    timer = vertx.setTimer(Math.max(1, millis), unused -> timeUp());
+  }
+
+  private void timeUp() {
+    timer = NO_TIMER;
+    long restedMillis = (System.nanoTime() - restingSince) / 1_000_000;
+    long left = limits.get().idleTimeoutMillis() - restedMillis;
+    if (left > 0) {
+      schedule(left);
+    } else {
+      connection.close();
+    }
+  }
+
+  private void cancel() {
+    if (timer != NO_TIMER) {
+      vertx.cancelTimer(timer);
+      timer = NO_TIMER;
+    }
+  }
+}
--- /dev/null
+++ b/org.oatlug/src/org/oatlug/internal/gateway/CallerFront.java
@@ -0,0 +1,308 @@
+package org.oatlug.internal.gateway;
+
+import com.google.common.flogger.FluentLogger;
+import io.vertx.core.Future;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpConnection;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerOptions;
+import io.vertx.core.http.HttpServerRequest;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+import org.oatlug.api.Refusal;
+import org.oatlug.api.RefusalReason;
+import org.oatlug.errors.ErrorText;
+import org.oatlug.errors.RefusedException;
+import org.oatlug.errors.RequestInvalidException;
+import org.oatlug.gateway.GatewaySettings.Endpoint;
+import org.oatlug.gateway.RequestHead;
+import org.oatlug.gateway.Route;
+import org.oatlug.gateway.WorkspaceKeys;
+import org.oatlug.internal.util.LogKeys;
+
+/**
+ * Where callers connect: reads requests, refuses those that may not go on, and starts the others.
+ *
+ * <p>Invariant: what is refused here was handed to no upstream. Used from one event loop.
+ */
+public final class CallerFront {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  /** The decoder's bound of a head; the smaller bound in force is checked on the whole head. */
+  private static final int DECODER_HEADER_BYTES = 262_144;
+
+  /** What the bodies of all open requests may hold together, in bytes: a share of the heap. */
+  private static final long BODIES_BYTES = 24L * 1024 * 1024;
+
+  /** How long callers that come before the first configuration shall wait. */
+  private static final Duration COME_BACK = Duration.ofMillis(500);
+
+  private static final int SEPARATORS_BYTES = 4;
+
+  private final GatewayParts parts;
+  private final RandomGenerator random;
+  private final Map<HttpConnection, CallerConnection> connections = new HashMap<>();
+  private int open;
+  private long bodyBytes;
+  private boolean stopping;
+
+  private CallerFront(GatewayParts parts, RandomGenerator random) {
+    this.parts = parts;
+    this.random = random;
+  }
+
+  /** Returns a front that does not listen yet. */
+  public static CallerFront create(GatewayParts parts, RandomGenerator random) {
+    return new CallerFront(parts, random);
+  }
+
+  /** Starts to accept callers. */
+  public Future<HttpServer> listen() {
+    Endpoint endpoint = parts.settings().callers();
+    HttpServerOptions options =
+        new HttpServerOptions()
+            .setHttp2ClearTextEnabled(false)
+            .setMaxHeaderSize(DECODER_HEADER_BYTES)
+            .setMaxInitialLineLength(DECODER_HEADER_BYTES)
+            .setHandle100ContinueAutomatically(true)
+            .setTcpNoDelay(true);
+    return parts
+        .vertx()
+        .createHttpServer(options)
+        .connectionHandler(this::connected)
+        .requestHandler(this::received)
+        .listen(endpoint.port(), endpoint.host());
+  }
+
+  /** Returns the number of open requests. */
+  public int open() {
+    return open;
+  }
+
+  /** Asks callers to go elsewhere: each answer ends its connection, resting ones are closed. */
+  public void stopKeeping() {
+    stopping = true;
+    for (CallerConnection connection : List.copyOf(connections.values())) {
+      if (connection.isResting()) {
+        connection.close();
+      }
+    }
+  }
+
+  /** Cuts what is still open. */
+  public void cutAll() {
+    List.copyOf(connections.values()).forEach(CallerConnection::close);
+  }
+
+  private void connected(HttpConnection connection) {
+    CallerConnection watched =
+        CallerConnection.watch(parts.vertx(), connection, () -> parts.tables().limits());
+    connections.put(connection, watched);
+    connection.closeHandler(
+        unused -> {
+          connections.remove(connection);
+          watched.closed();
+        });
+  }
+
+  private void received(HttpServerRequest request) {
+    OpenRequest opened = new OpenRequest(request, parts.clock().instant());
+    opened.begin();
+    try {
+      RequestHead head = readHead(request);
+      opened.readBody(head, admit(request, head));
+    } catch (RefusedException e) {
+      opened.refuse(e.refusal(), "");
+    }
+  }
+
+  private record Admitted(Route route, Optional<WorkspaceKeys> workspace) {}
+
+  private RequestHead readHead(HttpServerRequest request) throws RefusedException {
+    int limit = parts.tables().limits().headerBytes();
+    if (headBytes(request) > limit) {
+      String text = ErrorText.format(ErrorText.get().headerTooLarge, limit);
+      throw refused(RefusalReason.HEADER_TOO_LARGE, text);
+    }
+    try {
+      return parts.adapter().callers().read(request);
+    } catch (RequestInvalidException e) {
+      throw refused(RefusalReason.HEADER_INVALID, e.getMessage());
+    }
+  }
+
+  private static int headBytes(HttpServerRequest request) {
+    int bytes = request.uri().length();
+    for (Map.Entry<String, String> header : request.headers()) {
+      bytes += header.getKey().length() + header.getValue().length() + SEPARATORS_BYTES;
+    }
+    return bytes;
+  }
+
+  private Admitted admit(HttpServerRequest request, RequestHead head) throws RefusedException {
+    if (parts.tables().configuration().isEmpty()) {
+      throw new RefusedException(
+          Refusal.retryAfter(RefusalReason.NOT_READY, ErrorText.get().notReady, COME_BACK));
+    }
+    Route route =
+        parts
+            .tables()
+            .routes()
+            .find(head.host(), head.path())
+            .orElseThrow(
+                () ->
+                    refused(
+                        RefusalReason.ROUTE_UNKNOWN,
+                        ErrorText.format(ErrorText.get().routeUnknown, head.path())));
+    Optional<WorkspaceKeys> workspace = authenticate(head, route);
+    long length = declaredLength(request);
+    if (length > parts.tables().limits().bodyBytes()) {
+      throw bodyTooLarge();
+    }
+    return new Admitted(route, workspace);
+  }
+
+  private Optional<WorkspaceKeys> authenticate(RequestHead head, Route route)
+      throws RefusedException {
+    KeyIndex keys = parts.tables().keys();
+    Optional<WorkspaceKeys> workspace = head.key().flatMap(keys::find);
+    if (!keys.isRequired() || route.openToAll()) {
+      return workspace;
+    }
+    if (head.key().isEmpty()) {
+      throw refused(RefusalReason.KEY_MISSING, ErrorText.get().keyMissing);
+    }
+    if (workspace.isEmpty()) {
+      throw refused(RefusalReason.KEY_UNKNOWN, ErrorText.get().keyUnknown);
+    }
+    return workspace;
+  }
+
+  private static long declaredLength(HttpServerRequest request) {
+    String text = request.getHeader("Content-Length");
+    return text == null ? 0 : Long.parseLong(text.trim());
+  }
+
+  private Incoming incoming(
+      HttpServerRequest request,
+      RequestHead head,
+      Admitted admitted,
+      Buffer body,
+      Instant arrived) {
+    Route route = admitted.route();
+    Duration timeout = Duration.ofMillis(route.timeoutMillis());
+    Duration patience = head.patience().orElse(timeout);
+    Duration held = patience.compareTo(timeout) < 0 ? patience : timeout;
+    boolean hasBody =
+        request.getHeader("Content-Length") != null
+            || request.getHeader("Transfer-Encoding") != null;
+    return new Incoming(
+        head,
+        route,
+        target(route),
+        admitted.workspace(),
+        request.method(),
+        request.uri(),
+        parts.adapter().callers().passedOn(request),
+        body,
+        hasBody,
+        arrived,
+        arrived.plus(held));
+  }
+
+  private String target(Route route) {
+    int total = route.targets().stream().mapToInt(Route.WeightedTarget::weight).sum();
+    int drawn = total > 0 ? random.nextInt(total) : 0;
+    for (Route.WeightedTarget target : route.targets()) {
+      drawn -= target.weight();
+      if (drawn < 0) {
+        return target.service();
+      }
+    }
+    return route.targets().get(0).service();
+  }
+
+  private RefusedException bodyTooLarge() {
+    int limit = parts.tables().limits().bodyBytes();
+    return refused(
+        RefusalReason.BODY_TOO_LARGE, ErrorText.format(ErrorText.get().bodyTooLarge, limit));
+  }
+
+  private static RefusedException refused(RefusalReason reason, String text) {
+    return new RefusedException(Refusal.notRun(reason, text));
+  }
+
+  /** A request from its head to the end of its answer. */
+  private final class OpenRequest {
+    private final HttpServerRequest request;
+    private final Instant arrived;
+    private final CallerAnswer answer;
+    private final Optional<CallerConnection> connection;
+    private final Buffer body = Buffer.buffer();
+
+    OpenRequest(HttpServerRequest request, Instant arrived) {
+      this.request = request;
+      this.arrived = arrived;
+      this.answer = new CallerAnswer(request);
+      this.connection = Optional.ofNullable(connections.get(request.connection()));
+    }
+
+    void begin() {
+      open++;
+      connection.ifPresent(CallerConnection::requestBegan);
+      request.response().endHandler(unused -> ended());
+      if (stopping) {
+        answer.closeAfterwards();
+      }
+    }
+
+    private void ended() {
+      open--;
+      bodyBytes -= body.length();
+      connection.ifPresent(CallerConnection::requestEnded);
+    }
+
+    void readBody(RequestHead head, Admitted admitted) {
+      request.handler(data -> addToBody(head, data));
+      request.endHandler(
+          unused -> {
+            if (!answer.isEnded()) {
+              Exchange.start(parts, answer, incoming(request, head, admitted, body, arrived));
+            }
+          });
+    }
+
+    private void addToBody(RequestHead head, Buffer data) {
+      if (answer.isEnded()) {
+        return;
+      }
+      body.appendBuffer(data);
+      bodyBytes += data.length();
+      if (body.length() > parts.tables().limits().bodyBytes()) {
+        refuse(bodyTooLarge().refusal(), head.id());
+      } else if (bodyBytes > BODIES_BYTES) {
+        String text = ErrorText.get().overloaded;
+        refuse(Refusal.retryAfter(RefusalReason.OVERLOADED, text, COME_BACK), head.id());
+      }
+    }
+
+    void refuse(Refusal refusal, String requestId) {
+      parts.meters().refused(refusal.reason());
+      logger.atInfo().with(LogKeys.REQUEST_ID, requestId).log(
+          "refused %s before any attempt: %s path=%s host=%s",
+          refusal.reason().text(),
+          refusal.detail(),
+          request.path(),
+          request.getHeader("Host"));
+      if (!request.isEnded()) {
+        answer.closeAfterwards();
+      }
+      answer.refuse(refusal, requestId);
+    }
+  }
+}
--- /dev/null
+++ b/org.oatlug/src/org/oatlug/internal/gateway/GatewayTables.java
@@ -0,0 +1,185 @@
+package org.oatlug.internal.gateway;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.google.common.flogger.FluentLogger;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.oatlug.config.Kinds;
+import org.oatlug.gateway.CallerLimits;
+import org.oatlug.gateway.GatewayKinds;
+import org.oatlug.gateway.RoutingConfiguration;
+import org.oatlug.gateway.ServiceDefinition;
+import org.oatlug.gateway.ServiceRollout;
+import org.oatlug.gateway.UpstreamRecord;
+import org.oatlug.internal.config.ObjectJoin;
+import org.oatlug.internal.config.ObjectSink;
+import org.oatlug.internal.table.UpstreamTable;
+import org.oatlug.internal.util.Json;
+import org.oatlug.platform.StoredObject;
+
+/**
+ * The state by which one instance routes requests to services.
+ *
+ * <p>Invariants: it shows the newest known version of each object; an older configuration never
+ * replaces a newer one. An object that cannot be read is passed over with a log line and the one
+ * before it stays. Owned by one event loop, not thread-safe.
+ */
+public final class GatewayTables implements ObjectSink {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  private final ObjectJoin join = ObjectJoin.create();
+  private final UpstreamTable loads = UpstreamTable.create();
+  private final Map<String, UpstreamRecord> upstreams = new TreeMap<>();
+  private final Map<String, List<String>> upstreamsByService = new HashMap<>();
+  private final Map<String, ServiceRollout> rollouts = new TreeMap<>();
+  private final Map<String, ServiceDefinition> services = new HashMap<>();
+  private Optional<RoutingConfiguration> configuration = Optional.empty();
+  private RouteIndex routes = RouteIndex.empty();
+  private KeyIndex keys = KeyIndex.open();
+
+  private GatewayTables() {}
+
+  /** Returns empty tables. */
+  public static GatewayTables create() {
+    return new GatewayTables();
+  }
+
+  @Override
+  public ObjectJoin join() {
+    return join;
+  }
+
+  @Override
+  public List<StoredObject> mergeAll(List<StoredObject> objects) {
+    List<StoredObject> fresh = new ArrayList<>();
+    for (StoredObject object : objects) {
+      if (join.merge(object)) {
+        fresh.add(object);
+        take(object);
+      }
+    }
+    return fresh;
+  }
+
+  private void take(StoredObject object) {
+    try {
+      switch (object.key().kind()) {
+        case GatewayKinds.ROUTING -> takeRouting(object);
+        case GatewayKinds.UPSTREAM -> takeUpstream(object);
+        case GatewayKinds.ROLLOUT -> takeRollout(object);
+        default -> logger.atWarning().log("object %s is of an unknown kind", object.key());
+      }
+    } catch (JsonProcessingException e) {
+      logger.atWarning().log("object %s is passed over: %s", object.key(), e.getOriginalMessage());
+    }
+  }
+
+  private void takeRouting(StoredObject object) throws JsonProcessingException {
+    if (Kinds.isTombstone(object.value())) {
+      return;
+    }
+    RoutingConfiguration read =
+        Json.STRICT.treeToValue(object.value(), RoutingConfiguration.class);
+    configuration = Optional.of(read);
+    routes = RouteIndex.of(read.routes());
+    keys = read.workspaces().map(KeyIndex::of).orElse(KeyIndex.open());
+    services.clear();
+    read.services().forEach(service -> services.put(service.name(), service));
+    logger.atInfo().log(
+        "configuration version=%d revision=%d is in force, %d routes",
+        read.version(), object.version(), read.routes().size());
+  }
+
+  private void takeUpstream(StoredObject object) throws JsonProcessingException {
+    String name = object.key().name();
+    UpstreamRecord known = upstreams.remove(name);
+    if (known != null) {
+      upstreamsByService.getOrDefault(known.service(), new ArrayList<>()).remove(name);
+    }
+    if (Kinds.isTombstone(object.value())) {
+      logger.atInfo().log("upstream %s revision=%d is gone", name, object.version());
+      return;
+    }
+    UpstreamRecord read = Json.STRICT.treeToValue(object.value(), UpstreamRecord.class);
+    upstreams.put(name, read);
+    upstreamsByService.computeIfAbsent(read.service(), unused -> new ArrayList<>()).add(name);
+    if (known == null || known.leaving() != read.leaving()) {
+      logger.atInfo().log(
+          "upstream %s revision=%d service=%s version=%s zone=%s leaving=%b",
+          name, object.version(), read.service(), read.version(), read.zone(), read.leaving());
+    }
+  }
+
+  private void takeRollout(StoredObject object) throws JsonProcessingException {
+    String name = object.key().name();
+    if (Kinds.isTombstone(object.value())) {
+      rollouts.remove(name);
+      return;
+    }
+    ServiceRollout read = Json.STRICT.treeToValue(object.value(), ServiceRollout.class);
+    rollouts.put(name, read);
+    logger.atInfo().log(
+        "roll-out of %s revision=%d to=%s state=%s",
+        name, object.version(), read.targetVersion(), read.state());
+  }
+
+  /** Returns the configuration in force, empty before the first one. */
+  public Optional<RoutingConfiguration> configuration() {
+    return configuration;
+  }
+
+  /** Returns the bounds for callers that are in force. */
+  public CallerLimits limits() {
+    return configuration.map(RoutingConfiguration::limits).orElse(CallerLimits.DEFAULT);
+  }
+
+  /** Returns the routes in force. */
+  public RouteIndex routes() {
+    return routes;
+  }
+
+  /** Returns the keys in force. */
+  public KeyIndex keys() {
+    return keys;
+  }
+
+  /** Returns the service of this name. */
+  public Optional<ServiceDefinition> service(String name) {
+    return Optional.ofNullable(services.get(name));
+  }
+
+  /** Returns the upstream of this name. */
+  public Optional<UpstreamRecord> upstream(String name) {
+    return Optional.ofNullable(upstreams.get(name));
+  }
+
+  /** Returns the names of the upstreams of a service. */
+  public List<String> upstreamsOf(String service) {
+    return upstreamsByService.getOrDefault(service, List.of());
+  }
+
+  /** Returns the names of all upstreams. */
+  public Collection<String> upstreamNames() {
+    return upstreams.keySet();
+  }
+
+  /** Returns the roll-out of a service. */
+  public Optional<ServiceRollout> rollout(String service) {
+    return Optional.ofNullable(rollouts.get(service));
+  }
+
+  /** Returns the services that have a roll-out, running or not. */
+  public Collection<String> servicesWithRollout() {
+    return rollouts.keySet();
+  }
+
+  /** Returns what is known of the load of upstreams. */
+  public UpstreamTable loads() {
+    return loads;
+  }
+}
--- /dev/null
+++ b/org.oatlug/src/org/oatlug/internal/gateway/KeyIndex.java
@@ -0,0 +1,42 @@
+package org.oatlug.internal.gateway;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.oatlug.gateway.WorkspaceKeys;
+
+/** Finds the workspace of a caller's key. Immutable, thread-safe. */
+public final class KeyIndex {
+  private final boolean required;
+  private final Map<String, WorkspaceKeys> byKey;
+
+  private KeyIndex(boolean required, Map<String, WorkspaceKeys> byKey) {
+    this.required = required;
+    this.byKey = byKey;
+  }
+
+  /** Returns an index for a deployment that asks for no keys. */
+  static KeyIndex open() {
+    return new KeyIndex(false, Map.of());
+  }
+
+  /** Returns an index of the keys of the workspaces. */
+  public static KeyIndex of(List<WorkspaceKeys> workspaces) {
+    Map<String, WorkspaceKeys> byKey = new HashMap<>();
+    for (WorkspaceKeys workspace : workspaces) {
+      workspace.keys().forEach(key -> byKey.put(key, workspace));
+    }
+    return new KeyIndex(true, byKey);
+  }
+
+  /** Returns whether requests need a key. */
+  public boolean isRequired() {
+    return required;
+  }
+
+  /** Returns the workspace that holds the key. */
+  public Optional<WorkspaceKeys> find(String key) {
+    return Optional.ofNullable(byKey.get(key));
+  }
+}
--- /dev/null
+++ b/org.oatlug/src/org/oatlug/internal/gateway/UpstreamSelection.java
@@ -0,0 +1,165 @@
+package org.oatlug.internal.gateway;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+import org.oatlug.gateway.Generation;
+import org.oatlug.gateway.PromptPart;
+import org.oatlug.gateway.UpstreamRecord;
+import org.oatlug.internal.table.UpstreamRow;
+import org.oatlug.internal.util.Hashes;
+
+/**
+ * Chooses the upstream of a service that answers a request.
+ *
+ * <p>The cost of an upstream is the time that the request would wait and read its prompt there, as
+ * far as this instance knows. Own availability zone first: another one costs a fixed time more,
+ * because bytes between zones are dear. Invariant: an upstream that is leaving or was tried is
+ * never chosen; one that is kept out after failures only if there is no other. Owned by one event
+ * loop, not thread-safe.
+ */
+final class UpstreamSelection {
+  /** What a request in another zone costs more, in milliseconds; from the price of the bytes. */
+  private static final double OTHER_ZONE_MILLIS = 400;
+
+  /** What a fully used upstream costs more than an empty one, in milliseconds. */
+  private static final double FULL_LOAD_MILLIS = 300;
+
+  /** What each request beyond the slots of an upstream costs, in milliseconds. */
+  private static final double WAITING_MILLIS = 100;
+
+  /** What an upstream that is kept out costs, in milliseconds: more than any load. */
+  private static final double KEPT_OUT_MILLIS = 100_000;
+
+  /** Prompt tokens that an engine reads in a millisecond; from the deployments' sheets. */
+  private static final double TOKENS_PER_MILLI = 112;
+
+  /** Spreads requests over upstreams of equal cost, in milliseconds. */
+  private static final double SPREAD_MILLIS = 5;
+
+  private final String zone;
+  private final GatewayTables tables;
+  private final RandomGenerator random;
+
+  private UpstreamSelection(String zone, GatewayTables tables, RandomGenerator random) {
+    this.zone = zone;
+    this.tables = tables;
+    this.random = random;
+  }
+
+  /** Returns a selection for an instance of the zone. */
+  static UpstreamSelection create(String zone, GatewayTables tables, RandomGenerator random) {
+    return new UpstreamSelection(zone, tables, random);
+  }
+
+  /**
+   * What an upstream is wanted for.
+   *
+   * @param service the service
+   * @param version the version that it has to have, empty for any
+   * @param model the model that will answer, empty for none
+   * @param generation what the request says of its prompt
+   * @param excluded upstreams that were tried
+   */
+  record Wanted(
+      String service,
+      Optional<String> version,
+      Optional<String> model,
+      Optional<Generation> generation,
+      Set<String> excluded) {}
+
+  /** A chosen upstream. */
+  record Chosen(String name, UpstreamRecord upstream, UpstreamRow row) {}
+
+  /** Returns the cheapest upstream, empty if there is none. */
+  Optional<Chosen> choose(Wanted wanted, Instant now) {
+    List<Chosen> candidates = candidates(wanted);
+    Optional<Chosen> best = Optional.empty();
+    double lowest = Double.MAX_VALUE;
+    String home = homeOf(wanted, candidates);
+    for (Chosen candidate : candidates) {
+      double cost = cost(candidate, wanted, home, now);
+      if (cost < lowest) {
+        lowest = cost;
+        best = Optional.of(candidate);
+      }
+    }
+    return best;
+  }
+
+  private List<Chosen> candidates(Wanted wanted) {
+    List<Chosen> candidates = new ArrayList<>();
+    for (String name : tables.upstreamsOf(wanted.service())) {
+      UpstreamRecord upstream = tables.upstream(name).orElseThrow();
+      UpstreamRow row = tables.loads().row(name);
+      boolean usable = !upstream.leaving() && !row.leaving() && !wanted.excluded().contains(name);
+      boolean fits = wanted.version().map(upstream.version()::equals).orElse(true);
+      if (usable && fits) {
+        candidates.add(new Chosen(name, upstream, row));
+      }
+    }
+    return candidates;
+  }
+
+  private double cost(Chosen candidate, Wanted wanted, String home, Instant now) {
+    int slots = Math.max(1, candidate.upstream().slots());
+    double load = tables.loads().estimatedLoad(candidate.row());
+    double cost = FULL_LOAD_MILLIS * load / slots + random.nextDouble() * SPREAD_MILLIS;
+    cost += WAITING_MILLIS * Math.max(0, load + 1 - slots);
+    if (!candidate.upstream().zone().equals(zone)) {
+      cost += OTHER_ZONE_MILLIS;
+    }
+    if (candidate.row().ejected(now)) {
+      cost += KEPT_OUT_MILLIS;
+    }
+    return cost + uncachedTokens(candidate, wanted, home) / TOKENS_PER_MILLI;
+  }
+
+  /** Returns the prompt tokens that the upstream probably has to read. */
+  private static double uncachedTokens(Chosen candidate, Wanted wanted, String home) {
+    if (wanted.generation().isEmpty()) {
+      return 0;
+    }
+    long model = Hashes.hash64(wanted.model().orElse(""));
+    int total = wanted.generation().get().promptTokens();
+    int cached = 0;
+    for (PromptPart part : wanted.generation().get().prompt()) {
+      boolean known = candidate.row().hasPrefix(Hashes.combine(model, part.hash()));
+      if (!known && !candidate.name().equals(home)) {
+        break;
+      }
+      cached += part.tokens();
+    }
+    return Math.max(0, total - cached);
+  }
+
+  /** Returns the upstream of the own zone that all instances prefer for the shared prompt. */
+  private String homeOf(Wanted wanted, List<Chosen> candidates) {
+    List<PromptPart> parts = wanted.generation().map(Generation::prompt).orElse(List.of());
+    if (parts.size() < 2) {
+      return "";
+    }
+    long shared = parts.get(parts.size() - 2).hash();
+    String home = "";
+    long highest = Long.MIN_VALUE;
+    for (Chosen candidate : candidates) {
+      long rank = candidate.row().rankFor(shared);
+      if (candidate.upstream().zone().equals(zone) && rank > highest) {
+        highest = rank;
+        home = candidate.name();
+      }
+    }
+    return home;
+  }
+
+  /** Remembers that the upstream reads the prompt for the model. */
+  static void rememberPrompt(UpstreamRow row, String model, Generation generation) {
+    long hash = Hashes.hash64(model);
+    for (PromptPart part : generation.prompt()) {
+      row.rememberPrefix(Hashes.combine(hash, part.hash()));
+    }
+  }
+}
--- /dev/null
+++ b/org.oatlug/src/org/oatlug/internal/gateway/package-info.java
@@ -0,0 +1,2 @@
+/** Routed services: tables, decisions and the way of a request through one instance. */
+package org.oatlug.internal.gateway;
--- a/org.oatlug/src/org/oatlug/internal/http/Problem.java
+++ b/org.oatlug/src/org/oatlug/internal/http/Problem.java
@@ -7,11 +7,12 @@
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpServerResponse;
 import java.time.Duration;
+import java.util.function.Function;
 import org.oatlug.api.Refusal;
 import org.oatlug.internal.util.Json;
 
 /** Writes refusals as {@code application/problem+json}. Stateless, thread-safe. */
-final class Problem {
+public final class Problem {
   private static final String TYPE = "application/problem+json";
   private static final String TYPE_PREFIX = "urn:oatlug:refusal:";
 
@@ -19,6 +20,19 @@
 
   /** Ends the answer with the refusal, if nothing was written yet. */
   static void send(HttpServerResponse response, Refusal refusal, String requestId) {
+    send(response, refusal, requestId, wait -> Long.toString(seconds(wait)));
+  }
+
+  /**
+   * Ends the answer with the refusal, if nothing was written yet.
+   *
+   * @param retryAfterText how the deployment writes when to come back
+   */
+  public static void send(
+      HttpServerResponse response,
+      Refusal refusal,
+      String requestId,
+      Function<Duration, String> retryAfterText) {
     if (response.ended() || response.closed()) {
       return;
     }
@@ -27,7 +41,7 @@
     response.putHeader(Headers.REQUEST_ID, requestId);
     refusal
         .retryAfter()
-        .ifPresent(wait -> response.putHeader("Retry-After", Long.toString(seconds(wait))));
+        .ifPresent(wait -> response.putHeader("Retry-After", retryAfterText.apply(wait)));
     response.end(Buffer.buffer(body(refusal, requestId).toString()));
   }
 
--- a/org.oatlug/src/org/oatlug/internal/limit/RetryBudget.java
+++ b/org.oatlug/src/org/oatlug/internal/limit/RetryBudget.java
@@ -13,18 +13,34 @@
   private static final double SHARE = 0.2;
   private static final double RESERVE = 10;
 
-  private double balance = RESERVE;
+  private final double share;
+  private final double reserve;
+  private double balance;
 
-  private RetryBudget() {}
+  private RetryBudget(double share, double reserve) {
+    this.share = share;
+    this.reserve = reserve;
+    this.balance = reserve;
+  }
 
   /** Returns a budget with its reserve. */
   public static RetryBudget create() {
-    return new RetryBudget();
+    return new RetryBudget(SHARE, RESERVE);
+  }
+
+  /**
+   * Returns a budget with its reserve.
+   *
+   * @param share the retries that each first try adds
+   * @param reserve the most retries that are kept for later
+   */
+  public static RetryBudget of(double share, double reserve) {
+    return new RetryBudget(share, reserve);
   }
 
   /** Counts a first try. */
   public void firstTry() {
-    balance = Math.min(RESERVE, balance + SHARE);
+    balance = Math.min(reserve, balance + share);
   }
 
   /** Takes a retry out of the budget, if it allows one. */
--- a/org.oatlug/src/org/oatlug/internal/membership/Membership.java
+++ b/org.oatlug/src/org/oatlug/internal/membership/Membership.java
@@ -16,6 +16,7 @@
 import java.util.Optional;
 import java.util.TreeMap;
 import java.util.random.RandomGenerator;
+import org.oatlug.config.Settings;
 import org.oatlug.internal.peer.Member;
 import org.oatlug.internal.peer.PeerMessage;
 import org.oatlug.internal.peer.PeerNetwork;
@@ -35,6 +36,8 @@
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final Duration PROBE_INTERVAL = Duration.ofMillis(500);
   private static final Duration PROBE_PATIENCE = Duration.ofMillis(400);
+  private static final Duration SEED_INTERVAL_ALONE = Duration.ofMillis(200);
+  private static final Duration SEED_INTERVAL = Duration.ofSeconds(5);
   private static final Duration SUSPICION = Duration.ofMillis(2000);
   private static final Duration UNREACHABLE_FOR = Duration.ofSeconds(3);
   private static final Duration WATCHED_FOR = Duration.ofSeconds(5);
@@ -54,8 +57,10 @@
   private final Map<String, Instant> watched = new HashMap<>();
   private final Map<String, Integer> news = new HashMap<>();
   private final List<String> probeOrder = new ArrayList<>();
+  private final List<Settings.Address> seeds = new ArrayList<>();
   private Member self;
   private PeerNetwork network;
+  private Instant nextSeed = Instant.EPOCH;
   private Instant nextProbe = Instant.EPOCH;
 
   private Membership(Member self, InstantSource clock, RandomGenerator random) {
@@ -108,6 +113,11 @@
     }
   }
 
+  /** Sets addresses at which other instances are looked for while few of them are known. */
+  public void seeds(List<Settings.Address> addresses) {
+    seeds.addAll(addresses);
+  }
+
   /** Takes in a record of a member. */
   public void merge(Member heard) {
     if (heard.name().equals(self.name())) {
@@ -256,6 +266,7 @@
   public void tick() {
     Instant now = clock.instant();
     endSuspicions(now);
+    askSeed(now);
     if (now.isBefore(nextProbe)) {
       return;
     }
@@ -265,6 +276,28 @@
     probeWatched(now);
   }
 
+  /** Asks a seed for members, whose names come with its answer; often until a member is known. */
+  private void askSeed(Instant now) {
+    if (seeds.isEmpty() || now.isBefore(nextSeed)) {
+      return;
+    }
+    boolean alone = live().size() <= 1;
+    nextSeed = now.plus(alone ? SEED_INTERVAL_ALONE : SEED_INTERVAL);
+    Settings.Address address = seeds.get(random.nextInt(seeds.size()));
+    if (address.host().equals(self.host()) && address.port() == self.peerPort()) {
+      return;
+    }
+    Member seed =
+        new Member(
+            address.toString(), "", "", address.host(), address.port(), 0, 0, Member.State.ALIVE);
+    network
+        .ask(seed, new PeerMessage.Ping(takeNews()), PROBE_PATIENCE)
+        .subscribe()
+        .with(
+            answer -> answered(seed, answer),
+            failure -> logger.atFine().log("seed %s does not answer", address));
+  }
+
   private void probeWatched(Instant now) {
     watched.values().removeIf(until -> until.isBefore(now));
     for (String name : watched.keySet()) {
@@ -359,11 +392,14 @@
   }
 
   private void refute(Member heard) {
-    boolean mine = heard.epoch() == self.epoch() && heard.supersedes(self);
-    if (!mine) {
+    if (!heard.supersedes(self)) {
       return;
     }
-    self = self.refuting(heard.incarnation(), self.state());
+    if (heard.epoch() > self.epoch()) {
+      self = self.withEpoch(heard.epoch() + 1);
+    } else {
+      self = self.refuting(heard.incarnation(), self.state());
+    }
     members.put(self.name(), self);
     spread(self.name());
   }
--- a/org.oatlug/src/org/oatlug/internal/peer/Member.java
+++ b/org.oatlug/src/org/oatlug/internal/peer/Member.java
@@ -56,6 +56,14 @@
     return new Member(name, zone, rack, host, peerPort, epoch, otherIncarnation + 1, newState);
   }
 
+  /**
+   * Returns this record with a later epoch, for a process whose clock is behind the one that its
+   * predecessor started by.
+   */
+  public Member withEpoch(long newEpoch) {
+    return new Member(name, zone, rack, host, peerPort, newEpoch, incarnation, state);
+  }
+
   /** Returns the name and epoch, which no other process has. */
   public String process() {
     return name + "@" + epoch;
