--- a/org.oatlug.entry/src/org/oatlug/entry/GatewayInstance.java
+++ b/org.oatlug.entry/src/org/oatlug/entry/GatewayInstance.java
@@ -1,3 +1,6 @@
+// Copyright (c) 2026, the oatlug authors
+// SPDX-License-Identifier: BSD-3-Clause
+
 package org.oatlug.entry;
 
 import com.codahale.metrics.MetricRegistry;
@@ -20,6 +23,7 @@
 import org.oatlug.internal.gateway.GatewayParts;
 import org.oatlug.internal.gateway.GatewayTables;
 import org.oatlug.internal.gateway.InspectionServer;
+import org.oatlug.internal.gateway.RolloutDirector;
 import org.oatlug.internal.membership.Membership;
 import org.oatlug.internal.metrics.Meters;
 import org.oatlug.internal.peer.Member;
@@ -38,7 +42,7 @@
  * stop first stops being ready, goes on accepting while the balancer notices, finishes what it can
  * within the grace and cuts the rest in time for callers to resume it elsewhere.
  */
-final class GatewayInstance extends VerticleBase implements Drainable {
+final class GatewayInstance extends VerticleBase implements Drainable, SettingsWatch.Target {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final long TICK_MILLIS = 20;
   private static final long STOP_POLL_MILLIS = 20;
@@ -52,7 +56,7 @@
   /** How old the configuration may be before this instance calls it stale. */
   private static final Duration FRESHNESS = Duration.ofSeconds(12);
 
-  private final GatewaySettings settings;
+  private GatewaySettings settings;
   private final DeploymentAdapter adapter;
   private final InstantSource clock = MonotonicClock.create();
   private final RandomGenerator random = RandomGenerator.getDefault();
@@ -89,7 +93,8 @@
     InspectionServer inspection = InspectionServer.create(vertx, meters, this::isReady);
     return inspection
         .listenForReadiness(settings.readiness())
-        .compose(unused -> inspection.listenForMetrics(settings.callers().host(), settings.metrics()))
+        .compose(
+            unused -> inspection.listenForMetrics(settings.callers().host(), settings.metrics()))
         .compose(unused -> front.listen())
         .onSuccess(unused -> logger.atInfo().log("instance %s listens", settings.name()));
   }
@@ -124,15 +129,22 @@
                     List.of(GatewayKinds.ROUTING),
                     List.of(GatewayKinds.UPSTREAM),
                     List.of(GatewayKinds.ROLLOUT))));
-    late.target = (from, message) -> dispatch(configuration, from, message);
+    RolloutDirector rollouts =
+        RolloutDirector.create(
+            tables, platform, membership, network, clock, meters, settings.bounds());
+    late.target = (from, message) -> dispatch(configuration, rollouts, from, message);
     network.listen().onFailure(failure -> logger.atSevere().withCause(failure).log("peers"));
-    GatewayParts parts = GatewayParts.create(vertx, settings, clock, adapter, tables, random, meters);
+    GatewayParts parts =
+        GatewayParts.create(vertx, settings, clock, adapter, tables, rollouts, random, meters);
     front = CallerFront.create(parts, random);
-    systems = List.of(membership::tick, configuration);
+    systems = List.of(membership::tick, configuration, rollouts);
   }
 
   private Uni<PeerMessage> dispatch(
-      ConfigurationSystem configuration, Member from, PeerMessage message) {
+      ConfigurationSystem configuration,
+      RolloutDirector rollouts,
+      Member from,
+      PeerMessage message) {
     if (message instanceof PeerMessage.Ping || message instanceof PeerMessage.PingFor) {
       return membership.handle(from, message);
     }
@@ -141,6 +153,10 @@
         || message instanceof PeerMessage.Objects) {
       return configuration.handle(from, message);
     }
+    if (message instanceof PeerMessage.RolloutReport report) {
+      rollouts.handle(from, report);
+      return Uni.createFrom().item(new PeerMessage.Done());
+    }
     return Uni.createFrom().item(new PeerMessage.Failed("unexpected message"));
   }
 
@@ -152,12 +168,28 @@
     return !stopping && tables.configuration().isPresent() && !tables.upstreamNames().isEmpty();
   }
 
+  /**
+   * Takes over settings that were read anew: seeds and the grace. Addresses stay until a restart,
+   * because callers and peers are connected to them.
+   */
+  @Override
+  public void reloaded(GatewaySettings changed) {
+    context.runOnContext(
+        unused -> {
+          boolean same = changed.equals(settings);
+          settings = changed;
+          membership.seeds(changed.peers().seeds().stream().map(GatewayInstance::address).toList());
+          logger.atInfo().log("settings read anew, %s", same ? "unchanged" : "changed");
+        });
+  }
+
   @Override
   public Future<Void> drain() {
     Promise<Void> promise = Promise.promise();
     context.runOnContext(
         unused -> {
-          logger.atInfo().log("instance %s stops as planned, %d open", settings.name(), front.open());
+          logger.atInfo().log(
+              "instance %s stops as planned, %d open", settings.name(), front.open());
           stopping = true;
           membership.leave();
           vertx.setTimer(BALANCER_LAG.toMillis(), timer -> finishOpen(promise));
--- a/org.oatlug.entry/src/org/oatlug/entry/Oatlugd.java
+++ b/org.oatlug.entry/src/org/oatlug/entry/Oatlugd.java
@@ -34,7 +34,8 @@
   private static final int WRONG = 2;
   private static final long START_SECONDS = 30;
   private static final long DRAIN_MINUTES = 15;
-  private static final String USAGE = "usage: oatlugd [--gateway] (--settings FILE | --settings-variable NAME) [--check]";
+  private static final String USAGE =
+      "usage: oatlugd [--gateway] (--settings FILE | --settings-variable NAME) [--check]";
 
   private Oatlugd() {}
 
@@ -75,7 +76,9 @@
         ServiceLoader.load(DeploymentAdapter.class)
             .findFirst()
             .orElseThrow(() -> new SettingsInvalidException(List.of("no adapter is installed")));
-    run(new GatewayInstance(settings, adapter));
+    GatewayInstance instance = new GatewayInstance(settings, adapter);
+    run(instance);
+    SettingsWatch.start(settingsPath(line), instance);
   }
 
   /** Returns the settings file: named itself, or by an environment variable. */
--- a/org.oatlug/src/org/oatlug/gateway/CallerProtocol.java
+++ b/org.oatlug/src/org/oatlug/gateway/CallerProtocol.java
@@ -1,3 +1,6 @@
+// Copyright (c) 2026, the oatlug authors
+// SPDX-License-Identifier: BSD-3-Clause
+
 package org.oatlug.gateway;
 
 import io.vertx.core.MultiMap;
--- a/org.oatlug/src/org/oatlug/internal/config/ConfigurationSystem.java
+++ b/org.oatlug/src/org/oatlug/internal/config/ConfigurationSystem.java
@@ -86,10 +86,7 @@
    * @param watchGroups the kinds that are read; those of one group share a watch
    */
   public record Support(
-      InstantSource clock,
-      RandomGenerator random,
-      Meters meters,
-      List<List<String>> watchGroups) {}
+      InstantSource clock, RandomGenerator random, Meters meters, List<List<String>> watchGroups) {}
 
   /** Returns a system that has not read anything yet. */
   public static ConfigurationSystem create(
@@ -161,8 +158,7 @@
     batch.objects().forEach(object -> listed.add(object.key()));
     List<StoredObject> gone = new ArrayList<>();
     for (StoredObject known : objects.join().all()) {
-      boolean covered =
-          kinds.contains(known.key().kind()) && known.version() <= batch.revision();
+      boolean covered = kinds.contains(known.key().kind()) && known.version() <= batch.revision();
       if (covered && !listed.contains(known.key()) && !Kinds.isTombstone(known.value())) {
         gone.add(new StoredObject(known.key(), batch.revision(), Kinds.tombstone()));
       }
--- a/org.oatlug/src/org/oatlug/internal/gateway/CallerFront.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/CallerFront.java
@@ -1,3 +1,6 @@
+// Copyright (c) 2026, the oatlug authors
+// SPDX-License-Identifier: BSD-3-Clause
+
 package org.oatlug.internal.gateway;
 
 import com.google.common.flogger.FluentLogger;
@@ -293,12 +296,12 @@
 
     void refuse(Refusal refusal, String requestId) {
       parts.meters().refused(refusal.reason());
-      logger.atInfo().with(LogKeys.REQUEST_ID, requestId).log(
-          "refused %s before any attempt: %s path=%s host=%s",
-          refusal.reason().text(),
-          refusal.detail(),
-          request.path(),
-          request.getHeader("Host"));
+      logger
+          .atInfo()
+          .with(LogKeys.REQUEST_ID, requestId)
+          .log(
+              "refused %s before any attempt: %s path=%s host=%s",
+              refusal.reason().text(), refusal.detail(), request.path(), request.getHeader("Host"));
       if (!request.isEnded()) {
         answer.closeAfterwards();
       }
--- a/org.oatlug/src/org/oatlug/internal/gateway/Exchange.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/Exchange.java
@@ -1,3 +1,6 @@
+// Copyright (c) 2026, the oatlug authors
+// SPDX-License-Identifier: BSD-3-Clause
+
 package org.oatlug.internal.gateway;
 
 import com.google.common.flogger.FluentLogger;
@@ -57,6 +60,7 @@
   private int unreached;
   private int stage;
   private boolean mayHaveRun;
+  private Optional<String> lastFailed = Optional.empty();
   private Attempt current;
 
   private Exchange(GatewayParts parts, CallerAnswer answer, Incoming incoming) {
@@ -99,8 +103,8 @@
   }
 
   private Optional<UpstreamSelection.Chosen> choose() {
-    Optional<String> version =
-        parts.versions().versionFor(incoming.service(), incoming.head());
+    Optional<VersionRule.Wish> version =
+        parts.versions().wishFor(incoming.service(), incoming.head(), lastFailed);
     Optional<Generation> generation = incoming.head().generation();
     UpstreamSelection.Wanted wanted =
         new UpstreamSelection.Wanted(
@@ -144,9 +148,12 @@
     parts.vertx().cancelTimer(deadlineTimer);
     Duration took = Duration.between(incoming.arrived(), parts.clock().instant());
     parts.meters().time("request." + route.kind().name().toLowerCase(java.util.Locale.ROOT), took);
-    logger.atInfo().with(LogKeys.REQUEST_ID, incoming.head().id()).log(
-        "request ended route=%s outcome=%s sent=%d stage=%d events=%d millis=%d",
-        route.name(), outcome, sent, stage, relay.events(), took.toMillis());
+    logger
+        .atInfo()
+        .with(LogKeys.REQUEST_ID, incoming.head().id())
+        .log(
+            "request ended route=%s outcome=%s sent=%d stage=%d events=%d millis=%d",
+            route.name(), outcome, sent, stage, relay.events(), took.toMillis());
   }
 
   private void deadlinePassed() {
@@ -196,6 +203,7 @@
       chosen.row().reserve();
       sent++;
       tried.add(chosen.name());
+      parts.versions().sent(incoming.service(), chosen.upstream().version(), incoming.head());
       MultiMap headers = MultiMap.caseInsensitiveMultiMap().addAll(incoming.headers());
       parts.adapter().upstreams().addTerms(headers, terms());
       incoming
@@ -203,16 +211,19 @@
           .generation()
           .ifPresent(
               text -> UpstreamSelection.rememberPrompt(chosen.row(), model.orElse(""), text));
-      logger.atInfo().with(LogKeys.REQUEST_ID, incoming.head().id()).log(
-          "attempt=%d route=%s upstream=%s version=%s model=%s load=%d left=%d after=%s",
-          sent,
-          route.name(),
-          chosen.name(),
-          chosen.upstream().version(),
-          model.orElse("-"),
-          chosen.row().expectedLoad(),
-          timeLeft().toMillis(),
-          relay.last());
+      logger
+          .atInfo()
+          .with(LogKeys.REQUEST_ID, incoming.head().id())
+          .log(
+              "attempt=%d route=%s upstream=%s version=%s model=%s load=%d left=%d after=%s",
+              sent,
+              route.name(),
+              chosen.name(),
+              chosen.upstream().version(),
+              model.orElse("-"),
+              chosen.row().expectedLoad(),
+              timeLeft().toMillis(),
+              relay.last());
       SocketAddress address =
           SocketAddress.inetSocketAddress(chosen.upstream().port(), chosen.upstream().host());
       UpstreamAttempt.Call call =
@@ -424,17 +435,24 @@
     }
 
     private void outcome(boolean bad) {
-      VersionRule.Outcome outcome = bad ? VersionRule.Outcome.BAD : VersionRule.Outcome.GOOD;
+      String version = chosen.upstream().version();
+      if (bad) {
+        lastFailed = Optional.of(version);
+      }
+      Duration took = Duration.between(started, parts.clock().instant());
       parts
           .versions()
           .answered(
-              incoming.service(), chosen.upstream().version(), route, incoming.head(), outcome);
+              new VersionRule.Answer(
+                  incoming.service(), version, route, model.orElse(""), bad, took));
     }
 
     private void describe(String what) {
       Duration took = Duration.between(started, parts.clock().instant());
-      logger.atInfo().with(LogKeys.REQUEST_ID, incoming.head().id()).log(
-          "attempt=%d upstream=%s %s millis=%d", sent, chosen.name(), what, took.toMillis());
+      logger
+          .atInfo()
+          .with(LogKeys.REQUEST_ID, incoming.head().id())
+          .log("attempt=%d upstream=%s %s millis=%d", sent, chosen.name(), what, took.toMillis());
     }
   }
 }
--- a/org.oatlug/src/org/oatlug/internal/gateway/GatewayParts.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/GatewayParts.java
@@ -1,3 +1,6 @@
+// Copyright (c) 2026, the oatlug authors
+// SPDX-License-Identifier: BSD-3-Clause
+
 package org.oatlug.internal.gateway;
 
 import io.vertx.core.Vertx;
@@ -45,6 +48,7 @@
       InstantSource clock,
       DeploymentAdapter adapter,
       GatewayTables tables,
+      VersionRule versions,
       RandomGenerator random,
       Meters meters) {
     return new GatewayParts(
@@ -56,7 +60,7 @@
         tables,
         UpstreamSelection.create(settings.zone(), tables, random),
         StageRule.smallestThenLargest(DROP_BELOW),
-        VersionRule.any(),
+        versions,
         RetryBudgets.within(settings.bounds()),
         meters);
   }
--- a/org.oatlug/src/org/oatlug/internal/gateway/GatewayTables.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/GatewayTables.java
@@ -1,3 +1,6 @@
+// Copyright (c) 2026, the oatlug authors
+// SPDX-License-Identifier: BSD-3-Clause
+
 package org.oatlug.internal.gateway;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
@@ -83,8 +86,7 @@
     if (Kinds.isTombstone(object.value())) {
       return;
     }
-    RoutingConfiguration read =
-        Json.STRICT.treeToValue(object.value(), RoutingConfiguration.class);
+    RoutingConfiguration read = Json.STRICT.treeToValue(object.value(), RoutingConfiguration.class);
     configuration = Optional.of(read);
     routes = RouteIndex.of(read.routes());
     keys = read.workspaces().map(KeyIndex::of).orElse(KeyIndex.open());
--- a/org.oatlug/src/org/oatlug/internal/gateway/InspectionServer.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/InspectionServer.java
@@ -1,3 +1,6 @@
+// Copyright (c) 2026, the oatlug authors
+// SPDX-License-Identifier: BSD-3-Clause
+
 package org.oatlug.internal.gateway;
 
 import io.prometheus.client.CollectorRegistry;
@@ -57,7 +60,10 @@
     StringWriter text = new StringWriter();
     try {
       TextFormat.write004(text, registry.metricFamilySamples());
-      request.response().putHeader("Content-Type", TextFormat.CONTENT_TYPE_004).end(text.toString());
+      request
+          .response()
+          .putHeader("Content-Type", TextFormat.CONTENT_TYPE_004)
+          .end(text.toString());
     } catch (IOException e) {
       request.response().setStatusCode(FAILED).end(e.getMessage());
     }
--- /dev/null
+++ b/org.oatlug/src/org/oatlug/internal/gateway/RolloutDirector.java
@@ -0,0 +1,335 @@
+// Copyright (c) 2026, the oatlug authors
+// SPDX-License-Identifier: BSD-3-Clause
+
+package org.oatlug.internal.gateway;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.google.common.flogger.FluentLogger;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.oatlug.api.ObjectKey;
+import org.oatlug.errors.ConflictException;
+import org.oatlug.gateway.GatewayKinds;
+import org.oatlug.gateway.GatewaySettings;
+import org.oatlug.gateway.RequestHead;
+import org.oatlug.gateway.ServiceRollout;
+import org.oatlug.gateway.ServiceRollout.State;
+import org.oatlug.internal.membership.Membership;
+import org.oatlug.internal.metrics.Meters;
+import org.oatlug.internal.peer.Member;
+import org.oatlug.internal.peer.PeerMessage;
+import org.oatlug.internal.peer.PeerNetwork;
+import org.oatlug.internal.rollout.RolloutGuard;
+import org.oatlug.internal.util.Hashes;
+import org.oatlug.internal.util.Json;
+import org.oatlug.internal.util.TickSystem;
+import org.oatlug.platform.Platform;
+import org.oatlug.platform.StoredObject;
+
+/**
+ * Moves the traffic of services to new versions, and back if they are bad.
+ *
+ * <p>Each instance gives the new version its share of the sessions, keeps sessions on their
+ * version, and compares the answers of both versions. The instance that has the duty for a roll-out
+ * adds up the evidence of all and writes the progress by a conditional update; an end that was
+ * written is never changed. Invariants: a version that is known to be bad receives nothing more
+ * from this instance; a session that was seen on the old version stays there during the first half.
+ * Owned by one event loop, not thread-safe.
+ */
+public final class RolloutDirector implements VersionRule, TickSystem {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  /** How often evidence is exchanged and duties are done. */
+  private static final Duration INTERVAL = Duration.ofMillis(250);
+
+  private static final Duration PATIENCE = Duration.ofMillis(500);
+
+  /** Fewer answers than this show nothing; a version that had fewer is not taken over. */
+  private static final long LEAST_ANSWERS = 20;
+
+  /** From this evidence on, a failed request goes to the old version. */
+  private static final double SUSPICIOUS = 1;
+
+  private static final double HASH_RANGE = Math.pow(2, 63);
+
+  private final GatewayTables tables;
+  private final Platform platform;
+  private final Membership membership;
+  private final PeerNetwork network;
+  private final InstantSource clock;
+  private final Meters meters;
+  private final RolloutSchedule schedule;
+  private final Map<String, SessionVersions> sessions = new HashMap<>();
+  private final Map<String, RolloutTrial> trials = new HashMap<>();
+  private final Duration sessionPause;
+  private boolean writing;
+  private Instant next = Instant.EPOCH;
+
+  private RolloutDirector(
+      GatewayTables tables,
+      Platform platform,
+      Membership membership,
+      PeerNetwork network,
+      InstantSource clock,
+      Meters meters,
+      GatewaySettings.Bounds bounds) {
+    this.tables = tables;
+    this.platform = platform;
+    this.membership = membership;
+    this.network = network;
+    this.clock = clock;
+    this.meters = meters;
+    this.schedule = RolloutSchedule.within(bounds.exposureShare());
+    this.sessionPause = Duration.ofMillis(bounds.sessionMillis());
+  }
+
+  /** Returns a director that has seen nothing yet. */
+  public static RolloutDirector create(
+      GatewayTables tables,
+      Platform platform,
+      Membership membership,
+      PeerNetwork network,
+      InstantSource clock,
+      Meters meters,
+      GatewaySettings.Bounds bounds) {
+    return new RolloutDirector(tables, platform, membership, network, clock, meters, bounds);
+  }
+
+  @Override
+  public Optional<Wish> wishFor(String service, RequestHead head, Optional<String> lastFailed) {
+    Optional<ServiceRollout> rollout = tables.rollout(service);
+    if (rollout.isEmpty()) {
+      return Optional.empty();
+    }
+    String target = rollout.get().targetVersion();
+    Optional<State> state = rollout.get().state();
+    if (state.equals(Optional.of(State.SUCCEEDED))) {
+      return Optional.of(new Wish(target, true, false));
+    }
+    RolloutTrial trial = trialOf(service, rollout.get());
+    if (state.equals(Optional.of(State.ROLLED_BACK)) || trial.isRefuted()) {
+      return Optional.of(new Wish(target, false, true));
+    }
+    boolean failedThere = lastFailed.equals(Optional.of(target));
+    boolean away = failedThere && trial.allEvidence() > SUSPICIOUS;
+    boolean wanted = !away && wantsTarget(service, rollout.get(), trial, head);
+    return Optional.of(new Wish(target, wanted, false));
+  }
+
+  private boolean wantsTarget(
+      String service, ServiceRollout rollout, RolloutTrial trial, RequestHead head) {
+    OptionalLong session = SessionVersions.sessionOf(head);
+    long number = session.orElse(Hashes.hash64(head.id()));
+    double part = partOf(rollout, trial);
+    boolean chosen = positionOf(number) < schedule.shareAt(part);
+    if (session.isEmpty()) {
+      return chosen;
+    }
+    Optional<String> seen = sessionsOf(service).versionOf(number, clock.instant());
+    if (seen.isEmpty()) {
+      return chosen;
+    }
+    if (seen.get().equals(rollout.targetVersion())) {
+      return true;
+    }
+    return chosen && schedule.sessionsMayMove(part);
+  }
+
+  private static double positionOf(long number) {
+    return (Hashes.combine(number, 0) & Long.MAX_VALUE) / HASH_RANGE;
+  }
+
+  /** Returns which part of its duration the roll-out has used; above 1 when it is late. */
+  private double partOf(ServiceRollout rollout, RolloutTrial trial) {
+    Instant now = clock.instant();
+    long since = Duration.between(trial.learnedAt(), now).toMillis();
+    long started = rollout.progress().map(ServiceRollout.Progress::startedAtMillis).orElse(0L);
+    if (started > 0 && rollout.state().isPresent()) {
+      since = Math.max(since, now.toEpochMilli() - started);
+    }
+    return (double) since / Math.max(1, rollout.durationMillis());
+  }
+
+  @Override
+  public void sent(String service, String version, RequestHead head) {
+    SessionVersions.sessionOf(head)
+        .ifPresent(session -> sessionsOf(service).seen(session, version, clock.instant()));
+  }
+
+  @Override
+  public void answered(Answer answer) {
+    runningTrial(answer.service())
+        .ifPresent(
+            trial -> {
+              boolean before = trial.isRefuted();
+              trial.add(answer);
+              if (trial.isRefuted() && !before) {
+                meters.count("rollout.halted-here");
+                logger.atWarning().log(
+                    "version %s of %s is refuted here, evidence=%.1f answers=%d",
+                    trial.version(), answer.service(), trial.ownEvidence(), trial.ownAnswers());
+              }
+            });
+  }
+
+  /** Takes in a message of another instance about a roll-out. */
+  public void handle(Member from, PeerMessage.RolloutReport report) {
+    Instant now = clock.instant();
+    runningTrial(report.service())
+        .filter(trial -> trial.version().equals(report.targetVersion()))
+        .ifPresent(
+            trial -> {
+              trial.report(from.process(), report.logEvidence(), report.answers());
+              if (report.refuted() && !trial.isRefuted()) {
+                trial.refute();
+                logger.atWarning().log(
+                    "version %s of %s is refuted by %s",
+                    trial.version(), report.service(), from.name());
+              }
+            });
+    SessionVersions known = sessionsOf(report.service());
+    report.keptSessions().forEach(session -> known.heard(session, KEPT_ELSEWHERE, now));
+  }
+
+  /** Stands for the old version of a session that another instance keeps on it. */
+  private static final String KEPT_ELSEWHERE = "";
+
+  @Override
+  public void tick() {
+    Instant now = clock.instant();
+    if (now.isBefore(next)) {
+      return;
+    }
+    next = now.plus(INTERVAL);
+    for (String service : tables.servicesWithRollout()) {
+      ServiceRollout rollout = tables.rollout(service).orElseThrow();
+      if (isRunning(rollout)) {
+        RolloutTrial trial = trialOf(service, rollout);
+        share(service, trial, now);
+        if (hasDuty(service)) {
+          direct(service, rollout, trial);
+        }
+      }
+    }
+  }
+
+  private boolean hasDuty(String service) {
+    return membership.ownerOf("rollout-" + service).map(membership::isSelf).orElse(true);
+  }
+
+  /** Sends the own evidence to all, and which sessions stay on the old version against the rule. */
+  private void share(String service, RolloutTrial trial, Instant now) {
+    List<Long> kept =
+        sessionsOf(service).seenOnOthers(trial.version(), now.minus(INTERVAL.multipliedBy(2)));
+    kept.removeIf(session -> positionOf(session) >= schedule.shareAt(0));
+    PeerMessage report =
+        new PeerMessage.RolloutReport(
+            service,
+            trial.version(),
+            trial.ownEvidence(),
+            trial.ownAnswers(),
+            trial.isRefuted(),
+            kept);
+    for (Member peer : membership.live()) {
+      if (!membership.isSelf(peer)) {
+        network
+            .ask(peer, report, PATIENCE)
+            .subscribe()
+            .with(
+                answer -> {},
+                failure -> logger.atFine().log("report lost: %s", failure.getMessage()));
+      }
+    }
+  }
+
+  private void direct(String service, ServiceRollout rollout, RolloutTrial trial) {
+    double evidence = trial.allEvidence();
+    if (trial.isRefuted() || RolloutGuard.refutesTogether(evidence)) {
+      trial.refute();
+      write(service, rollout, trial, State.ROLLED_BACK);
+      return;
+    }
+    if (schedule.isDue(partOf(rollout, trial))) {
+      boolean shown = trial.allAnswers() >= LEAST_ANSWERS;
+      write(service, rollout, trial, shown ? State.SUCCEEDED : State.ROLLED_BACK);
+    } else if (rollout.state().isEmpty()) {
+      write(service, rollout, trial, State.RUNNING);
+    }
+  }
+
+  private void write(String service, ServiceRollout rollout, RolloutTrial trial, State state) {
+    ObjectKey key = ObjectKey.valueOf(GatewayKinds.ROLLOUT, service);
+    Optional<StoredObject> known = tables.join().get(key);
+    if (writing || known.isEmpty()) {
+      return;
+    }
+    writing = true;
+    long started =
+        rollout
+            .state()
+            .flatMap(unused -> rollout.progress())
+            .map(ServiceRollout.Progress::startedAtMillis)
+            .orElse(trial.learnedAt().toEpochMilli());
+    ServiceRollout.Progress progress =
+        new ServiceRollout.Progress(state, rollout.targetVersion(), started);
+    JsonNode value = Json.STRICT.valueToTree(rollout.withProgress(progress));
+    logger.atInfo().log(
+        "roll-out of %s to %s: %s, evidence=%.1f answers=%d part=%.2f revision=%d",
+        service,
+        rollout.targetVersion(),
+        state,
+        trial.allEvidence(),
+        trial.allAnswers(),
+        partOf(rollout, trial),
+        known.get().version());
+    platform
+        .put(key, known.get().version(), value)
+        .subscribe()
+        .with(
+            version -> {
+              writing = false;
+              tables.mergeAll(List.of(new StoredObject(key, version, value)));
+            },
+            this::writeFailed);
+  }
+
+  private void writeFailed(Throwable failure) {
+    writing = false;
+    meters.count("retry.rollout-write");
+    logger.atWarning().log("roll-out not written: %s", failure.getMessage());
+    if (failure instanceof ConflictException conflict) {
+      conflict.current().ifPresent(current -> tables.mergeAll(List.of(current)));
+    }
+  }
+
+  private static boolean isRunning(ServiceRollout rollout) {
+    Optional<State> state = rollout.state();
+    return state.isEmpty() || state.get() == State.RUNNING;
+  }
+
+  private Optional<RolloutTrial> runningTrial(String service) {
+    return tables
+        .rollout(service)
+        .filter(RolloutDirector::isRunning)
+        .map(rollout -> trialOf(service, rollout));
+  }
+
+  private RolloutTrial trialOf(String service, ServiceRollout rollout) {
+    RolloutTrial known = trials.get(service);
+    if (known == null || !known.version().equals(rollout.targetVersion())) {
+      known = RolloutTrial.of(rollout.targetVersion(), clock.instant());
+      trials.put(service, known);
+    }
+    return known;
+  }
+
+  private SessionVersions sessionsOf(String service) {
+    return sessions.computeIfAbsent(service, unused -> SessionVersions.withPause(sessionPause));
+  }
+}
--- /dev/null
+++ b/org.oatlug/src/org/oatlug/internal/gateway/RolloutSchedule.java
@@ -0,0 +1,58 @@
+// Copyright (c) 2026, the oatlug authors
+// SPDX-License-Identifier: BSD-3-Clause
+
+package org.oatlug.internal.gateway;
+
+/**
+ * Which share of the sessions a version under roll-out gets as time goes on.
+ *
+ * <p>A small fixed share first, so that no session has to change its version while the comparison
+ * runs; then growing steps, which show a version that fails under load only; then all, so that the
+ * old upstreams are empty when the roll-out ends, because they stop at once. Up to the step to all
+ * the version receives less than a deployment's usual bound of 15 of 100 requests. Immutable.
+ */
+final class RolloutSchedule {
+  /** Up to this part of the duration sessions stay where they are. */
+  private static final double COMPARE_UNTIL = 0.5;
+
+  private static final double GROW_UNTIL = 0.62;
+  private static final double HALF_UNTIL = 0.74;
+
+  /** At this part of the duration the roll-out is declared done, if nothing speaks against it. */
+  private static final double DONE_AT = 0.92;
+
+  private static final double COMPARE_SHARE_OF_BOUND = 0.6;
+  private static final double HALF = 0.4;
+
+  private final double exposureShare;
+
+  private RolloutSchedule(double exposureShare) {
+    this.exposureShare = exposureShare;
+  }
+
+  /** Returns a schedule for a deployment that bounds the share of a bad version. */
+  static RolloutSchedule within(double exposureShare) {
+    return new RolloutSchedule(exposureShare);
+  }
+
+  /** Returns the share of sessions at a part of the duration, 0 to 1. */
+  double shareAt(double part) {
+    if (part < COMPARE_UNTIL) {
+      return exposureShare * COMPARE_SHARE_OF_BOUND;
+    }
+    if (part < GROW_UNTIL) {
+      return exposureShare;
+    }
+    return part < HALF_UNTIL ? HALF : 1;
+  }
+
+  /** Returns whether sessions may move to the version at this part of the duration. */
+  boolean sessionsMayMove(double part) {
+    return part >= COMPARE_UNTIL;
+  }
+
+  /** Returns whether the roll-out has to be decided. */
+  boolean isDue(double part) {
+    return part >= DONE_AT;
+  }
+}
--- /dev/null
+++ b/org.oatlug/src/org/oatlug/internal/gateway/SessionVersions.java
@@ -0,0 +1,101 @@
+// Copyright (c) 2026, the oatlug authors
+// SPDX-License-Identifier: BSD-3-Clause
+
+package org.oatlug.internal.gateway;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.oatlug.gateway.Generation;
+import org.oatlug.gateway.PromptPart;
+import org.oatlug.gateway.RequestHead;
+import org.oatlug.internal.util.Hashes;
+
+/**
+ * The version of a service on which each session was seen last.
+ *
+ * <p>Invariant: an entry older than the longest pause of a session is not returned; the table holds
+ * a bounded number of the sessions seen last. Owned by one event loop, not thread-safe.
+ */
+final class SessionVersions {
+  /** Sessions of two minutes at the busiest instance of the design size. */
+  private static final int MAXIMUM = 20_000;
+
+  /** Answers may take long after the request that is seen here. */
+  private static final int PAUSES_KEPT = 4;
+
+  private final Duration kept;
+  private final Map<Long, Seen> sessions =
+      new LinkedHashMap<>(16, 0.75f, true) {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<Long, Seen> eldest) {
+          return size() > MAXIMUM;
+        }
+      };
+
+  private record Seen(String version, Instant at) {}
+
+  private SessionVersions(Duration kept) {
+    this.kept = kept;
+  }
+
+  /** Returns an empty table for sessions whose requests follow each other within the pause. */
+  static SessionVersions withPause(Duration pause) {
+    return new SessionVersions(pause.multipliedBy(PAUSES_KEPT));
+  }
+
+  /**
+   * Returns the number of the session of a request: the session that it names, or the last part of
+   * its prompt, which only the session's own requests share; empty if there is neither.
+   */
+  static OptionalLong sessionOf(RequestHead head) {
+    if (head.session().isPresent()) {
+      return OptionalLong.of(Hashes.hash64(head.session().get()));
+    }
+    List<PromptPart> parts = head.generation().map(Generation::prompt).orElse(List.of());
+    if (parts.isEmpty()) {
+      return OptionalLong.empty();
+    }
+    return OptionalLong.of(parts.get(parts.size() - 1).hash());
+  }
+
+  /** Notes that the session was seen on the version. */
+  void seen(long session, String version, Instant now) {
+    sessions.put(session, new Seen(version, now));
+  }
+
+  /** Notes that another instance saw the session on the version; own knowledge goes before it. */
+  void heard(long session, String version, Instant now) {
+    if (versionOf(session, now).isEmpty()) {
+      seen(session, version, now);
+    }
+  }
+
+  /** Returns the version on which the session was seen last. */
+  Optional<String> versionOf(long session, Instant now) {
+    Seen seen = sessions.get(session);
+    if (seen == null || now.isAfter(seen.at().plus(kept))) {
+      return Optional.empty();
+    }
+    return Optional.of(seen.version());
+  }
+
+  /** Returns the sessions seen since the instant on another version than the given one. */
+  List<Long> seenOnOthers(String version, Instant since) {
+    List<Long> found = new ArrayList<>();
+    sessions.forEach(
+        (session, seen) -> {
+          if (!seen.version().equals(version) && !seen.at().isBefore(since)) {
+            found.add(session);
+          }
+        });
+    return found;
+  }
+}
--- a/org.oatlug/src/org/oatlug/internal/gateway/UpstreamAttempt.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/UpstreamAttempt.java
@@ -1,3 +1,6 @@
+// Copyright (c) 2026, the oatlug authors
+// SPDX-License-Identifier: BSD-3-Clause
+
 package org.oatlug.internal.gateway;
 
 import io.vertx.core.MultiMap;
@@ -79,8 +82,7 @@
             .setConnectTimeout(CONNECT_MILLIS)
             .setDecompressionSupported(false)
             .setTcpNoDelay(true);
-    return vertx.createHttpClient(
-        options, new PoolOptions().setHttp1MaxSize(MAXIMUM_CONNECTIONS));
+    return vertx.createHttpClient(options, new PoolOptions().setHttp1MaxSize(MAXIMUM_CONNECTIONS));
   }
 
   /** Starts an attempt. */
--- a/org.oatlug/src/org/oatlug/internal/gateway/UpstreamSelection.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/UpstreamSelection.java
@@ -1,3 +1,6 @@
+// Copyright (c) 2026, the oatlug authors
+// SPDX-License-Identifier: BSD-3-Clause
+
 package org.oatlug.internal.gateway;
 
 import java.time.Instant;
@@ -59,14 +62,14 @@
    * What an upstream is wanted for.
    *
    * @param service the service
-   * @param version the version that it has to have, empty for any
+   * @param version which versions may answer, empty for any
    * @param model the model that will answer, empty for none
    * @param generation what the request says of its prompt
    * @param excluded upstreams that were tried
    */
   record Wanted(
       String service,
-      Optional<String> version,
+      Optional<VersionRule.Wish> version,
       Optional<String> model,
       Optional<Generation> generation,
       Set<String> excluded) {}
@@ -76,7 +79,10 @@
 
   /** Returns the cheapest upstream, empty if there is none. */
   Optional<Chosen> choose(Wanted wanted, Instant now) {
-    List<Chosen> candidates = candidates(wanted);
+    List<Chosen> candidates = candidates(wanted, true);
+    if (candidates.isEmpty() && !wanted.version().map(VersionRule.Wish::strict).orElse(true)) {
+      candidates = candidates(wanted, false);
+    }
     Optional<Chosen> best = Optional.empty();
     double lowest = Double.MAX_VALUE;
     String home = homeOf(wanted, candidates);
@@ -90,13 +96,14 @@
     return best;
   }
 
-  private List<Chosen> candidates(Wanted wanted) {
+  private List<Chosen> candidates(Wanted wanted, boolean asWished) {
     List<Chosen> candidates = new ArrayList<>();
     for (String name : tables.upstreamsOf(wanted.service())) {
       UpstreamRecord upstream = tables.upstream(name).orElseThrow();
       UpstreamRow row = tables.loads().row(name);
       boolean usable = !upstream.leaving() && !row.leaving() && !wanted.excluded().contains(name);
-      boolean fits = wanted.version().map(upstream.version()::equals).orElse(true);
+      boolean fits =
+          !asWished || wanted.version().map(w -> w.isMetBy(upstream.version())).orElse(true);
       if (usable && fits) {
         candidates.add(new Chosen(name, upstream, row));
       }
--- a/org.oatlug/src/org/oatlug/internal/gateway/VersionRule.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/VersionRule.java
@@ -1,37 +1,52 @@
+// Copyright (c) 2026, the oatlug authors
+// SPDX-License-Identifier: BSD-3-Clause
+
 package org.oatlug.internal.gateway;
 
+import java.time.Duration;
 import java.util.Optional;
 import org.oatlug.gateway.RequestHead;
 import org.oatlug.gateway.Route;
 
-/** Which version of a service answers a request while a roll-out runs. */
-interface VersionRule {
+/** Which versions of a service may answer a request while a roll-out runs. */
+public interface VersionRule {
 
-  /** How an answer of a version went. */
-  enum Outcome {
-    GOOD,
-    BAD
+  /**
+   * A wish for versions.
+   *
+   * @param version the version that is spoken of
+   * @param wanted whether it has to answer, or any other one
+   * @param strict whether the wish holds even if no upstream meets it
+   */
+  record Wish(String version, boolean wanted, boolean strict) {
+    boolean isMetBy(String other) {
+      return version.equals(other) == wanted;
+    }
   }
 
-  /** Returns the version that has to answer, empty if any may. */
-  Optional<String> versionFor(String service, RequestHead head);
-
-  /** Takes in that a version answered a request of the route. */
-  void answered(String service, String version, Route route, RequestHead head, Outcome outcome);
-
-  /** Returns the rule that any version may answer. */
-  static VersionRule any() {
-    return new VersionRule() {
-      @Override
-      public Optional<String> versionFor(String service, RequestHead head) {
-        return Optional.empty();
-      }
-
-      @Override
-      public void answered(
-          String service, String version, Route route, RequestHead head, Outcome outcome) {
-        // Nothing is compared while no roll-out is watched.
-      }
-    };
-  }
+  /**
+   * An answer of a version.
+   *
+   * @param service the service
+   * @param version the version that answered
+   * @param route the route
+   * @param model the model, empty for none
+   * @param failed whether it was a failure
+   * @param took the time to the head of the answer
+   */
+  record Answer(
+      String service, String version, Route route, String model, boolean failed, Duration took) {}
+
+  /**
+   * Returns the wish for a request, empty if any version may answer.
+   *
+   * @param lastFailed the version that failed the request just before, empty for none
+   */
+  Optional<Wish> wishFor(String service, RequestHead head, Optional<String> lastFailed);
+
+  /** Takes in that a request was sent to a version. */
+  void sent(String service, String version, RequestHead head);
+
+  /** Takes in an answer. */
+  void answered(Answer answer);
 }
--- a/org.oatlug/src/org/oatlug/internal/membership/Membership.java
+++ b/org.oatlug/src/org/oatlug/internal/membership/Membership.java
@@ -115,6 +115,7 @@
 
   /** Sets addresses at which other instances are looked for while few of them are known. */
   public void seeds(List<Settings.Address> addresses) {
+    seeds.clear();
     seeds.addAll(addresses);
   }
 
--- a/org.oatlug/src/org/oatlug/internal/peer/PeerMessage.java
+++ b/org.oatlug/src/org/oatlug/internal/peer/PeerMessage.java
@@ -32,6 +32,7 @@
   @JsonSubTypes.Type(value = PeerMessage.DropBills.class, name = "dropBills"),
   @JsonSubTypes.Type(value = PeerMessage.UpstreamLeaving.class, name = "upstreamLeaving"),
   @JsonSubTypes.Type(value = PeerMessage.GuardEvidence.class, name = "guard"),
+  @JsonSubTypes.Type(value = PeerMessage.RolloutReport.class, name = "rollout"),
   @JsonSubTypes.Type(value = PeerMessage.Done.class, name = "done"),
   @JsonSubTypes.Type(value = PeerMessage.Failed.class, name = "failed")
 })
@@ -89,6 +90,20 @@
   /** The evidence of one instance against a candidate version, a logarithm. */
   record GuardEvidence(String candidate, double logEvidence) implements PeerMessage {}
 
+  /**
+   * What one instance has seen of a version under roll-out: its evidence against it, a logarithm,
+   * how many of its answers, whether it is known to be bad, and which sessions the instance keeps
+   * on the old version though their share would move them.
+   */
+  record RolloutReport(
+      String service,
+      String targetVersion,
+      double logEvidence,
+      long answers,
+      boolean refuted,
+      List<Long> keptSessions)
+      implements PeerMessage {}
+
   /** An answer without content. */
   record Done() implements PeerMessage {}
 
