--- a/org.oatlug.entry/src/org/oatlug/entry/GatewayInstance.java
+++ b/org.oatlug.entry/src/org/oatlug/entry/GatewayInstance.java
@@ -192,15 +192,16 @@
               "instance %s stops as planned, %d open", settings.name(), front.open());
           stopping = true;
           membership.leave();
-          vertx.setTimer(BALANCER_LAG.toMillis(), timer -> finishOpen(promise));
           long grace = settings.bounds().graceMillis() - CUT_BEFORE_END.toMillis();
+          front.beginStop(clock.instant().plusMillis(grace));
+          vertx.setTimer(BALANCER_LAG.toMillis(), timer -> finishOpen(promise));
           vertx.setTimer(Math.max(1, grace), timer -> endGrace(promise));
         });
     return promise.future();
   }
 
   private void finishOpen(Promise<Void> promise) {
-    front.stopKeeping();
+    front.closeResting();
     vertx.setPeriodic(
         STOP_POLL_MILLIS,
         timer -> {
--- a/org.oatlug/src/org/oatlug/internal/gateway/CallerFront.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/CallerFront.java
@@ -45,6 +45,12 @@
   /** How long callers that come before the first configuration shall wait. */
   private static final Duration COME_BACK = Duration.ofMillis(500);
 
+  /** How long a planned stop takes every request: until the balancer has seen two misses. */
+  private static final Duration TAKES_ALL_FOR = Duration.ofMillis(2900);
+
+  /** When a caller may come back that is sent to another instance: at once. */
+  private static final Duration GO_ELSEWHERE = Duration.ofMillis(20);
+
   private static final int SEPARATORS_BYTES = 4;
 
   private final GatewayParts parts;
@@ -52,7 +58,7 @@
   private final Map<HttpConnection, CallerConnection> connections = new HashMap<>();
   private int open;
   private long bodyBytes;
-  private boolean stopping;
+  private Optional<PlannedStop> stop = Optional.empty();
 
   private CallerFront(GatewayParts parts, RandomGenerator random) {
     this.parts = parts;
@@ -87,9 +93,17 @@
     return open;
   }
 
-  /** Asks callers to go elsewhere: each answer ends its connection, resting ones are closed. */
-  public void stopKeeping() {
-    stopping = true;
+  /**
+   * Begins a planned stop: requests go on being taken, each answer ends its connection.
+   *
+   * @param cutAt when what is still open will be cut
+   */
+  public void beginStop(Instant cutAt) {
+    stop = Optional.of(new PlannedStop(parts.clock().instant().plus(TAKES_ALL_FOR), cutAt));
+  }
+
+  /** Closes the connections that rest, so that their callers go elsewhere. */
+  public void closeResting() {
     for (CallerConnection connection : List.copyOf(connections.values())) {
       if (connection.isResting()) {
         connection.close();
@@ -124,6 +138,19 @@
     }
   }
 
+  /**
+   * A planned stop.
+   *
+   * @param takesAllUntil until when every request is taken; the balancer knows by then
+   * @param cutAt when what is still open will be cut
+   */
+  private record PlannedStop(Instant takesAllUntil, Instant cutAt) {
+    /** Returns whether a request of the route, taken now, ends or times out before the cut. */
+    boolean takes(Route route, Instant now) {
+      return now.isBefore(takesAllUntil) || !now.plusMillis(route.timeoutMillis()).isAfter(cutAt);
+    }
+  }
+
   private record Admitted(Route route, Optional<WorkspaceKeys> workspace) {}
 
   private RequestHead readHead(HttpServerRequest request) throws RefusedException {
@@ -163,6 +190,11 @@
                         RefusalReason.ROUTE_UNKNOWN,
                         ErrorText.format(ErrorText.get().routeUnknown, head.path())));
     Optional<WorkspaceKeys> workspace = authenticate(head, route);
+    Instant now = parts.clock().instant();
+    if (stop.isPresent() && !stop.get().takes(route, now)) {
+      throw new RefusedException(
+          Refusal.retryAfter(RefusalReason.STOPPING, ErrorText.get().stopping, GO_ELSEWHERE));
+    }
     long length = declaredLength(request);
     if (length > parts.tables().limits().bodyBytes()) {
       throw bodyTooLarge();
@@ -259,7 +291,7 @@
       open++;
       connection.ifPresent(CallerConnection::requestBegan);
       request.response().endHandler(unused -> ended());
-      if (stopping) {
+      if (stop.isPresent()) {
         answer.closeAfterwards();
       }
     }
