--- a/org.oatlug.entry/src/org/oatlug/entry/Oatlugd.java
+++ b/org.oatlug.entry/src/org/oatlug/entry/Oatlugd.java
@@ -67,11 +67,12 @@
   }
 
   private static void runGateway(CommandLine line) throws SettingsInvalidException {
-    GatewaySettings settings = SettingsFile.readGateway(settingsPath(line));
     if (line.hasOption("check")) {
+      SettingsFile.checkGateway(settingsPath(line));
       System.out.println("settings are good");
       return;
     }
+    GatewaySettings settings = SettingsFile.readGateway(settingsPath(line));
     DeploymentAdapter adapter =
         ServiceLoader.load(DeploymentAdapter.class)
             .findFirst()
--- a/org.oatlug/src/org/oatlug/config/SettingsFile.java
+++ b/org.oatlug/src/org/oatlug/config/SettingsFile.java
@@ -42,10 +42,22 @@
   /**
    * Reads the file of an instance that serves routed services.
    *
+   * <p>Unknown, missing and wrong fields are refused by the types; the schema, whose reading takes
+   * longer than the rest of a start together, is left to {@link #checkGateway}.
+   *
+   * @throws SettingsInvalidException if it cannot be read or a field is at fault
+   */
+  public static GatewaySettings readGateway(Path file) throws SettingsInvalidException {
+    return typed(readTree(file), GatewaySettings.class);
+  }
+
+  /**
+   * Reads the file of an instance that serves routed services and checks it against its schema.
+   *
    * @throws SettingsInvalidException if it cannot be read or breaks the schema, with the path of
    *     each field at fault
    */
-  public static GatewaySettings readGateway(Path file) throws SettingsInvalidException {
+  public static GatewaySettings checkGateway(Path file) throws SettingsInvalidException {
     return read(file, GATEWAY_SCHEMA, GatewaySettings.class);
   }
 
@@ -57,6 +69,10 @@
     if (!problems.isEmpty()) {
       throw new SettingsInvalidException(problems);
     }
+    return typed(tree, type);
+  }
+
+  private static <T> T typed(JsonNode tree, Class<T> type) throws SettingsInvalidException {
     try {
       return Json.STRICT.treeToValue(tree, type);
     } catch (JsonProcessingException e) {
--- a/org.oatlug/src/org/oatlug/gateway/GatewaySettings.java
+++ b/org.oatlug/src/org/oatlug/gateway/GatewaySettings.java
@@ -6,6 +6,7 @@
 import com.fasterxml.jackson.annotation.JsonCreator;
 import com.fasterxml.jackson.annotation.JsonValue;
 import java.util.List;
+import java.util.stream.Stream;
 
 /**
  * The settings of one entry instance that serves routed services. Immutable.
@@ -29,6 +30,19 @@
     Endpoint platform,
     Bounds bounds) {
 
+  /** Refuses settings that lack a field. */
+  public GatewaySettings {
+    Stream.of(name, zone, callers, readiness, peers, platform, bounds)
+        .forEach(field -> require(field != null, "a field is missing"));
+    require(metrics > 0, "metrics is no port");
+  }
+
+  private static void require(boolean holds, String problem) {
+    if (!holds) {
+      throw new IllegalArgumentException(problem);
+    }
+  }
+
   /**
    * An address, written {@code HOST:PORT}.
    *
@@ -40,6 +54,7 @@
     @JsonCreator
     public static Endpoint parse(String text) {
       int colon = text.lastIndexOf(':');
+      require(colon > 0, "'" + text + "' is not HOST:PORT");
       return new Endpoint(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
     }
 
@@ -78,5 +93,14 @@
       double retryShare,
       double retryReserve,
       double exposureShare,
-      long sessionMillis) {}
+      long sessionMillis) {
+
+    /** Refuses bounds that make no sense. */
+    public Bounds {
+      require(graceMillis >= 0, "graceMillis is negative");
+      require(retryShare >= 0 && retryReserve >= 0, "the retry budget is negative");
+      require(exposureShare >= 0 && exposureShare <= 1, "exposureShare is no share");
+      require(sessionMillis >= 0, "sessionMillis is negative");
+    }
+  }
 }
--- a/org.oatlug/src/org/oatlug/gateway/Generation.java
+++ b/org.oatlug/src/org/oatlug/gateway/Generation.java
@@ -21,4 +21,7 @@
     int promptTokens,
     int maximumTokens,
     List<PromptPart> prompt,
-    OptionalInt lengthHint) {}
+    OptionalInt lengthHint) {
+  /** Stands for a request that says nothing of itself. */
+  public static final Generation UNKNOWN = new Generation("", 0, 0, List.of(), OptionalInt.empty());
+}
--- a/org.oatlug/src/org/oatlug/internal/config/ConfigurationSystem.java
+++ b/org.oatlug/src/org/oatlug/internal/config/ConfigurationSystem.java
@@ -43,6 +43,16 @@
   private static final Duration INSTANCES_INTERVAL = Duration.ofSeconds(3);
   private static final Duration RETRY_INTERVAL = Duration.ofMillis(500);
   private static final Duration PATIENCE = Duration.ofMillis(800);
+
+  /** So many failures in a row are an outage, during which entries may lapse by themselves. */
+  private static final int OUTAGE_FAILURES = 2;
+
+  /**
+   * How long after an outage missing entries are believed to come back: the two seconds in which
+   * the platform says they do, less what remains of the bound for leaving upstreams.
+   */
+  private static final Duration LAPSE_GRACE = Duration.ofMillis(1800);
+
   private static final int TREE_WIDTH = 4;
   private static final int WATCHES_PER_BOUND = 3;
   private static final int REMOTE_RECEIVERS = 2;
@@ -203,15 +213,22 @@
     }
 
     private void listed(Platform.Batch batch) {
-      nextList = clock.instant().plus(LIST_INTERVAL);
       revision = batch.revision();
       List<StoredObject> all = new ArrayList<>(batch.objects());
-      all.addAll(vanished(kinds, batch));
+      boolean mayComeBack = failuresInRow >= OUTAGE_FAILURES;
+      if (mayComeBack) {
+        nextList = clock.instant().plus(LAPSE_GRACE);
+      } else {
+        nextList = clock.instant().plus(LIST_INTERVAL);
+        all.addAll(vanished(kinds, batch));
+      }
       received(all, revision);
     }
 
     private Uni<Void> watchOnce() {
-      Duration wait = freshness.bound().dividedBy(WATCHES_PER_BOUND);
+      Duration longest = freshness.bound().dividedBy(WATCHES_PER_BOUND);
+      Duration untilList = Duration.between(clock.instant(), nextList);
+      Duration wait = untilList.compareTo(longest) < 0 ? untilList : longest;
       return platform.watch(kinds, revision, wait).invoke(this::changed).replaceWithVoid();
     }
 
--- a/org.oatlug/src/org/oatlug/internal/gateway/CallerFront.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/CallerFront.java
@@ -328,8 +328,7 @@
 
     void refuse(Refusal refusal, String requestId) {
       parts.meters().refused(refusal.reason());
-      logger
-          .atInfo()
+      (parts.logLimit().allows() ? logger.atInfo() : logger.atFinest())
           .with(LogKeys.REQUEST_ID, requestId)
           .log(
               "refused %s before any attempt: %s path=%s host=%s",
--- a/org.oatlug/src/org/oatlug/internal/gateway/Exchange.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/Exchange.java
@@ -45,6 +45,7 @@
   /** How often a connection may fail to open before the request is given up. */
   private static final int MAXIMUM_UNREACHED = 4;
 
+  private static final long NO_TIMER = -1;
   private static final String EVENT_STREAM = "text/event-stream";
   private static final int FIRST_SERVER_ERROR = 500;
   private static final int OK = 200;
@@ -112,6 +113,14 @@
     return parts.selection().choose(wanted, parts.clock().instant());
   }
 
+  private Generation generation() {
+    return incoming.head().generation().orElse(Generation.UNKNOWN);
+  }
+
+  private Duration elapsed() {
+    return Duration.between(incoming.arrived(), parts.clock().instant());
+  }
+
   private Optional<String> model() {
     return route.isCascade() ? Optional.of(route.models().get(stage)) : Optional.empty();
   }
@@ -146,16 +155,19 @@
 
   private void finish(String outcome) {
     parts.vertx().cancelTimer(deadlineTimer);
-    Duration took = Duration.between(incoming.arrived(), parts.clock().instant());
+    Duration took = elapsed();
     parts.meters().time("request." + route.kind().name().toLowerCase(java.util.Locale.ROOT), took);
-    logger
-        .atInfo()
-        .with(LogKeys.REQUEST_ID, incoming.head().id())
+    log()
         .log(
             "request ended route=%s outcome=%s sent=%d stage=%d events=%d millis=%d",
             route.name(), outcome, sent, stage, relay.events(), took.toMillis());
   }
 
+  private FluentLogger.Api log() {
+    FluentLogger.Api line = parts.logLimit().allows() ? logger.atInfo() : logger.atFinest();
+    return line.with(LogKeys.REQUEST_ID, incoming.head().id());
+  }
+
   private void deadlinePassed() {
     if (answer.isEnded()) {
       return;
@@ -189,6 +201,9 @@
     private HttpClientResponse response;
     private boolean streaming;
     private boolean released;
+    private boolean paused;
+    private long silenceTimer = NO_TIMER;
+    private Instant lastHeard = started;
 
     Attempt(UpstreamSelection.Chosen chosen, Optional<String> model) {
       this.chosen = chosen;
@@ -211,9 +226,7 @@
           .generation()
           .ifPresent(
               text -> UpstreamSelection.rememberPrompt(chosen.row(), model.orElse(""), text));
-      logger
-          .atInfo()
-          .with(LogKeys.REQUEST_ID, incoming.head().id())
+      log()
           .log(
               "attempt=%d route=%s upstream=%s version=%s model=%s load=%d left=%d after=%s",
               sent,
@@ -235,6 +248,43 @@
               incoming.body(),
               incoming.hasBody());
       link = UpstreamAttempt.start(parts.client(), call, this);
+      if (route.isRepeatable() && !released) {
+        watchSilence();
+      }
+    }
+
+    /** Ends the attempt when the upstream is silent for too long; asks again then. */
+    private void watchSilence() {
+      Duration silent = Duration.between(lastHeard, parts.clock().instant());
+      long left = patience().minus(silent).toMillis();
+      silenceTimer = parts.vertx().setTimer(Math.max(1, left), unused -> silenceDue());
+    }
+
+    private Duration patience() {
+      return response == null
+          ? parts.times().headPatience(route, model.orElse(""))
+          : parts.times().pausePatience(route, model.orElse(""));
+    }
+
+    private void silenceDue() {
+      silenceTimer = NO_TIMER;
+      if (released) {
+        return;
+      }
+      Duration silent = Duration.between(lastHeard, parts.clock().instant());
+      boolean lost = silent.compareTo(patience()) >= 0 && !paused;
+      if (!lost) {
+        lastHeard = paused ? parts.clock().instant() : lastHeard;
+        watchSilence();
+      } else if (mayTryAgain("upstream-silent")) {
+        abandon();
+        describe("silent");
+        chosen.row().failed(parts.clock().instant());
+        mayHaveRun = true;
+        outcome(true);
+        relay.nextUpstream();
+        next();
+      }
     }
 
     private AttemptTerms terms() {
@@ -263,12 +313,14 @@
       if (!released) {
         released = true;
         chosen.row().release();
+        parts.vertx().cancelTimer(silenceTimer);
       }
     }
 
     @Override
     public void head(HttpClientResponse received) {
       response = received;
+      heard();
       AnswerHead head = parts.adapter().upstreams().read(received);
       head.load()
           .ifPresent(
@@ -333,7 +385,9 @@
         return false;
       }
       int confidence = head.confidence().getAsInt();
-      OptionalInt instead = parts.stages().insteadOf(route, stage, confidence);
+      StageRule.Poor poor =
+          new StageRule.Poor(route, incoming.service(), generation(), stage, confidence, elapsed());
+      OptionalInt instead = parts.stages().insteadOf(poor);
       if (instead.isEmpty() || !mayTryAgain("larger-model")) {
         return false;
       }
@@ -347,6 +401,8 @@
 
     private void accept(AnswerHead head) {
       mayHaveRun = true;
+      Duration took = Duration.between(started, parts.clock().instant());
+      parts.times().headTook(route, model.orElse(""), took);
       String type = response.getHeader("Content-Type");
       streaming =
           route.kind() == RouteKind.STREAM
@@ -359,8 +415,18 @@
       }
     }
 
+    private void heard() {
+      Instant now = parts.clock().instant();
+      if (streaming) {
+        long pause = Duration.between(lastHeard, now).toMillis();
+        parts.times().paused(route, model.orElse(""), pause);
+      }
+      lastHeard = now;
+    }
+
     @Override
     public void data(Buffer data) {
+      heard();
       if (!streaming) {
         body.appendBuffer(data);
         return;
@@ -368,12 +434,19 @@
       Buffer events = relay.take(data);
       if (events.length() > 0) {
         beginStream();
-        if (answer.write(events, () -> link.resume())) {
+        if (answer.write(events, this::drained)) {
+          paused = true;
           link.pause();
         }
       }
     }
 
+    private void drained() {
+      paused = false;
+      lastHeard = parts.clock().instant();
+      link.resume();
+    }
+
     private void beginStream() {
       if (answer.isBegun()) {
         return;
@@ -381,8 +454,7 @@
       MultiMap headers = parts.adapter().upstreams().passedBack(response);
       headers.remove("Content-Length");
       answer.begin(response.statusCode(), headers);
-      Duration took = Duration.between(incoming.arrived(), parts.clock().instant());
-      parts.meters().time("first-event." + route.name(), took);
+      parts.meters().time("first-event." + route.name(), elapsed());
     }
 
     @Override
@@ -449,10 +521,7 @@
 
     private void describe(String what) {
       Duration took = Duration.between(started, parts.clock().instant());
-      logger
-          .atInfo()
-          .with(LogKeys.REQUEST_ID, incoming.head().id())
-          .log("attempt=%d upstream=%s %s millis=%d", sent, chosen.name(), what, took.toMillis());
+      log().log("attempt=%d upstream=%s %s millis=%d", sent, chosen.name(), what, took.toMillis());
     }
   }
 }
--- /dev/null
+++ b/org.oatlug/src/org/oatlug/internal/gateway/ExpectedWorth.java
@@ -0,0 +1,102 @@
+// Copyright (c) 2026, the oatlug authors
+// SPDX-License-Identifier: BSD-3-Clause
+
+package org.oatlug.internal.gateway;
+
+import java.time.Duration;
+import java.util.Optional;
+import java.util.OptionalInt;
+import org.oatlug.gateway.Generation;
+import org.oatlug.gateway.Route;
+import org.oatlug.gateway.ServiceDefinition;
+
+/**
+ * Starts with the smallest model and goes straight to the largest when that is worth more.
+ *
+ * <p>The worth of taking an answer is the chance that it is good enough, read from the model's
+ * confidence. The worth of asking the largest model is the chance that its answer begins in time,
+ * from the measured times of this instance, less the price of the model. So a loaded pool, whose
+ * answers begin late, is asked for less, before any request is refused. Owned by one event loop,
+ * not thread-safe.
+ */
+final class ExpectedWorth implements StageRule {
+  /** The confidence from which on an answer is as good as certain; the best of the trials. */
+  static final double CERTAIN_CONFIDENCE = 70;
+
+  /** No answer is more certain than this, whatever the model says of it. */
+  private static final double MOST_CERTAIN = 0.97;
+
+  /** What a late answer is worth, as a share of one in time; from the deployments' sheets. */
+  private static final double LATE_WORTH = 0.3;
+
+  /** What an answer is worth that was too hard for its model; from the deployments' sheets. */
+  private static final double POOR_WORTH = 0.05;
+
+  /** Credit for each token read, and for a tenth of a token made; the middle of the sheets. */
+  private static final double WORTH_OF_TOKEN = 2.5e-4;
+
+  private static final double MADE_TOKEN = 10;
+  private static final double READ_SHARE_OF_COST = 0.25;
+  private static final double COST_TOKENS = 1000;
+
+  private final GatewayTables tables;
+  private final AnswerTimes times;
+
+  private ExpectedWorth(GatewayTables tables, AnswerTimes times) {
+    this.tables = tables;
+    this.times = times;
+  }
+
+  /** Returns a rule that reads prices from the tables and times from the measurements. */
+  static ExpectedWorth create(GatewayTables tables, AnswerTimes times) {
+    return new ExpectedWorth(tables, times);
+  }
+
+  @Override
+  public int first(Route route) {
+    return 0;
+  }
+
+  @Override
+  public OptionalInt insteadOf(Poor answer) {
+    int largest = answer.route().models().size() - 1;
+    if (answer.stage() >= largest) {
+      return OptionalInt.empty();
+    }
+    double good = Math.min(MOST_CERTAIN, answer.confidence() / CERTAIN_CONFIDENCE);
+    double taken = good + (1 - good) * POOR_WORTH;
+    String model = answer.route().models().get(largest);
+    double asked = worthInTime(answer, model) - relativePrice(answer, model);
+    return asked > taken ? OptionalInt.of(largest) : OptionalInt.empty();
+  }
+
+  private double worthInTime(Poor answer, String model) {
+    Duration left = Duration.ofMillis(answer.route().goalMillis()).minus(answer.elapsed());
+    double inTime = times.chanceOfHeadWithin(answer.route(), model, left);
+    return inTime + (1 - inTime) * LATE_WORTH;
+  }
+
+  /** Returns the price of the model for the request as a share of what the request is worth. */
+  private double relativePrice(Poor answer, String model) {
+    Generation generation = answer.generation();
+    double read = generation.promptTokens();
+    double made = generation.lengthHint().orElse(generation.maximumTokens());
+    double worth = WORTH_OF_TOKEN * (read + MADE_TOKEN * made);
+    if (worth <= 0) {
+      return 0;
+    }
+    double tokens = read * READ_SHARE_OF_COST + made;
+    return costOf(answer.service(), model) * tokens / COST_TOKENS / worth;
+  }
+
+  private double costOf(String service, String model) {
+    Optional<ServiceDefinition.Engine> engine =
+        tables.service(service).flatMap(ServiceDefinition::engine);
+    return engine.stream()
+        .flatMap(known -> known.models().stream())
+        .filter(known -> known.name().equals(model))
+        .mapToDouble(ServiceDefinition.Model::cost)
+        .findFirst()
+        .orElse(0);
+  }
+}
--- a/org.oatlug/src/org/oatlug/internal/gateway/GatewayParts.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/GatewayParts.java
@@ -24,6 +24,8 @@
  * @param stages chooses models of cascades
  * @param versions chooses versions while a roll-out runs
  * @param budgets the retry budgets
+ * @param times how long answers usually take
+ * @param logLimit bounds the lines about requests
  * @param meters the counters
  */
 public record GatewayParts(
@@ -37,10 +39,9 @@
     StageRule stages,
     VersionRule versions,
     RetryBudgets budgets,
+    AnswerTimes times,
+    LogLimit logLimit,
     Meters meters) {
-  /** Answers below this confidence are dropped; the best of the trials in docs/design. */
-  private static final int DROP_BELOW = 60;
-
   /** Returns the parts of an instance, made from what they are about. */
   public static GatewayParts create(
       Vertx vertx,
@@ -51,6 +52,7 @@
       VersionRule versions,
       RandomGenerator random,
       Meters meters) {
+    AnswerTimes times = AnswerTimes.create(clock);
     return new GatewayParts(
         vertx,
         settings,
@@ -59,9 +61,11 @@
         UpstreamAttempt.newClient(vertx),
         tables,
         UpstreamSelection.create(settings.zone(), tables, random),
-        StageRule.smallestThenLargest(DROP_BELOW),
+        ExpectedWorth.create(tables, times),
         versions,
         RetryBudgets.within(settings.bounds()),
+        times,
+        LogLimit.create(clock, meters),
         meters);
   }
 }
--- a/org.oatlug/src/org/oatlug/internal/gateway/StageRule.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/StageRule.java
@@ -3,11 +3,13 @@
 
 package org.oatlug.internal.gateway;
 
+import java.time.Duration;
 import java.util.OptionalInt;
+import org.oatlug.gateway.Generation;
 import org.oatlug.gateway.Route;
 
 /**
- * Which model of a cascade answers first, and which one goes on when an answer seems poor.
+ * Which model of a cascade answers first, and which one is asked instead when an answer seems poor.
  *
  * <p>Implementations belong to one event loop.
  */
@@ -17,30 +19,23 @@
   int first(Route route);
 
   /**
-   * Returns the stage to ask instead of taking an answer, empty to take it.
+   * An answer that may be dropped.
    *
+   * @param route the route
+   * @param service the service that answers
+   * @param generation what the request says of itself
    * @param stage the stage that answers
    * @param confidence the model's opinion of its answer, 0 to 100
+   * @param elapsed how long the caller has waited
    */
-  OptionalInt insteadOf(Route route, int stage, int confidence);
+  record Poor(
+      Route route,
+      String service,
+      Generation generation,
+      int stage,
+      int confidence,
+      Duration elapsed) {}
 
-  /**
-   * Returns the rule that starts with the smallest model and goes straight to the largest when the
-   * confidence is below the threshold.
-   */
-  static StageRule smallestThenLargest(int threshold) {
-    return new StageRule() {
-      @Override
-      public int first(Route route) {
-        return 0;
-      }
-
-      @Override
-      public OptionalInt insteadOf(Route route, int stage, int confidence) {
-        int largest = route.models().size() - 1;
-        boolean poor = confidence < threshold && stage < largest;
-        return poor ? OptionalInt.of(largest) : OptionalInt.empty();
-      }
-    };
-  }
+  /** Returns the stage to ask instead of taking the answer, empty to take it. */
+  OptionalInt insteadOf(Poor answer);
 }
