--- a/org.oatlug/src/org/oatlug/internal/gateway/AnswerTimes.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/AnswerTimes.java
@@ -11,11 +11,12 @@
 import org.oatlug.gateway.Route;
 
 /**
- * How long answers of a route and model usually take to begin and pause, and from when on silence
- * means that the upstream is lost.
+ * How long answers usually take to begin and pause, and from when on silence means that the
+ * upstream is lost.
  *
- * <p>The bounds follow the measured times, so that a pool that is slow as a whole is not asked
- * everything twice. Owned by one event loop, not thread-safe.
+ * <p>The time to the head of a generated answer grows with its prompt, so it is measured per token
+ * of prompt. The bounds follow the measured times, so that a pool that is slow as a whole is not
+ * asked everything twice. Owned by one event loop, not thread-safe.
  */
 final class AnswerTimes {
   private static final double SMOOTHING = 0.05;
@@ -32,7 +33,7 @@
   /** The least patience between events of a route without a goal for pauses, in milliseconds. */
   private static final double LEAST_PAUSE_MILLIS = 600;
 
-  /** The longest patience, in multiples of the least one. */
+  /** The longest patience, in multiples of the larger of the least one and the mean. */
   private static final double LONGEST = 4;
 
   /** After this time without a measurement its mean begins to fade, in milliseconds. */
@@ -41,11 +42,35 @@
   /** The scale of a logistic distribution for a mean absolute deviation of one. */
   private static final double SCALE_OF_DEVIATION = 0.72;
 
+  /**
+   * The prompt tokens whose reading takes as long as the fixed part of a first token: 47 ms at 112
+   * tokens a millisecond, from the sheets of the deployments' engines.
+   */
+  private static final int FIXED_TOKENS = 5000;
+
   private final InstantSource clock;
   private final Map<String, Estimate> heads = new HashMap<>();
   private final Map<String, Estimate> pauses = new HashMap<>();
 
-  /** A running mean and mean deviation, in milliseconds. */
+  /**
+   * What an answer is measured by.
+   *
+   * @param route the route
+   * @param model the model, empty for none
+   * @param promptTokens the tokens of the prompt, 0 for none
+   */
+  record Kind(Route route, String model, int promptTokens) {
+    /** Returns the group whose answers take the same time for the same size. */
+    private String group() {
+      return model.isEmpty() ? route.name() : model;
+    }
+
+    private double size() {
+      return model.isEmpty() ? 1 : (double) (promptTokens + FIXED_TOKENS) / FIXED_TOKENS;
+    }
+  }
+
+  /** A running mean and mean deviation, in milliseconds for a size of one. */
   private final class Estimate {
     private Instant last = Instant.EPOCH;
     private double mean;
@@ -75,8 +100,11 @@
       return 1 / (1 + Math.exp((mean * fading - bound) / scale));
     }
 
-    double lostAfter() {
-      return mean + DEVIATIONS * deviation;
+    /** Returns how long to wait for one of the size. */
+    Duration patience(double least, double size) {
+      double wanted = (mean + DEVIATIONS * deviation) * size;
+      double longest = LONGEST * Math.max(least, mean * size);
+      return Duration.ofMillis((long) Math.min(longest, Math.max(least, wanted)));
     }
   }
 
@@ -95,39 +123,34 @@
    * <p>A measurement that was long ago counts for less, so that a model that nobody asks because it
    * was slow is tried again.
    */
-  double chanceOfHeadWithin(Route route, String model, Duration time) {
-    return estimate(heads, route, model).chanceBelow(time.toMillis());
+  double chanceOfHeadWithin(Kind kind, Duration time) {
+    return estimate(heads, kind).chanceBelow(time.toMillis() / kind.size());
   }
 
   /** Takes in how long an answer took to begin. */
-  void headTook(Route route, String model, Duration took) {
-    estimate(heads, route, model).add(took.toMillis());
+  void headTook(Kind kind, Duration took) {
+    estimate(heads, kind).add(took.toMillis() / kind.size());
   }
 
   /** Takes in a pause between events. */
-  void paused(Route route, String model, long millis) {
-    estimate(pauses, route, model).add(millis);
+  void paused(Kind kind, long millis) {
+    estimate(pauses, kind).add(millis);
   }
 
   /** Returns how long to wait for an answer to begin. */
-  Duration headPatience(Route route, String model) {
-    double least = LEAST_SHARE_OF_GOAL * route.goalMillis();
-    return bounded(least, estimate(heads, route, model).lostAfter());
+  Duration headPatience(Kind kind) {
+    double least = LEAST_SHARE_OF_GOAL * kind.route().goalMillis();
+    return estimate(heads, kind).patience(least, kind.size());
   }
 
   /** Returns how long to wait for the next event. */
-  Duration pausePatience(Route route, String model) {
-    double goal = route.pauseGoalMillis();
+  Duration pausePatience(Kind kind) {
+    double goal = kind.route().pauseGoalMillis();
     double least = goal > 0 ? LEAST_SHARE_OF_PAUSE * goal : LEAST_PAUSE_MILLIS;
-    return bounded(least, estimate(pauses, route, model).lostAfter());
-  }
-
-  private static Duration bounded(double least, double wanted) {
-    double millis = Math.min(LONGEST * least, Math.max(least, wanted));
-    return Duration.ofMillis((long) millis);
+    return estimate(pauses, kind).patience(least, 1);
   }
 
-  private Estimate estimate(Map<String, Estimate> estimates, Route route, String model) {
-    return estimates.computeIfAbsent(route.name() + " " + model, unused -> new Estimate());
+  private Estimate estimate(Map<String, Estimate> estimates, Kind kind) {
+    return estimates.computeIfAbsent(kind.group(), unused -> new Estimate());
   }
 }
--- a/org.oatlug/src/org/oatlug/internal/gateway/Exchange.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/Exchange.java
@@ -260,10 +260,14 @@
       silenceTimer = parts.vertx().setTimer(Math.max(1, left), unused -> silenceDue());
     }
 
+    private AnswerTimes.Kind kind() {
+      return new AnswerTimes.Kind(route, model.orElse(""), generation().promptTokens());
+    }
+
     private Duration patience() {
       return response == null
-          ? parts.times().headPatience(route, model.orElse(""))
-          : parts.times().pausePatience(route, model.orElse(""));
+          ? parts.times().headPatience(kind())
+          : parts.times().pausePatience(kind());
     }
 
     private void silenceDue() {
@@ -402,7 +406,7 @@
     private void accept(AnswerHead head) {
       mayHaveRun = true;
       Duration took = Duration.between(started, parts.clock().instant());
-      parts.times().headTook(route, model.orElse(""), took);
+      parts.times().headTook(kind(), took);
       String type = response.getHeader("Content-Type");
       streaming =
           route.kind() == RouteKind.STREAM
@@ -419,7 +423,7 @@
       Instant now = parts.clock().instant();
       if (streaming) {
         long pause = Duration.between(lastHeard, now).toMillis();
-        parts.times().paused(route, model.orElse(""), pause);
+        parts.times().paused(kind(), pause);
       }
       lastHeard = now;
     }
--- a/org.oatlug/src/org/oatlug/internal/gateway/ExpectedWorth.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/ExpectedWorth.java
@@ -72,7 +72,9 @@
 
   private double worthInTime(Poor answer, String model) {
     Duration left = Duration.ofMillis(answer.route().goalMillis()).minus(answer.elapsed());
-    double inTime = times.chanceOfHeadWithin(answer.route(), model, left);
+    AnswerTimes.Kind kind =
+        new AnswerTimes.Kind(answer.route(), model, answer.generation().promptTokens());
+    double inTime = times.chanceOfHeadWithin(kind, left);
     return inTime + (1 - inTime) * LATE_WORTH;
   }
 
