--- a/org.oatlug/src/org/oatlug/internal/gateway/ExpectedWorth.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/ExpectedWorth.java
@@ -20,11 +20,11 @@
  * not thread-safe.
  */
 final class ExpectedWorth implements StageRule {
-  /** The confidence from which on an answer is as good as certain; the best of the trials. */
-  static final double CERTAIN_CONFIDENCE = 70;
+  /** The confidence at which an answer is as often good as not; the best of the trials. */
+  private static final double EVEN_CONFIDENCE = 50;
 
-  /** No answer is more certain than this, whatever the model says of it. */
-  private static final double MOST_CERTAIN = 0.97;
+  /** How much confidence makes an answer surer, as the scale of a logistic; best of the trials. */
+  private static final double CONFIDENCE_SCALE = 8;
 
   /** What a late answer is worth, as a share of one in time; from the deployments' sheets. */
   private static final double LATE_WORTH = 0.3;
@@ -63,13 +63,17 @@
     if (answer.stage() >= largest) {
       return OptionalInt.empty();
     }
-    double good = Math.min(MOST_CERTAIN, answer.confidence() / CERTAIN_CONFIDENCE);
+    double good = chanceOfGood(answer.confidence());
     double taken = good + (1 - good) * POOR_WORTH;
     String model = answer.route().models().get(largest);
     double asked = worthInTime(answer, model) - relativePrice(answer, model);
     return asked > taken ? OptionalInt.of(largest) : OptionalInt.empty();
   }
 
+  private static double chanceOfGood(int confidence) {
+    return 1 / (1 + Math.exp((EVEN_CONFIDENCE - confidence) / CONFIDENCE_SCALE));
+  }
+
   private double worthInTime(Poor answer, String model) {
     Duration left = Duration.ofMillis(answer.route().goalMillis()).minus(answer.elapsed());
     AnswerTimes.Kind kind =
