--- a/org.oatlug.entry/src/org/oatlug/entry/GatewayInstance.java
+++ b/org.oatlug.entry/src/org/oatlug/entry/GatewayInstance.java
@@ -10,7 +10,6 @@
 import io.vertx.core.Promise;
 import io.vertx.core.VerticleBase;
 import java.time.Duration;
-import java.time.Instant;
 import java.time.InstantSource;
 import java.util.List;
 import java.util.Optional;
@@ -54,9 +53,6 @@
   /** What is left of the grace when open requests are cut, so that the process ends in time. */
   private static final Duration CUT_BEFORE_END = Duration.ofMillis(400);
 
-  /** How long callers find no one listening while there is no configuration. */
-  private static final Duration LISTEN_ANYWAY_AFTER = Duration.ofSeconds(3);
-
   /** How old the configuration may be before this instance calls it stale. */
   private static final Duration FRESHNESS = Duration.ofSeconds(12);
 
@@ -69,8 +65,7 @@
   private CallerFront front;
   private List<TickSystem> systems = List.of();
   private boolean stopping;
-  private boolean listening;
-  private Instant listenAnyway;
+  private boolean configured;
 
   GatewayInstance(GatewaySettings settings, DeploymentAdapter adapter) {
     this.settings = settings;
@@ -95,14 +90,15 @@
     membership.seeds(settings.peers().seeds().stream().map(GatewayInstance::address).toList());
     Meters meters = Meters.of(new MetricRegistry());
     wire(meters);
-    listenAnyway = clock.instant().plus(LISTEN_ANYWAY_AFTER);
     systems.forEach(TickSystem::tick);
     vertx.setPeriodic(TICK_MILLIS, unused -> systems.forEach(TickSystem::tick));
     InspectionServer inspection = InspectionServer.create(vertx, meters, this::isReady);
     return inspection
         .listenForReadiness(settings.readiness())
         .compose(
-            unused -> inspection.listenForMetrics(settings.callers().host(), settings.metrics()));
+            unused -> inspection.listenForMetrics(settings.callers().host(), settings.metrics()))
+        .compose(unused -> front.listen())
+        .onSuccess(unused -> logger.atInfo().log("instance %s listens", settings.name()));
   }
 
   private void wire(Meters meters) {
@@ -143,28 +139,15 @@
     GatewayParts parts =
         GatewayParts.create(vertx, settings, clock, adapter, tables, rollouts, random, meters);
     front = CallerFront.create(parts, random);
-    systems = List.of(configuration, membership::tick, rollouts, this::listenWhenConfigured);
+    systems = List.of(configuration, membership::tick, rollouts, this::noteConfiguration);
   }
 
-  /**
-   * Accepts callers once there is a configuration: refusing all of them costs a starting process
-   * the time that it needs to read one. After a while it accepts them anyway and says why it
-   * refuses.
-   */
-  private void listenWhenConfigured() {
-    boolean due = tables.configuration().isPresent() || !clock.instant().isBefore(listenAnyway);
-    if (listening || !due) {
-      return;
+  /** Lets callers go on that came before the first configuration. */
+  private void noteConfiguration() {
+    if (!configured && tables.configuration().isPresent()) {
+      configured = true;
+      front.configured();
     }
-    listening = true;
-    front
-        .listen()
-        .onSuccess(
-            unused ->
-                logger.atInfo().log(
-                    "instance %s accepts callers, configured=%b",
-                    settings.name(), tables.configuration().isPresent()))
-        .onFailure(failure -> logger.atSevere().withCause(failure).log("cannot accept callers"));
   }
 
   private Uni<PeerMessage> dispatch(
--- a/org.oatlug/src/org/oatlug/internal/gateway/AnswerTimes.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/AnswerTimes.java
@@ -48,8 +48,14 @@
    */
   private static final int FIXED_TOKENS = 5000;
 
+  /** The share of answers that are faster than what counts as the undisturbed time. */
+  private static final double UNDISTURBED_QUANTILE = 0.2;
+
+  /** How far one answer moves the undisturbed time, as a share of it. */
+  private static final double QUANTILE_STEP = 0.05;
+
   private final InstantSource clock;
-  private final Map<String, Estimate> heads = new HashMap<>();
+  private final Map<String, HeadEstimate> heads = new HashMap<>();
   private final Map<String, Estimate> pauses = new HashMap<>();
 
   /**
@@ -70,7 +76,7 @@
     }
   }
 
-  /** A running mean and mean deviation, in milliseconds for a size of one. */
+  /** A running mean and mean deviation, in milliseconds. */
   private final class Estimate {
     private Instant last = Instant.EPOCH;
     private double mean;
@@ -91,23 +97,51 @@
 
     /** Returns the chance that the next one is below the bound, by a logistic distribution. */
     double chanceBelow(double bound) {
-      if (!any) {
-        return 1;
-      }
       double age = Duration.between(last, clock.instant()).toMillis();
       double fading = Math.exp(-Math.max(0, age - FADES_AFTER_MILLIS) / FADES_AFTER_MILLIS);
       double scale = Math.max(1, deviation * SCALE_OF_DEVIATION);
       return 1 / (1 + Math.exp((mean * fading - bound) / scale));
     }
 
-    /** Returns how long to wait for one of the size. */
-    Duration patience(double least, double size) {
-      double wanted = (mean + DEVIATIONS * deviation) * size;
-      double longest = LONGEST * Math.max(least, mean * size);
+    /** Returns how long to wait for one that takes a known time besides what is measured. */
+    Duration patience(double least, double known) {
+      double wanted = known + mean + DEVIATIONS * deviation;
+      double longest = LONGEST * Math.max(least, known + mean);
       return Duration.ofMillis((long) Math.min(longest, Math.max(least, wanted)));
     }
   }
 
+  /**
+   * The time to the head of an answer: an undisturbed part that grows with the size, and a delay by
+   * other requests that does not.
+   */
+  private final class HeadEstimate {
+    private final Estimate delay = new Estimate();
+    private double undisturbed;
+    private boolean any;
+
+    void add(double millis, double size) {
+      double ratio = millis / size;
+      if (!any) {
+        any = true;
+        undisturbed = ratio;
+      } else {
+        double step = undisturbed * QUANTILE_STEP;
+        boolean below = ratio < undisturbed;
+        undisturbed += below ? -step * (1 - UNDISTURBED_QUANTILE) : step * UNDISTURBED_QUANTILE;
+      }
+      delay.add(Math.max(0, millis - undisturbed * size));
+    }
+
+    double chanceWithin(double bound, double size) {
+      return any ? delay.chanceBelow(bound - undisturbed * size) : 1;
+    }
+
+    Duration patience(double least, double size) {
+      return delay.patience(least, undisturbed * size);
+    }
+  }
+
   private AnswerTimes(InstantSource clock) {
     this.clock = clock;
   }
@@ -124,33 +158,37 @@
    * was slow is tried again.
    */
   double chanceOfHeadWithin(Kind kind, Duration time) {
-    return estimate(heads, kind).chanceBelow(time.toMillis() / kind.size());
+    return head(kind).chanceWithin(time.toMillis(), kind.size());
   }
 
   /** Takes in how long an answer took to begin. */
   void headTook(Kind kind, Duration took) {
-    estimate(heads, kind).add(took.toMillis() / kind.size());
+    head(kind).add(took.toMillis(), kind.size());
   }
 
   /** Takes in a pause between events. */
   void paused(Kind kind, long millis) {
-    estimate(pauses, kind).add(millis);
+    pause(kind).add(millis);
   }
 
   /** Returns how long to wait for an answer to begin. */
   Duration headPatience(Kind kind) {
     double least = LEAST_SHARE_OF_GOAL * kind.route().goalMillis();
-    return estimate(heads, kind).patience(least, kind.size());
+    return head(kind).patience(least, kind.size());
   }
 
   /** Returns how long to wait for the next event. */
   Duration pausePatience(Kind kind) {
     double goal = kind.route().pauseGoalMillis();
     double least = goal > 0 ? LEAST_SHARE_OF_PAUSE * goal : LEAST_PAUSE_MILLIS;
-    return estimate(pauses, kind).patience(least, 1);
+    return pause(kind).patience(least, 0);
+  }
+
+  private HeadEstimate head(Kind kind) {
+    return heads.computeIfAbsent(kind.group(), unused -> new HeadEstimate());
   }
 
-  private Estimate estimate(Map<String, Estimate> estimates, Kind kind) {
-    return estimates.computeIfAbsent(kind.group(), unused -> new Estimate());
+  private Estimate pause(Kind kind) {
+    return pauses.computeIfAbsent(kind.group(), unused -> new Estimate());
   }
 }
--- a/org.oatlug/src/org/oatlug/internal/gateway/CallerFront.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/CallerFront.java
@@ -13,9 +13,11 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.random.RandomGenerator;
 import org.oatlug.api.Refusal;
 import org.oatlug.api.RefusalReason;
@@ -42,7 +44,16 @@
   /** What the bodies of all open requests may hold together, in bytes: a share of the heap. */
   private static final long BODIES_BYTES = 24L * 1024 * 1024;
 
-  /** How long callers that come before the first configuration shall wait. */
+  /**
+   * How long a request waits for the first configuration: less than the second after which callers
+   * give up an instance that does not read.
+   */
+  private static final Duration CONFIGURATION_PATIENCE = Duration.ofMillis(800);
+
+  /** How many requests wait for the first configuration; their bodies are not read meanwhile. */
+  private static final int MAXIMUM_WAITING = 500;
+
+  /** When callers shall come back that came before the first configuration. */
   private static final Duration COME_BACK = Duration.ofMillis(500);
 
   /** How long a planned stop takes every request: until the balancer has seen two misses. */
@@ -56,6 +67,7 @@
   private final GatewayParts parts;
   private final RandomGenerator random;
   private final Map<HttpConnection, CallerConnection> connections = new HashMap<>();
+  private final Set<OpenRequest> waiting = new LinkedHashSet<>();
   private int open;
   private long bodyBytes;
   private Optional<PlannedStop> stop = Optional.empty();
@@ -130,14 +142,20 @@
   private void received(HttpServerRequest request) {
     OpenRequest opened = new OpenRequest(request, parts.clock().instant());
     opened.begin();
-    try {
-      RequestHead head = readHead(request);
-      opened.readBody(head, admit(request, head));
-    } catch (RefusedException e) {
-      opened.refuse(e.refusal(), "");
+    if (parts.tables().configuration().isPresent() || waiting.size() >= MAXIMUM_WAITING) {
+      opened.proceed();
+    } else {
+      opened.awaitConfiguration();
     }
   }
 
+  /** Lets the requests go on that came before there was a configuration. */
+  public void configured() {
+    List<OpenRequest> ready = List.copyOf(waiting);
+    waiting.clear();
+    ready.forEach(OpenRequest::proceed);
+  }
+
   /**
    * A planned stop.
    *
@@ -302,7 +320,32 @@
       connection.ifPresent(CallerConnection::requestEnded);
     }
 
-    void readBody(RequestHead head, Admitted admitted) {
+    /** Waits a moment for the configuration that a starting instance is reading. */
+    void awaitConfiguration() {
+      request.pause();
+      waiting.add(this);
+      parts
+          .vertx()
+          .setTimer(
+              CONFIGURATION_PATIENCE.toMillis(),
+              unused -> {
+                if (waiting.remove(this)) {
+                  proceed();
+                }
+              });
+    }
+
+    void proceed() {
+      try {
+        RequestHead head = readHead(request);
+        readBody(head, admit(request, head));
+      } catch (RefusedException e) {
+        refuse(e.refusal(), "");
+      }
+      request.resume();
+    }
+
+    private void readBody(RequestHead head, Admitted admitted) {
       request.handler(data -> addToBody(head, data));
       request.endHandler(
           unused -> {
--- a/org.oatlug/src/org/oatlug/internal/gateway/ExpectedWorth.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/ExpectedWorth.java
@@ -21,7 +21,7 @@
  */
 final class ExpectedWorth implements StageRule {
   /** The confidence at which an answer is as often good as not; the best of the trials. */
-  private static final double EVEN_CONFIDENCE = 50;
+  private static final double EVEN_CONFIDENCE = 47;
 
   /** How much confidence makes an answer surer, as the scale of a logistic; best of the trials. */
   private static final double CONFIDENCE_SCALE = 8;
