--- a/org.oatlug/src/org/oatlug/internal/gateway/AnswerTimes.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/AnswerTimes.java
@@ -24,14 +24,17 @@
   /** Mean deviations above the mean from which on an answer counts as lost. */
   private static final double DEVIATIONS = 6;
 
-  /** The least patience for the head of an answer, as a share of the route's goal. */
-  private static final double LEAST_SHARE_OF_GOAL = 0.5;
+  /**
+   * The least patience for the head of an answer, as a share of the route's goal. Less than the
+   * whole goal asks sound upstreams twice: half of it cost 0.048 of the worth of a quiet day.
+   */
+  private static final double LEAST_SHARE_OF_GOAL = 1.25;
 
   /** The least patience between events, as a share of the route's longest good pause. */
-  private static final double LEAST_SHARE_OF_PAUSE = 0.5;
+  private static final double LEAST_SHARE_OF_PAUSE = 1.25;
 
   /** The least patience between events of a route without a goal for pauses, in milliseconds. */
-  private static final double LEAST_PAUSE_MILLIS = 600;
+  private static final double LEAST_PAUSE_MILLIS = 1500;
 
   /** The longest patience, in multiples of the larger of the least one and the mean. */
   private static final double LONGEST = 4;
