--- /dev/null
+++ b/org.oatlug.test/tst/org/oatlug/internal/gateway/GatewayDecisionTest.java
@@ -0,0 +1,296 @@
+// Copyright (c) 2026, the oatlug authors
+// SPDX-License-Identifier: BSD-3-Clause
+
+package org.oatlug.internal.gateway;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.Random;
+import java.util.Set;
+import org.oatlug.api.ObjectKey;
+import org.oatlug.config.Kinds;
+import org.oatlug.gateway.CallerLimits;
+import org.oatlug.gateway.GatewayKinds;
+import org.oatlug.gateway.GatewaySettings;
+import org.oatlug.gateway.Generation;
+import org.oatlug.gateway.PromptPart;
+import org.oatlug.gateway.Route;
+import org.oatlug.gateway.RouteKind;
+import org.oatlug.gateway.RoutingConfiguration;
+import org.oatlug.gateway.ServiceDefinition;
+import org.oatlug.gateway.UpstreamRecord;
+import org.oatlug.gateway.WorkspaceKeys;
+import org.oatlug.internal.util.Json;
+import org.oatlug.platform.StoredObject;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Shows the decisions about routes, upstreams, models, retries and roll-outs by themselves. */
+public class GatewayDecisionTest {
+  private Instant now = Instant.parse("2026-12-02T12:00:00Z");
+  private final InstantSource clock = () -> now;
+  private GatewayTables tables;
+  private long revision;
+
+  @BeforeMethod
+  void begin() {
+    tables = GatewayTables.create();
+    revision = 0;
+  }
+
+  private static Route route(String host, String prefix) {
+    return new Route(
+        host + prefix,
+        host,
+        prefix,
+        RouteKind.STREAM,
+        20_000,
+        2000,
+        3,
+        1,
+        false,
+        true,
+        true,
+        1200,
+        List.of("small", "middle", "large"),
+        List.of(new Route.WeightedTarget("pool", 1)));
+  }
+
+  private void put(String kind, String name, Object value) {
+    revision++;
+    ObjectKey key = ObjectKey.valueOf(kind, name);
+    tables.mergeAll(List.of(new StoredObject(key, revision, Json.STRICT.valueToTree(value))));
+  }
+
+  private void upstream(String name, String zone, String version, boolean leaving) {
+    put(
+        GatewayKinds.UPSTREAM,
+        name,
+        new UpstreamRecord("pool", "127.0.0.1", 1, zone, version, 8, leaving));
+  }
+
+  private void configuration(long version, String key) {
+    ServiceDefinition.Engine engine =
+        new ServiceDefinition.Engine(
+            8, 100_000, 7, List.of(new ServiceDefinition.Model("large", 0.2)));
+    put(
+        GatewayKinds.ROUTING,
+        "main",
+        new RoutingConfiguration(
+            version,
+            List.of(route("a", "/x/"), route("a", "/x/y/"), route("b", "/x/")),
+            List.of(new ServiceDefinition("pool", 100, Optional.of(engine))),
+            CallerLimits.DEFAULT,
+            Optional.of(List.of(new WorkspaceKeys("desk", List.of(key), Optional.of(2))))));
+  }
+
+  private static Generation generation(int read, int made, long... parts) {
+    List<PromptPart> prompt =
+        java.util.Arrays.stream(parts).mapToObj(part -> new PromptPart(part, 100)).toList();
+    return new Generation("*", read, made, prompt, OptionalInt.empty());
+  }
+
+  private UpstreamSelection.Wanted wanted(Optional<VersionRule.Wish> wish, Set<String> excluded) {
+    return new UpstreamSelection.Wanted("pool", wish, Optional.empty(), Optional.empty(), excluded);
+  }
+
+  private Optional<String> choose(Optional<VersionRule.Wish> wish, Set<String> excluded) {
+    UpstreamSelection selection = UpstreamSelection.create("here", tables, new Random(1));
+    return selection.choose(wanted(wish, excluded), now).map(UpstreamSelection.Chosen::name);
+  }
+
+  @Test
+  public void testLongestPrefixOfTheHostCounts() {
+    configuration(1, "k");
+    assertEquals(tables.routes().find("A", "/x/y/z").orElseThrow().name(), "a/x/y/");
+    assertEquals(tables.routes().find("a", "/x/z").orElseThrow().name(), "a/x/");
+    assertEquals(tables.routes().find("b", "/x/y/z").orElseThrow().name(), "b/x/");
+    assertTrue(tables.routes().find("a", "/xy").isEmpty());
+    assertTrue(tables.routes().find("c", "/x/").isEmpty());
+  }
+
+  @Test
+  public void testLateConfigurationBringsNoRevokedKeyBack() {
+    configuration(1, "old");
+    StoredObject first = tables.join().get(ObjectKey.valueOf(GatewayKinds.ROUTING, "main")).get();
+    configuration(2, "new");
+    tables.mergeAll(List.of(first));
+    assertTrue(tables.keys().find("old").isEmpty());
+    assertTrue(tables.keys().find("new").isPresent());
+  }
+
+  @Test
+  public void testTombstoneOfTheSameRevisionCounts() {
+    upstream("i-1", "here", "v1", false);
+    ObjectKey key = ObjectKey.valueOf(GatewayKinds.UPSTREAM, "i-1");
+    tables.mergeAll(List.of(new StoredObject(key, revision, Kinds.tombstone())));
+    assertTrue(tables.upstream("i-1").isEmpty());
+    assertEquals(tables.upstreamsOf("pool"), List.of());
+    upstream("i-1", "here", "v1", false);
+    assertEquals(tables.upstreamsOf("pool"), List.of("i-1"));
+  }
+
+  @Test
+  public void testUpstreamOfOwnZoneGoesFirstAndLeavingOnesAreOut() {
+    upstream("i-1", "there", "v1", false);
+    assertEquals(choose(Optional.empty(), Set.of()), Optional.of("i-1"));
+    upstream("i-2", "here", "v1", false);
+    assertEquals(choose(Optional.empty(), Set.of()), Optional.of("i-2"));
+    assertEquals(choose(Optional.empty(), Set.of("i-2")), Optional.of("i-1"));
+    upstream("i-2", "here", "v1", true);
+    assertEquals(choose(Optional.empty(), Set.of()), Optional.of("i-1"));
+    assertEquals(choose(Optional.empty(), Set.of("i-1")), Optional.empty());
+  }
+
+  @Test
+  public void testLoadedUpstreamOfOwnZoneGivesWay() {
+    upstream("i-1", "here", "v1", false);
+    upstream("i-2", "there", "v1", false);
+    tables.loads().report("i-1", 8, 30, false);
+    assertEquals(choose(Optional.empty(), Set.of()), Optional.of("i-2"));
+  }
+
+  @Test
+  public void testStrictWishIsKeptAndOtherWishesGiveWay() {
+    upstream("i-1", "here", "v1", false);
+    VersionRule.Wish soft = new VersionRule.Wish("v2", true, false);
+    assertEquals(choose(Optional.of(soft), Set.of()), Optional.of("i-1"));
+    VersionRule.Wish notOld = new VersionRule.Wish("v1", false, true);
+    assertEquals(choose(Optional.of(notOld), Set.of()), Optional.empty());
+  }
+
+  @Test
+  public void testPromptIsReadAgainWhereItWasRead() {
+    upstream("i-1", "here", "v1", false);
+    upstream("i-2", "here", "v1", false);
+    Generation text = generation(50_000, 10, 7, 8);
+    UpstreamSelection.rememberPrompt(tables.loads().row("i-2"), "m", generation(1, 1, 7));
+    UpstreamSelection selection = UpstreamSelection.create("here", tables, new Random(1));
+    UpstreamSelection.Wanted wanted =
+        new UpstreamSelection.Wanted(
+            "pool",
+            Optional.empty(),
+            Optional.of("m"),
+            Optional.of(
+                new Generation(
+                    "*", 100, 10, List.of(new PromptPart(7, 90_000)), OptionalInt.empty())),
+            Set.of());
+    assertEquals(selection.choose(wanted, now).orElseThrow().name(), "i-2");
+    assertEquals(text.prompt().size(), 2);
+  }
+
+  private OptionalInt instead(AnswerTimes times, int stage, int confidence, long elapsed) {
+    Route route = route("a", "/x/");
+    ExpectedWorth rule = ExpectedWorth.create(tables, times);
+    return rule.insteadOf(
+        new StageRule.Poor(
+            route, "pool", generation(1000, 300), stage, confidence, Duration.ofMillis(elapsed)));
+  }
+
+  @Test
+  public void testPoorAnswerIsReplacedOnlyWhileThatIsWorthMore() {
+    configuration(1, "k");
+    AnswerTimes times = AnswerTimes.create(clock);
+    assertEquals(instead(times, 0, 10, 100), OptionalInt.of(2));
+    assertEquals(instead(times, 0, 90, 100), OptionalInt.empty());
+    assertEquals(instead(times, 2, 10, 100), OptionalInt.empty());
+    AnswerTimes.Kind slow = new AnswerTimes.Kind(route("a", "/x/"), "large", 1000);
+    for (int answer = 0; answer < 200; answer++) {
+      times.headTook(slow, Duration.ofMillis(5000));
+    }
+    assertEquals(instead(times, 0, 45, 100), OptionalInt.empty(), "a late answer is worth less");
+  }
+
+  @Test
+  public void testPatienceGrowsWithThePromptAndWithSlowAnswers() {
+    AnswerTimes times = AnswerTimes.create(clock);
+    Route route = route("a", "/x/");
+    AnswerTimes.Kind small = new AnswerTimes.Kind(route, "large", 0);
+    AnswerTimes.Kind large = new AnswerTimes.Kind(route, "large", 500_000);
+    assertEquals(times.headPatience(small), Duration.ofMillis(2500));
+    for (int answer = 0; answer < 100; answer++) {
+      times.headTook(small, Duration.ofMillis(300));
+    }
+    assertTrue(times.headPatience(large).compareTo(Duration.ofSeconds(25)) > 0);
+    assertTrue(times.chanceOfHeadWithin(small, Duration.ofMillis(1500)) > 0.9);
+    assertTrue(times.chanceOfHeadWithin(large, Duration.ofMillis(1500)) < 0.1);
+  }
+
+  @Test
+  public void testRetriesOfAllInstancesStayWithinTheAgreedShare() {
+    GatewaySettings.Bounds bounds = new GatewaySettings.Bounds(8000, 0.9, 52, 0.15, 5000);
+    int retries = 0;
+    int instances = 7;
+    int firstTries = 100;
+    for (int instance = 0; instance < instances; instance++) {
+      RetryBudgets budgets = RetryBudgets.within(bounds);
+      for (int request = 0; request < firstTries; request++) {
+        budgets.of("pool").firstTry();
+        for (int attempt = 0; attempt < 3; attempt++) {
+          retries += budgets.of("pool").takeRetry() ? 1 : 0;
+        }
+      }
+    }
+    assertTrue(retries <= 0.9 * instances * firstTries + 52, "retries " + retries);
+    assertTrue(retries > 0.6 * instances * firstTries, "retries " + retries);
+  }
+
+  @Test
+  public void testScheduleKeepsBadVersionWithinItsShare() {
+    RolloutSchedule schedule = RolloutSchedule.within(0.15);
+    double sum = 0;
+    double last = 0;
+    for (int step = 0; step < 1000; step++) {
+      double share = schedule.shareAt(step / 1000.0);
+      assertTrue(share >= last, "the share never falls");
+      last = share;
+      sum += step < 740 ? share : 0;
+    }
+    assertTrue(sum / 1000 < 0.15, "before the step to all it got " + sum / 1000);
+    assertFalse(schedule.sessionsMayMove(0.49));
+    assertEquals(schedule.shareAt(0.9), 1.0);
+  }
+
+  @Test
+  public void testSessionIsKnownForItsPauseAndOwnKnowledgeGoesFirst() {
+    SessionVersions sessions = SessionVersions.withPause(Duration.ofSeconds(5));
+    sessions.seen(1, "v1", now);
+    sessions.heard(1, "other", now);
+    sessions.heard(2, "other", now);
+    assertEquals(sessions.versionOf(1, now), Optional.of("v1"));
+    assertEquals(sessions.versionOf(2, now), Optional.of("other"));
+    assertEquals(sessions.seenOnOthers("v2", now).size(), 2);
+    assertTrue(sessions.versionOf(1, now.plusSeconds(60)).isEmpty());
+  }
+
+  @Test
+  public void testBadVersionIsRefutedSoonAndGoodOneIsNot() {
+    Route route = route("a", "/x/");
+    RolloutTrial good = RolloutTrial.of("v2", now);
+    RolloutTrial bad = RolloutTrial.of("v2", now);
+    RolloutTrial slow = RolloutTrial.of("v2", now);
+    Random random = new Random(20261202);
+    for (int answer = 0; answer < 60; answer++) {
+      for (String version : List.of("v1", "v2")) {
+        boolean fails = random.nextInt(50) == 0;
+        Duration took = Duration.ofMillis(100 + random.nextInt(100));
+        good.add(new VersionRule.Answer("pool", version, route, "m", fails, took));
+        boolean spoilt = version.equals("v2") && random.nextBoolean();
+        bad.add(new VersionRule.Answer("pool", version, route, "m", spoilt, took));
+        Duration slowed = spoilt ? took.multipliedBy(8) : took;
+        slow.add(new VersionRule.Answer("pool", version, route, "m", false, slowed));
+      }
+    }
+    assertFalse(good.isRefuted());
+    assertTrue(bad.isRefuted());
+    assertTrue(slow.isRefuted());
+  }
+}
--- /dev/null
+++ b/org.oatlug.test/tst/org/oatlug/internal/gateway/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of what the package keeps to itself. */
+package org.oatlug.internal.gateway;
--- /dev/null
+++ b/org.oatlug.test/tst/org/oatlug/test/GatewayAnswerProcessTest.java
@@ -0,0 +1,221 @@
+// Copyright (c) 2026, the oatlug authors
+// SPDX-License-Identifier: BSD-3-Clause
+
+package org.oatlug.test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertThrows;
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.Optional;
+import org.oatlug.adapter.standin.SampleObjects;
+import org.oatlug.adapter.standin.UpstreamStandin;
+import org.oatlug.adapter.standin.UpstreamStandin.Arrival;
+import org.oatlug.adapter.standin.UpstreamStandin.Behaviour;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/**
+ * Shows with processes that a caller gets the whole answer to its own request, or a true refusal.
+ */
+public class GatewayAnswerProcessTest {
+  private GatewayCluster cluster;
+
+  @BeforeMethod
+  void start() throws IOException {
+    cluster = GatewayCluster.start(1, 2);
+  }
+
+  @AfterMethod(alwaysRun = true)
+  void stop() {
+    cluster.close();
+  }
+
+  private UpstreamStandin upstream(int number) {
+    return cluster.upstreams.get("i-" + number);
+  }
+
+  private void all(Behaviour behaviour) {
+    cluster.upstreams.values().forEach(one -> one.setBehaviour(behaviour));
+  }
+
+  private static String wholeStream(String id, long first, long events) {
+    StringBuilder text = new StringBuilder();
+    for (long number = first; number < events; number++) {
+      text.append(UpstreamStandin.eventText(id, number));
+    }
+    return text.toString();
+  }
+
+  private List<Arrival> arrivals() {
+    return cluster.upstreams.values().stream().flatMap(one -> one.arrivals().stream()).toList();
+  }
+
+  @Test
+  public void testPlainAnswerComesUnchanged() throws IOException {
+    Http.Answer answer = Http.send(cluster.request(0, SampleObjects.REPEATABLE + "x?y=%20z"));
+    assertEquals(answer.status(), 200);
+    assertTrue(answer.body().startsWith("answer to " + cluster.lastId()), answer.body());
+    assertTrue(answer.header("Response-Signature").startsWith("signed-by-i-"));
+    Arrival arrival = arrivals().get(0);
+    assertEquals(arrival.uri(), SampleObjects.REPEATABLE + "x?y=%20z");
+    assertEquals(arrival.body(), "a body");
+    assertEquals(arrival.header("Attempt-Id"), Optional.of(cluster.lastId()));
+  }
+
+  @Test
+  public void testKeyStaysAndSystemHeadersAreReplaced() throws IOException {
+    Http.send(
+        cluster
+            .request(0, SampleObjects.ONCE + "x")
+            .header("Tenant", "another")
+            .header("Target-Instance", "another")
+            .header("Hold", "h")
+            .header("Kv-From", "k")
+            .header("X-Own", "kept"));
+    Arrival arrival = arrivals().get(0);
+    assertEquals(arrival.header("Authorization"), Optional.empty());
+    assertEquals(arrival.header("Tenant"), Optional.of("desk"));
+    assertEquals(arrival.header("Hold"), Optional.empty());
+    assertEquals(arrival.header("Kv-From"), Optional.empty());
+    assertEquals(arrival.header("X-Own"), Optional.of("kept"));
+    long left = Long.parseLong(arrival.header("Request-Deadline").orElse("0"));
+    assertTrue(left > 0 && left <= 2000, "no more than the route's time is left, not " + left);
+  }
+
+  @Test
+  public void testRefusedRequestGoesToAnotherUpstream() throws IOException {
+    upstream(1).setBehaviour(Behaviour.REFUSES);
+    for (int round = 0; round < 6; round++) {
+      assertEquals(Http.send(cluster.request(0, SampleObjects.REPEATABLE + round)).status(), 200);
+    }
+    assertTrue(upstream(1).arrivals().size() > 0, "the refusing upstream was never asked");
+  }
+
+  @Test
+  public void testRefusalOfAllIsTrue() throws IOException {
+    all(Behaviour.REFUSES);
+    Http.Answer answer = Http.send(cluster.request(0, SampleObjects.ONCE + "x"));
+    assertEquals(answer.status(), 503);
+    assertEquals(answer.notRun(), "yes");
+    assertTrue(Double.parseDouble(answer.header("Retry-After")) > 0);
+    assertEquals(answer.header("Response-Signature"), "");
+  }
+
+  @Test
+  public void testRequestThatMayRunOnceIsSentOnceWhenItsAnswerIsLost() throws IOException {
+    all(Behaviour.LOSES_ANSWER);
+    Http.Answer answer = Http.send(cluster.request(0, SampleObjects.ONCE + "x"));
+    assertEquals(answer.status(), 502);
+    assertEquals(answer.notRun(), "unknown");
+    assertEquals(cluster.arrivals(), 1);
+  }
+
+  @Test
+  public void testRepeatableRequestIsAskedAgainAfterEachFailure() throws IOException {
+    for (Behaviour behaviour :
+        List.of(
+            Behaviour.FAILS, Behaviour.LOSES_ANSWER, Behaviour.CUTS, Behaviour.ANSWERS_ANOTHER)) {
+      upstream(1).setBehaviour(behaviour);
+      int before = upstream(1).arrivals().size();
+      for (int round = 0; round < 6; round++) {
+        Http.Answer answer = Http.send(cluster.request(0, SampleObjects.REPEATABLE + round));
+        assertEquals(answer.status(), 200, behaviour.name());
+        assertTrue(answer.body().startsWith("answer to " + cluster.lastId()), behaviour.name());
+      }
+      assertTrue(upstream(1).arrivals().size() >= before, behaviour.name());
+    }
+  }
+
+  @Test
+  public void testAnswerToAnotherRequestIsNeverHandedOn() throws IOException {
+    all(Behaviour.ANSWERS_ANOTHER);
+    Http.Answer answer = Http.send(cluster.request(0, SampleObjects.ONCE + "x"));
+    assertEquals(answer.status(), 502);
+    assertEquals(cluster.arrivals(), 1);
+  }
+
+  @Test
+  public void testStreamArrivesWholeWithSignature() throws IOException {
+    Http.Answer answer = Http.send(cluster.streamRequest(0, "one"));
+    assertEquals(answer.status(), 200);
+    assertEquals(answer.body(), wholeStream(cluster.lastId(), 0, 5));
+    assertTrue(answer.header("Response-Signature").startsWith("signed-by-i-"));
+  }
+
+  @Test
+  public void testCutStreamGoesOnElsewhereWithEachEventOnce() throws IOException {
+    upstream(1).setBehaviour(Behaviour.CUTS);
+    upstream(1).setStream(9, 5, 3);
+    upstream(2).setStream(9, 5, 99);
+    for (int round = 0; round < 6; round++) {
+      Http.Answer answer = Http.send(cluster.streamRequest(0, "s" + round));
+      assertEquals(answer.status(), 200);
+      assertEquals(answer.body(), wholeStream(cluster.lastId(), 0, 9));
+    }
+    boolean resumed = arrivals().stream().anyMatch(one -> one.header("Last-Event-Id").isPresent());
+    assertTrue(resumed, "no stream went on elsewhere");
+  }
+
+  @Test
+  public void testStreamThatNobodyEndsNeverLooksWhole() {
+    all(Behaviour.CUTS);
+    assertThrows(IOException.class, () -> Http.send(cluster.streamRequest(0, "one")));
+  }
+
+  @Test
+  public void testCallerResumesWhereItStopped() throws IOException {
+    Http.Answer answer = Http.send(cluster.streamRequest(0, "one").header("Last-Event-Id", "2"));
+    assertEquals(answer.body(), wholeStream(cluster.lastId(), 3, 5));
+  }
+
+  @Test
+  public void testPoorAnswerOfSmallModelIsReplacedByLargest() throws IOException {
+    cluster.upstreams.values().forEach(one -> one.setConfidence("small", 5));
+    Http.Answer answer = Http.send(cluster.streamRequest(0, "one"));
+    assertEquals(answer.body(), wholeStream(cluster.lastId(), 0, 5));
+    assertEquals(answer.header("Confidence"), "90");
+    List<String> models =
+        arrivals().stream().map(one -> one.header("Model").orElse("")).sorted().toList();
+    assertEquals(models, List.of("large", "small"));
+  }
+
+  @Test
+  public void testSilentUpstreamIsLeftForAnother() throws IOException {
+    upstream(1).setBehaviour(Behaviour.HANGS);
+    for (int round = 0; round < 4; round++) {
+      assertEquals(Http.send(cluster.request(0, SampleObjects.REPEATABLE + round)).status(), 200);
+    }
+    assertTrue(upstream(1).arrivals().size() > 0, "the silent upstream was never asked");
+    assertEquals(upstream(1).cancelled(), upstream(1).arrivals().size());
+  }
+
+  @Test
+  public void testSilentUpstreamEndsAtTheRoutesTimeWithoutPromise() throws IOException {
+    all(Behaviour.HANGS);
+    Http.Answer answer = Http.send(cluster.request(0, SampleObjects.ONCE + "x"));
+    assertEquals(answer.status(), 504);
+    assertEquals(answer.notRun(), "unknown");
+    assertEquals(cluster.arrivals(), 1);
+  }
+
+  @Test
+  public void testUpstreamAtReusedAddressIsLeftForAnother() throws IOException {
+    cluster.register("i-0", "i-1", "v1");
+    for (int round = 0; round < 8; round++) {
+      assertEquals(Http.send(cluster.request(0, SampleObjects.REPEATABLE + round)).status(), 200);
+    }
+  }
+
+  @Test
+  public void testCountersAndHistogramsAreShown() throws IOException {
+    all(Behaviour.REFUSES);
+    Http.send(cluster.request(0, SampleObjects.ONCE + "x"));
+    String shown = Http.get(cluster.metricsPort(0), "/metrics").body();
+    assertTrue(shown.contains("refusal_upstream_refused 1.0"), shown);
+    assertTrue(shown.contains("request_at_most_once"), shown);
+  }
+}
--- /dev/null
+++ b/org.oatlug.test/tst/org/oatlug/test/GatewayCluster.java
@@ -0,0 +1,193 @@
+// Copyright (c) 2026, the oatlug authors
+// SPDX-License-Identifier: BSD-3-Clause
+
+package org.oatlug.test;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.json.JsonObject;
+import java.io.File;
+import java.io.IOException;
+import java.net.http.HttpRequest;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+import org.oatlug.adapter.standin.SampleObjects;
+import org.oatlug.adapter.standin.StoreStandin;
+import org.oatlug.adapter.standin.UpstreamStandin;
+
+/**
+ * A store and upstreams in this process, and entry instances that serve routed services as separate
+ * processes on loopback. Used from one thread; ends what it started.
+ */
+final class GatewayCluster implements AutoCloseable {
+  private static final String HOST = "127.0.0.1";
+
+  private final Path directory = Files.createTempDirectory("oatlug-gateway");
+  private final Vertx vertx = Vertx.vertx();
+  private final List<List<Integer>> ports = new ArrayList<>();
+  private final Map<Integer, Process> entries = new TreeMap<>();
+  final StoreStandin store = StoreStandin.create(vertx);
+  final Map<String, UpstreamStandin> upstreams = new TreeMap<>();
+  private final Map<String, Integer> upstreamPorts = new TreeMap<>();
+  private final int storePort = Ports.free();
+  private int requests;
+
+  private GatewayCluster() throws IOException {}
+
+  /** Starts a store with a configuration, upstreams i-1, i-2, ... of version v1, and instances. */
+  static GatewayCluster start(int entryCount, int upstreamCount) throws IOException {
+    GatewayCluster cluster = new GatewayCluster();
+    cluster.startStore();
+    cluster.store.put("config", "main", SampleObjects.configuration(1));
+    for (int number = 1; number <= upstreamCount; number++) {
+      cluster.addUpstream("i-" + number, "v1");
+    }
+    cluster.startEntries(entryCount);
+    for (int entry = 0; entry < entryCount; entry++) {
+      cluster.awaitReady(entry);
+    }
+    return cluster;
+  }
+
+  /** Starts a store without a configuration and instances, and waits for nothing. */
+  static GatewayCluster startEmpty(int entryCount) throws IOException {
+    GatewayCluster cluster = new GatewayCluster();
+    cluster.startStore();
+    cluster.startEntries(entryCount);
+    return cluster;
+  }
+
+  private void startStore() {
+    store.listen(HOST, storePort).toCompletionStage().toCompletableFuture().join();
+  }
+
+  private void startEntries(int count) throws IOException {
+    for (int entry = 0; entry < count; entry++) {
+      ports.add(List.of(storePort, 0, Ports.free(), Ports.free(), Ports.free(), Ports.free()));
+    }
+    for (int entry = 0; entry < count; entry++) {
+      startEntry(entry);
+    }
+  }
+
+  void startEntry(int entry) throws IOException {
+    List<Integer> seeds = ports.stream().map(list -> list.get(4)).toList();
+    String name = "entry-" + entry;
+    JsonObject settings = SampleObjects.settings(name, ports.get(entry), seeds);
+    Path file = directory.resolve(name + ".json");
+    Files.writeString(file, settings.encodePrettily());
+    List<String> command = new ArrayList<>();
+    command.add(System.getProperty("java.home") + File.separator + "bin" + File.separator + "java");
+    command.addAll(List.of("-Xmx64m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-cp"));
+    command.add(System.getProperty("java.class.path"));
+    command.addAll(List.of("org.oatlug.entry.Oatlugd", "--gateway", "--settings", file.toString()));
+    Process process =
+        new ProcessBuilder(command)
+            .redirectErrorStream(true)
+            .redirectOutput(ProcessBuilder.Redirect.appendTo(log(entry).toFile()))
+            .start();
+    entries.put(entry, process);
+  }
+
+  /** Returns the file that holds the log of an instance. */
+  Path log(int entry) {
+    return directory.resolve("entry-" + entry + ".log");
+  }
+
+  Path settingsFile(int entry) {
+    return directory.resolve("entry-" + entry + ".json");
+  }
+
+  /** Starts an upstream and registers it. */
+  UpstreamStandin addUpstream(String name, String version) {
+    UpstreamStandin upstream = UpstreamStandin.create(vertx, name);
+    int port = Ports.free();
+    upstream.listen(HOST, port).toCompletionStage().toCompletableFuture().join();
+    upstream.setConfidence("small", 90);
+    upstream.setConfidence("large", 90);
+    upstreams.put(name, upstream);
+    upstreamPorts.put(name, port);
+    register(name, name, version);
+    return upstream;
+  }
+
+  /** Registers a name at the address of an upstream, which may have another name. */
+  void register(String name, String atUpstream, String version) {
+    int port = upstreamPorts.get(atUpstream);
+    store.put("servers", name, SampleObjects.upstream(SampleObjects.SERVICE, HOST, port, version));
+  }
+
+  void awaitReady(int entry) {
+    Await.until(
+        "entry-" + entry + " ready",
+        () -> Http.get(ports.get(entry).get(3), "/ready").status() == 200);
+  }
+
+  int readinessPort(int entry) {
+    return ports.get(entry).get(3);
+  }
+
+  int metricsPort(int entry) {
+    return ports.get(entry).get(5);
+  }
+
+  int callerPort(int entry) {
+    return ports.get(entry).get(2);
+  }
+
+  Process process(int entry) {
+    return entries.get(entry);
+  }
+
+  /** Sends a signal to an instance. */
+  void signal(int entry, String signal) throws IOException, InterruptedException {
+    String pid = Long.toString(process(entry).pid());
+    new ProcessBuilder("kill", "-" + signal, pid).start().waitFor();
+  }
+
+  /** Returns a request with the headers that every caller sends; each has an id of its own. */
+  HttpRequest.Builder request(int entry, String path) {
+    requests++;
+    return Http.to(callerPort(entry), path)
+        .header("Attempt-Id", "request-" + requests)
+        .header("Request-Deadline", "5000")
+        .header("Authorization", "Bearer " + SampleObjects.KEY)
+        .POST(HttpRequest.BodyPublishers.ofString("a body"));
+  }
+
+  /** Returns a request for a stream of a session. */
+  HttpRequest.Builder streamRequest(int entry, String session) {
+    String own = Integer.toHexString(session.hashCode());
+    return request(entry, SampleObjects.STREAM + "x")
+        .header("Model", "*")
+        .header("Token-Usage", "100,50")
+        .header("Prefix-Hash", "a1:60," + own + ":40");
+  }
+
+  /** Returns the id of the request that was made last. */
+  String lastId() {
+    return "request-" + requests;
+  }
+
+  /** Returns how many requests arrived at all upstreams. */
+  int arrivals() {
+    return upstreams.values().stream().mapToInt(one -> one.arrivals().size()).sum();
+  }
+
+  @Override
+  public void close() {
+    entries.values().forEach(Process::destroyForcibly);
+    for (Process process : entries.values()) {
+      try {
+        process.waitFor(10, TimeUnit.SECONDS);
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+      }
+    }
+    vertx.close().toCompletionStage().toCompletableFuture().join();
+  }
+}
--- /dev/null
+++ b/org.oatlug.test/tst/org/oatlug/test/GatewayStateProcessTest.java
@@ -0,0 +1,240 @@
+// Copyright (c) 2026, the oatlug authors
+// SPDX-License-Identifier: BSD-3-Clause
+
+package org.oatlug.test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.oatlug.adapter.standin.SampleObjects;
+import org.oatlug.adapter.standin.StoreStandin;
+import org.oatlug.adapter.standin.UpstreamStandin;
+import org.oatlug.adapter.standin.UpstreamStandin.Behaviour;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.Test;
+
+/** Shows with processes what instances believe of the store, and how they start and stop. */
+public class GatewayStateProcessTest {
+  private GatewayCluster cluster;
+
+  @AfterMethod(alwaysRun = true)
+  void stop() {
+    if (cluster != null) {
+      cluster.close();
+    }
+  }
+
+  private int status(int entry) throws IOException {
+    return Http.send(cluster.request(entry, SampleObjects.ONCE + "x")).status();
+  }
+
+  private static JsonObject withoutKeys(long version) {
+    JsonObject configuration = SampleObjects.configuration(version);
+    configuration.getJsonArray("tenants").getJsonObject(0).put("api-keys", new JsonArray());
+    return configuration;
+  }
+
+  @Test
+  public void testRevokedKeyIsRefusedByAll() throws IOException {
+    cluster = GatewayCluster.start(3, 1);
+    assertEquals(status(0), 200);
+    cluster.store.put("config", "main", withoutKeys(2));
+    for (int entry = 0; entry < 3; entry++) {
+      int one = entry;
+      Await.until("the key is refused", () -> status(one) == 401);
+    }
+  }
+
+  @Test
+  public void testInstanceWithoutConfigurationSaysComeBack() throws IOException {
+    cluster = GatewayCluster.startEmpty(1);
+    Await.until("listens", () -> Http.get(cluster.readinessPort(0), "/").status() == 503);
+    Http.Answer answer = Http.send(cluster.request(0, SampleObjects.ONCE + "x"));
+    assertEquals(answer.status(), 503);
+    assertEquals(answer.reason(), "not-ready");
+    assertTrue(Double.parseDouble(answer.header("Retry-After")) > 0);
+  }
+
+  @Test
+  public void testInstanceStartsFromPeersWhileTheStoreIsAway() throws Exception {
+    cluster = GatewayCluster.start(2, 1);
+    for (StoreStandin.Mode mode : List.of(StoreStandin.Mode.SILENT, StoreStandin.Mode.BUSY)) {
+      cluster.store.setMode(mode);
+      cluster.process(1).destroyForcibly().waitFor();
+      cluster.startEntry(1);
+      cluster.awaitReady(1);
+      assertEquals(status(1), 200);
+    }
+  }
+
+  @Test
+  public void testLostHistoryIsReadAnewPageByPage() throws IOException {
+    cluster = GatewayCluster.start(1, 1);
+    cluster.store.setPageSize(2);
+    for (int number = 2; number < 7; number++) {
+      cluster.addUpstream("i-" + number, "v1");
+    }
+    cluster.store.delete("servers", "i-1");
+    cluster.store.compact();
+    for (int number = 2; number < 7; number++) {
+      UpstreamStandin upstream = cluster.upstreams.get("i-" + number);
+      Await.until(
+          "every upstream is used", () -> status(0) == 200 && !upstream.arrivals().isEmpty());
+    }
+    int before = cluster.upstreams.get("i-1").arrivals().size();
+    for (int round = 0; round < 20; round++) {
+      assertEquals(status(0), 200);
+    }
+    assertEquals(cluster.upstreams.get("i-1").arrivals().size(), before);
+  }
+
+  @Test
+  public void testUpstreamThatLeavesInGapOfWatchIsLeft() throws IOException {
+    cluster = GatewayCluster.start(1, 2);
+    cluster.store.deleteUnseen("servers", "i-1");
+    cluster.store.compact();
+    UpstreamStandin gone = cluster.upstreams.get("i-1");
+    Await.until(
+        "the upstream gets nothing more",
+        () -> {
+          int before = gone.arrivals().size();
+          for (int round = 0; round < 10; round++) {
+            status(0);
+          }
+          return gone.arrivals().size() == before;
+        });
+  }
+
+  @Test
+  public void testDrainingUpstreamGetsNothingNewAndEndsWhatItHas() throws Exception {
+    cluster = GatewayCluster.start(1, 2);
+    UpstreamStandin leaving = cluster.upstreams.get("i-1");
+    leaving.setStream(30, 20, 99);
+    cluster.upstreams.get("i-2").setStream(30, 20, 99);
+    List<CompletableFuture<Http.Answer>> open = new ArrayList<>();
+    for (int number = 0; number < 6; number++) {
+      open.add(Http.sendAsync(cluster.streamRequest(0, "s" + number)));
+    }
+    Await.until("streams run", () -> cluster.arrivals() == 6);
+    JsonObject entry = SampleObjects.upstream(SampleObjects.SERVICE, "127.0.0.1", 1, "v1");
+    cluster.store.put("servers", "i-1", entry.put("state", "draining"));
+    for (CompletableFuture<Http.Answer> answer : open) {
+      assertEquals(answer.get(20, TimeUnit.SECONDS).status(), 200);
+    }
+    int before = leaving.arrivals().size();
+    for (int round = 0; round < 5; round++) {
+      assertEquals(status(0), 200);
+    }
+    assertEquals(leaving.arrivals().size(), before);
+  }
+
+  @Test
+  public void testPlannedStopUnderLoadLosesNoAnswer() throws Exception {
+    cluster = GatewayCluster.start(1, 2);
+    cluster.upstreams.values().forEach(one -> one.setStream(20, 40, 99));
+    List<CompletableFuture<Http.Answer>> open = new ArrayList<>();
+    for (int number = 0; number < 10; number++) {
+      open.add(Http.sendAsync(cluster.streamRequest(0, "s" + number)));
+    }
+    Await.until("streams run", () -> cluster.arrivals() == 10);
+    cluster.signal(0, "TERM");
+    Await.until("not ready", () -> Http.get(cluster.readinessPort(0), "/").status() == 503);
+    Http.Answer late = Http.send(cluster.request(0, SampleObjects.ONCE + "late"));
+    assertEquals(late.status(), 200);
+    assertEquals(late.header("Connection"), "close");
+    for (CompletableFuture<Http.Answer> answer : open) {
+      assertEquals(answer.get(20, TimeUnit.SECONDS).status(), 200);
+    }
+    assertTrue(cluster.process(0).waitFor(20, TimeUnit.SECONDS));
+    assertEquals(cluster.process(0).exitValue(), 0);
+  }
+
+  @Test
+  public void testHangUpReadsSettingsAnewAndBadOnesChangeNothing() throws Exception {
+    cluster = GatewayCluster.start(1, 1);
+    cluster.signal(0, "HUP");
+    Await.until("read anew", () -> Files.readString(cluster.log(0)).contains("settings read anew"));
+    Files.writeString(cluster.settingsFile(0), "{}");
+    Await.until("refused", () -> Files.readString(cluster.log(0)).contains("are not taken"));
+    assertEquals(status(0), 200);
+  }
+
+  @Test
+  public void testCallerThatLeavesIsCancelledAtTheUpstream() throws IOException {
+    cluster = GatewayCluster.start(1, 1);
+    UpstreamStandin upstream = cluster.upstreams.get("i-1");
+    upstream.setStream(1000, 20, 2000);
+    CompletableFuture<Http.Answer> answer = Http.sendAsync(cluster.streamRequest(0, "one"));
+    Await.until("runs", () -> upstream.arrivals().size() == 1);
+    answer.cancel(true);
+    Await.until("cancelled", () -> upstream.cancelled() == 1);
+  }
+
+  @Test
+  public void testGoodVersionTakesOver() throws IOException {
+    cluster = GatewayCluster.start(2, 2);
+    cluster.addUpstream("n-1", "v2");
+    cluster.addUpstream("n-2", "v2");
+    cluster.store.put("rollouts", SampleObjects.SERVICE, order(4));
+    driveUntil("succeeded");
+    int before = cluster.upstreams.get("i-1").arrivals().size();
+    for (int round = 0; round < 5; round++) {
+      assertEquals(status(round % 2), 200);
+    }
+    assertEquals(cluster.upstreams.get("i-1").arrivals().size(), before);
+  }
+
+  @Test
+  public void testBadVersionIsTakenBackThoughTheAnswerOfTheWriteIsLost() throws IOException {
+    cluster = GatewayCluster.start(2, 2);
+    cluster.addUpstream("n-1", "v2").setBehaviour(Behaviour.FAILS);
+    cluster.addUpstream("n-2", "v2").setBehaviour(Behaviour.FAILS);
+    cluster.store.put("rollouts", SampleObjects.SERVICE, order(30));
+    Await.until("begun", () -> state().equals("running"));
+    cluster.store.loseWrites(1);
+    driveUntil("rolled_back");
+    int bad =
+        cluster.upstreams.get("n-1").arrivals().size()
+            + cluster.upstreams.get("n-2").arrivals().size();
+    assertTrue(bad < 60, "the bad version got " + bad + " requests");
+    for (int round = 0; round < 20; round++) {
+      assertEquals(Http.send(cluster.streamRequest(round % 2, "z" + round)).status(), 200);
+    }
+    int after =
+        cluster.upstreams.get("n-1").arrivals().size()
+            + cluster.upstreams.get("n-2").arrivals().size();
+    assertEquals(after, bad);
+  }
+
+  private static JsonObject order(int seconds) {
+    return new JsonObject()
+        .put("service", SampleObjects.SERVICE)
+        .put("target-version", "v2")
+        .put("duration-s", seconds);
+  }
+
+  private String state() {
+    return cluster.store.status("rollouts", SampleObjects.SERVICE).getString("state", "");
+  }
+
+  private void driveUntil(String state) {
+    int[] number = {0};
+    Await.until(
+        state,
+        () -> {
+          for (int round = 0; round < 8; round++) {
+            number[0]++;
+            Http.send(cluster.streamRequest(number[0] % 2, "s" + number[0]));
+          }
+          return state().equals(state);
+        });
+  }
+}
--- a/org.oatlug/src/org/oatlug/config/SettingsFile.java
+++ b/org.oatlug/src/org/oatlug/config/SettingsFile.java
@@ -36,7 +36,7 @@
    *     each field at fault
    */
   public static Settings read(Path file) throws SettingsInvalidException {
-    return read(file, SCHEMA, Settings.class);
+    return checked(file, SCHEMA, Settings.class);
   }
 
   /**
@@ -58,10 +58,10 @@
    *     each field at fault
    */
   public static GatewaySettings checkGateway(Path file) throws SettingsInvalidException {
-    return read(file, GATEWAY_SCHEMA, GatewaySettings.class);
+    return checked(file, GATEWAY_SCHEMA, GatewaySettings.class);
   }
 
-  private static <T> T read(Path file, String schema, Class<T> type)
+  private static <T> T checked(Path file, String schema, Class<T> type)
       throws SettingsInvalidException {
     JsonNode tree = readTree(file);
     List<String> problems =
--- a/org.oatlug/src/org/oatlug/config/Upstream.java
+++ b/org.oatlug/src/org/oatlug/config/Upstream.java
@@ -7,7 +7,7 @@
 import java.util.List;
 
 /**
- * A back end: a model engine or a plain service. Immutable.
+ * A model engine or a plain service that answers requests. Immutable.
  *
  * @param kind engine or service
  * @param host the IP number
--- a/org.oatlug/src/org/oatlug/internal/gateway/CallerConnection.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/CallerConnection.java
@@ -3,18 +3,20 @@
 
 package org.oatlug.internal.gateway;
 
+import com.google.common.flogger.FluentLogger;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpConnection;
 import java.util.function.Supplier;
 import org.oatlug.gateway.CallerLimits;
 
 /**
- * One connection of a caller: closes it when it rested too long.
+ * One connection of a caller: closes it when it rested too long or sends a head too slowly.
  *
  * <p>The limit is read when the time is up, so that a longer one in force by then counts.
  * Invariant: no connection is closed here while a request on it is open. Used from one event loop.
  */
 final class CallerConnection {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final long NO_TIMER = -1;
 
   private final Vertx vertx;
@@ -22,8 +24,10 @@
   private final Supplier<CallerLimits> limits;
   private int open;
   private boolean closed;
+  private boolean condemned;
   private long restingSince;
   private long timer = NO_TIMER;
+  private long headTimer = NO_TIMER;
 
   private CallerConnection(Vertx vertx, HttpConnection connection, Supplier<CallerLimits> limits) {
     this.vertx = vertx;
@@ -42,23 +46,60 @@
   /** Notes that the connection is closed. */
   void closed() {
     closed = true;
+    cancelHeadTimer();
     cancel();
   }
 
+  /** Notes that bytes arrived; the head of a request has to be whole some time after its first. */
+  void bytesArrived() {
+    if (open == 0 && headTimer == NO_TIMER && !closed) {
+      long millis = Math.max(1, limits.get().headerTimeoutMillis());
+      headTimer = vertx.setTimer(millis, unused -> headIsLate());
+    }
+  }
+
+  private void headIsLate() {
+    headTimer = NO_TIMER;
+    if (open == 0) {
+      logger.atInfo().log("a connection is closed: the head of its request is late");
+      connection.close();
+    }
+  }
+
+  private void cancelHeadTimer() {
+    if (headTimer != NO_TIMER) {
+      vertx.cancelTimer(headTimer);
+      headTimer = NO_TIMER;
+    }
+  }
+
   /** Notes that a request began. */
   void requestBegan() {
     open++;
+    cancelHeadTimer();
     cancel();
   }
 
   /** Notes that a request got its answer. */
   void requestEnded() {
     open--;
-    if (open == 0 && !closed) {
+    if (condemned) {
+      connection.close();
+    } else if (open == 0 && !closed) {
       rest();
     }
   }
 
+  /** Ends the connection: its framing is in doubt, so nothing more is taken from it. */
+  void condemn() {
+    condemned = true;
+  }
+
+  /** Returns whether nothing more is taken from the connection. */
+  boolean isCondemned() {
+    return condemned;
+  }
+
   /** Returns whether no request is open on it. */
   boolean isResting() {
     return open == 0;
--- a/org.oatlug/src/org/oatlug/internal/gateway/CallerFront.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/CallerFront.java
@@ -85,21 +85,23 @@
   /** Starts to accept callers. */
   public Future<HttpServer> listen() {
     Endpoint endpoint = parts.settings().callers();
-    HttpServerOptions options =
-        new HttpServerOptions()
-            .setHttp2ClearTextEnabled(false)
-            .setMaxHeaderSize(DECODER_HEADER_BYTES)
-            .setMaxInitialLineLength(DECODER_HEADER_BYTES)
-            .setHandle100ContinueAutomatically(true)
-            .setTcpNoDelay(true);
     return parts
         .vertx()
-        .createHttpServer(options)
+        .createHttpServer(options())
         .connectionHandler(this::connected)
         .requestHandler(this::received)
         .listen(endpoint.port(), endpoint.host());
   }
 
+  private static HttpServerOptions options() {
+    return new HttpServerOptions()
+        .setHttp2ClearTextEnabled(false)
+        .setMaxHeaderSize(DECODER_HEADER_BYTES)
+        .setMaxInitialLineLength(DECODER_HEADER_BYTES)
+        .setHandle100ContinueAutomatically(true)
+        .setTcpNoDelay(true);
+  }
+
   /** Returns the number of open requests. */
   public int open() {
     return open;
@@ -132,6 +134,7 @@
     CallerConnection watched =
         CallerConnection.watch(parts.vertx(), connection, () -> parts.tables().limits());
     connections.put(connection, watched);
+    StrictRequestDecoder.install(connection, options(), watched::bytesArrived);
     connection.closeHandler(
         unused -> {
           connections.remove(connection);
@@ -140,6 +143,11 @@
   }
 
   private void received(HttpServerRequest request) {
+    CallerConnection from = connections.get(request.connection());
+    if (from != null && from.isCondemned()) {
+      from.close();
+      return;
+    }
     OpenRequest opened = new OpenRequest(request, parts.clock().instant());
     opened.begin();
     if (parts.tables().configuration().isPresent() || waiting.size() >= MAXIMUM_WAITING) {
@@ -376,6 +384,9 @@
           .log(
               "refused %s before any attempt: %s path=%s host=%s",
               refusal.reason().text(), refusal.detail(), request.path(), request.getHeader("Host"));
+      if (refusal.reason() == RefusalReason.HEADER_INVALID) {
+        connection.ifPresent(CallerConnection::condemn);
+      }
       if (!request.isEnded()) {
         answer.closeAfterwards();
       }
--- a/org.oatlug/src/org/oatlug/internal/gateway/Exchange.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/Exchange.java
@@ -107,9 +107,18 @@
     Optional<VersionRule.Wish> version =
         parts.versions().wishFor(incoming.service(), incoming.head(), lastFailed);
     Optional<Generation> generation = incoming.head().generation();
+    Optional<UpstreamSelection.Chosen> untried = chooseBut(version, generation, tried);
+    if (untried.isPresent() || current == null || !route.isRepeatable()) {
+      return untried;
+    }
+    return chooseBut(version, generation, Set.of(current.chosen.name()));
+  }
+
+  private Optional<UpstreamSelection.Chosen> chooseBut(
+      Optional<VersionRule.Wish> version, Optional<Generation> generation, Set<String> excluded) {
     UpstreamSelection.Wanted wanted =
         new UpstreamSelection.Wanted(
-            incoming.service(), version, model(), generation, Set.copyOf(tried));
+            incoming.service(), version, model(), generation, Set.copyOf(excluded));
     return parts.selection().choose(wanted, parts.clock().instant());
   }
 
--- a/org.oatlug/src/org/oatlug/internal/gateway/ExpectedWorth.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/ExpectedWorth.java
@@ -32,6 +32,9 @@
   /** What an answer is worth that was too hard for its model; from the deployments' sheets. */
   private static final double POOR_WORTH = 0.05;
 
+  /** What asking again has to gain: it takes an attempt that a broken stream may need. */
+  private static final double LEAST_GAIN = 0.02;
+
   /** Credit for each token read, and for a tenth of a token made; the middle of the sheets. */
   private static final double WORTH_OF_TOKEN = 2.5e-4;
 
@@ -67,7 +70,7 @@
     double taken = good + (1 - good) * POOR_WORTH;
     String model = answer.route().models().get(largest);
     double asked = worthInTime(answer, model) - relativePrice(answer, model);
-    return asked > taken ? OptionalInt.of(largest) : OptionalInt.empty();
+    return asked > taken + LEAST_GAIN ? OptionalInt.of(largest) : OptionalInt.empty();
   }
 
   private static double chanceOfGood(int confidence) {
