--- a/org.oatlug.test/tst/org/oatlug/internal/gateway/GatewayDecisionTest.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/gateway/GatewayDecisionTest.java
@@ -10,6 +10,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
@@ -94,7 +95,7 @@
 
   private static Generation generation(int read, int made, long... parts) {
     List<PromptPart> prompt =
-        java.util.Arrays.stream(parts).mapToObj(part -> new PromptPart(part, 100)).toList();
+        Arrays.stream(parts).mapToObj(part -> new PromptPart(part, 100)).toList();
     return new Generation("*", read, made, prompt, OptionalInt.empty());
   }
 
--- a/org.oatlug/src/org/oatlug/internal/gateway/Exchange.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/Exchange.java
@@ -11,6 +11,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.HashSet;
+import java.util.Locale;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.Set;
@@ -165,7 +166,7 @@
   private void finish(String outcome) {
     parts.vertx().cancelTimer(deadlineTimer);
     Duration took = elapsed();
-    parts.meters().time("request." + route.kind().name().toLowerCase(java.util.Locale.ROOT), took);
+    parts.meters().time("request." + route.kind().name().toLowerCase(Locale.ROOT), took);
     log()
         .log(
             "request ended route=%s outcome=%s sent=%d stage=%d events=%d millis=%d",
