--- a/org.oatlug/src/org/oatlug/internal/gateway/Exchange.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/Exchange.java
@@ -4,12 +4,7 @@
 package org.oatlug.internal.gateway;
 
 import com.google.common.flogger.FluentLogger;
-import io.vertx.core.MultiMap;
-import io.vertx.core.buffer.Buffer;
-import io.vertx.core.http.HttpClientResponse;
-import io.vertx.core.net.SocketAddress;
 import java.time.Duration;
-import java.time.Instant;
 import java.util.HashSet;
 import java.util.Locale;
 import java.util.Optional;
@@ -18,13 +13,8 @@
 import org.oatlug.api.Refusal;
 import org.oatlug.api.RefusalReason;
 import org.oatlug.errors.ErrorText;
-import org.oatlug.errors.UpstreamFailedException.Progress;
-import org.oatlug.gateway.AnswerHead;
-import org.oatlug.gateway.AttemptTerms;
 import org.oatlug.gateway.Generation;
 import org.oatlug.gateway.Route;
-import org.oatlug.gateway.RouteKind;
-import org.oatlug.gateway.WorkspaceKeys;
 import org.oatlug.internal.util.LogKeys;
 
 /**
@@ -46,11 +36,6 @@
   /** How often a connection may fail to open before the request is given up. */
   private static final int MAXIMUM_UNREACHED = 4;
 
-  private static final long NO_TIMER = -1;
-  private static final String EVENT_STREAM = "text/event-stream";
-  private static final int FIRST_SERVER_ERROR = 500;
-  private static final int OK = 200;
-
   private final GatewayParts parts;
   private final CallerAnswer answer;
   private final Incoming incoming;
@@ -63,7 +48,7 @@
   private int stage;
   private boolean mayHaveRun;
   private Optional<String> lastFailed = Optional.empty();
-  private Attempt current;
+  private ExchangeAttempt current;
 
   private Exchange(GatewayParts parts, CallerAnswer answer, Incoming incoming) {
     this.parts = parts;
@@ -89,18 +74,42 @@
     next();
   }
 
-  private Duration timeLeft() {
+  GatewayParts parts() {
+    return parts;
+  }
+
+  CallerAnswer answer() {
+    return answer;
+  }
+
+  Incoming incoming() {
+    return incoming;
+  }
+
+  /** Returns the events that were handed on, by all attempts together. */
+  StreamRelay relay() {
+    return relay;
+  }
+
+  /** Returns how many attempts may have reached an upstream. */
+  int sent() {
+    return sent;
+  }
+
+  /** Returns how long the caller still waits. */
+  Duration timeLeft() {
     return Duration.between(parts.clock().instant(), incoming.deadline());
   }
 
-  private void next() {
+  /** Sends the request to the next upstream, or gives it up if there is none. */
+  void next() {
     Optional<UpstreamSelection.Chosen> chosen = choose();
     if (chosen.isEmpty()) {
       String text = ErrorText.format(ErrorText.get().noUpstream, incoming.service());
       giveUp(RefusalReason.NO_UPSTREAM, text);
       return;
     }
-    current = new Attempt(chosen.get(), model());
+    current = new ExchangeAttempt(this, chosen.get(), model());
     current.send();
   }
 
@@ -112,7 +121,7 @@
     if (untried.isPresent() || current == null || !route.isRepeatable()) {
       return untried;
     }
-    return chooseBut(version, generation, Set.of(current.chosen.name()));
+    return chooseBut(version, generation, Set.of(current.upstreamName()));
   }
 
   private Optional<UpstreamSelection.Chosen> chooseBut(
@@ -123,11 +132,13 @@
     return parts.selection().choose(wanted, parts.clock().instant());
   }
 
-  private Generation generation() {
+  /** Returns what the request says of itself. */
+  Generation generation() {
     return incoming.head().generation().orElse(Generation.UNKNOWN);
   }
 
-  private Duration elapsed() {
+  /** Returns how long the caller has waited. */
+  Duration elapsed() {
     return Duration.between(incoming.arrived(), parts.clock().instant());
   }
 
@@ -135,7 +146,53 @@
     return route.isCascade() ? Optional.of(route.models().get(stage)) : Optional.empty();
   }
 
-  private boolean mayTryAgain(String cause) {
+  /** Notes that an attempt goes out to the upstream. */
+  void noteSent(String upstream) {
+    sent++;
+    tried.add(upstream);
+  }
+
+  /** Notes that an upstream may have run the request. */
+  void noteMayHaveRun() {
+    mayHaveRun = true;
+  }
+
+  /** Notes which version failed the request last. */
+  void noteFailedVersion(String version) {
+    lastFailed = Optional.of(version);
+  }
+
+  /** Goes on after a connection that did not open: nothing was sent, so no retry is counted. */
+  void notReached() {
+    sent--;
+    unreached++;
+    parts.meters().count("retry.upstream-not-reached");
+    if (unreached < MAXIMUM_UNREACHED && timeLeft().compareTo(LEAST_TIME) > 0) {
+      next();
+    } else {
+      giveUp(RefusalReason.NO_UPSTREAM, ErrorText.get().upstreamBroke);
+    }
+  }
+
+  /** Returns the stage to ask instead of taking an answer of this confidence, empty to take it. */
+  OptionalInt stageInsteadOf(int confidence) {
+    StageRule.Poor poor =
+        new StageRule.Poor(route, incoming.service(), generation(), stage, confidence, elapsed());
+    return parts.stages().insteadOf(poor);
+  }
+
+  /** Goes on with another model of the cascade. */
+  void nextAt(int otherStage) {
+    stage = otherStage;
+    next();
+  }
+
+  /**
+   * Returns whether the request may be sent once more, and takes the retry out of the budget then.
+   *
+   * @param cause the word under which the retry is counted
+   */
+  boolean mayTryAgain(String cause) {
     boolean inTime = timeLeft().compareTo(LEAST_TIME) > 0;
     if (sent >= route.maximumAttempts() || !inTime) {
       parts.meters().count("retry.no-attempt-left");
@@ -149,7 +206,8 @@
     return true;
   }
 
-  private void giveUp(RefusalReason reason, String text) {
+  /** Refuses the request; says "not run" only while no upstream may have run it. */
+  void giveUp(RefusalReason reason, String text) {
     Refusal refusal =
         mayHaveRun
             ? Refusal.unknown(RefusalReason.UPSTREAM_FAILED, text)
@@ -163,7 +221,8 @@
     answer.refuse(refusal, incoming.head().id());
   }
 
-  private void finish(String outcome) {
+  /** Notes that the way ends, before its answer does. */
+  void finish(String outcome) {
     parts.vertx().cancelTimer(deadlineTimer);
     Duration took = elapsed();
     parts.meters().time("request." + route.kind().name().toLowerCase(Locale.ROOT), took);
@@ -173,7 +232,8 @@
             route.name(), outcome, sent, stage, relay.events(), took.toMillis());
   }
 
-  private FluentLogger.Api log() {
+  /** Returns a log line about the request, within the bound of such lines. */
+  FluentLogger.Api log() {
     FluentLogger.Api line = parts.logLimit().allows() ? logger.atInfo() : logger.atFinest();
     return line.with(LogKeys.REQUEST_ID, incoming.head().id());
   }
@@ -200,342 +260,4 @@
     finish("caller gone");
     parts.meters().count("request.caller-gone");
   }
-
-  /** One attempt at one upstream, and what becomes of its answer. */
-  private final class Attempt implements UpstreamAttempt.Listener {
-    private final UpstreamSelection.Chosen chosen;
-    private final Optional<String> model;
-    private final Instant started = parts.clock().instant();
-    private final Buffer body = Buffer.buffer();
-    private UpstreamAttempt link;
-    private HttpClientResponse response;
-    private boolean streaming;
-    private boolean released;
-    private boolean paused;
-    private long silenceTimer = NO_TIMER;
-    private Instant lastHeard = started;
-
-    Attempt(UpstreamSelection.Chosen chosen, Optional<String> model) {
-      this.chosen = chosen;
-      this.model = model;
-    }
-
-    boolean isOpen() {
-      return !released;
-    }
-
-    void send() {
-      chosen.row().reserve();
-      sent++;
-      tried.add(chosen.name());
-      parts.versions().sent(incoming.service(), chosen.upstream().version(), incoming.head());
-      MultiMap headers = MultiMap.caseInsensitiveMultiMap().addAll(incoming.headers());
-      parts.adapter().upstreams().addTerms(headers, terms());
-      incoming
-          .head()
-          .generation()
-          .ifPresent(
-              text -> UpstreamSelection.rememberPrompt(chosen.row(), model.orElse(""), text));
-      log()
-          .log(
-              "attempt=%d route=%s upstream=%s version=%s model=%s load=%d left=%d after=%s",
-              sent,
-              route.name(),
-              chosen.name(),
-              chosen.upstream().version(),
-              model.orElse("-"),
-              chosen.row().expectedLoad(),
-              timeLeft().toMillis(),
-              relay.last());
-      SocketAddress address =
-          SocketAddress.inetSocketAddress(chosen.upstream().port(), chosen.upstream().host());
-      UpstreamAttempt.Call call =
-          new UpstreamAttempt.Call(
-              address,
-              incoming.method(),
-              incoming.uri(),
-              headers,
-              incoming.body(),
-              incoming.hasBody());
-      link = UpstreamAttempt.start(parts.client(), call, this);
-      if (route.isRepeatable() && !released) {
-        watchSilence();
-      }
-    }
-
-    /** Ends the attempt when the upstream is silent for too long; asks again then. */
-    private void watchSilence() {
-      Duration silent = Duration.between(lastHeard, parts.clock().instant());
-      long left = patience().minus(silent).toMillis();
-      silenceTimer = parts.vertx().setTimer(Math.max(1, left), unused -> silenceDue());
-    }
-
-    private AnswerTimes.Kind kind() {
-      return new AnswerTimes.Kind(route, model.orElse(""), generation().promptTokens());
-    }
-
-    private Duration patience() {
-      return response == null
-          ? parts.times().headPatience(kind())
-          : parts.times().pausePatience(kind());
-    }
-
-    private void silenceDue() {
-      silenceTimer = NO_TIMER;
-      if (released) {
-        return;
-      }
-      Duration silent = Duration.between(lastHeard, parts.clock().instant());
-      boolean lost = silent.compareTo(patience()) >= 0 && !paused;
-      if (!lost) {
-        lastHeard = paused ? parts.clock().instant() : lastHeard;
-        watchSilence();
-      } else if (mayTryAgain("upstream-silent")) {
-        abandon();
-        describe("silent");
-        chosen.row().failed(parts.clock().instant());
-        mayHaveRun = true;
-        outcome(true);
-        relay.nextUpstream();
-        next();
-      }
-    }
-
-    private AttemptTerms terms() {
-      return new AttemptTerms(
-          chosen.name(),
-          incoming.workspace().map(WorkspaceKeys::name),
-          timeLeft(),
-          model,
-          relay.last(),
-          OptionalInt.of(priority()));
-    }
-
-    private int priority() {
-      return incoming.workspace().flatMap(WorkspaceKeys::priority).orElse(route.priority());
-    }
-
-    /** Ends the attempt without a result. */
-    void abandon() {
-      release();
-      if (link != null) {
-        link.cancel();
-      }
-    }
-
-    private void release() {
-      if (!released) {
-        released = true;
-        chosen.row().release();
-        parts.vertx().cancelTimer(silenceTimer);
-      }
-    }
-
-    @Override
-    public void head(HttpClientResponse received) {
-      response = received;
-      heard();
-      AnswerHead head = parts.adapter().upstreams().read(received);
-      head.load()
-          .ifPresent(
-              load ->
-                  parts
-                      .tables()
-                      .loads()
-                      .report(chosen.name(), load.running(), load.waiting(), false));
-      if (!head.requestId().equals(Optional.of(incoming.head().id()))) {
-        link.cancel();
-        failed(Progress.ANSWERING, "the answer is to another request");
-        return;
-      }
-      if (head.verdict() != AnswerHead.Verdict.RAN) {
-        refusedByUpstream(head);
-        return;
-      }
-      boolean failure = head.status() >= FIRST_SERVER_ERROR;
-      outcome(failure);
-      if (failure && failedAtUpstream(head)) {
-        return;
-      }
-      if (!failure && isPoor(head)) {
-        return;
-      }
-      accept(head);
-    }
-
-    private void refusedByUpstream(AnswerHead head) {
-      abandon();
-      boolean moved = head.verdict() == AnswerHead.Verdict.WRONG_UPSTREAM;
-      if (moved) {
-        chosen.row().markLeaving();
-      }
-      describe("refused by upstream status=" + head.status());
-      if (mayTryAgain(moved ? "upstream-moved" : "upstream-refused")) {
-        next();
-      } else {
-        giveUp(RefusalReason.UPSTREAM_REFUSED, ErrorText.get().upstreamRefused);
-      }
-    }
-
-    /** Returns whether a failure of the upstream was dealt with by another attempt. */
-    private boolean failedAtUpstream(AnswerHead head) {
-      mayHaveRun = true;
-      chosen.row().failed(parts.clock().instant());
-      if (!route.isRepeatable()) {
-        return false;
-      }
-      if (!mayTryAgain("upstream-status")) {
-        return false;
-      }
-      abandon();
-      describe("failed status=" + head.status());
-      next();
-      return true;
-    }
-
-    /** Returns whether the answer was dropped because a larger model shall answer. */
-    private boolean isPoor(AnswerHead head) {
-      if (!route.isCascade() || answer.isBegun() || head.confidence().isEmpty()) {
-        return false;
-      }
-      int confidence = head.confidence().getAsInt();
-      StageRule.Poor poor =
-          new StageRule.Poor(route, incoming.service(), generation(), stage, confidence, elapsed());
-      OptionalInt instead = parts.stages().insteadOf(poor);
-      if (instead.isEmpty() || !mayTryAgain("larger-model")) {
-        return false;
-      }
-      mayHaveRun = true;
-      abandon();
-      describe("dropped confidence=" + confidence);
-      stage = instead.getAsInt();
-      next();
-      return true;
-    }
-
-    private void accept(AnswerHead head) {
-      mayHaveRun = true;
-      Duration took = Duration.between(started, parts.clock().instant());
-      parts.times().headTook(kind(), took);
-      String type = response.getHeader("Content-Type");
-      streaming =
-          route.kind() == RouteKind.STREAM
-              && head.status() == OK
-              && type != null
-              && type.startsWith(EVENT_STREAM);
-      if (answer.isBegun() && !streaming) {
-        link.cancel();
-        failed(Progress.ANSWERING, "no stream follows, status=" + head.status());
-      }
-    }
-
-    private void heard() {
-      Instant now = parts.clock().instant();
-      if (streaming) {
-        long pause = Duration.between(lastHeard, now).toMillis();
-        parts.times().paused(kind(), pause);
-      }
-      lastHeard = now;
-    }
-
-    @Override
-    public void data(Buffer data) {
-      heard();
-      if (!streaming) {
-        body.appendBuffer(data);
-        return;
-      }
-      Buffer events = relay.take(data);
-      if (events.length() > 0) {
-        beginStream();
-        if (answer.write(events, this::drained)) {
-          paused = true;
-          link.pause();
-        }
-      }
-    }
-
-    private void drained() {
-      paused = false;
-      lastHeard = parts.clock().instant();
-      link.resume();
-    }
-
-    private void beginStream() {
-      if (answer.isBegun()) {
-        return;
-      }
-      MultiMap headers = parts.adapter().upstreams().passedBack(response);
-      headers.remove("Content-Length");
-      answer.begin(response.statusCode(), headers);
-      parts.meters().time("first-event." + route.name(), elapsed());
-    }
-
-    @Override
-    public void whole() {
-      if (streaming && relay.endsInsideEvent()) {
-        failed(Progress.ANSWERING, "the stream ends inside an event");
-        return;
-      }
-      release();
-      chosen.row().succeeded();
-      if (streaming) {
-        beginStream();
-        finish("stream");
-        answer.end();
-        return;
-      }
-      finish("status " + response.statusCode());
-      MultiMap headers = parts.adapter().upstreams().passedBack(response);
-      answer.whole(response.statusCode(), headers, body);
-    }
-
-    @Override
-    public void failed(Progress progress, String problem) {
-      release();
-      chosen.row().failed(parts.clock().instant());
-      describe("failed " + progress + " " + problem);
-      if (progress == Progress.NOT_SENT) {
-        notSent();
-        return;
-      }
-      mayHaveRun = true;
-      outcome(true);
-      relay.nextUpstream();
-      if (route.isRepeatable() && mayTryAgain("upstream-" + (streaming ? "stream" : "answer"))) {
-        next();
-      } else {
-        giveUp(RefusalReason.UPSTREAM_FAILED, ErrorText.get().upstreamBroke);
-      }
-    }
-
-    private void notSent() {
-      sent--;
-      unreached++;
-      parts.meters().count("retry.upstream-not-reached");
-      if (unreached < MAXIMUM_UNREACHED && timeLeft().compareTo(LEAST_TIME) > 0) {
-        next();
-      } else {
-        giveUp(RefusalReason.NO_UPSTREAM, ErrorText.get().upstreamBroke);
-      }
-    }
-
-    private void outcome(boolean bad) {
-      String version = chosen.upstream().version();
-      if (bad) {
-        lastFailed = Optional.of(version);
-      }
-      Duration took = Duration.between(started, parts.clock().instant());
-      parts
-          .versions()
-          .answered(
-              new VersionRule.Answer(
-                  incoming.service(), version, route, model.orElse(""), bad, took));
-    }
-
-    private void describe(String what) {
-      Duration took = Duration.between(started, parts.clock().instant());
-      log().log("attempt=%d upstream=%s %s millis=%d", sent, chosen.name(), what, took.toMillis());
-    }
-  }
 }
--- /dev/null
+++ b/org.oatlug/src/org/oatlug/internal/gateway/ExchangeAttempt.java
@@ -0,0 +1,385 @@
+// Copyright (c) 2026, the oatlug authors
+// SPDX-License-Identifier: BSD-3-Clause
+
+package org.oatlug.internal.gateway;
+
+import io.vertx.core.MultiMap;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.net.SocketAddress;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Optional;
+import java.util.OptionalInt;
+import org.oatlug.api.RefusalReason;
+import org.oatlug.errors.ErrorText;
+import org.oatlug.errors.UpstreamFailedException.Progress;
+import org.oatlug.gateway.AnswerHead;
+import org.oatlug.gateway.AttemptTerms;
+import org.oatlug.gateway.Route;
+import org.oatlug.gateway.RouteKind;
+import org.oatlug.gateway.WorkspaceKeys;
+
+/**
+ * One attempt of an exchange at one upstream, and what becomes of its answer.
+ *
+ * <p>The connection is the link's matter; this class says whether the answer is taken, dropped or
+ * asked for again. Invariants: the upstream's row holds a reservation from {@link #send} to the end
+ * of the attempt and not longer; an answer that was begun towards the caller goes on only with the
+ * events that follow. Used from one event loop.
+ */
+final class ExchangeAttempt implements UpstreamAttempt.Listener {
+  private static final long NO_TIMER = -1;
+  private static final String EVENT_STREAM = "text/event-stream";
+  private static final int FIRST_SERVER_ERROR = 500;
+  private static final int OK = 200;
+
+  private final Exchange exchange;
+  private final GatewayParts parts;
+  private final Incoming incoming;
+  private final Route route;
+  private final CallerAnswer answer;
+  private final StreamRelay relay;
+  private final UpstreamSelection.Chosen chosen;
+  private final Optional<String> model;
+  private final Instant started;
+  private final Buffer body = Buffer.buffer();
+  private UpstreamAttempt link;
+  private HttpClientResponse response;
+  private boolean streaming;
+  private boolean released;
+  private boolean paused;
+  private long silenceTimer = NO_TIMER;
+  private Instant lastHeard;
+
+  ExchangeAttempt(Exchange exchange, UpstreamSelection.Chosen chosen, Optional<String> model) {
+    this.exchange = exchange;
+    this.parts = exchange.parts();
+    this.incoming = exchange.incoming();
+    this.route = incoming.route();
+    this.answer = exchange.answer();
+    this.relay = exchange.relay();
+    this.chosen = chosen;
+    this.model = model;
+    this.started = parts.clock().instant();
+    this.lastHeard = started;
+  }
+
+  String upstreamName() {
+    return chosen.name();
+  }
+
+  /** Returns whether neither a result nor its end has come. */
+  boolean isOpen() {
+    return !released;
+  }
+
+  /** Sends the request to the upstream. */
+  void send() {
+    chosen.row().reserve();
+    exchange.noteSent(chosen.name());
+    parts.versions().sent(incoming.service(), chosen.upstream().version(), incoming.head());
+    MultiMap headers = MultiMap.caseInsensitiveMultiMap().addAll(incoming.headers());
+    parts.adapter().upstreams().addTerms(headers, terms());
+    incoming
+        .head()
+        .generation()
+        .ifPresent(text -> UpstreamSelection.rememberPrompt(chosen.row(), model.orElse(""), text));
+    logSent();
+    link = UpstreamAttempt.start(parts.client(), call(headers), this);
+    if (route.isRepeatable() && !released) {
+      watchSilence();
+    }
+  }
+
+  private void logSent() {
+    exchange.log().log(
+        "attempt=%d route=%s upstream=%s version=%s model=%s load=%d left=%d after=%s",
+        exchange.sent(),
+        route.name(),
+        chosen.name(),
+        chosen.upstream().version(),
+        model.orElse("-"),
+        chosen.row().expectedLoad(),
+        exchange.timeLeft().toMillis(),
+        relay.last());
+  }
+
+  private UpstreamAttempt.Call call(MultiMap headers) {
+    SocketAddress address =
+        SocketAddress.inetSocketAddress(chosen.upstream().port(), chosen.upstream().host());
+    return new UpstreamAttempt.Call(
+        address, incoming.method(), incoming.uri(), headers, incoming.body(), incoming.hasBody());
+  }
+
+  /** Ends the attempt when the upstream is silent for too long; asks again then. */
+  private void watchSilence() {
+    long left = patience().minus(silence()).toMillis();
+    silenceTimer = parts.vertx().setTimer(Math.max(1, left), unused -> silenceDue());
+  }
+
+  private AnswerTimes.Kind kind() {
+    return new AnswerTimes.Kind(route, model.orElse(""), exchange.generation().promptTokens());
+  }
+
+  private Duration patience() {
+    return response == null
+        ? parts.times().headPatience(kind())
+        : parts.times().pausePatience(kind());
+  }
+
+  /** Returns how long the upstream has been silent. */
+  private Duration silence() {
+    return Duration.between(lastHeard, parts.clock().instant());
+  }
+
+  private void silenceDue() {
+    silenceTimer = NO_TIMER;
+    if (released) {
+      return;
+    }
+    boolean lost = silence().compareTo(patience()) >= 0 && !paused;
+    if (!lost) {
+      lastHeard = paused ? parts.clock().instant() : lastHeard;
+      watchSilence();
+    } else if (exchange.mayTryAgain("upstream-silent")) {
+      abandon();
+      describe("silent");
+      chosen.row().failed(parts.clock().instant());
+      exchange.noteMayHaveRun();
+      noteOutcome(true);
+      relay.nextUpstream();
+      exchange.next();
+    }
+  }
+
+  private AttemptTerms terms() {
+    return new AttemptTerms(
+        chosen.name(),
+        incoming.workspace().map(WorkspaceKeys::name),
+        exchange.timeLeft(),
+        model,
+        relay.last(),
+        OptionalInt.of(priority()));
+  }
+
+  private int priority() {
+    return incoming.workspace().flatMap(WorkspaceKeys::priority).orElse(route.priority());
+  }
+
+  /** Ends the attempt without a result. */
+  void abandon() {
+    release();
+    if (link != null) {
+      link.cancel();
+    }
+  }
+
+  private void release() {
+    if (!released) {
+      released = true;
+      chosen.row().release();
+      parts.vertx().cancelTimer(silenceTimer);
+    }
+  }
+
+  @Override
+  public void head(HttpClientResponse received) {
+    response = received;
+    heard();
+    AnswerHead head = parts.adapter().upstreams().read(received);
+    head.load()
+        .ifPresent(
+            load ->
+                parts
+                    .tables()
+                    .loads()
+                    .report(chosen.name(), load.running(), load.waiting(), false));
+    if (!head.requestId().equals(Optional.of(incoming.head().id()))) {
+      link.cancel();
+      failed(Progress.ANSWERING, "the answer is to another request");
+      return;
+    }
+    if (head.verdict() != AnswerHead.Verdict.RAN) {
+      refusedByUpstream(head);
+      return;
+    }
+    boolean failure = head.status() >= FIRST_SERVER_ERROR;
+    noteOutcome(failure);
+    if (failure && isReplacedAfterFailure(head)) {
+      return;
+    }
+    if (!failure && isDroppedAsPoor(head)) {
+      return;
+    }
+    accept(head);
+  }
+
+  private void refusedByUpstream(AnswerHead head) {
+    abandon();
+    boolean moved = head.verdict() == AnswerHead.Verdict.WRONG_UPSTREAM;
+    if (moved) {
+      chosen.row().markLeaving();
+    }
+    describe("refused by upstream status=" + head.status());
+    if (exchange.mayTryAgain(moved ? "upstream-moved" : "upstream-refused")) {
+      exchange.next();
+    } else {
+      exchange.giveUp(RefusalReason.UPSTREAM_REFUSED, ErrorText.get().upstreamRefused);
+    }
+  }
+
+  /** Returns whether a failure of the upstream was dealt with by another attempt. */
+  private boolean isReplacedAfterFailure(AnswerHead head) {
+    exchange.noteMayHaveRun();
+    chosen.row().failed(parts.clock().instant());
+    if (!route.isRepeatable()) {
+      return false;
+    }
+    if (!exchange.mayTryAgain("upstream-status")) {
+      return false;
+    }
+    abandon();
+    describe("failed status=" + head.status());
+    exchange.next();
+    return true;
+  }
+
+  /** Returns whether the answer was dropped because a larger model shall answer. */
+  private boolean isDroppedAsPoor(AnswerHead head) {
+    if (!route.isCascade() || answer.isBegun() || head.confidence().isEmpty()) {
+      return false;
+    }
+    int confidence = head.confidence().getAsInt();
+    OptionalInt instead = exchange.stageInsteadOf(confidence);
+    if (instead.isEmpty() || !exchange.mayTryAgain("larger-model")) {
+      return false;
+    }
+    exchange.noteMayHaveRun();
+    abandon();
+    describe("dropped confidence=" + confidence);
+    exchange.nextAt(instead.getAsInt());
+    return true;
+  }
+
+  private void accept(AnswerHead head) {
+    exchange.noteMayHaveRun();
+    parts.times().headTook(kind(), took());
+    String type = response.getHeader("Content-Type");
+    streaming =
+        route.kind() == RouteKind.STREAM
+            && head.status() == OK
+            && type != null
+            && type.startsWith(EVENT_STREAM);
+    if (answer.isBegun() && !streaming) {
+      link.cancel();
+      failed(Progress.ANSWERING, "no stream follows, status=" + head.status());
+    }
+  }
+
+  /** Notes a sign of life, and how long the stream paused before it. */
+  private void heard() {
+    Instant now = parts.clock().instant();
+    if (streaming) {
+      long pause = Duration.between(lastHeard, now).toMillis();
+      parts.times().paused(kind(), pause);
+    }
+    lastHeard = now;
+  }
+
+  @Override
+  public void data(Buffer data) {
+    heard();
+    if (!streaming) {
+      body.appendBuffer(data);
+      return;
+    }
+    Buffer events = relay.take(data);
+    if (events.length() > 0) {
+      beginStream();
+      if (answer.write(events, this::drained)) {
+        paused = true;
+        link.pause();
+      }
+    }
+  }
+
+  private void drained() {
+    paused = false;
+    lastHeard = parts.clock().instant();
+    link.resume();
+  }
+
+  private void beginStream() {
+    if (answer.isBegun()) {
+      return;
+    }
+    MultiMap headers = parts.adapter().upstreams().passedBack(response);
+    headers.remove("Content-Length");
+    answer.begin(response.statusCode(), headers);
+    parts.meters().time("first-event." + route.name(), exchange.elapsed());
+  }
+
+  @Override
+  public void whole() {
+    if (streaming && relay.endsInsideEvent()) {
+      failed(Progress.ANSWERING, "the stream ends inside an event");
+      return;
+    }
+    release();
+    chosen.row().succeeded();
+    if (streaming) {
+      beginStream();
+      exchange.finish("stream");
+      answer.end();
+      return;
+    }
+    exchange.finish("status " + response.statusCode());
+    MultiMap headers = parts.adapter().upstreams().passedBack(response);
+    answer.whole(response.statusCode(), headers, body);
+  }
+
+  @Override
+  public void failed(Progress progress, String problem) {
+    release();
+    chosen.row().failed(parts.clock().instant());
+    describe("failed " + progress + " " + problem);
+    if (progress == Progress.NOT_SENT) {
+      exchange.notReached();
+      return;
+    }
+    exchange.noteMayHaveRun();
+    noteOutcome(true);
+    relay.nextUpstream();
+    if (route.isRepeatable()
+        && exchange.mayTryAgain("upstream-" + (streaming ? "stream" : "answer"))) {
+      exchange.next();
+    } else {
+      exchange.giveUp(RefusalReason.UPSTREAM_FAILED, ErrorText.get().upstreamBroke);
+    }
+  }
+
+  /** Tells the rule of versions what the upstream's version made of the request. */
+  private void noteOutcome(boolean bad) {
+    String version = chosen.upstream().version();
+    if (bad) {
+      exchange.noteFailedVersion(version);
+    }
+    parts
+        .versions()
+        .answered(
+            new VersionRule.Answer(
+                incoming.service(), version, route, model.orElse(""), bad, took()));
+  }
+
+  /** Returns how long ago the attempt began. */
+  private Duration took() {
+    return Duration.between(started, parts.clock().instant());
+  }
+
+  private void describe(String what) {
+    exchange.log().log(
+        "attempt=%d upstream=%s %s millis=%d",
+        exchange.sent(), chosen.name(), what, took().toMillis());
+  }
+}
