--- a/org.oatlug/src/org/oatlug/internal/gateway/Exchange.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/Exchange.java
@@ -162,7 +162,7 @@
     lastFailed = Optional.of(version);
   }
 
-  /** Goes on after a connection that did not open: nothing was sent, so no retry is counted. */
+  /** Goes on after a connection that did not open; that takes no retry out of the budget. */
   void notReached() {
     sent--;
     unreached++;
