--- a/org.oatlug/src/org/oatlug/internal/gateway/EventSplitter.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/EventSplitter.java
@@ -36,7 +36,7 @@
     rest.appendBuffer(bytes);
     List<Event> events = new ArrayList<>();
     int start = 0;
-    int index = Math.max(0, scanned);
+    int index = scanned;
     while (index < rest.length()) {
       int end = eventEnd(index, start);
       if (end > 0) {
