--- a/org.oatlug.entry/src/org/oatlug/entry/GatewayInstance.java
+++ b/org.oatlug.entry/src/org/oatlug/entry/GatewayInstance.java
@@ -44,7 +44,11 @@
  */
 final class GatewayInstance extends VerticleBase implements Drainable, SettingsWatch.Target {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  /** How often the systems look whether something is due. */
   private static final long TICK_MILLIS = 20;
+
+  /** How often a planned stop looks whether requests are open. */
   private static final long STOP_POLL_MILLIS = 20;
 
   /** How long a balancer that asks once a second may take to miss two answers. */
@@ -56,11 +60,11 @@
   /** How old the configuration may be before this instance calls it stale. */
   private static final Duration FRESHNESS = Duration.ofSeconds(12);
 
-  private GatewaySettings settings;
   private final DeploymentAdapter adapter;
   private final InstantSource clock = MonotonicClock.create();
   private final RandomGenerator random = RandomGenerator.getDefault();
   private final GatewayTables tables = GatewayTables.create();
+  private GatewaySettings settings;
   private Membership membership;
   private CallerFront front;
   private List<TickSystem> systems = List.of();
--- a/org.oatlug/src/org/oatlug/internal/gateway/AnswerTimes.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/AnswerTimes.java
@@ -19,6 +19,7 @@
  * asked everything twice. Owned by one event loop, not thread-safe.
  */
 final class AnswerTimes {
+  /** The weight of one measurement in the running means. */
   private static final double SMOOTHING = 0.05;
 
   /** Mean deviations above the mean from which on an answer counts as lost. */
--- a/org.oatlug/src/org/oatlug/internal/gateway/CallerConnection.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/CallerConnection.java
@@ -6,6 +6,7 @@
 import com.google.common.flogger.FluentLogger;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpConnection;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import org.oatlug.gateway.CallerLimits;
 
@@ -25,7 +26,10 @@
   private int open;
   private boolean closed;
   private boolean condemned;
+
+  /** By the clock of {@link System#nanoTime}. */
   private long restingSince;
+
   private long timer = NO_TIMER;
   private long headTimer = NO_TIMER;
 
@@ -122,7 +126,7 @@
 
   private void timeUp() {
     timer = NO_TIMER;
-    long restedMillis = (System.nanoTime() - restingSince) / 1_000_000;
+    long restedMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - restingSince);
     long left = limits.get().idleTimeoutMillis() - restedMillis;
     if (left > 0) {
       schedule(left);
--- a/org.oatlug/src/org/oatlug/internal/gateway/CallerFront.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/CallerFront.java
@@ -62,6 +62,7 @@
   /** When a caller may come back that is sent to another instance: at once. */
   private static final Duration GO_ELSEWHERE = Duration.ofMillis(20);
 
+  /** The bytes of a header besides its name and value: colon, space and the end of the line. */
   private static final int SEPARATORS_BYTES = 4;
 
   private final GatewayParts parts;
--- a/org.oatlug/src/org/oatlug/internal/gateway/ExpectedWorth.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/ExpectedWorth.java
@@ -38,8 +38,13 @@
   /** Credit for each token read, and for a tenth of a token made; the middle of the sheets. */
   private static final double WORTH_OF_TOKEN = 2.5e-4;
 
+  /** What a token made is worth, in tokens read. */
   private static final double MADE_TOKEN = 10;
+
+  /** What a token read costs, as a share of one made. */
   private static final double READ_SHARE_OF_COST = 0.25;
+
+  /** The tokens made that the price of a model is for. */
   private static final double COST_TOKENS = 1000;
 
   private final GatewayTables tables;
--- a/org.oatlug/src/org/oatlug/internal/gateway/RolloutDirector.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/RolloutDirector.java
@@ -48,6 +48,7 @@
   /** How often evidence is exchanged and duties are done. */
   private static final Duration INTERVAL = Duration.ofMillis(250);
 
+  /** How long a peer may take to answer a report; a lost one is made good by the next. */
   private static final Duration PATIENCE = Duration.ofMillis(500);
 
   /** Fewer answers than this show nothing; a version that had fewer is not taken over. */
@@ -56,8 +57,12 @@
   /** From this evidence on, a failed request goes to the old version. */
   private static final double SUSPICIOUS = 1;
 
+  /** The number of hashes without a sign. */
   private static final double HASH_RANGE = Math.pow(2, 63);
 
+  /** Stands for the old version of a session that another instance keeps on it. */
+  private static final String KEPT_ELSEWHERE = "";
+
   private final GatewayTables tables;
   private final Platform platform;
   private final Membership membership;
@@ -197,9 +202,6 @@
     report.keptSessions().forEach(session -> known.heard(session, KEPT_ELSEWHERE, now));
   }
 
-  /** Stands for the old version of a session that another instance keeps on it. */
-  private static final String KEPT_ELSEWHERE = "";
-
   @Override
   public void tick() {
     Instant now = clock.instant();
--- a/org.oatlug/src/org/oatlug/internal/gateway/RolloutSchedule.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/RolloutSchedule.java
@@ -15,14 +15,20 @@
   /** Up to this part of the duration sessions stay where they are. */
   private static final double COMPARE_UNTIL = 0.5;
 
+  /** Up to this part the version gets the whole share within the bound. */
   private static final double GROW_UNTIL = 0.62;
-  private static final double HALF_UNTIL = 0.74;
+
+  /** Up to this part the version gets the large step; then all. */
+  private static final double LARGE_STEP_UNTIL = 0.74;
 
   /** At this part of the duration the roll-out is declared done, if nothing speaks against it. */
   private static final double DONE_AT = 0.92;
 
+  /** What the version gets during the comparison, as a share of the bound. */
   private static final double COMPARE_SHARE_OF_BOUND = 0.6;
-  private static final double HALF = 0.4;
+
+  /** The large step, as a share of the sessions. */
+  private static final double LARGE_STEP_SHARE = 0.4;
 
   private final double exposureShare;
 
@@ -43,7 +49,7 @@
     if (part < GROW_UNTIL) {
       return exposureShare;
     }
-    return part < HALF_UNTIL ? HALF : 1;
+    return part < LARGE_STEP_UNTIL ? LARGE_STEP_SHARE : 1;
   }
 
   /** Returns whether sessions may move to the version at this part of the duration. */
--- a/org.oatlug/src/org/oatlug/internal/gateway/RolloutTrial.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/RolloutTrial.java
@@ -21,6 +21,7 @@
   /** Added to the bound of slowness, in milliseconds, against chance at short times. */
   private static final double SLOW_MARGIN_MILLIS = 60;
 
+  /** The weight of one answer in the running means. */
   private static final double SMOOTHING = 0.1;
 
   private final String version;
--- a/org.oatlug/src/org/oatlug/internal/gateway/StrictRequestDecoder.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/StrictRequestDecoder.java
@@ -20,6 +20,7 @@
  * sent. This one keeps both headers, so that the request is refused. Used from one event loop.
  */
 final class StrictRequestDecoder extends VertxHttpRequestDecoder {
+  private static final String DECODER = "strict-decoder";
   private static final String HEAD_BYTES = "head-bytes";
 
   private StrictRequestDecoder(HttpServerOptions options) {
@@ -39,7 +40,7 @@
   static void install(HttpConnection connection, HttpServerOptions options, Runnable onBytes) {
     ChannelPipeline pipeline = ((ConnectionBase) connection).channel().pipeline();
     VertxHttpRequestDecoder replaced = pipeline.get(VertxHttpRequestDecoder.class);
-    pipeline.replace(replaced, "strict-decoder", new StrictRequestDecoder(options));
+    pipeline.replace(replaced, DECODER, new StrictRequestDecoder(options));
     pipeline.addFirst(
         HEAD_BYTES,
         new ChannelInboundHandlerAdapter() {
--- a/org.oatlug/src/org/oatlug/internal/membership/Membership.java
+++ b/org.oatlug/src/org/oatlug/internal/membership/Membership.java
@@ -36,8 +36,13 @@
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final Duration PROBE_INTERVAL = Duration.ofMillis(500);
   private static final Duration PROBE_PATIENCE = Duration.ofMillis(400);
+
+  /** How often a seed is asked while no other instance is known. */
   private static final Duration SEED_INTERVAL_ALONE = Duration.ofMillis(200);
+
+  /** How often a seed is asked otherwise, so that parts that lost each other meet again. */
   private static final Duration SEED_INTERVAL = Duration.ofSeconds(5);
+
   private static final Duration SUSPICION = Duration.ofMillis(2000);
   private static final Duration UNREACHABLE_FOR = Duration.ofSeconds(3);
   private static final Duration WATCHED_FOR = Duration.ofSeconds(5);
