--- a/org.oatlug.test/tst/org/oatlug/internal/gateway/GatewayDecisionTest.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/gateway/GatewayDecisionTest.java
@@ -12,6 +12,7 @@
 import java.time.InstantSource;
 import java.util.Arrays;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.Random;
@@ -139,6 +140,14 @@
     assertEquals(tables.upstreamsOf("pool"), List.of("i-1"));
   }
 
+  @Test
+  public void testEntryThatCannotBeReadLeavesTheOneBefore() {
+    upstream("i-1", "here", "v1", false);
+    put(GatewayKinds.UPSTREAM, "i-1", Map.of("service", "pool", "port", "none"));
+    assertEquals(tables.upstreamsOf("pool"), List.of("i-1"));
+    assertEquals(tables.upstream("i-1").orElseThrow().version(), "v1");
+  }
+
   @Test
   public void testUpstreamOfOwnZoneGoesFirstAndLeavingOnesAreOut() {
     upstream("i-1", "there", "v1", false);
--- a/org.oatlug.test/tst/org/oatlug/test/GatewayInputProcessTest.java
+++ b/org.oatlug.test/tst/org/oatlug/test/GatewayInputProcessTest.java
@@ -74,6 +74,17 @@
         400
       },
       {"no number as deadline", LINE + HOST + ID + KEY + "Request-Deadline: soon\r\n\r\n", 400},
+      {
+        "negative tokens",
+        LINE + HOST + ID + KEY + "Token-Usage: -5000,1\r\nContent-Length: 0\r\n\r\n",
+        400
+      },
+      {
+        "tokens beyond any number",
+        LINE + HOST + ID + KEY + "Token-Usage: 5000000000,1\r\nContent-Length: 0\r\n\r\n",
+        400
+      },
+      {"negative deadline", LINE + HOST + ID + KEY + "Request-Deadline: -1\r\n\r\n", 400},
       {"long head", LINE + HOST + ID + KEY + long1 + "Content-Length: 0\r\n\r\n", 431},
       {"long body", LINE + HOST + ID + KEY + "Content-Length: 70000\r\n\r\nx", 413},
       {"no request", "nonsense\r\n\r\n", 400},
--- a/org.oatlug/src/org/oatlug/internal/config/ConfigurationSystem.java
+++ b/org.oatlug/src/org/oatlug/internal/config/ConfigurationSystem.java
@@ -243,6 +243,9 @@
       }
       failuresInRow = 0;
       waiting = false;
+      if (revision == 0) {
+        nextCall = clock.instant().plus(RETRY_INTERVAL);
+      }
     }
 
     private void failed(Throwable failure) {
--- a/org.oatlug/src/org/oatlug/internal/gateway/CallerFront.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/CallerFront.java
@@ -345,11 +345,13 @@
     }
 
     void proceed() {
+      String id = "";
       try {
         RequestHead head = readHead(request);
+        id = head.id();
         readBody(head, admit(request, head));
       } catch (RefusedException e) {
-        refuse(e.refusal(), "");
+        refuse(e.refusal(), id);
       }
       request.resume();
     }
--- a/org.oatlug/src/org/oatlug/internal/gateway/ExchangeAttempt.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/ExchangeAttempt.java
@@ -247,7 +247,8 @@
 
   /** Returns whether the answer was dropped because a larger model shall answer. */
   private boolean isDroppedAsPoor(AnswerHead head) {
-    if (!route.isCascade() || answer.isBegun() || head.confidence().isEmpty()) {
+    boolean mayDrop = route.isCascade() && route.isRepeatable() && !answer.isBegun();
+    if (!mayDrop || head.confidence().isEmpty()) {
       return false;
     }
     int confidence = head.confidence().getAsInt();
@@ -264,7 +265,9 @@
 
   private void accept(AnswerHead head) {
     exchange.noteMayHaveRun();
-    parts.times().headTook(kind(), took());
+    if (head.status() < FIRST_SERVER_ERROR) {
+      parts.times().headTook(kind(), took());
+    }
     String type = response.getHeader("Content-Type");
     streaming =
         route.kind() == RouteKind.STREAM
@@ -327,7 +330,9 @@
       return;
     }
     release();
-    chosen.row().succeeded();
+    if (response.statusCode() < FIRST_SERVER_ERROR) {
+      chosen.row().succeeded();
+    }
     if (streaming) {
       beginStream();
       exchange.finish("stream");
--- a/org.oatlug/src/org/oatlug/internal/gateway/GatewayTables.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/GatewayTables.java
@@ -99,24 +99,28 @@
 
   private void takeUpstream(StoredObject object) throws JsonProcessingException {
     String name = object.key().name();
-    UpstreamRecord known = upstreams.remove(name);
-    if (known != null) {
-      upstreamsByService.getOrDefault(known.service(), new ArrayList<>()).remove(name);
-    }
     if (Kinds.isTombstone(object.value())) {
+      forgetUpstream(name);
       logger.atInfo().log("upstream %s revision=%d is gone", name, object.version());
       return;
     }
     UpstreamRecord read = Json.STRICT.treeToValue(object.value(), UpstreamRecord.class);
+    Optional<UpstreamRecord> known = forgetUpstream(name);
     upstreams.put(name, read);
     upstreamsByService.computeIfAbsent(read.service(), unused -> new ArrayList<>()).add(name);
-    if (known == null || known.leaving() != read.leaving()) {
+    if (known.isEmpty() || known.get().leaving() != read.leaving()) {
       logger.atInfo().log(
           "upstream %s revision=%d service=%s version=%s zone=%s leaving=%b",
           name, object.version(), read.service(), read.version(), read.zone(), read.leaving());
     }
   }
 
+  private Optional<UpstreamRecord> forgetUpstream(String name) {
+    Optional<UpstreamRecord> known = Optional.ofNullable(upstreams.remove(name));
+    known.ifPresent(record -> upstreamsByService.get(record.service()).remove(name));
+    return known;
+  }
+
   private void takeRollout(StoredObject object) throws JsonProcessingException {
     String name = object.key().name();
     if (Kinds.isTombstone(object.value())) {
