--- a/org.oatlug.entry/src/org/oatlug/entry/GatewayInstance.java
+++ b/org.oatlug.entry/src/org/oatlug/entry/GatewayInstance.java
@@ -188,6 +188,10 @@
    */
   @Override
   public void reloaded(GatewaySettings changed) {
+    if (context == null) {
+      logger.atInfo().log("settings read anew before the start, they hold from the next start on");
+      return;
+    }
     context.runOnContext(
         unused -> {
           boolean same = changed.equals(settings);
--- a/org.oatlug.entry/src/org/oatlug/entry/Oatlugd.java
+++ b/org.oatlug.entry/src/org/oatlug/entry/Oatlugd.java
@@ -78,8 +78,8 @@
             .findFirst()
             .orElseThrow(() -> new SettingsInvalidException(List.of("no adapter is installed")));
     GatewayInstance instance = new GatewayInstance(settings, adapter);
-    run(instance);
     SettingsWatch.start(settingsPath(line), instance);
+    run(instance);
   }
 
   /** Returns the settings file: named itself, or by an environment variable. */
