--- a/org.oatlug.test/tst/org/oatlug/test/GatewayCluster.java
+++ b/org.oatlug.test/tst/org/oatlug/test/GatewayCluster.java
@@ -80,7 +80,8 @@
     JsonObject settings = SampleObjects.settings(name, ports.get(entry), seeds);
     Path file = directory.resolve(name + ".json");
     Files.writeString(file, settings.encodePrettily());
-    List<String> command = new ArrayList<>();
+    // A run that was started to outlive its terminal hands an ignored hang-up down to its children.
+    List<String> command = new ArrayList<>(List.of("env", "--default-signal=HUP"));
     command.add(System.getProperty("java.home") + File.separator + "bin" + File.separator + "java");
     command.addAll(List.of("-Xmx64m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-cp"));
     command.add(System.getProperty("java.class.path"));
