--- a/org.oatlug.test/tst/org/oatlug/test/GatewayAnswerProcessTest.java
+++ b/org.oatlug.test/tst/org/oatlug/test/GatewayAnswerProcessTest.java
@@ -22,6 +22,11 @@
  * Shows with processes that a caller gets the whole answer to its own request, or a true refusal.
  */
 public class GatewayAnswerProcessTest {
+  /**
+   * Upstreams of equal cost are chosen by chance: that one of two is never asked is out of reach.
+   */
+  private static final int MOST_ROUNDS = 60;
+
   private GatewayCluster cluster;
 
   @BeforeMethod
@@ -89,7 +94,7 @@
   @Test
   public void testRefusedRequestGoesToAnotherUpstream() throws IOException {
     upstream(1).setBehaviour(Behaviour.REFUSES);
-    for (int round = 0; round < 6; round++) {
+    for (int round = 0; round < MOST_ROUNDS && upstream(1).arrivals().isEmpty(); round++) {
       assertEquals(Http.send(cluster.request(0, SampleObjects.REPEATABLE + round)).status(), 200);
     }
     assertTrue(upstream(1).arrivals().size() > 0, "the refusing upstream was never asked");
@@ -151,7 +156,7 @@
     upstream(1).setBehaviour(Behaviour.CUTS);
     upstream(1).setStream(9, 5, 3);
     upstream(2).setStream(9, 5, 99);
-    for (int round = 0; round < 6; round++) {
+    for (int round = 0; round < MOST_ROUNDS && upstream(1).arrivals().isEmpty(); round++) {
       Http.Answer answer = Http.send(cluster.streamRequest(0, "s" + round));
       assertEquals(answer.status(), 200);
       assertEquals(answer.body(), wholeStream(cluster.lastId(), 0, 9));
@@ -186,11 +191,11 @@
   @Test
   public void testSilentUpstreamIsLeftForAnother() throws IOException {
     upstream(1).setBehaviour(Behaviour.HANGS);
-    for (int round = 0; round < 4; round++) {
+    for (int round = 0; round < MOST_ROUNDS && upstream(1).arrivals().isEmpty(); round++) {
       assertEquals(Http.send(cluster.request(0, SampleObjects.REPEATABLE + round)).status(), 200);
     }
     assertTrue(upstream(1).arrivals().size() > 0, "the silent upstream was never asked");
-    assertEquals(upstream(1).cancelled(), upstream(1).arrivals().size());
+    Await.until("cancelled", () -> upstream(1).cancelled() == upstream(1).arrivals().size());
   }
 
   @Test
