--- a/org.oatlug/src/org/oatlug/internal/platform/HttpPlatform.java
+++ b/org.oatlug/src/org/oatlug/internal/platform/HttpPlatform.java
@@ -4,7 +4,6 @@
 package org.oatlug.internal.platform;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.smallrye.mutiny.Uni;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
@@ -17,13 +16,12 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
+import java.util.function.Supplier;
 import org.oatlug.api.ObjectKey;
 import org.oatlug.config.Settings;
 import org.oatlug.errors.ConflictException;
-import org.oatlug.errors.PlatformBusyException;
-import org.oatlug.errors.PlatformUnavailableException;
 import org.oatlug.internal.util.Json;
-import org.oatlug.internal.util.Unis;
 import org.oatlug.platform.Platform;
 import org.oatlug.platform.StoredObject;
 
@@ -40,7 +38,7 @@
   private static final int OK = 200;
   private static final int NOT_FOUND = 404;
   private static final int CONFLICT = 412;
-  private static final int TOO_MANY = 429;
+  private static final Set<Integer> ANSWERS = Set.of(OK, NOT_FOUND, CONFLICT);
 
   private final WebClient client;
 
@@ -100,7 +98,7 @@
                 Optional<StoredObject> current = objectIn(key, response);
                 return Uni.createFrom().failure(new ConflictException(key, expected, current));
               }
-              return Uni.createFrom().item(tree(response).path("version").asLong());
+              return Uni.createFrom().item(PlatformCalls.tree(response).path("version").asLong());
             });
   }
 
@@ -111,7 +109,7 @@
         .map(
             response -> {
               List<ListedInstance> listed = new ArrayList<>();
-              for (JsonNode node : tree(response)) {
+              for (JsonNode node : PlatformCalls.tree(response)) {
                 listed.add(Json.STRICT.convertValue(node, ListedInstance.class));
               }
               return listed;
@@ -119,24 +117,8 @@
   }
 
   private static Uni<HttpResponse<Buffer>> call(
-      String operation, java.util.function.Supplier<Future<HttpResponse<Buffer>>> send) {
-    return Unis.fromFuture(send)
-        .onFailure()
-        .transform(failure -> new PlatformUnavailableException(operation, failure))
-        .onItem()
-        .transformToUni(response -> checked(operation, response));
-  }
-
-  private static Uni<HttpResponse<Buffer>> checked(
-      String operation, HttpResponse<Buffer> response) {
-    int status = response.statusCode();
-    if (status == OK || status == NOT_FOUND || status == CONFLICT) {
-      return Uni.createFrom().item(response);
-    }
-    if (status == TOO_MANY) {
-      return Uni.createFrom().failure(new PlatformBusyException(operation));
-    }
-    return Uni.createFrom().failure(new PlatformUnavailableException(operation, null));
+      String operation, Supplier<Future<HttpResponse<Buffer>>> send) {
+    return PlatformCalls.call(operation, ANSWERS, send);
   }
 
   private static String pathOf(ObjectKey key) {
@@ -147,7 +129,7 @@
     if (response.statusCode() == NOT_FOUND) {
       return Optional.empty();
     }
-    JsonNode node = tree(response);
+    JsonNode node = PlatformCalls.tree(response);
     if (!node.has("version")) {
       return Optional.empty();
     }
@@ -155,7 +137,7 @@
   }
 
   private static Batch batchIn(HttpResponse<Buffer> response) {
-    JsonNode node = tree(response);
+    JsonNode node = PlatformCalls.tree(response);
     List<StoredObject> objects = new ArrayList<>();
     for (JsonNode one : node.path("objects")) {
       ObjectKey key = ObjectKey.valueOf(one.path("kind").asText(), one.path("name").asText());
@@ -163,20 +145,4 @@
     }
     return new Batch(node.path("revision").asLong(), objects);
   }
-
-  private static JsonNode tree(HttpResponse<Buffer> response) {
-    Buffer body = response.body();
-    if (body == null) {
-      return emptyObject();
-    }
-    try {
-      return Json.STRICT.readTree(body.getBytes());
-    } catch (java.io.IOException e) {
-      return emptyObject();
-    }
-  }
-
-  private static ObjectNode emptyObject() {
-    return Json.STRICT.createObjectNode();
-  }
 }
--- /dev/null
+++ b/org.oatlug/src/org/oatlug/internal/platform/PlatformCalls.java
@@ -0,0 +1,71 @@
+// Copyright (c) 2026, the oatlug authors
+// SPDX-License-Identifier: BSD-3-Clause
+
+package org.oatlug.internal.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.google.common.flogger.FluentLogger;
+import io.smallrye.mutiny.Uni;
+import io.vertx.core.Future;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.ext.web.client.HttpResponse;
+import java.io.IOException;
+import java.util.Set;
+import java.util.function.Supplier;
+import org.oatlug.errors.PlatformBusyException;
+import org.oatlug.errors.PlatformUnavailableException;
+import org.oatlug.internal.util.Json;
+import org.oatlug.internal.util.Unis;
+
+/** What all calls of a platform's store over HTTP and JSON have in common. Stateless. */
+public final class PlatformCalls {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final int TOO_MANY = 429;
+
+  private PlatformCalls() {}
+
+  /**
+   * Makes a call.
+   *
+   * <p>Fails with {@link PlatformBusyException} when the store's rate is used up, and with {@link
+   * PlatformUnavailableException} when there is no answer or one of another status.
+   *
+   * @param operation the call, for messages
+   * @param answers the statuses that are answers
+   */
+  public static Uni<HttpResponse<Buffer>> call(
+      String operation, Set<Integer> answers, Supplier<Future<HttpResponse<Buffer>>> send) {
+    return Unis.fromFuture(send)
+        .onFailure()
+        .transform(failure -> new PlatformUnavailableException(operation, failure))
+        .onItem()
+        .transformToUni(response -> checked(operation, answers, response));
+  }
+
+  private static Uni<HttpResponse<Buffer>> checked(
+      String operation, Set<Integer> answers, HttpResponse<Buffer> response) {
+    int status = response.statusCode();
+    if (answers.contains(status)) {
+      return Uni.createFrom().item(response);
+    }
+    if (status == TOO_MANY) {
+      return Uni.createFrom().failure(new PlatformBusyException(operation));
+    }
+    Exception cause = new IOException("status " + status);
+    return Uni.createFrom().failure(new PlatformUnavailableException(operation, cause));
+  }
+
+  /** Returns the JSON of an answer, an empty object if it has none; that is logged. */
+  public static JsonNode tree(HttpResponse<Buffer> response) {
+    Buffer body = response.body();
+    if (body == null) {
+      return Json.STRICT.createObjectNode();
+    }
+    try {
+      return Json.STRICT.readTree(body.getBytes());
+    } catch (IOException e) {
+      logger.atWarning().log("an answer of the platform is no JSON: %s", e.getMessage());
+      return Json.STRICT.createObjectNode();
+    }
+  }
+}
