--- a/org.oatlug.entry/src/org/oatlug/entry/EntryInstance.java
+++ b/org.oatlug.entry/src/org/oatlug/entry/EntryInstance.java
@@ -5,7 +5,6 @@
 
 import com.codahale.metrics.MetricRegistry;
 import com.google.common.flogger.FluentLogger;
-import io.smallrye.mutiny.Uni;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import io.vertx.core.VerticleBase;
@@ -36,7 +35,6 @@
 import org.oatlug.internal.membership.Membership;
 import org.oatlug.internal.metrics.Meters;
 import org.oatlug.internal.peer.Member;
-import org.oatlug.internal.peer.PeerHandler;
 import org.oatlug.internal.peer.PeerMessage;
 import org.oatlug.internal.peer.PeerNetwork;
 import org.oatlug.internal.peer.TcpPeers;
@@ -124,7 +122,9 @@
             new ConfigurationSystem.Support(clock, random, meters, List.of(Kinds.ALL)));
     final RolloutGuard guard =
         RolloutGuard.create(tables, platform, membership, network, clock, meters);
-    late.target = new PeerDispatch(tables, membership, configuration, ledger, billing, guard);
+    late.handOnTo(
+        new SharedStatePeers(
+            membership, configuration, new PeerDispatch(tables, ledger, billing, guard)));
     network.listen().onFailure(failure -> logger.atSevere().withCause(failure).log("peers"));
     WaitingLine line = WaitingLine.create();
     PauseWatch pause = PauseWatch.create(clock, () -> confirm(tables, configuration));
@@ -255,15 +255,4 @@
           }
         });
   }
-
-  /** Answers peers that come before the parts are made, and then hands their messages on. */
-  private static final class LatePeers implements PeerHandler {
-    private PeerHandler target =
-        (from, message) -> Uni.createFrom().item(new PeerMessage.Failed("starting"));
-
-    @Override
-    public Uni<PeerMessage> handle(Member from, PeerMessage message) {
-      return target.handle(from, message);
-    }
-  }
 }
--- a/org.oatlug.entry/src/org/oatlug/entry/GatewayInstance.java
+++ b/org.oatlug.entry/src/org/oatlug/entry/GatewayInstance.java
@@ -27,7 +27,6 @@
 import org.oatlug.internal.membership.Membership;
 import org.oatlug.internal.metrics.Meters;
 import org.oatlug.internal.peer.Member;
-import org.oatlug.internal.peer.PeerHandler;
 import org.oatlug.internal.peer.PeerMessage;
 import org.oatlug.internal.peer.TcpPeers;
 import org.oatlug.internal.table.Freshness;
@@ -91,7 +90,7 @@
             0,
             Member.State.ALIVE);
     membership = Membership.create(self, clock, random);
-    membership.seeds(settings.peers().seeds().stream().map(GatewayInstance::address).toList());
+    membership.seeds(seedsOf(settings));
     Meters meters = Meters.of(new MetricRegistry());
     wire(meters);
     systems.forEach(TickSystem::tick);
@@ -138,7 +137,9 @@
     RolloutDirector rollouts =
         RolloutDirector.create(
             tables, platform, membership, network, clock, meters, settings.bounds());
-    late.target = (from, message) -> dispatch(configuration, rollouts, from, message);
+    late.handOnTo(
+        new SharedStatePeers(
+            membership, configuration, (from, message) -> answer(rollouts, from, message)));
     network.listen().onFailure(failure -> logger.atSevere().withCause(failure).log("peers"));
     GatewayParts parts =
         GatewayParts.create(vertx, settings, clock, adapter, tables, rollouts, random, meters);
@@ -154,19 +155,8 @@
     }
   }
 
-  private Uni<PeerMessage> dispatch(
-      ConfigurationSystem configuration,
-      RolloutDirector rollouts,
-      Member from,
-      PeerMessage message) {
-    if (message instanceof PeerMessage.Ping || message instanceof PeerMessage.PingFor) {
-      return membership.handle(from, message);
-    }
-    if (message instanceof PeerMessage.Digest
-        || message instanceof PeerMessage.BucketDigests
-        || message instanceof PeerMessage.Objects) {
-      return configuration.handle(from, message);
-    }
+  private static Uni<PeerMessage> answer(
+      RolloutDirector rollouts, Member from, PeerMessage message) {
     if (message instanceof PeerMessage.RolloutReport report) {
       rollouts.handle(from, report);
       return Uni.createFrom().item(new PeerMessage.Done());
@@ -174,8 +164,10 @@
     return Uni.createFrom().item(new PeerMessage.Failed("unexpected message"));
   }
 
-  private static Settings.Address address(GatewaySettings.Endpoint endpoint) {
-    return new Settings.Address(endpoint.host(), endpoint.port());
+  private static List<Settings.Address> seedsOf(GatewaySettings settings) {
+    return settings.peers().seeds().stream()
+        .map(seed -> new Settings.Address(seed.host(), seed.port()))
+        .toList();
   }
 
   private boolean isReady() {
@@ -196,7 +188,7 @@
         unused -> {
           boolean same = changed.equals(settings);
           settings = changed;
-          membership.seeds(changed.peers().seeds().stream().map(GatewayInstance::address).toList());
+          membership.seeds(seedsOf(changed));
           logger.atInfo().log("settings read anew, %s", same ? "unchanged" : "changed");
         });
   }
@@ -235,15 +227,4 @@
     front.cutAll();
     vertx.setTimer(STOP_POLL_MILLIS, timer -> promise.tryComplete());
   }
-
-  /** Answers peers that come before the parts are made, and then hands their messages on. */
-  private static final class LatePeers implements PeerHandler {
-    private PeerHandler target =
-        (from, message) -> Uni.createFrom().item(new PeerMessage.Failed("starting"));
-
-    @Override
-    public Uni<PeerMessage> handle(Member from, PeerMessage message) {
-      return target.handle(from, message);
-    }
-  }
 }
--- a/org.oatlug.entry/src/org/oatlug/entry/PeerDispatch.java
+++ b/org.oatlug.entry/src/org/oatlug/entry/PeerDispatch.java
@@ -5,9 +5,7 @@
 
 import io.smallrye.mutiny.Uni;
 import org.oatlug.internal.billing.BillingSystem;
-import org.oatlug.internal.config.ConfigurationSystem;
 import org.oatlug.internal.ledger.Ledger;
-import org.oatlug.internal.membership.Membership;
 import org.oatlug.internal.peer.Member;
 import org.oatlug.internal.peer.PeerHandler;
 import org.oatlug.internal.peer.PeerMessage;
@@ -15,34 +13,19 @@
 import org.oatlug.internal.table.Tables;
 
 /**
- * Hands each message of a peer to the system that it is for. Used from one event loop.
+ * Hands each message of a peer about requests and roll-outs to the system that it is for. Used from
+ * one event loop.
  *
  * @param tables the tables
- * @param membership answers probes
- * @param configuration answers digests and takes objects
  * @param ledger takes entries
  * @param billing takes bills
  * @param guard takes evidence
  */
-record PeerDispatch(
-    Tables tables,
-    Membership membership,
-    ConfigurationSystem configuration,
-    Ledger ledger,
-    BillingSystem billing,
-    RolloutGuard guard)
+record PeerDispatch(Tables tables, Ledger ledger, BillingSystem billing, RolloutGuard guard)
     implements PeerHandler {
 
   @Override
   public Uni<PeerMessage> handle(Member from, PeerMessage message) {
-    if (message instanceof PeerMessage.Ping || message instanceof PeerMessage.PingFor) {
-      return membership.handle(from, message);
-    }
-    if (message instanceof PeerMessage.Digest
-        || message instanceof PeerMessage.BucketDigests
-        || message instanceof PeerMessage.Objects) {
-      return configuration.handle(from, message);
-    }
     if (message instanceof PeerMessage.Submit submit) {
       return ledger.submitted(submit);
     }
