--- a/org.oatlug/src/org/oatlug/errors/ErrorText.java
+++ b/org.oatlug/src/org/oatlug/errors/ErrorText.java
@@ -53,7 +53,6 @@
   public String configurationUnconfirmed;
   public String requestInvalid;
   public String headerTooLarge;
-  public String requestTooSlow;
   public String upstreamBroke;
 
   private ErrorText() {}
--- a/org.oatlug/src/org/oatlug/gateway/AnswerHead.java
+++ b/org.oatlug/src/org/oatlug/gateway/AnswerHead.java
@@ -11,20 +11,16 @@
  *
  * @param status the HTTP status
  * @param requestId the id of the request that it answers
- * @param signed whether the upstream signed it
  * @param verdict what the upstream says of the request
  * @param load the upstream's load, if it tells
  * @param confidence the model's opinion of its answer, 0 to 100
- * @param leaving whether the upstream closes its connections
  */
 public record AnswerHead(
     int status,
     Optional<String> requestId,
-    boolean signed,
     Verdict verdict,
     Optional<Load> load,
-    OptionalInt confidence,
-    boolean leaving) {
+    OptionalInt confidence) {
 
   /** What an upstream says of the request. */
   public enum Verdict {
