--- a/org.oatlug/src/org/oatlug/internal/gateway/CallerFront.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/CallerFront.java
@@ -28,7 +28,6 @@
 import org.oatlug.gateway.RequestHead;
 import org.oatlug.gateway.Route;
 import org.oatlug.gateway.WorkspaceKeys;
-import org.oatlug.internal.util.LogKeys;
 
 /**
  * Where callers connect: reads requests, refuses those that may not go on, and starts the others.
@@ -65,6 +64,13 @@
   /** The bytes of a header besides its name and value: colon, space and the end of the line. */
   private static final int SEPARATORS_BYTES = 4;
 
+  private final HttpServerOptions options =
+      new HttpServerOptions()
+          .setHttp2ClearTextEnabled(false)
+          .setMaxHeaderSize(DECODER_HEADER_BYTES)
+          .setMaxInitialLineLength(DECODER_HEADER_BYTES)
+          .setHandle100ContinueAutomatically(true)
+          .setTcpNoDelay(true);
   private final GatewayParts parts;
   private final RandomGenerator random;
   private final Map<HttpConnection, CallerConnection> connections = new HashMap<>();
@@ -88,21 +94,12 @@
     Endpoint endpoint = parts.settings().callers();
     return parts
         .vertx()
-        .createHttpServer(options())
+        .createHttpServer(options)
         .connectionHandler(this::connected)
         .requestHandler(this::received)
         .listen(endpoint.port(), endpoint.host());
   }
 
-  private static HttpServerOptions options() {
-    return new HttpServerOptions()
-        .setHttp2ClearTextEnabled(false)
-        .setMaxHeaderSize(DECODER_HEADER_BYTES)
-        .setMaxInitialLineLength(DECODER_HEADER_BYTES)
-        .setHandle100ContinueAutomatically(true)
-        .setTcpNoDelay(true);
-  }
-
   /** Returns the number of open requests. */
   public int open() {
     return open;
@@ -135,7 +132,7 @@
     CallerConnection watched =
         CallerConnection.watch(parts.vertx(), connection, () -> parts.tables().limits());
     connections.put(connection, watched);
-    StrictRequestDecoder.install(connection, options(), watched::bytesArrived);
+    StrictRequestDecoder.install(connection, options, watched::bytesArrived);
     connection.closeHandler(
         unused -> {
           connections.remove(connection);
@@ -382,8 +379,9 @@
 
     void refuse(Refusal refusal, String requestId) {
       parts.meters().refused(refusal.reason());
-      (parts.logLimit().allows() ? logger.atInfo() : logger.atFinest())
-          .with(LogKeys.REQUEST_ID, requestId)
+      parts
+          .logLimit()
+          .line(logger, requestId)
           .log(
               "refused %s before any attempt: %s path=%s host=%s",
               refusal.reason().text(), refusal.detail(), request.path(), request.getHeader("Host"));
--- a/org.oatlug/src/org/oatlug/internal/gateway/Exchange.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/Exchange.java
@@ -15,7 +15,6 @@
 import org.oatlug.errors.ErrorText;
 import org.oatlug.gateway.Generation;
 import org.oatlug.gateway.Route;
-import org.oatlug.internal.util.LogKeys;
 
 /**
  * The way of one request: attempts at upstreams one after the other until one answers.
@@ -59,10 +58,8 @@
   }
 
   /** Starts the way of a request. */
-  static Exchange start(GatewayParts parts, CallerAnswer answer, Incoming incoming) {
-    Exchange exchange = new Exchange(parts, answer, incoming);
-    exchange.start();
-    return exchange;
+  static void start(GatewayParts parts, CallerAnswer answer, Incoming incoming) {
+    new Exchange(parts, answer, incoming).start();
   }
 
   private void start() {
@@ -234,8 +231,7 @@
 
   /** Returns a log line about the request, within the bound of such lines. */
   FluentLogger.Api log() {
-    FluentLogger.Api line = parts.logLimit().allows() ? logger.atInfo() : logger.atFinest();
-    return line.with(LogKeys.REQUEST_ID, incoming.head().id());
+    return parts.logLimit().line(logger, incoming.head().id());
   }
 
   private void deadlinePassed() {
--- a/org.oatlug/src/org/oatlug/internal/gateway/LogLimit.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/LogLimit.java
@@ -8,6 +8,7 @@
 import java.time.InstantSource;
 import org.oatlug.internal.limit.TokenBucket;
 import org.oatlug.internal.metrics.Meters;
+import org.oatlug.internal.util.LogKeys;
 
 /**
  * Bounds how many lines about requests are logged a second.
@@ -36,8 +37,13 @@
     return new LogLimit(clock, meters);
   }
 
-  /** Returns whether one more line may be logged now. */
-  boolean allows() {
+  /** Returns a line about the request; one beyond the bound is at a level that is not written. */
+  FluentLogger.Api line(FluentLogger target, String requestId) {
+    FluentLogger.Api line = allows() ? target.atInfo() : target.atFinest();
+    return line.with(LogKeys.REQUEST_ID, requestId);
+  }
+
+  private boolean allows() {
     Instant now = clock.instant();
     if (!bucket.take(LINES_PER_SECOND, now)) {
       leftOut++;
--- a/org.oatlug/src/org/oatlug/internal/gateway/UpstreamAttempt.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/UpstreamAttempt.java
@@ -172,10 +172,7 @@
     if (over) {
       return;
     }
-    over = true;
-    if (request != null) {
-      request.reset();
-    }
+    cancel();
     listener.failed(progress, problem);
   }
 
--- a/org.oatlug/src/org/oatlug/internal/gateway/UpstreamSelection.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/UpstreamSelection.java
@@ -86,8 +86,10 @@
     Optional<Chosen> best = Optional.empty();
     double lowest = Double.MAX_VALUE;
     String home = homeOf(wanted, candidates);
+    Optional<Prompt> prompt =
+        wanted.generation().map(text -> Prompt.of(wanted.model().orElse(""), text));
     for (Chosen candidate : candidates) {
-      double cost = cost(candidate, wanted, home, now);
+      double cost = cost(candidate, prompt, home, now);
       if (cost < lowest) {
         lowest = cost;
         best = Optional.of(candidate);
@@ -111,7 +113,7 @@
     return candidates;
   }
 
-  private double cost(Chosen candidate, Wanted wanted, String home, Instant now) {
+  private double cost(Chosen candidate, Optional<Prompt> prompt, String home, Instant now) {
     int slots = Math.max(1, candidate.upstream().slots());
     double load = tables.loads().estimatedLoad(candidate.row());
     double cost = FULL_LOAD_MILLIS * load / slots + random.nextDouble() * SPREAD_MILLIS;
@@ -122,25 +124,8 @@
     if (candidate.row().ejected(now)) {
       cost += KEPT_OUT_MILLIS;
     }
-    return cost + uncachedTokens(candidate, wanted, home) / TOKENS_PER_MILLI;
-  }
-
-  /** Returns the prompt tokens that the upstream probably has to read. */
-  private static double uncachedTokens(Chosen candidate, Wanted wanted, String home) {
-    if (wanted.generation().isEmpty()) {
-      return 0;
-    }
-    long model = Hashes.hash64(wanted.model().orElse(""));
-    int total = wanted.generation().get().promptTokens();
-    int cached = 0;
-    for (PromptPart part : wanted.generation().get().prompt()) {
-      boolean known = candidate.row().hasPrefix(Hashes.combine(model, part.hash()));
-      if (!known && !candidate.name().equals(home)) {
-        break;
-      }
-      cached += part.tokens();
-    }
-    return Math.max(0, total - cached);
+    double unread = prompt.map(read -> read.uncachedTokens(candidate, home)).orElse(0.0);
+    return cost + unread / TOKENS_PER_MILLI;
   }
 
   /** Returns the upstream of the own zone that all instances prefer for the shared prompt. */
@@ -164,9 +149,34 @@
 
   /** Remembers that the upstream reads the prompt for the model. */
   static void rememberPrompt(UpstreamRow row, String model, Generation generation) {
-    long hash = Hashes.hash64(model);
-    for (PromptPart part : generation.prompt()) {
-      row.rememberPrefix(Hashes.combine(hash, part.hash()));
+    Prompt.of(model, generation).cacheKeys().forEach(row::rememberPrefix);
+  }
+
+  /**
+   * A prompt as the caches of one model know it.
+   *
+   * @param generation what the request says of its prompt
+   * @param cacheKeys the keys of its parts, which are other ones for another model
+   */
+  private record Prompt(Generation generation, List<Long> cacheKeys) {
+    static Prompt of(String model, Generation generation) {
+      long hash = Hashes.hash64(model);
+      List<Long> keys =
+          generation.prompt().stream().map(part -> Hashes.combine(hash, part.hash())).toList();
+      return new Prompt(generation, keys);
+    }
+
+    /** Returns the prompt tokens that the upstream probably has to read. */
+    double uncachedTokens(Chosen candidate, String home) {
+      int cached = 0;
+      for (int index = 0; index < cacheKeys.size(); index++) {
+        boolean known = candidate.row().hasPrefix(cacheKeys.get(index));
+        if (!known && !candidate.name().equals(home)) {
+          break;
+        }
+        cached += generation.prompt().get(index).tokens();
+      }
+      return Math.max(0, generation.promptTokens() - cached);
     }
   }
 }
