--- a/org.oatlug.entry/src/org/oatlug/entry/Oatlugd.java
+++ b/org.oatlug.entry/src/org/oatlug/entry/Oatlugd.java
@@ -22,6 +22,7 @@
 import org.oatlug.errors.SettingsInvalidException;
 import org.oatlug.gateway.DeploymentAdapter;
 import org.oatlug.gateway.GatewaySettings;
+import org.oatlug.internal.log.JsonLines;
 
 /**
  * The daemon: {@code oatlugd [--gateway] --settings FILE [--check]}.
@@ -129,6 +130,7 @@
           .toCompletionStage()
           .toCompletableFuture()
           .get(DRAIN_MINUTES, TimeUnit.MINUTES);
+      JsonLines.close();
       Runtime.getRuntime().halt(0);
     } catch (ExecutionException | TimeoutException | InterruptedException e) {
       Runtime.getRuntime().halt(FAILED);
--- /dev/null
+++ b/org.oatlug/src/org/oatlug/internal/log/StructuredBackend.java
@@ -0,0 +1,85 @@
+// Copyright (c) 2026, the oatlug authors
+// SPDX-License-Identifier: BSD-3-Clause
+
+package org.oatlug.internal.log;
+
+import com.google.common.flogger.LogContext;
+import com.google.common.flogger.backend.BaseMessageFormatter;
+import com.google.common.flogger.backend.LogData;
+import com.google.common.flogger.backend.LoggerBackend;
+import com.google.common.flogger.backend.Metadata;
+import com.google.common.flogger.backend.system.BackendFactory;
+import java.util.logging.Level;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.slf4j.spi.LoggingEventBuilder;
+
+/**
+ * Hands log statements to the logging library with their metadata as fields.
+ *
+ * <p>The usual backend for this library writes metadata into the text of the message; here the id
+ * of a request stays a field of its own. Immutable, thread-safe.
+ */
+final class StructuredBackend extends LoggerBackend {
+  private final Logger target;
+
+  private StructuredBackend(Logger target) {
+    this.target = target;
+  }
+
+  /** Makes a backend for each class that logs; found by its name in the services of the jar. */
+  public static final class Factory extends BackendFactory {
+    @Override
+    public LoggerBackend create(String className) {
+      return new StructuredBackend(LoggerFactory.getLogger(className.replace('$', '.')));
+    }
+  }
+
+  @Override
+  public String getLoggerName() {
+    return target.getName();
+  }
+
+  @Override
+  public boolean isLoggable(Level level) {
+    return target.isEnabledForLevel(levelOf(level));
+  }
+
+  @Override
+  public void log(LogData data) {
+    String message =
+        BaseMessageFormatter.appendFormattedMessage(data, new StringBuilder()).toString();
+    write(target.atLevel(levelOf(data.getLevel())), data.getMetadata(), message);
+  }
+
+  @Override
+  public void handleError(RuntimeException error, LogData badData) {
+    target.error("a log statement cannot be formatted", error);
+  }
+
+  private static void write(LoggingEventBuilder event, Metadata metadata, String message) {
+    LoggingEventBuilder built = event;
+    for (int index = 0; index < metadata.size(); index++) {
+      if (metadata.getKey(index).equals(LogContext.Key.LOG_CAUSE)) {
+        built = built.setCause((Throwable) metadata.getValue(index));
+      } else {
+        built = built.addKeyValue(metadata.getKey(index).getLabel(), metadata.getValue(index));
+      }
+    }
+    built.log(message);
+  }
+
+  private static org.slf4j.event.Level levelOf(Level level) {
+    if (level.intValue() >= Level.SEVERE.intValue()) {
+      return org.slf4j.event.Level.ERROR;
+    }
+    if (level.intValue() >= Level.WARNING.intValue()) {
+      return org.slf4j.event.Level.WARN;
+    }
+    if (level.intValue() >= Level.INFO.intValue()) {
+      return org.slf4j.event.Level.INFO;
+    }
+    boolean fine = level.intValue() >= Level.FINE.intValue();
+    return fine ? org.slf4j.event.Level.DEBUG : org.slf4j.event.Level.TRACE;
+  }
+}
