--- a/org.oatlug.entry/src/org/oatlug/entry/GatewayInstance.java
+++ b/org.oatlug.entry/src/org/oatlug/entry/GatewayInstance.java
@@ -66,6 +66,7 @@
   private GatewaySettings settings;
   private Membership membership;
   private CallerFront front;
+  private TcpPeers network;
   private List<TickSystem> systems = List.of();
   private boolean stopping;
   private boolean configured;
@@ -92,19 +93,25 @@
     membership = Membership.create(self, clock, random);
     membership.seeds(seedsOf(settings));
     Meters meters = Meters.of(new MetricRegistry());
-    wire(meters);
+    GatewayParts parts = wire(meters);
+    return listen(InspectionServer.create(vertx, meters, this::isReady), parts);
+  }
+
+  private Future<?> listen(InspectionServer inspection, GatewayParts parts) {
+    // The callers' server is the first one: it takes over the socket that was opened for it.
+    final Future<?> callers = front.listen();
+    network.listen().onFailure(failure -> logger.atSevere().withCause(failure).log("peers"));
     systems.forEach(TickSystem::tick);
     vertx.setPeriodic(TICK_MILLIS, unused -> systems.forEach(TickSystem::tick));
-    InspectionServer inspection = InspectionServer.create(vertx, meters, this::isReady);
-    return inspection
-        .listenForReadiness(settings.readiness())
+    return callers
+        .compose(unused -> inspection.listenForReadiness(settings.readiness()))
         .compose(
-            unused -> inspection.listenForMetrics(settings.callers().host(), settings.metrics()))
-        .compose(unused -> front.listen())
+            unused ->
+                inspection.listenForOperators(settings.callers().host(), settings.metrics(), parts))
         .onSuccess(unused -> logger.atInfo().log("instance %s listens", settings.name()));
   }
 
-  private void wire(Meters meters) {
+  private GatewayParts wire(Meters meters) {
     Freshness freshness = Freshness.withBound(FRESHNESS);
     Platform platform = adapter.platform(vertx, settings);
     LatePeers late = new LatePeers();
@@ -117,7 +124,7 @@
             List.of(),
             Optional.empty(),
             Optional.empty());
-    TcpPeers network = TcpPeers.create(vertx, peerSettings, membership::self, late);
+    network = TcpPeers.create(vertx, peerSettings, membership::self, late);
     membership.connect(network);
     ConfigurationSystem configuration =
         ConfigurationSystem.create(
@@ -140,11 +147,11 @@
     late.handOnTo(
         new SharedStatePeers(
             membership, configuration, (from, message) -> answer(rollouts, from, message)));
-    network.listen().onFailure(failure -> logger.atSevere().withCause(failure).log("peers"));
     GatewayParts parts =
         GatewayParts.create(vertx, settings, clock, adapter, tables, rollouts, random, meters);
     front = CallerFront.create(parts, random);
     systems = List.of(configuration, membership::tick, rollouts, this::noteConfiguration);
+    return parts;
   }
 
   /** Lets callers go on that came before the first configuration. */
--- a/org.oatlug.pgm/src/org/oatlug/pgm/ExplainCommand.java
+++ b/org.oatlug.pgm/src/org/oatlug/pgm/ExplainCommand.java
@@ -20,7 +20,7 @@
 
   @Override
   public String arguments() {
-    return "WORKSPACE MODEL [--task TASK]";
+    return "WORKSPACE MODEL [--task TASK] | --host HOST --path PATH [--tokens READ,MADE]";
   }
 
   @Override
@@ -36,11 +36,17 @@
   @Override
   public void addOptions(Options options) {
     options.addOption(null, "task", true, "the caller's task name");
+    options.addOption(null, "host", true, "the host of a routed service; ask the metrics port");
+    options.addOption(null, "path", true, "the path that a caller asks for");
+    options.addOption(null, "tokens", true, "tokens of the prompt, and the most to be made");
   }
 
   @Override
   public ExitCode call(CommandLine line, List<String> arguments, Session session)
       throws OatlugException {
+    if (line.hasOption("host")) {
+      return explainRoute(line, session);
+    }
     if (arguments.size() < 2) {
       throw new UsageException(arguments());
     }
@@ -67,4 +73,47 @@
     session.print(decision, table);
     return ExitCode.OK;
   }
+
+  private ExitCode explainRoute(CommandLine line, Session session) throws OatlugException {
+    String[] tokens = (line.getOptionValue("tokens", "0,0") + ",0").split(",");
+    JsonNode found =
+        session.askInstance(
+            "/explain",
+            "host",
+            line.getOptionValue("host"),
+            "path",
+            line.getOptionValue("path", "/"),
+            "read",
+            tokens[0],
+            "made",
+            tokens[1]);
+    TextTable table = TextTable.titled("ROUTE", "SERVICE", "CANDIDATE", "RESULT");
+    String route = found.path("route").asText("none");
+    for (JsonNode target : found.path("targets")) {
+      String service = target.path("service").asText();
+      for (JsonNode stage : target.path("stages")) {
+        String taken = "taken from confidence " + stage.path("leastConfidence").asInt();
+        table.add(route, service, "model " + stage.path("model").asText(), taken);
+      }
+      for (JsonNode upstream : target.path("upstreams")) {
+        table.add(route, service, candidate(upstream), result(upstream));
+      }
+    }
+    session.print(found, table);
+    return ExitCode.OK;
+  }
+
+  private static String candidate(JsonNode upstream) {
+    return "%s %s %s"
+        .formatted(
+            upstream.path("name").asText(),
+            upstream.path("zone").asText(),
+            upstream.path("version").asText());
+  }
+
+  private static String result(JsonNode upstream) {
+    String load = ", load " + upstream.path("load").asInt();
+    JsonNode cost = upstream.path("costMillis");
+    return (cost.isNumber() ? "costs " + cost.asLong() + " ms" : "out") + load;
+  }
 }
--- a/org.oatlug.test/tst/org/oatlug/internal/gateway/GatewayDecisionTest.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/gateway/GatewayDecisionTest.java
@@ -119,6 +119,30 @@
     assertTrue(tables.routes().find("c", "/x/").isEmpty());
   }
 
+  @Test
+  public void testUpstreamWithoutConnectionLeftIsNotChosen() {
+    configuration(1, "k");
+    upstream("i-1", "here", "v1", false);
+    tables.loads().report("i-1", 40, 60, false);
+    assertEquals(choose(Optional.empty(), Set.of()), Optional.empty());
+    upstream("i-2", "there", "v1", false);
+    assertEquals(choose(Optional.empty(), Set.of()), Optional.of("i-2"));
+    for (int open = 0; open < 100; open++) {
+      tables.loads().row("i-2").reserve();
+    }
+    assertEquals(choose(Optional.empty(), Set.of()), Optional.empty());
+  }
+
+  @Test
+  public void testBodiesAreHeldWithinTheirBound() {
+    HeldBytes held = HeldBytes.within(100);
+    assertTrue(held.take(60));
+    assertFalse(held.take(41));
+    assertEquals(held.held(), 60);
+    held.give(60);
+    assertTrue(held.take(100));
+  }
+
   @Test
   public void testLateConfigurationBringsNoRevokedKeyBack() {
     configuration(1, "old");
@@ -284,9 +308,9 @@
   @Test
   public void testBadVersionIsRefutedSoonAndGoodOneIsNot() {
     Route route = route("a", "/x/");
-    RolloutTrial good = RolloutTrial.of("v2", now);
-    RolloutTrial bad = RolloutTrial.of("v2", now);
-    RolloutTrial slow = RolloutTrial.of("v2", now);
+    RolloutTrial good = RolloutTrial.of("v2", 1, now);
+    RolloutTrial bad = RolloutTrial.of("v2", 1, now);
+    RolloutTrial slow = RolloutTrial.of("v2", 1, now);
     Random random = new Random(20261202);
     for (int answer = 0; answer < 60; answer++) {
       for (String version : List.of("v1", "v2")) {
--- a/org.oatlug.test/tst/org/oatlug/test/GatewayAnswerProcessTest.java
+++ b/org.oatlug.test/tst/org/oatlug/test/GatewayAnswerProcessTest.java
@@ -71,6 +71,40 @@
     assertEquals(arrival.header("Attempt-Id"), Optional.of(cluster.lastId()));
   }
 
+  @Test
+  public void testLongAnswerIsHandedOnWhole() throws IOException {
+    cluster.upstreams.values().forEach(one -> one.setFillBytes(1_000_000));
+    Http.Answer answer = Http.send(cluster.request(0, SampleObjects.ONCE + "x"));
+    assertEquals(answer.status(), 200);
+    assertTrue(answer.body().length() > 1_000_000);
+    assertTrue(answer.body().startsWith("answer to " + cluster.lastId()));
+  }
+
+  @Test
+  public void testLongAnswerThatIsCutDoesNotLookWhole() {
+    cluster.upstreams.values().forEach(one -> one.setFillBytes(1_000_000));
+    all(Behaviour.CUTS);
+    assertThrows(IOException.class, () -> Http.send(cluster.request(0, SampleObjects.ONCE + "x")));
+  }
+
+  @Test
+  public void testPoorAnswerIsTakenWhenNoOtherUpstreamCanBeAsked() throws IOException {
+    cluster.store.delete("servers", "i-2");
+    Await.until(
+        "i-2 is gone",
+        () -> {
+          int before = upstream(2).arrivals().size();
+          for (int round = 0; round < 10; round++) {
+            Http.send(cluster.request(0, SampleObjects.ONCE + "x"));
+          }
+          return upstream(2).arrivals().size() == before;
+        });
+    upstream(1).setConfidence("small", 0);
+    int before = cluster.arrivals();
+    assertEquals(Http.send(cluster.streamRequest(0, "one")).status(), 200);
+    assertEquals(cluster.arrivals(), before + 1);
+  }
+
   @Test
   public void testKeyStaysAndSystemHeadersAreReplaced() throws IOException {
     Http.send(
--- a/org.oatlug.test/tst/org/oatlug/test/GatewayInputProcessTest.java
+++ b/org.oatlug.test/tst/org/oatlug/test/GatewayInputProcessTest.java
@@ -88,7 +88,7 @@
       {"long head", LINE + HOST + ID + KEY + long1 + "Content-Length: 0\r\n\r\n", 431},
       {"long body", LINE + HOST + ID + KEY + "Content-Length: 70000\r\n\r\nx", 413},
       {"no request", "nonsense\r\n\r\n", 400},
-      {"half a head", LINE + HOST + "Attempt-", 0},
+      {"half a head", LINE + HOST + "Attempt-", 408},
       {"half a body", LINE + HOST + ID + KEY + "Content-Length: 10\r\n\r\nabc", 0},
     };
   }
--- a/org.oatlug.test/tst/org/oatlug/test/GatewayStateProcessTest.java
+++ b/org.oatlug.test/tst/org/oatlug/test/GatewayStateProcessTest.java
@@ -4,11 +4,15 @@
 package org.oatlug.test;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.util.ArrayList;
 import java.util.List;
@@ -18,6 +22,7 @@
 import org.oatlug.adapter.standin.StoreStandin;
 import org.oatlug.adapter.standin.UpstreamStandin;
 import org.oatlug.adapter.standin.UpstreamStandin.Behaviour;
+import org.oatlug.pgm.Oatlug;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.Test;
 
@@ -101,7 +106,10 @@
     cluster = GatewayCluster.start(1, 2);
     cluster.store.deleteUnseen("servers", "i-1");
     cluster.store.compact();
-    UpstreamStandin gone = cluster.upstreams.get("i-1");
+    awaitNothingMoreFor(cluster.upstreams.get("i-1"));
+  }
+
+  private void awaitNothingMoreFor(UpstreamStandin gone) {
     Await.until(
         "the upstream gets nothing more",
         () -> {
@@ -113,6 +121,37 @@
         });
   }
 
+  @Test
+  public void testStaleListBringsNoUpstreamBack() throws IOException {
+    cluster = GatewayCluster.start(1, 2);
+    cluster.store.freezeList("servers");
+    cluster.store.delete("servers", "i-1");
+    awaitNothingMoreFor(cluster.upstreams.get("i-1"));
+    cluster.store.compact();
+    Await.until("a list is read", () -> Files.readString(cluster.log(0)).contains("fails for"));
+    int before = cluster.upstreams.get("i-1").arrivals().size();
+    for (int round = 0; round < 20; round++) {
+      assertEquals(status(0), 200);
+    }
+    assertEquals(cluster.upstreams.get("i-1").arrivals().size(), before);
+    cluster.store.thawLists();
+    UpstreamStandin third = cluster.addUpstream("i-3", "v1");
+    Await.until("a new list is read", () -> status(0) == 200 && !third.arrivals().isEmpty());
+  }
+
+  @Test
+  public void testSecondOrderOfVersionIsJudgedAnew() throws IOException {
+    cluster = GatewayCluster.start(2, 2);
+    UpstreamStandin candidate = cluster.addUpstream("n-1", "v2");
+    candidate.setBehaviour(Behaviour.FAILS);
+    cluster.store.put("rollouts", SampleObjects.SERVICE, order(30));
+    driveUntil("rolled_back");
+    cluster.store.delete("rollouts", SampleObjects.SERVICE);
+    candidate.setBehaviour(Behaviour.SOUND);
+    cluster.store.put("rollouts", SampleObjects.SERVICE, order(10));
+    driveUntil("succeeded");
+  }
+
   @Test
   public void testDrainingUpstreamGetsNothingNewAndEndsWhatItHas() throws Exception {
     cluster = GatewayCluster.start(1, 2);
@@ -178,6 +217,39 @@
     Await.until("cancelled", () -> upstream.cancelled() == 1);
   }
 
+  @Test
+  public void testOperatorIsToldWhereRequestGoesAndWhy() throws IOException {
+    cluster = GatewayCluster.start(1, 2);
+    assertEquals(Http.send(cluster.streamRequest(0, "one")).status(), 200);
+    JsonObject entry = SampleObjects.upstream(SampleObjects.SERVICE, "127.0.0.1", 1, "v1");
+    cluster.store.put("servers", "i-1", entry.put("state", "draining"));
+    String instance = "127.0.0.1:" + cluster.metricsPort(0);
+    Await.until(
+        "i-1 is out",
+        () -> explain(instance, SampleObjects.STREAM).contains("\"costMillis\" : null"));
+    String text = explain(instance, SampleObjects.STREAM);
+    assertTrue(text.contains("\"name\" : \"i-2\""), text);
+    assertTrue(text.contains("\"leastConfidence\""), text);
+    assertFalse(explain(instance, "/no/").contains("targets"));
+  }
+
+  private static String explain(String instance, String path) {
+    ByteArrayOutputStream out = new ByteArrayOutputStream();
+    String[] arguments = {
+      "explain",
+      "--host",
+      SampleObjects.HOST,
+      "--path",
+      path,
+      "--instance",
+      instance,
+      "--output",
+      "json"
+    };
+    Oatlug.run(arguments, new PrintStream(out), System.err);
+    return out.toString(StandardCharsets.UTF_8);
+  }
+
   @Test
   public void testGoodVersionTakesOver() throws IOException {
     cluster = GatewayCluster.start(2, 2);
--- a/org.oatlug.test/tst/org/oatlug/test/PlatformWordsTest.java
+++ b/org.oatlug.test/tst/org/oatlug/test/PlatformWordsTest.java
@@ -28,6 +28,10 @@
               + "|weighted-backends|gap-aim|/objects/(config|servers|rollouts)|OATLUG_BOOT"
               + "|(?i:\\btenants?\\b|\\bmachines?\\b|\\bback.?ends?\\b)");
 
+  /** The logging library has a package that is called like the platform's word for upstreams. */
+  private static final Pattern LIBRARY_IMPORT =
+      Pattern.compile("import com\\.google\\.common\\.flogger\\.backend\\.[\\w.]+;");
+
   private static Path root() {
     Path here = Path.of("").toAbsolutePath();
     return here.endsWith("org.oatlug.test") ? here.getParent() : here;
@@ -48,7 +52,8 @@
     for (String module : List.of("org.oatlug", "org.oatlug.entry", "org.oatlug.pgm")) {
       for (Path file : sources(module)) {
         for (String line : Files.readAllLines(file)) {
-          if (FOREIGN.matcher(line).find()) {
+          boolean ofLibrary = LIBRARY_IMPORT.matcher(line).matches();
+          if (!ofLibrary && FOREIGN.matcher(line).find()) {
             found.add(root().relativize(file) + ": " + line.trim());
           }
         }
--- a/org.oatlug/src/org/oatlug/gateway/ServiceRollout.java
+++ b/org.oatlug/src/org/oatlug/gateway/ServiceRollout.java
@@ -11,11 +11,17 @@
  *
  * @param service the service
  * @param targetVersion the version to move to
+ * @param orderedAt the revision of the store at which the order was made; another order for the
+ *     same version has another one
  * @param durationMillis the time that the move may take
  * @param progress what the system said of it, empty before it began
  */
 public record ServiceRollout(
-    String service, String targetVersion, long durationMillis, Optional<Progress> progress) {
+    String service,
+    String targetVersion,
+    long orderedAt,
+    long durationMillis,
+    Optional<Progress> progress) {
 
   /** How far a roll-out came. */
   public enum State {
@@ -45,6 +51,7 @@
 
   /** Returns the same order with other progress. */
   public ServiceRollout withProgress(Progress newProgress) {
-    return new ServiceRollout(service, targetVersion, durationMillis, Optional.of(newProgress));
+    return new ServiceRollout(
+        service, targetVersion, orderedAt, durationMillis, Optional.of(newProgress));
   }
 }
--- a/org.oatlug/src/org/oatlug/internal/gateway/CallerConnection.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/CallerConnection.java
@@ -66,7 +66,7 @@
     headTimer = NO_TIMER;
     if (open == 0) {
       logger.atInfo().log("a connection is closed: the head of its request is late");
-      connection.close();
+      LateHead.refuse(connection);
     }
   }
 
--- a/org.oatlug/src/org/oatlug/internal/gateway/CallerFront.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/CallerFront.java
@@ -40,9 +40,6 @@
   /** The decoder's bound of a head; the smaller bound in force is checked on the whole head. */
   private static final int DECODER_HEADER_BYTES = 262_144;
 
-  /** What the bodies of all open requests may hold together, in bytes: a share of the heap. */
-  private static final long BODIES_BYTES = 24L * 1024 * 1024;
-
   /**
    * How long a request waits for the first configuration: less than the second after which callers
    * give up an instance that does not read.
@@ -76,7 +73,6 @@
   private final Map<HttpConnection, CallerConnection> connections = new HashMap<>();
   private final Set<OpenRequest> waiting = new LinkedHashSet<>();
   private int open;
-  private long bodyBytes;
   private Optional<PlannedStop> stop = Optional.empty();
 
   private CallerFront(GatewayParts parts, RandomGenerator random) {
@@ -303,6 +299,7 @@
     private final CallerAnswer answer;
     private final Optional<CallerConnection> connection;
     private final Buffer body = Buffer.buffer();
+    private long heldBytes;
 
     OpenRequest(HttpServerRequest request, Instant arrived) {
       this.request = request;
@@ -322,7 +319,7 @@
 
     private void ended() {
       open--;
-      bodyBytes -= body.length();
+      parts.held().give(heldBytes);
       connection.ifPresent(CallerConnection::requestEnded);
     }
 
@@ -367,14 +364,17 @@
       if (answer.isEnded()) {
         return;
       }
-      body.appendBuffer(data);
-      bodyBytes += data.length();
-      if (body.length() > parts.tables().limits().bodyBytes()) {
+      if (body.length() + data.length() > parts.tables().limits().bodyBytes()) {
         refuse(bodyTooLarge().refusal(), head.id());
-      } else if (bodyBytes > BODIES_BYTES) {
+        return;
+      }
+      if (!parts.held().take(data.length())) {
         String text = ErrorText.get().overloaded;
         refuse(Refusal.retryAfter(RefusalReason.OVERLOADED, text, COME_BACK), head.id());
+        return;
       }
+      heldBytes += data.length();
+      body.appendBuffer(data);
     }
 
     void refuse(Refusal refusal, String requestId) {
--- a/org.oatlug/src/org/oatlug/internal/gateway/Exchange.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/Exchange.java
@@ -100,7 +100,7 @@
 
   /** Sends the request to the next upstream, or gives it up if there is none. */
   void next() {
-    Optional<UpstreamSelection.Chosen> chosen = choose();
+    Optional<UpstreamSelection.Chosen> chosen = choose(model());
     if (chosen.isEmpty()) {
       String text = ErrorText.format(ErrorText.get().noUpstream, incoming.service());
       giveUp(RefusalReason.NO_UPSTREAM, text);
@@ -110,22 +110,26 @@
     current.send();
   }
 
-  private Optional<UpstreamSelection.Chosen> choose() {
+  /** Returns whether another upstream can be asked for a model of the cascade. */
+  boolean hasUpstreamFor(int otherStage) {
+    return choose(Optional.of(route.models().get(otherStage))).isPresent();
+  }
+
+  private Optional<UpstreamSelection.Chosen> choose(Optional<String> model) {
     Optional<VersionRule.Wish> version =
         parts.versions().wishFor(incoming.service(), incoming.head(), lastFailed);
-    Optional<Generation> generation = incoming.head().generation();
-    Optional<UpstreamSelection.Chosen> untried = chooseBut(version, generation, tried);
+    Optional<UpstreamSelection.Chosen> untried = chooseBut(version, model, tried);
     if (untried.isPresent() || current == null || !route.isRepeatable()) {
       return untried;
     }
-    return chooseBut(version, generation, Set.of(current.upstreamName()));
+    return chooseBut(version, model, Set.of(current.upstreamName()));
   }
 
   private Optional<UpstreamSelection.Chosen> chooseBut(
-      Optional<VersionRule.Wish> version, Optional<Generation> generation, Set<String> excluded) {
+      Optional<VersionRule.Wish> version, Optional<String> model, Set<String> excluded) {
     UpstreamSelection.Wanted wanted =
         new UpstreamSelection.Wanted(
-            incoming.service(), version, model(), generation, Set.copyOf(excluded));
+            incoming.service(), version, model, incoming.head().generation(), Set.copyOf(excluded));
     return parts.selection().choose(wanted, parts.clock().instant());
   }
 
--- a/org.oatlug/src/org/oatlug/internal/gateway/ExchangeAttempt.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/ExchangeAttempt.java
@@ -34,6 +34,12 @@
   private static final int FIRST_SERVER_ERROR = 500;
   private static final int OK = 200;
 
+  /**
+   * What an answer that is no stream may hold before it is handed on in pieces, in bytes: many
+   * times the usual answer of a service, little against the heap.
+   */
+  private static final int MOST_HELD = 256 * 1024;
+
   private final Exchange exchange;
   private final GatewayParts parts;
   private final Incoming incoming;
@@ -179,6 +185,7 @@
     if (!released) {
       released = true;
       chosen.row().release();
+      parts.held().give(body.length());
       parts.vertx().cancelTimer(silenceTimer);
     }
   }
@@ -253,7 +260,10 @@
     }
     int confidence = head.confidence().getAsInt();
     OptionalInt instead = exchange.stageInsteadOf(confidence);
-    if (instead.isEmpty() || !exchange.mayTryAgain("larger-model")) {
+    if (instead.isEmpty() || !exchange.hasUpstreamFor(instead.getAsInt())) {
+      return false;
+    }
+    if (!exchange.mayTryAgain("larger-model")) {
       return false;
     }
     exchange.noteMayHaveRun();
@@ -294,16 +304,34 @@
   public void data(Buffer data) {
     heard();
     if (!streaming) {
-      body.appendBuffer(data);
+      takePart(data);
       return;
     }
     Buffer events = relay.take(data);
     if (events.length() > 0) {
       beginStream();
-      if (answer.write(events, this::drained)) {
-        paused = true;
-        link.pause();
-      }
+      write(events);
+    }
+  }
+
+  /** Holds a part of an answer until the answer is whole, or hands it on if that takes too much. */
+  private void takePart(Buffer data) {
+    boolean small = body.length() + data.length() <= MOST_HELD;
+    if (!answer.isBegun() && small && parts.held().take(data.length())) {
+      body.appendBuffer(data);
+      return;
+    }
+    if (!answer.isBegun()) {
+      answer.begin(response.statusCode(), parts.adapter().upstreams().passedBack(response));
+      write(body);
+    }
+    write(data);
+  }
+
+  private void write(Buffer data) {
+    if (answer.write(data, this::drained)) {
+      paused = true;
+      link.pause();
     }
   }
 
@@ -340,6 +368,10 @@
       return;
     }
     exchange.finish("status " + response.statusCode());
+    if (answer.isBegun()) {
+      answer.end();
+      return;
+    }
     MultiMap headers = parts.adapter().upstreams().passedBack(response);
     answer.whole(response.statusCode(), headers, body);
   }
--- a/org.oatlug/src/org/oatlug/internal/gateway/GatewayParts.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/GatewayParts.java
@@ -25,6 +25,7 @@
  * @param versions chooses versions while a roll-out runs
  * @param budgets the retry budgets
  * @param times how long answers usually take
+ * @param held the bytes of bodies that requests hold
  * @param logLimit bounds the lines about requests
  * @param meters the counters
  */
@@ -40,6 +41,7 @@
     VersionRule versions,
     RetryBudgets budgets,
     AnswerTimes times,
+    HeldBytes held,
     LogLimit logLimit,
     Meters meters) {
   /** Returns the parts of an instance, made from what they are about. */
@@ -65,6 +67,7 @@
         versions,
         RetryBudgets.within(settings.bounds()),
         times,
+        HeldBytes.create(),
         LogLimit.create(clock, meters),
         meters);
   }
--- a/org.oatlug/src/org/oatlug/internal/gateway/InspectionServer.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/InspectionServer.java
@@ -12,13 +12,23 @@
 import io.vertx.core.http.HttpServerRequest;
 import java.io.IOException;
 import java.io.StringWriter;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.function.BooleanSupplier;
 import org.oatlug.gateway.GatewaySettings.Endpoint;
+import org.oatlug.gateway.Generation;
 import org.oatlug.internal.metrics.Meters;
+import org.oatlug.internal.util.Json;
 
-/** Answers the balancer whether the instance is ready, and shows its counters. One event loop. */
+/**
+ * Answers the balancer whether the instance is ready, shows its counters to whoever collects them,
+ * and explains its decisions to operators. Used from one event loop.
+ */
 public final class InspectionServer {
+  static final String EXPLAIN_PATH = "/explain";
   private static final int OK = 200;
+  private static final int NOT_FOUND = 404;
   private static final int UNAVAILABLE = 503;
   private static final int FAILED = 500;
 
@@ -46,9 +56,44 @@
         .listen(endpoint.port(), endpoint.host());
   }
 
-  /** Starts to show the counters, on any path, in the text form of Prometheus. */
-  public Future<HttpServer> listenForMetrics(String host, int port) {
-    return vertx.createHttpServer().requestHandler(this::showMetrics).listen(port, host);
+  /**
+   * Starts to show the counters, in the text form of Prometheus, on any path but {@value
+   * #EXPLAIN_PATH}, which explains what becomes of a request.
+   *
+   * @param parts the parts whose decisions are explained
+   */
+  public Future<HttpServer> listenForOperators(String host, int port, GatewayParts parts) {
+    return vertx
+        .createHttpServer()
+        .requestHandler(request -> answerOperator(request, parts))
+        .listen(port, host);
+  }
+
+  private void answerOperator(HttpServerRequest request, GatewayParts parts) {
+    if (!request.path().equals(EXPLAIN_PATH)) {
+      showMetrics(request);
+      return;
+    }
+    Generation generation =
+        new Generation(
+            "", number(request, "read"), number(request, "made"), List.of(), OptionalInt.empty());
+    Optional<RouteExplanation> found =
+        RouteExplanation.of(parts, text(request, "host"), text(request, "path"), generation);
+    request
+        .response()
+        .setStatusCode(found.isPresent() ? OK : NOT_FOUND)
+        .putHeader("Content-Type", "application/json")
+        .end(found.map(one -> Json.STRICT.valueToTree(one).toString()).orElse("{}"));
+  }
+
+  private static String text(HttpServerRequest request, String name) {
+    String value = request.getParam(name);
+    return value == null ? "" : value;
+  }
+
+  private static int number(HttpServerRequest request, String name) {
+    String value = text(request, name);
+    return value.matches("\\d{1,9}") ? Integer.parseInt(value) : 0;
   }
 
   private void answerReady(HttpServerRequest request) {
--- a/org.oatlug/src/org/oatlug/internal/gateway/RolloutDirector.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/RolloutDirector.java
@@ -187,7 +187,7 @@
   public void handle(Member from, PeerMessage.RolloutReport report) {
     Instant now = clock.instant();
     runningTrial(report.service())
-        .filter(trial -> trial.version().equals(report.targetVersion()))
+        .filter(trial -> trial.isOf(report.targetVersion(), report.orderedAt()))
         .ifPresent(
             trial -> {
               trial.report(from.process(), report.logEvidence(), report.answers());
@@ -234,6 +234,7 @@
         new PeerMessage.RolloutReport(
             service,
             trial.version(),
+            trial.orderedAt(),
             trial.ownEvidence(),
             trial.ownAnswers(),
             trial.isRefuted(),
@@ -324,8 +325,8 @@
 
   private RolloutTrial trialOf(String service, ServiceRollout rollout) {
     RolloutTrial known = trials.get(service);
-    if (known == null || !known.version().equals(rollout.targetVersion())) {
-      known = RolloutTrial.of(rollout.targetVersion(), clock.instant());
+    if (known == null || !known.isOf(rollout.targetVersion(), rollout.orderedAt())) {
+      known = RolloutTrial.of(rollout.targetVersion(), rollout.orderedAt(), clock.instant());
       trials.put(service, known);
     }
     return known;
--- a/org.oatlug/src/org/oatlug/internal/gateway/RolloutTrial.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/RolloutTrial.java
@@ -25,6 +25,7 @@
   private static final double SMOOTHING = 0.1;
 
   private final String version;
+  private final long orderedAt;
   private final Instant learnedAt;
   private final CandidateEvidence evidence = CandidateEvidence.create();
   private final Map<String, Double> meanMillis = new HashMap<>();
@@ -34,14 +35,27 @@
 
   private record Reported(double logEvidence, long answers) {}
 
-  private RolloutTrial(String version, Instant learnedAt) {
+  private RolloutTrial(String version, long orderedAt, Instant learnedAt) {
     this.version = version;
+    this.orderedAt = orderedAt;
     this.learnedAt = learnedAt;
   }
 
-  /** Returns a trial of the version without evidence. */
-  static RolloutTrial of(String version, Instant now) {
-    return new RolloutTrial(version, now);
+  /** Returns a trial of the version without evidence, for the order made at the revision. */
+  static RolloutTrial of(String version, long orderedAt, Instant now) {
+    return new RolloutTrial(version, orderedAt, now);
+  }
+
+  /**
+   * Returns whether the trial belongs to the order; what an earlier order showed counts no more.
+   */
+  boolean isOf(String otherVersion, long otherOrderedAt) {
+    return version.equals(otherVersion) && orderedAt == otherOrderedAt;
+  }
+
+  /** Returns the revision at which the version was ordered. */
+  long orderedAt() {
+    return orderedAt;
   }
 
   String version() {
--- a/org.oatlug/src/org/oatlug/internal/gateway/UpstreamSelection.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/UpstreamSelection.java
@@ -5,12 +5,14 @@
 
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.random.RandomGenerator;
 import org.oatlug.gateway.Generation;
 import org.oatlug.gateway.PromptPart;
+import org.oatlug.gateway.ServiceDefinition;
 import org.oatlug.gateway.UpstreamRecord;
 import org.oatlug.internal.table.UpstreamRow;
 import org.oatlug.internal.util.Hashes;
@@ -77,25 +79,31 @@
   /** A chosen upstream. */
   record Chosen(String name, UpstreamRecord upstream, UpstreamRow row) {}
 
+  /** An upstream and what it costs to choose it, in milliseconds. */
+  record Costed(Chosen candidate, double millis) {}
+
   /** Returns the cheapest upstream, empty if there is none. */
   Optional<Chosen> choose(Wanted wanted, Instant now) {
+    return costs(wanted, now).stream()
+        .min(Comparator.comparingDouble(Costed::millis))
+        .map(Costed::candidate);
+  }
+
+  /** Returns the upstreams that can be chosen, with their costs. */
+  List<Costed> costs(Wanted wanted, Instant now) {
     List<Chosen> candidates = candidates(wanted, true);
     if (candidates.isEmpty() && !wanted.version().map(VersionRule.Wish::strict).orElse(true)) {
       candidates = candidates(wanted, false);
     }
-    Optional<Chosen> best = Optional.empty();
-    double lowest = Double.MAX_VALUE;
+    List<Costed> costs = new ArrayList<>();
     String home = homeOf(wanted, candidates);
     Optional<Prompt> prompt =
         wanted.generation().map(text -> Prompt.of(wanted.model().orElse(""), text));
     for (Chosen candidate : candidates) {
-      double cost = cost(candidate, prompt, home, now);
-      if (cost < lowest) {
-        lowest = cost;
-        best = Optional.of(candidate);
-      }
+      double unread = prompt.map(read -> read.uncachedTokens(candidate, home)).orElse(0.0);
+      costs.add(new Costed(candidate, cost(candidate, now) + unread / TOKENS_PER_MILLI));
     }
-    return best;
+    return costs;
   }
 
   private List<Chosen> candidates(Wanted wanted, boolean asWished) {
@@ -106,14 +114,20 @@
       boolean usable = !upstream.leaving() && !row.leaving() && !wanted.excluded().contains(name);
       boolean fits =
           !asWished || wanted.version().map(w -> w.isMetBy(upstream.version())).orElse(true);
-      if (usable && fits) {
+      if (usable && fits && hasConnectionLeft(wanted.service(), row)) {
         candidates.add(new Chosen(name, upstream, row));
       }
     }
     return candidates;
   }
 
-  private double cost(Chosen candidate, Optional<Prompt> prompt, String home, Instant now) {
+  /** Returns whether the upstream takes one more connection; each open request has its own. */
+  private boolean hasConnectionLeft(String service, UpstreamRow row) {
+    int most = tables.service(service).map(ServiceDefinition::maximumConnections).orElse(0);
+    return most <= 0 || row.expectedLoad() + 1 <= most;
+  }
+
+  private double cost(Chosen candidate, Instant now) {
     int slots = Math.max(1, candidate.upstream().slots());
     double load = tables.loads().estimatedLoad(candidate.row());
     double cost = FULL_LOAD_MILLIS * load / slots + random.nextDouble() * SPREAD_MILLIS;
@@ -124,8 +138,7 @@
     if (candidate.row().ejected(now)) {
       cost += KEPT_OUT_MILLIS;
     }
-    double unread = prompt.map(read -> read.uncachedTokens(candidate, home)).orElse(0.0);
-    return cost + unread / TOKENS_PER_MILLI;
+    return cost;
   }
 
   /** Returns the upstream of the own zone that all instances prefer for the shared prompt. */
--- a/org.oatlug/src/org/oatlug/internal/log/StructuredBackend.java
+++ b/org.oatlug/src/org/oatlug/internal/log/StructuredLogger.java
@@ -17,21 +17,21 @@
 /**
  * Hands log statements to the logging library with their metadata as fields.
  *
- * <p>The usual backend for this library writes metadata into the text of the message; here the id
- * of a request stays a field of its own. Immutable, thread-safe.
+ * <p>What comes with this library writes metadata into the text of the message; here the id of a
+ * request stays a field of its own. Immutable, thread-safe.
  */
-final class StructuredBackend extends LoggerBackend {
+final class StructuredLogger extends LoggerBackend {
   private final Logger target;
 
-  private StructuredBackend(Logger target) {
+  private StructuredLogger(Logger target) {
     this.target = target;
   }
 
-  /** Makes a backend for each class that logs; found by its name in the services of the jar. */
+  /** Makes one for each class that logs; found by its name in the services of the jar. */
   public static final class Factory extends BackendFactory {
     @Override
     public LoggerBackend create(String className) {
-      return new StructuredBackend(LoggerFactory.getLogger(className.replace('$', '.')));
+      return new StructuredLogger(LoggerFactory.getLogger(className.replace('$', '.')));
     }
   }
 
--- a/org.oatlug/src/org/oatlug/internal/peer/PeerMessage.java
+++ b/org.oatlug/src/org/oatlug/internal/peer/PeerMessage.java
@@ -91,13 +91,14 @@
   record GuardEvidence(String candidate, double logEvidence) implements PeerMessage {}
 
   /**
-   * What one instance has seen of a version under roll-out: its evidence against it, a logarithm,
-   * how many of its answers, whether it is known to be bad, and which sessions the instance keeps
-   * on the old version though their share would move them.
+   * What one instance has seen of a version under roll-out since the order at a revision: its
+   * evidence against it, a logarithm, how many of its answers, whether it is known to be bad, and
+   * which sessions the instance keeps on the old version though their share would move them.
    */
   record RolloutReport(
       String service,
       String targetVersion,
+      long orderedAt,
       double logEvidence,
       long answers,
       boolean refuted,
