--- a/org.oatlug.entry/src/org/oatlug/entry/Oatlugd.java
+++ b/org.oatlug.entry/src/org/oatlug/entry/Oatlugd.java
@@ -7,8 +7,10 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
 import io.vertx.core.file.FileSystemOptions;
+import io.vertx.core.transport.Transport;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.Optional;
 import java.util.ServiceLoader;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
@@ -57,7 +59,7 @@
         System.out.println("settings are good");
         return;
       }
-      run(new EntryInstance(settings));
+      run(new EntryInstance(settings), Transport.NIO);
     } catch (ParseException e) {
       System.err.println(e.getMessage() + System.lineSeparator() + USAGE);
       System.exit(WRONG);
@@ -73,6 +75,7 @@
       System.out.println("settings are good");
       return;
     }
+    Optional<EarlySocket> early = EarlySocket.open(settingsPath(line));
     GatewaySettings settings = SettingsFile.readGateway(settingsPath(line));
     DeploymentAdapter adapter =
         ServiceLoader.load(DeploymentAdapter.class)
@@ -80,7 +83,7 @@
             .orElseThrow(() -> new SettingsInvalidException(List.of("no adapter is installed")));
     GatewayInstance instance = new GatewayInstance(settings, adapter);
     SettingsWatch.start(settingsPath(line), instance);
-    run(instance);
+    run(instance, early.map(EarlySocket::transport).orElse(Transport.NIO));
   }
 
   /** Returns the settings file: named itself, or by an environment variable. */
@@ -105,11 +108,11 @@
         .addOption(null, "help", false, "show the usage");
   }
 
-  private static <T extends VerticleBase & Drainable> void run(T instance) {
+  private static <T extends VerticleBase & Drainable> void run(T instance, Transport transport) {
     FileSystemOptions files =
         new FileSystemOptions().setClassPathResolvingEnabled(false).setFileCachingEnabled(false);
     VertxOptions options = new VertxOptions().setEventLoopPoolSize(1).setFileSystemOptions(files);
-    Vertx vertx = Vertx.vertx(options);
+    Vertx vertx = Vertx.builder().with(options).withTransport(transport).build();
     try {
       vertx
           .deployVerticle(instance)
