--- a/org.oatlug.test/tst/org/oatlug/test/GatewayAnswerProcessTest.java
+++ b/org.oatlug.test/tst/org/oatlug/test/GatewayAnswerProcessTest.java
@@ -71,6 +71,22 @@
     assertEquals(arrival.header("Attempt-Id"), Optional.of(cluster.lastId()));
   }
 
+  @Test
+  public void testRequestThatMayRunOnceIsSentOnceUnderEveryFailure() throws IOException {
+    for (Behaviour behaviour : Behaviour.values()) {
+      all(behaviour);
+      int before = cluster.arrivals();
+      try {
+        Http.send(cluster.request(0, SampleObjects.ONCE + "x"));
+      } catch (IOException e) {
+        assertEquals(behaviour, Behaviour.CUTS, "only a cut answer ends its connection");
+      }
+      int arrived = cluster.arrivals() - before;
+      int most = behaviour == Behaviour.REFUSES ? 2 : 1;
+      assertTrue(arrived >= 1 && arrived <= most, behaviour + " arrived " + arrived);
+    }
+  }
+
   @Test
   public void testLongAnswerIsHandedOnWhole() throws IOException {
     cluster.upstreams.values().forEach(one -> one.setFillBytes(1_000_000));
--- /dev/null
+++ b/org.oatlug.test/tst/org/oatlug/test/RolloutRaceTest.java
@@ -0,0 +1,208 @@
+// Copyright (c) 2026, the oatlug authors
+// SPDX-License-Identifier: BSD-3-Clause
+
+package org.oatlug.test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import com.codahale.metrics.MetricRegistry;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import io.smallrye.mutiny.Uni;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.oatlug.api.ObjectKey;
+import org.oatlug.errors.PeerUnavailableException;
+import org.oatlug.gateway.GatewayKinds;
+import org.oatlug.gateway.GatewaySettings;
+import org.oatlug.gateway.RequestHead;
+import org.oatlug.gateway.Route;
+import org.oatlug.gateway.RouteKind;
+import org.oatlug.gateway.ServiceRollout;
+import org.oatlug.gateway.ServiceRollout.State;
+import org.oatlug.internal.gateway.GatewayTables;
+import org.oatlug.internal.gateway.RolloutDirector;
+import org.oatlug.internal.gateway.VersionRule;
+import org.oatlug.internal.membership.Membership;
+import org.oatlug.internal.metrics.Meters;
+import org.oatlug.internal.peer.Member;
+import org.oatlug.internal.util.Json;
+import org.oatlug.platform.Platform;
+import org.oatlug.platform.StoredObject;
+
+/**
+ * Shows that an end of a roll-out is never changed, although several instances write it at once,
+ * see different answers, and lose the replies to their writes.
+ */
+class RolloutRaceTest {
+  private static final String SEED = "20261202";
+  private static final String SERVICE = "pool";
+  private static final String OLD = "v1";
+  private static final String NEW = "v2";
+  private static final ObjectKey KEY = ObjectKey.valueOf(GatewayKinds.ROLLOUT, SERVICE);
+  private static final int INSTANCES = 3;
+  private static final Duration STEP = Duration.ofMillis(300);
+  private static final GatewaySettings.Bounds BOUNDS =
+      new GatewaySettings.Bounds(8000, 0.9, 52, 0.15, 5000);
+  private static final Route ROUTE =
+      new Route(
+          "r",
+          "h",
+          "/",
+          RouteKind.REPEATABLE,
+          2000,
+          300,
+          2,
+          1,
+          true,
+          false,
+          false,
+          0,
+          List.of(),
+          List.of(new Route.WeightedTarget(SERVICE, 1)));
+
+  /** One instance; it knows of no other one, so that each believes to have the duty. */
+  private static final class Instance {
+    private final GatewayTables tables = GatewayTables.create();
+    private final RolloutDirector director;
+
+    Instance(int number, Platform platform, FakeClock clock) {
+      String name = "i-" + number;
+      Member self = new Member(name, "z", name, "127.0.0.1", 1, 1, 0, Member.State.ALIVE);
+      director =
+          RolloutDirector.create(
+              tables,
+              platform,
+              Membership.create(self, clock, new Random(number)),
+              (peer, message, patience) ->
+                  Uni.createFrom().failure(new PeerUnavailableException(peer.name())),
+              clock,
+              Meters.of(new MetricRegistry()),
+              BOUNDS);
+    }
+
+    void sees(String version, boolean failed, int count) {
+      for (int answer = 0; answer < count; answer++) {
+        director.answered(
+            new VersionRule.Answer(SERVICE, version, ROUTE, "", failed, Duration.ofMillis(50)));
+      }
+    }
+  }
+
+  private FakeClock clock;
+  private FakePlatform platform;
+  private List<Instance> instances;
+
+  private void begin(FakePlatform store) {
+    clock = new FakeClock();
+    platform = store;
+    instances = new ArrayList<>();
+    platform.waitForTest(false);
+    ServiceRollout order = new ServiceRollout(SERVICE, NEW, 1, 6000, Optional.empty());
+    platform.put(KEY, 0, Json.STRICT.valueToTree(order)).await().indefinitely();
+    for (int number = 0; number < INSTANCES; number++) {
+      instances.add(new Instance(number, platform, clock));
+    }
+    instances.forEach(this::read);
+  }
+
+  /** Reads the store at once, whatever calls wait. */
+  private StoredObject stored() {
+    platform.waitForTest(false);
+    StoredObject object = platform.get(KEY).await().indefinitely().orElseThrow();
+    platform.waitForTest(true);
+    return object;
+  }
+
+  private Optional<State> state() {
+    try {
+      return Json.STRICT.treeToValue(stored().value(), ServiceRollout.class).state();
+    } catch (JsonProcessingException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  private void read(Instance instance) {
+    instance.tables.mergeAll(List.of(stored()));
+  }
+
+  private static boolean isFinal(Optional<State> state) {
+    return state.isPresent() && state.get() != State.RUNNING;
+  }
+
+  private void step(int action, Random random) {
+    Instance one = instances.get(random.nextInt(INSTANCES));
+    switch (action) {
+      case 0 -> one.sees(NEW, false, 12);
+      case 1 -> one.sees(NEW, true, 4);
+      case 2 -> one.sees(OLD, false, 12);
+      case 3 -> read(one);
+      case 4, 5 -> deliver(random, action == 5);
+      default -> {
+        clock.advance(STEP);
+        instances.forEach(instance -> instance.director.tick());
+      }
+    }
+  }
+
+  private void deliver(Random random, boolean replyLost) {
+    if (platform.pending() > 0) {
+      platform.deliver(random.nextInt(platform.pending()), replyLost);
+    }
+  }
+
+  @Property(seed = SEED, tries = 300)
+  void testEndOfRolloutIsNeverChanged(
+      @ForAll @Size(max = 120) List<@IntRange(min = 0, max = 9) Integer> actions,
+      @ForAll @IntRange(min = 0, max = 100_000) int chance) {
+    begin(FakePlatform.create());
+    Random random = new Random(chance);
+    Optional<State> before = state();
+    for (int action : actions) {
+      step(action, random);
+      Optional<State> now = state();
+      if (isFinal(before)) {
+        assertEquals(now, before);
+      }
+      before = now;
+    }
+    assertTrue(endsAlike(), "all instances know the same end");
+  }
+
+  /** Lets all writes through until the roll-out has ended, and compares what instances do then. */
+  private boolean endsAlike() {
+    for (int round = 0; round < 40 && !isFinal(state()); round++) {
+      clock.advance(STEP);
+      instances.forEach(instance -> instance.director.tick());
+      platform.deliverAll();
+      instances.forEach(this::read);
+    }
+    platform.deliverAll();
+    instances.forEach(this::read);
+    State end = state().orElseThrow();
+    boolean wanted = end == State.SUCCEEDED;
+    return instances.stream().allMatch(instance -> wishOf(instance).wanted() == wanted);
+  }
+
+  private static VersionRule.Wish wishOf(Instance instance) {
+    RequestHead head =
+        new RequestHead(
+            "id",
+            "h",
+            "/",
+            Optional.empty(),
+            Optional.empty(),
+            Optional.empty(),
+            OptionalLong.empty(),
+            Optional.empty());
+    return instance.director.wishFor(SERVICE, head, Optional.empty()).orElseThrow();
+  }
+}
