--- a/org.oatlug.benchmarks/src/org/oatlug/benchmarks/PoolRun.java
+++ b/org.oatlug.benchmarks/src/org/oatlug/benchmarks/PoolRun.java
@@ -306,7 +306,7 @@
       row.release();
       entry.line().freed(time.instant());
       if (answered) {
-        row.succeeded();
+        row.succeeded(time.instant());
         entry.line().serve(time.instant());
         return;
       }
--- a/org.oatlug.entry/src/org/oatlug/entry/EarlySocket.java
+++ b/org.oatlug.entry/src/org/oatlug/entry/EarlySocket.java
@@ -31,8 +31,6 @@
  * be the callers' one. Used from the main thread, then by the transport.
  */
 final class EarlySocket {
-  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
-
   /** The field of the settings that says where callers connect. */
   private static final String CALLERS = "callers";
 
@@ -57,7 +55,9 @@
           new InetSocketAddress(callers.get().host(), callers.get().port()), WAITING_CALLERS);
       return Optional.of(new EarlySocket(channel));
     } catch (IOException | IllegalArgumentException e) {
-      logger.atWarning().log("callers are not let in before the start is done: %s", e.getMessage());
+      Log.logger
+          .atWarning()
+          .log("callers are not let in before the start is done: %s", e.getMessage());
       return Optional.empty();
     }
   }
@@ -106,6 +106,11 @@
     };
   }
 
+  /** Sets logging up on first use: that takes longer than opening the socket. */
+  private static final class Log {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  }
+
   /** The usual transport, but for its first server socket. Used from event loops. */
   private static final class EarlyTransport extends NioTransport {
     private Optional<ServerSocketChannel> opened;
--- a/org.oatlug.test/tst/org/oatlug/internal/gateway/GatewayDecisionTest.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/gateway/GatewayDecisionTest.java
@@ -192,6 +192,21 @@
     assertEquals(choose(Optional.empty(), Set.of()), Optional.of("i-2"));
   }
 
+  @Test
+  public void testUpstreamThatFailsOftenIsAskedLess() {
+    upstream("i-1", "here", "v1", false);
+    upstream("i-2", "here", "v1", false);
+    for (int answer = 0; answer < 10; answer++) {
+      tables.loads().row("i-1").failed(now);
+      tables.loads().row("i-1").succeeded(now);
+      tables.loads().row("i-2").succeeded(now);
+    }
+    tables.loads().report("i-2", 6, 0, false);
+    assertEquals(choose(Optional.empty(), Set.of()), Optional.of("i-2"));
+    now = now.plusSeconds(30);
+    assertEquals(choose(Optional.empty(), Set.of()), Optional.of("i-1"), "it is tried again");
+  }
+
   @Test
   public void testStrictWishIsKeptAndOtherWishesGiveWay() {
     upstream("i-1", "here", "v1", false);
--- a/org.oatlug/src/org/oatlug/internal/gateway/ExchangeAttempt.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/ExchangeAttempt.java
@@ -267,6 +267,7 @@
       return false;
     }
     exchange.noteMayHaveRun();
+    chosen.row().succeeded(parts.clock().instant());
     abandon();
     describe("dropped confidence=" + confidence);
     exchange.nextAt(instead.getAsInt());
@@ -359,7 +360,7 @@
     }
     release();
     if (response.statusCode() < FIRST_SERVER_ERROR) {
-      chosen.row().succeeded();
+      chosen.row().succeeded(parts.clock().instant());
     }
     if (streaming) {
       beginStream();
--- a/org.oatlug/src/org/oatlug/internal/gateway/UpstreamSelection.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/UpstreamSelection.java
@@ -42,6 +42,9 @@
   /** Prompt tokens that an engine reads in a millisecond; from the deployments' sheets. */
   private static final double TOKENS_PER_MILLI = 112;
 
+  /** What an upstream costs more that fails every request, in milliseconds. */
+  private static final double FAILING_MILLIS = 800;
+
   /** Spreads requests over upstreams of equal cost, in milliseconds. */
   private static final double SPREAD_MILLIS = 5;
 
@@ -135,6 +138,7 @@
     if (!candidate.upstream().zone().equals(zone)) {
       cost += OTHER_ZONE_MILLIS;
     }
+    cost += FAILING_MILLIS * candidate.row().failureShare(now);
     if (candidate.row().ejected(now)) {
       cost += KEPT_OUT_MILLIS;
     }
--- a/org.oatlug/src/org/oatlug/internal/http/Forwarding.java
+++ b/org.oatlug/src/org/oatlug/internal/http/Forwarding.java
@@ -225,7 +225,7 @@
 
   private void answerTaken(UpstreamRow row) {
     release(row);
-    row.succeeded();
+    row.succeeded(services.clock().instant());
     services.vertx().cancelTimer(deadlineTimer);
   }
 
--- a/org.oatlug/src/org/oatlug/internal/table/UpstreamRow.java
+++ b/org.oatlug/src/org/oatlug/internal/table/UpstreamRow.java
@@ -21,6 +21,12 @@
   private static final int EJECT_AFTER_FAILURES = 3;
   private static final Duration EJECT_FOR = Duration.ofSeconds(5);
 
+  /** The weight of one answer in the share of failures: the last ten or so count. */
+  private static final double OUTCOME_WEIGHT = 0.15;
+
+  /** After this time without an answer a share of failures counts for about a third. */
+  private static final double FAILURES_FADE_MILLIS = 3000;
+
   private final String name;
   private final long nameHash;
   private final Map<Long, Boolean> prefixes =
@@ -40,6 +46,8 @@
   private boolean leaving;
   private int failuresInRow;
   private Instant ejectedUntil = Instant.EPOCH;
+  private double failureShare;
+  private Instant failureShareAt = Instant.EPOCH;
 
   UpstreamRow(String name) {
     this.name = name;
@@ -84,14 +92,28 @@
     }
   }
 
-  /** Takes in a whole answer. */
-  public void succeeded() {
+  /** Takes in an answer that is no failure. */
+  public void succeeded(Instant now) {
     failuresInRow = 0;
+    noteOutcome(0, now);
+  }
+
+  private void noteOutcome(double failure, Instant now) {
+    double before = failureShare(now);
+    failureShare = before + OUTCOME_WEIGHT * (failure - before);
+    failureShareAt = now;
+  }
+
+  /** Returns the share of failures among the last answers; it fades while nothing is known. */
+  public double failureShare(Instant now) {
+    double age = Duration.between(failureShareAt, now).toMillis();
+    return failureShare * Math.exp(-Math.max(0, age) / FAILURES_FADE_MILLIS);
   }
 
   /** Takes in a failure; several in a row keep the upstream out for a while. */
   public void failed(Instant now) {
     failuresInRow++;
+    noteOutcome(1, now);
     if (failuresInRow >= EJECT_AFTER_FAILURES) {
       ejectedUntil = now.plus(EJECT_FOR);
     }
