--- a/org.oatlug.test/tst/org/oatlug/internal/gateway/GatewayDecisionTest.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/gateway/GatewayDecisionTest.java
@@ -300,10 +300,11 @@
     for (int step = 0; step < 1000; step++) {
       double share = schedule.shareAt(step / 1000.0);
       assertTrue(share >= last, "the share never falls");
+      assertTrue(share - last < 0.1, "it grows little by little, not by " + (share - last));
       last = share;
-      sum += step < 740 ? share : 0;
+      sum += share < 1 ? share : 0;
     }
-    assertTrue(sum / 1000 < 0.15, "before the step to all it got " + sum / 1000);
+    assertTrue(sum / 1000 < 0.13, "before it got all it got " + sum / 1000);
     assertFalse(schedule.sessionsMayMove(0.49));
     assertEquals(schedule.shareAt(0.9), 1.0);
   }
--- a/org.oatlug/src/org/oatlug/internal/gateway/RolloutSchedule.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/RolloutSchedule.java
@@ -7,19 +7,21 @@
  * Which share of the sessions a version under roll-out gets as time goes on.
  *
  * <p>A small fixed share first, so that no session has to change its version while the comparison
- * runs; then growing steps, which show a version that fails under load only; then all, so that the
- * old upstreams are empty when the roll-out ends, because they stop at once. Up to the step to all
- * the version receives less than a deployment's usual bound of 15 of 100 requests. Immutable.
+ * runs; then the whole share within the bound; then evenly more, so that prompts are read by the
+ * new upstreams little by little and a version that fails under load only shows it early; then all,
+ * so that the old upstreams are empty when the roll-out ends, because they stop at once. When it
+ * has just got all, the version has received less than 13 of 100 requests of the whole duration,
+ * which leaves time to find out before the usual bound of 15 and a reserve. Immutable.
  */
 final class RolloutSchedule {
   /** Up to this part of the duration sessions stay where they are. */
   private static final double COMPARE_UNTIL = 0.5;
 
   /** Up to this part the version gets the whole share within the bound. */
-  private static final double GROW_UNTIL = 0.62;
+  private static final double BOUND_UNTIL = 0.6;
 
-  /** Up to this part the version gets the large step; then all. */
-  private static final double LARGE_STEP_UNTIL = 0.74;
+  /** From this part on it gets all; a longer growth would use up the bound. */
+  private static final double ALL_FROM = 0.72;
 
   /** At this part of the duration the roll-out is declared done, if nothing speaks against it. */
   private static final double DONE_AT = 0.92;
@@ -27,9 +29,6 @@
   /** What the version gets during the comparison, as a share of the bound. */
   private static final double COMPARE_SHARE_OF_BOUND = 0.6;
 
-  /** The large step, as a share of the sessions. */
-  private static final double LARGE_STEP_SHARE = 0.4;
-
   private final double exposureShare;
 
   private RolloutSchedule(double exposureShare) {
@@ -46,10 +45,8 @@
     if (part < COMPARE_UNTIL) {
       return exposureShare * COMPARE_SHARE_OF_BOUND;
     }
-    if (part < GROW_UNTIL) {
-      return exposureShare;
-    }
-    return part < LARGE_STEP_UNTIL ? LARGE_STEP_SHARE : 1;
+    double grown = Math.max(0, (part - BOUND_UNTIL) / (ALL_FROM - BOUND_UNTIL));
+    return Math.min(1, exposureShare + (1 - exposureShare) * grown);
   }
 
   /** Returns whether sessions may move to the version at this part of the duration. */
