--- a/org.oatlug/src/org/oatlug/internal/gateway/RolloutDirector.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/RolloutDirector.java
@@ -173,7 +173,7 @@
         .ifPresent(
             trial -> {
               boolean before = trial.isRefuted();
-              trial.add(answer);
+              trial.add(answer, clock.instant());
               if (trial.isRefuted() && !before) {
                 meters.count("rollout.halted-here");
                 logger.atWarning().log(
--- a/org.oatlug/src/org/oatlug/internal/gateway/RolloutTrial.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/RolloutTrial.java
@@ -3,6 +3,7 @@
 
 package org.oatlug.internal.gateway;
 
+import java.time.Duration;
 import java.time.Instant;
 import java.util.HashMap;
 import java.util.Map;
@@ -24,12 +25,34 @@
   /** The weight of one answer in the running means. */
   private static final double SMOOTHING = 0.1;
 
+  /**
+   * Times are compared only within this span: the old version's answers of an earlier load say
+   * nothing of the new one's under the present load.
+   */
+  private static final Duration COMPARED_WITHIN = Duration.ofSeconds(1);
+
+  /** The weight of one answer in the candidate's share of slow ones: the last ten or so count. */
+  private static final double SLOW_SMOOTHING = 0.15;
+
+  /**
+   * A version is slow only while this share of its answers is. Bad versions are slow in about half
+   * of them; a good one with all requests and cold caches in about one of eight, while the old
+   * version that it is compared with has no more requests.
+   */
+  private static final double LEAST_SLOW_SHARE = 0.25;
+
   private final String version;
   private final long orderedAt;
   private final Instant learnedAt;
   private final CandidateEvidence evidence = CandidateEvidence.create();
   private final Map<String, Double> meanMillis = new HashMap<>();
   private final Map<String, Reported> reports = new HashMap<>();
+
+  private Instant comparedSince = Instant.EPOCH;
+
+  /** At the bound to begin with, so that the first slow answers count. */
+  private double slowShare = LEAST_SLOW_SHARE;
+
   private long answers;
   private boolean refuted;
 
@@ -68,7 +91,11 @@
   }
 
   /** Takes in an answer seen here. */
-  void add(VersionRule.Answer answer) {
+  void add(VersionRule.Answer answer, Instant now) {
+    if (now.isAfter(comparedSince.plus(COMPARED_WITHIN))) {
+      comparedSince = now;
+      evidence.forgetUnpaired(Measure.RATINGS);
+    }
     boolean ofCandidate = answer.version().equals(version);
     answers += ofCandidate ? 1 : 0;
     evidence.add(Measure.ERRORS, ofCandidate, answer.failed());
@@ -82,10 +109,13 @@
     String kind = answer.route().name() + " " + answer.model();
     double millis = answer.took().toMillis();
     double mean = meanMillis.getOrDefault(kind, millis);
+    boolean slow = millis > SLOW_FACTOR * mean + SLOW_MARGIN_MILLIS;
     if (!ofCandidate) {
       meanMillis.put(kind, mean + SMOOTHING * (millis - mean));
+      return slow;
     }
-    return millis > SLOW_FACTOR * mean + SLOW_MARGIN_MILLIS;
+    slowShare += SLOW_SMOOTHING * ((slow ? 1 : 0) - slowShare);
+    return slow && slowShare >= LEAST_SLOW_SHARE;
   }
 
   /** Takes in what another instance has seen. */
--- a/org.oatlug/src/org/oatlug/internal/rollout/CandidateEvidence.java
+++ b/org.oatlug/src/org/oatlug/internal/rollout/CandidateEvidence.java
@@ -26,7 +26,7 @@
    * @param ofCandidate whether it is the candidate's, not the current version's
    */
   public void add(RolloutGuard.Measure measure, boolean ofCandidate, boolean failed) {
-    SequentialTest test = measure == RolloutGuard.Measure.ERRORS ? errors : ratings;
+    SequentialTest test = testOf(measure);
     if (ofCandidate) {
       test.candidate(failed);
     } else {
@@ -34,6 +34,15 @@
     }
   }
 
+  private SequentialTest testOf(RolloutGuard.Measure measure) {
+    return measure == RolloutGuard.Measure.ERRORS ? errors : ratings;
+  }
+
+  /** Drops the outcomes that have no counterpart yet, so that later ones meet only later ones. */
+  public void forgetUnpaired(RolloutGuard.Measure measure) {
+    testOf(measure).forgetUnpaired();
+  }
+
   /** Returns the logarithm of the evidence; 0 is none. */
   public double logEvidence() {
     return Math.log((Math.exp(errors.logEvidence()) + Math.exp(ratings.logEvidence())) / 2);
--- a/org.oatlug/src/org/oatlug/internal/rollout/SequentialTest.java
+++ b/org.oatlug/src/org/oatlug/internal/rollout/SequentialTest.java
@@ -41,6 +41,12 @@
     pair();
   }
 
+  /** Drops the outcomes that have no counterpart yet; later ones are not compared with them. */
+  public void forgetUnpaired() {
+    current.clear();
+    candidate.clear();
+  }
+
   /** Returns the logarithm of the evidence against the candidate; 0 is none. */
   public double logEvidence() {
     double sum = 0;
