--- a/org.oatlug/src/org/oatlug/internal/gateway/ExchangeAttempt.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/ExchangeAttempt.java
@@ -29,17 +29,10 @@
  * events that follow. Used from one event loop.
  */
 final class ExchangeAttempt implements UpstreamAttempt.Listener {
-  private static final long NO_TIMER = -1;
   private static final String EVENT_STREAM = "text/event-stream";
   private static final int FIRST_SERVER_ERROR = 500;
   private static final int OK = 200;
 
-  /**
-   * What an answer that is no stream may hold before it is handed on in pieces, in bytes: many
-   * times the usual answer of a service, little against the heap.
-   */
-  private static final int MOST_HELD = 256 * 1024;
-
   private final Exchange exchange;
   private final GatewayParts parts;
   private final Incoming incoming;
@@ -49,14 +42,12 @@
   private final UpstreamSelection.Chosen chosen;
   private final Optional<String> model;
   private final Instant started;
-  private final Buffer body = Buffer.buffer();
+  private final PlainAnswer plain;
+  private final SilenceWatch watch;
   private UpstreamAttempt link;
   private HttpClientResponse response;
   private boolean streaming;
   private boolean released;
-  private boolean paused;
-  private long silenceTimer = NO_TIMER;
-  private Instant lastHeard;
 
   ExchangeAttempt(Exchange exchange, UpstreamSelection.Chosen chosen, Optional<String> model) {
     this.exchange = exchange;
@@ -68,7 +59,8 @@
     this.chosen = chosen;
     this.model = model;
     this.started = parts.clock().instant();
-    this.lastHeard = started;
+    this.plain = PlainAnswer.create(parts, answer);
+    this.watch = SilenceWatch.create(parts, this::patience, this::askElsewhere);
   }
 
   String upstreamName() {
@@ -94,7 +86,7 @@
     logSent();
     link = UpstreamAttempt.start(parts.client(), call(headers), this);
     if (route.isRepeatable() && !released) {
-      watchSilence();
+      watch.start();
     }
   }
 
@@ -118,37 +110,20 @@
         address, incoming.method(), incoming.uri(), headers, incoming.body(), incoming.hasBody());
   }
 
-  /** Ends the attempt when the upstream is silent for too long; asks again then. */
-  private void watchSilence() {
-    long left = patience().minus(silence()).toMillis();
-    silenceTimer = parts.vertx().setTimer(Math.max(1, left), unused -> silenceDue());
-  }
-
   private AnswerTimes.Kind kind() {
     return new AnswerTimes.Kind(route, model.orElse(""), exchange.generation().promptTokens());
   }
 
+  /** Returns how long the upstream may be silent now. */
   private Duration patience() {
     return response == null
         ? parts.times().headPatience(kind())
         : parts.times().pausePatience(kind());
   }
 
-  /** Returns how long the upstream has been silent. */
-  private Duration silence() {
-    return Duration.between(lastHeard, parts.clock().instant());
-  }
-
-  private void silenceDue() {
-    silenceTimer = NO_TIMER;
-    if (released) {
-      return;
-    }
-    boolean lost = silence().compareTo(patience()) >= 0 && !paused;
-    if (!lost) {
-      lastHeard = paused ? parts.clock().instant() : lastHeard;
-      watchSilence();
-    } else if (exchange.mayTryAgain("upstream-silent")) {
+  /** Ends the attempt at an upstream that is silent for too long, if another one may be asked. */
+  private void askElsewhere() {
+    if (exchange.mayTryAgain("upstream-silent")) {
       abandon();
       describe("silent");
       chosen.row().failed(parts.clock().instant());
@@ -185,8 +160,8 @@
     if (!released) {
       released = true;
       chosen.row().release();
-      parts.held().give(body.length());
-      parts.vertx().cancelTimer(silenceTimer);
+      plain.release();
+      watch.stop();
     }
   }
 
@@ -293,19 +268,17 @@
 
   /** Notes a sign of life, and how long the stream paused before it. */
   private void heard() {
-    Instant now = parts.clock().instant();
+    Duration pause = watch.heard();
     if (streaming) {
-      long pause = Duration.between(lastHeard, now).toMillis();
-      parts.times().paused(kind(), pause);
+      parts.times().paused(kind(), pause.toMillis());
     }
-    lastHeard = now;
   }
 
   @Override
   public void data(Buffer data) {
     heard();
     if (!streaming) {
-      takePart(data);
+      plain.take(response, data, this::write);
       return;
     }
     Buffer events = relay.take(data);
@@ -315,30 +288,15 @@
     }
   }
 
-  /** Holds a part of an answer until the answer is whole, or hands it on if that takes too much. */
-  private void takePart(Buffer data) {
-    boolean small = body.length() + data.length() <= MOST_HELD;
-    if (!answer.isBegun() && small && parts.held().take(data.length())) {
-      body.appendBuffer(data);
-      return;
-    }
-    if (!answer.isBegun()) {
-      answer.begin(response.statusCode(), parts.adapter().upstreams().passedBack(response));
-      write(body);
-    }
-    write(data);
-  }
-
   private void write(Buffer data) {
     if (answer.write(data, this::drained)) {
-      paused = true;
+      watch.pause();
       link.pause();
     }
   }
 
   private void drained() {
-    paused = false;
-    lastHeard = parts.clock().instant();
+    watch.resume();
     link.resume();
   }
 
@@ -369,12 +327,7 @@
       return;
     }
     exchange.finish("status " + response.statusCode());
-    if (answer.isBegun()) {
-      answer.end();
-      return;
-    }
-    MultiMap headers = parts.adapter().upstreams().passedBack(response);
-    answer.whole(response.statusCode(), headers, body);
+    plain.end(response);
   }
 
   @Override
