--- a/org.oatlug/src/org/oatlug/internal/gateway/CallerFront.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/CallerFront.java
@@ -21,18 +21,16 @@
 import java.util.random.RandomGenerator;
 import org.oatlug.api.Refusal;
 import org.oatlug.api.RefusalReason;
-import org.oatlug.errors.ErrorText;
 import org.oatlug.errors.RefusedException;
-import org.oatlug.errors.RequestInvalidException;
 import org.oatlug.gateway.GatewaySettings.Endpoint;
 import org.oatlug.gateway.RequestHead;
 import org.oatlug.gateway.Route;
-import org.oatlug.gateway.WorkspaceKeys;
 
 /**
  * Where callers connect: reads requests, refuses those that may not go on, and starts the others.
  *
- * <p>Invariant: what is refused here was handed to no upstream. Used from one event loop.
+ * <p>Which ones may go on is the matter of {@link Admission}. Invariant: what is refused here was
+ * handed to no upstream. Used from one event loop.
  */
 public final class CallerFront {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
@@ -49,18 +47,6 @@
   /** How many requests wait for the first configuration; their bodies are not read meanwhile. */
   private static final int MAXIMUM_WAITING = 500;
 
-  /** When callers shall come back that came before the first configuration. */
-  private static final Duration COME_BACK = Duration.ofMillis(500);
-
-  /** How long a planned stop takes every request: until the balancer has seen two misses. */
-  private static final Duration TAKES_ALL_FOR = Duration.ofMillis(2900);
-
-  /** When a caller may come back that is sent to another instance: at once. */
-  private static final Duration GO_ELSEWHERE = Duration.ofMillis(20);
-
-  /** The bytes of a header besides its name and value: colon, space and the end of the line. */
-  private static final int SEPARATORS_BYTES = 4;
-
   private final HttpServerOptions options =
       new HttpServerOptions()
           .setHttp2ClearTextEnabled(false)
@@ -72,12 +58,13 @@
   private final RandomGenerator random;
   private final Map<HttpConnection, CallerConnection> connections = new HashMap<>();
   private final Set<OpenRequest> waiting = new LinkedHashSet<>();
+  private final Admission admission;
   private int open;
-  private Optional<PlannedStop> stop = Optional.empty();
 
   private CallerFront(GatewayParts parts, RandomGenerator random) {
     this.parts = parts;
     this.random = random;
+    this.admission = Admission.create(parts);
   }
 
   /** Returns a front that does not listen yet. */
@@ -107,7 +94,7 @@
    * @param cutAt when what is still open will be cut
    */
   public void beginStop(Instant cutAt) {
-    stop = Optional.of(new PlannedStop(parts.clock().instant().plus(TAKES_ALL_FOR), cutAt));
+    admission.beginStop(cutAt);
   }
 
   /** Closes the connections that rest, so that their callers go elsewhere. */
@@ -158,95 +145,10 @@
     ready.forEach(OpenRequest::proceed);
   }
 
-  /**
-   * A planned stop.
-   *
-   * @param takesAllUntil until when every request is taken; the balancer knows by then
-   * @param cutAt when what is still open will be cut
-   */
-  private record PlannedStop(Instant takesAllUntil, Instant cutAt) {
-    /** Returns whether a request of the route, taken now, ends or times out before the cut. */
-    boolean takes(Route route, Instant now) {
-      return now.isBefore(takesAllUntil) || !now.plusMillis(route.timeoutMillis()).isAfter(cutAt);
-    }
-  }
-
-  private record Admitted(Route route, Optional<WorkspaceKeys> workspace) {}
-
-  private RequestHead readHead(HttpServerRequest request) throws RefusedException {
-    int limit = parts.tables().limits().headerBytes();
-    if (headBytes(request) > limit) {
-      String text = ErrorText.format(ErrorText.get().headerTooLarge, limit);
-      throw refused(RefusalReason.HEADER_TOO_LARGE, text);
-    }
-    try {
-      return parts.adapter().callers().read(request);
-    } catch (RequestInvalidException e) {
-      throw refused(RefusalReason.HEADER_INVALID, e.getMessage());
-    }
-  }
-
-  private static int headBytes(HttpServerRequest request) {
-    int bytes = request.uri().length();
-    for (Map.Entry<String, String> header : request.headers()) {
-      bytes += header.getKey().length() + header.getValue().length() + SEPARATORS_BYTES;
-    }
-    return bytes;
-  }
-
-  private Admitted admit(HttpServerRequest request, RequestHead head) throws RefusedException {
-    if (parts.tables().configuration().isEmpty()) {
-      throw new RefusedException(
-          Refusal.retryAfter(RefusalReason.NOT_READY, ErrorText.get().notReady, COME_BACK));
-    }
-    Route route =
-        parts
-            .tables()
-            .routes()
-            .find(head.host(), head.path())
-            .orElseThrow(
-                () ->
-                    refused(
-                        RefusalReason.ROUTE_UNKNOWN,
-                        ErrorText.format(ErrorText.get().routeUnknown, head.path())));
-    Optional<WorkspaceKeys> workspace = authenticate(head, route);
-    Instant now = parts.clock().instant();
-    if (stop.isPresent() && !stop.get().takes(route, now)) {
-      throw new RefusedException(
-          Refusal.retryAfter(RefusalReason.STOPPING, ErrorText.get().stopping, GO_ELSEWHERE));
-    }
-    long length = declaredLength(request);
-    if (length > parts.tables().limits().bodyBytes()) {
-      throw bodyTooLarge();
-    }
-    return new Admitted(route, workspace);
-  }
-
-  private Optional<WorkspaceKeys> authenticate(RequestHead head, Route route)
-      throws RefusedException {
-    KeyIndex keys = parts.tables().keys();
-    Optional<WorkspaceKeys> workspace = head.key().flatMap(keys::find);
-    if (!keys.isRequired() || route.openToAll()) {
-      return workspace;
-    }
-    if (head.key().isEmpty()) {
-      throw refused(RefusalReason.KEY_MISSING, ErrorText.get().keyMissing);
-    }
-    if (workspace.isEmpty()) {
-      throw refused(RefusalReason.KEY_UNKNOWN, ErrorText.get().keyUnknown);
-    }
-    return workspace;
-  }
-
-  private static long declaredLength(HttpServerRequest request) {
-    String text = request.getHeader("Content-Length");
-    return text == null ? 0 : Long.parseLong(text.trim());
-  }
-
   private Incoming incoming(
       HttpServerRequest request,
       RequestHead head,
-      Admitted admitted,
+      Admission.Admitted admitted,
       Buffer body,
       Instant arrived) {
     Route route = admitted.route();
@@ -282,16 +184,6 @@
     return route.targets().get(0).service();
   }
 
-  private RefusedException bodyTooLarge() {
-    int limit = parts.tables().limits().bodyBytes();
-    return refused(
-        RefusalReason.BODY_TOO_LARGE, ErrorText.format(ErrorText.get().bodyTooLarge, limit));
-  }
-
-  private static RefusedException refused(RefusalReason reason, String text) {
-    return new RefusedException(Refusal.notRun(reason, text));
-  }
-
   /** A request from its head to the end of its answer. */
   private final class OpenRequest {
     private final HttpServerRequest request;
@@ -312,7 +204,7 @@
       open++;
       connection.ifPresent(CallerConnection::requestBegan);
       request.response().endHandler(unused -> ended());
-      if (stop.isPresent()) {
+      if (admission.isStopping()) {
         answer.closeAfterwards();
       }
     }
@@ -341,16 +233,16 @@
     void proceed() {
       String id = "";
       try {
-        RequestHead head = readHead(request);
+        RequestHead head = admission.read(request);
         id = head.id();
-        readBody(head, admit(request, head));
+        readBody(head, admission.admit(request, head));
       } catch (RefusedException e) {
         refuse(e.refusal(), id);
       }
       request.resume();
     }
 
-    private void readBody(RequestHead head, Admitted admitted) {
+    private void readBody(RequestHead head, Admission.Admitted admitted) {
       request.handler(data -> addToBody(head, data));
       request.endHandler(
           unused -> {
@@ -364,17 +256,14 @@
       if (answer.isEnded()) {
         return;
       }
-      if (body.length() + data.length() > parts.tables().limits().bodyBytes()) {
-        refuse(bodyTooLarge().refusal(), head.id());
-        return;
-      }
-      if (!parts.held().take(data.length())) {
-        String text = ErrorText.get().overloaded;
-        refuse(Refusal.retryAfter(RefusalReason.OVERLOADED, text, COME_BACK), head.id());
-        return;
+      try {
+        admission.checkBodyBytes(body.length() + data.length());
+        admission.hold(data.length());
+        heldBytes += data.length();
+        body.appendBuffer(data);
+      } catch (RefusedException e) {
+        refuse(e.refusal(), head.id());
       }
-      heldBytes += data.length();
-      body.appendBuffer(data);
     }
 
     void refuse(Refusal refusal, String requestId) {
