--- a/org.oatlug/src/org/oatlug/internal/gateway/RouteExplanation.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/RouteExplanation.java
@@ -8,7 +8,6 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
-import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.Set;
 import org.oatlug.gateway.Generation;
@@ -28,8 +27,12 @@
  * @param targets the services of the route
  */
 public record RouteExplanation(String route, RouteKind kind, List<Target> targets) {
+  /** The highest confidence that a model states, in hundredths. */
   private static final int MOST_CONFIDENCE = 100;
 
+  /** The id of the request that is made up to ask the decisions. */
+  private static final String REQUEST_ID = "explain";
+
   /**
    * A service of the route.
    *
@@ -68,76 +71,79 @@
       String name, String zone, String version, int load, Optional<Long> costMillis) {}
 
   /**
-   * Explains a request; empty if no route takes it.
+   * Explains a request that has just come and names no session; empty if no route takes it.
    *
+   * @param parts the parts whose decisions are asked
    * @param host the host that the caller names
    * @param path the path
    * @param generation what the request says of its prompt
    */
   public static Optional<RouteExplanation> of(
       GatewayParts parts, String host, String path, Generation generation) {
-    RequestHead head =
-        new RequestHead(
-            "explain",
-            host,
-            path,
-            Optional.empty(),
-            Optional.empty(),
-            Optional.empty(),
-            OptionalLong.empty(),
-            Optional.of(generation));
-    return parts.tables().routes().find(host, path).map(route -> of(parts, route, head));
+    return parts
+        .tables()
+        .routes()
+        .find(host, path)
+        .map(route -> explain(parts, route, headOf(host, path, generation)));
   }
 
-  private static RouteExplanation of(GatewayParts parts, Route route, RequestHead head) {
-    List<Target> targets = new ArrayList<>();
-    for (Route.WeightedTarget target : route.targets()) {
-      String service = target.service();
-      Optional<VersionRule.Wish> wish = parts.versions().wishFor(service, head, Optional.empty());
-      Optional<String> first =
-          route.isCascade()
-              ? Optional.of(route.models().get(parts.stages().first(route)))
-              : Optional.empty();
-      UpstreamSelection.Wanted wanted =
-          new UpstreamSelection.Wanted(service, wish, first, head.generation(), Set.of());
-      targets.add(
-          new Target(
-              service,
-              target.weight(),
-              wish,
-              stages(parts, route, service, head.generation().orElse(Generation.UNKNOWN)),
-              candidates(parts, wanted)));
-    }
+  private static RequestHead headOf(String host, String path, Generation generation) {
+    return new RequestHead(
+        REQUEST_ID,
+        host,
+        path,
+        Optional.empty(),
+        Optional.empty(),
+        Optional.empty(),
+        OptionalLong.empty(),
+        Optional.of(generation));
+  }
+
+  private static RouteExplanation explain(GatewayParts parts, Route route, RequestHead head) {
+    List<Target> targets =
+        route.targets().stream().map(target -> explain(parts, route, target, head)).toList();
     return new RouteExplanation(route.name(), route.kind(), targets);
   }
 
+  private static Target explain(
+      GatewayParts parts, Route route, Route.WeightedTarget target, RequestHead head) {
+    String service = target.service();
+    Optional<VersionRule.Wish> wish = parts.versions().wishFor(service, head, Optional.empty());
+    Optional<String> firstModel =
+        route.isCascade()
+            ? Optional.of(route.models().get(parts.stages().first(route)))
+            : Optional.empty();
+    UpstreamSelection.Wanted wanted =
+        new UpstreamSelection.Wanted(service, wish, firstModel, head.generation(), Set.of());
+    Generation generation = head.generation().orElse(Generation.UNKNOWN);
+    return new Target(
+        service,
+        target.weight(),
+        wish,
+        stages(parts, route, service, generation),
+        candidates(parts, wanted));
+  }
+
   private static List<Stage> stages(
       GatewayParts parts, Route route, String service, Generation generation) {
     List<Stage> stages = new ArrayList<>();
     for (int stage = 0; stage < route.models().size(); stage++) {
-      int least = 0;
-      while (least < MOST_CONFIDENCE
-          && isDropped(parts, route, service, generation, stage, least)) {
-        least++;
-      }
+      int least = leastConfidence(parts, route, service, generation, stage);
       stages.add(new Stage(route.models().get(stage), least));
     }
     return stages;
   }
 
-  private static boolean isDropped(
-      GatewayParts parts,
-      Route route,
-      String service,
-      Generation generation,
-      int stage,
-      int confidence) {
-    OptionalInt instead =
-        parts
-            .stages()
-            .insteadOf(
-                new StageRule.Poor(route, service, generation, stage, confidence, Duration.ZERO));
-    return instead.isPresent();
+  private static int leastConfidence(
+      GatewayParts parts, Route route, String service, Generation generation, int stage) {
+    for (int confidence = 0; confidence < MOST_CONFIDENCE; confidence++) {
+      StageRule.Poor answer =
+          new StageRule.Poor(route, service, generation, stage, confidence, Duration.ZERO);
+      if (parts.stages().insteadOf(answer).isEmpty()) {
+        return confidence;
+      }
+    }
+    return MOST_CONFIDENCE;
   }
 
   private static List<Candidate> candidates(GatewayParts parts, UpstreamSelection.Wanted wanted) {
