--- a/org.oatlug/src/org/oatlug/internal/gateway/UpstreamSelection.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/UpstreamSelection.java
@@ -22,9 +22,9 @@
  *
  * <p>The cost of an upstream is the time that the request would wait and read its prompt there, as
  * far as this instance knows. Own availability zone first: another one costs a fixed time more,
- * because bytes between zones are dear. Invariant: an upstream that is leaving or was tried is
- * never chosen; one that is kept out after failures only if there is no other. Owned by one event
- * loop, not thread-safe.
+ * because bytes between zones are dear. Invariant: an upstream that is leaving, was tried or has no
+ * connection left is never chosen; one that is kept out after failures only if there is no other.
+ * Owned by one event loop, not thread-safe.
  */
 final class UpstreamSelection {
   /** What a request in another zone costs more, in milliseconds; from the price of the bytes. */
@@ -42,7 +42,10 @@
   /** Prompt tokens that an engine reads in a millisecond; from the deployments' sheets. */
   private static final double TOKENS_PER_MILLI = 112;
 
-  /** What an upstream costs more that fails every request, in milliseconds. */
+  /**
+   * What an upstream costs more that fails every request, in milliseconds: a failure takes an
+   * attempt, its time and a part of the retry budget. Measured on the days of both sites.
+   */
   private static final double FAILING_MILLIS = 800;
 
   /** Spreads requests over upstreams of equal cost, in milliseconds. */
@@ -82,7 +85,12 @@
   /** A chosen upstream. */
   record Chosen(String name, UpstreamRecord upstream, UpstreamRow row) {}
 
-  /** An upstream and what it costs to choose it, in milliseconds. */
+  /**
+   * An upstream that can be chosen.
+   *
+   * @param candidate the upstream
+   * @param millis what it costs to choose it, in milliseconds
+   */
   record Costed(Chosen candidate, double millis) {}
 
   /** Returns the cheapest upstream, empty if there is none. */
@@ -92,7 +100,7 @@
         .map(Costed::candidate);
   }
 
-  /** Returns the upstreams that can be chosen, with their costs. */
+  /** Returns the upstreams that can be chosen, with their costs, in no order. */
   List<Costed> costs(Wanted wanted, Instant now) {
     List<Chosen> candidates = candidates(wanted, true);
     if (candidates.isEmpty() && !wanted.version().map(VersionRule.Wish::strict).orElse(true)) {
