--- a/org.oatlug.pgm/src/org/oatlug/pgm/ExplainCommand.java
+++ b/org.oatlug.pgm/src/org/oatlug/pgm/ExplainCommand.java
@@ -12,6 +12,8 @@
 
 /** Shows where a request would go and why nowhere else. Stateless. */
 final class ExplainCommand implements Command {
+  /** Where both of an instance's ports that explain are asked. */
+  private static final String EXPLAIN_PATH = "/explain";
 
   @Override
   public String name() {
@@ -44,15 +46,20 @@
   @Override
   public ExitCode call(CommandLine line, List<String> arguments, Session session)
       throws OatlugException {
-    if (line.hasOption("host")) {
-      return explainRoute(line, session);
-    }
+    return line.hasOption("host")
+        ? explainRoute(line, session)
+        : explainModel(line, arguments, session);
+  }
+
+  /** Explains a request to the chat interface. */
+  private ExitCode explainModel(CommandLine line, List<String> arguments, Session session)
+      throws OatlugException {
     if (arguments.size() < 2) {
       throw new UsageException(arguments());
     }
     JsonNode decision =
         session.askInstance(
-            "/explain",
+            EXPLAIN_PATH,
             "workspace",
             arguments.get(0),
             "model",
@@ -74,11 +81,12 @@
     return ExitCode.OK;
   }
 
+  /** Explains a request to a routed service. */
   private ExitCode explainRoute(CommandLine line, Session session) throws OatlugException {
     String[] tokens = (line.getOptionValue("tokens", "0,0") + ",0").split(",");
     JsonNode found =
         session.askInstance(
-            "/explain",
+            EXPLAIN_PATH,
             "host",
             line.getOptionValue("host"),
             "path",
--- a/org.oatlug/src/org/oatlug/internal/gateway/InspectionServer.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/InspectionServer.java
@@ -26,7 +26,9 @@
  * and explains its decisions to operators. Used from one event loop.
  */
 public final class InspectionServer {
+  /** The path that explains what becomes of a request. */
   static final String EXPLAIN_PATH = "/explain";
+
   private static final int OK = 200;
   private static final int NOT_FOUND = 404;
   private static final int UNAVAILABLE = 503;
@@ -91,6 +93,7 @@
     return value == null ? "" : value;
   }
 
+  /** Returns a number of the query; 0 for what is none or too long for an {@code int}. */
   private static int number(HttpServerRequest request, String name) {
     String value = text(request, name);
     return value.matches("\\d{1,9}") ? Integer.parseInt(value) : 0;
