--- a/org.oatlug.entry/src/org/oatlug/entry/GatewayInstance.java
+++ b/org.oatlug.entry/src/org/oatlug/entry/GatewayInstance.java
@@ -97,6 +97,7 @@
     return listen(InspectionServer.create(vertx, meters, this::isReady), parts);
   }
 
+  /** Opens the sockets, the callers' one first, and starts the systems. */
   private Future<?> listen(InspectionServer inspection, GatewayParts parts) {
     // The callers' server is the first one: it takes over the socket that was opened for it.
     final Future<?> callers = front.listen();
@@ -111,36 +112,13 @@
         .onSuccess(unused -> logger.atInfo().log("instance %s listens", settings.name()));
   }
 
+  /** Makes the parts of the instance and tells them of each other. */
   private GatewayParts wire(Meters meters) {
-    Freshness freshness = Freshness.withBound(FRESHNESS);
     Platform platform = adapter.platform(vertx, settings);
     LatePeers late = new LatePeers();
-    GatewaySettings.Peers peers = settings.peers();
-    Settings.Peers peerSettings =
-        new Settings.Peers(
-            peers.listen().host(),
-            peers.listen().port(),
-            peers.key(),
-            List.of(),
-            Optional.empty(),
-            Optional.empty());
-    network = TcpPeers.create(vertx, peerSettings, membership::self, late);
+    network = TcpPeers.create(vertx, peerSettings(), membership::self, late);
     membership.connect(network);
-    ConfigurationSystem configuration =
-        ConfigurationSystem.create(
-            tables,
-            freshness,
-            platform,
-            membership,
-            network,
-            new ConfigurationSystem.Support(
-                clock,
-                random,
-                meters,
-                List.of(
-                    List.of(GatewayKinds.ROUTING),
-                    List.of(GatewayKinds.UPSTREAM),
-                    List.of(GatewayKinds.ROLLOUT))));
+    ConfigurationSystem configuration = configurationSystem(platform, meters);
     RolloutDirector rollouts =
         RolloutDirector.create(
             tables, platform, membership, network, clock, meters, settings.bounds());
@@ -154,6 +132,35 @@
     return parts;
   }
 
+  private ConfigurationSystem configurationSystem(Platform platform, Meters meters) {
+    return ConfigurationSystem.create(
+        tables,
+        Freshness.withBound(FRESHNESS),
+        platform,
+        membership,
+        network,
+        new ConfigurationSystem.Support(
+            clock,
+            random,
+            meters,
+            List.of(
+                List.of(GatewayKinds.ROUTING),
+                List.of(GatewayKinds.UPSTREAM),
+                List.of(GatewayKinds.ROLLOUT))));
+  }
+
+  /** Returns the settings of the peers' protocol; the seeds are told to the membership alone. */
+  private Settings.Peers peerSettings() {
+    GatewaySettings.Peers peers = settings.peers();
+    return new Settings.Peers(
+        peers.listen().host(),
+        peers.listen().port(),
+        peers.key(),
+        List.of(),
+        Optional.empty(),
+        Optional.empty());
+  }
+
   /** Lets callers go on that came before the first configuration. */
   private void noteConfiguration() {
     if (!configured && tables.configuration().isPresent()) {
