--- /dev/null
+++ b/org.oatlug.test/tst/org/oatlug/entry/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of what the package of the daemon keeps to itself. */
+package org.oatlug.entry;
--- a/org.oatlug.test/tst/org/oatlug/internal/log/JsonLinesTest.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/log/JsonLinesTest.java
@@ -42,12 +42,18 @@
     context.stop();
   }
 
-  @Test
-  public void testRequestIdIsFieldOfLine() throws IOException {
-    Logger target = (Logger) LoggerFactory.getLogger(JsonLinesTest.class);
+  /** Returns a list that takes the lines of the logger from now on. */
+  private static ListAppender<ILoggingEvent> linesOf(Logger target) {
     ListAppender<ILoggingEvent> lines = new ListAppender<>();
     lines.start();
     target.addAppender(lines);
+    return lines;
+  }
+
+  @Test
+  public void testRequestIdIsFieldOfLine() throws IOException {
+    Logger target = (Logger) LoggerFactory.getLogger(JsonLinesTest.class);
+    ListAppender<ILoggingEvent> lines = linesOf(target);
     IOException cause = new IOException("the cause");
     logger.atWarning().with(LogKeys.REQUEST_ID, "a1").withCause(cause).log("sent=%d \"x\"", 2);
     target.detachAppender(lines);
@@ -65,9 +71,7 @@
   @Test
   public void testLevelBelowTheSetOneIsNotWritten() {
     Logger target = (Logger) LoggerFactory.getLogger(JsonLinesTest.class);
-    ListAppender<ILoggingEvent> lines = new ListAppender<>();
-    lines.start();
-    target.addAppender(lines);
+    ListAppender<ILoggingEvent> lines = linesOf(target);
     logger.atFinest().log("left out");
     logger.atInfo().log("written");
     target.detachAppender(lines);
--- /dev/null
+++ b/org.oatlug.test/tst/org/oatlug/internal/log/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the form of log lines. */
+package org.oatlug.internal.log;
