--- a/org.oatlug/src/org/oatlug/internal/gateway/RouteExplanation.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/RouteExplanation.java
@@ -19,8 +19,8 @@
 /**
  * What an instance would do with a request now, and why. Immutable.
  *
- * <p>The decisions themselves are asked, so an explanation cannot differ from what is done; asking
- * changes nothing.
+ * <p>The decisions themselves are asked, as for a request that has just come: what changes them
+ * while it is served (its wait, upstreams that were tried, the retry budget) is left out.
  *
  * @param route the route that the request takes
  * @param kind how often it may run
--- a/org.oatlug/src/org/oatlug/internal/log/JsonLines.java
+++ b/org.oatlug/src/org/oatlug/internal/log/JsonLines.java
@@ -27,13 +27,18 @@
   /** Names the stream that lines go to. */
   static final String TARGET_PROPERTY = "oatlug.log.target";
 
+  /** Names the lowest level that is written, {@code INFO} if it is not set. */
   private static final String LEVEL_PROPERTY = "oatlug.log.level";
+
   private static final String STANDARD_OUTPUT = "System.out";
 
   /** Lines that wait to be written: those of some seconds at the bound of lines a second. */
   private static final int QUEUED_LINES = 1024;
 
-  /** How long the end of a process waits for the queue to empty, in milliseconds. */
+  /**
+   * How long the end of a process waits for the queue to empty, in milliseconds: less than the 400
+   * that a planned stop keeps of its grace after it has cut what is open.
+   */
   private static final int FLUSH_MILLIS = 200;
 
   @Override
--- a/org.oatlug/src/org/oatlug/internal/table/UpstreamRow.java
+++ b/org.oatlug/src/org/oatlug/internal/table/UpstreamRow.java
@@ -24,7 +24,10 @@
   /** The weight of one answer in the share of failures: the last ten or so count. */
   private static final double OUTCOME_WEIGHT = 0.15;
 
-  /** After this time without an answer a share of failures counts for about a third. */
+  /**
+   * After this time without an answer a share of failures counts for about a third, in
+   * milliseconds: seconds, so that the upstream is soon tried again.
+   */
   private static final double FAILURES_FADE_MILLIS = 3000;
 
   private final String name;
