--- a/org.oatlug.entry/src/org/oatlug/entry/EarlySocket.java
+++ b/org.oatlug.entry/src/org/oatlug/entry/EarlySocket.java
@@ -50,10 +50,7 @@
       if (callers.isEmpty()) {
         return Optional.empty();
       }
-      ServerSocketChannel channel = ServerSocketChannel.open();
-      channel.bind(
-          new InetSocketAddress(callers.get().host(), callers.get().port()), WAITING_CALLERS);
-      return Optional.of(new EarlySocket(channel));
+      return Optional.of(new EarlySocket(bind(callers.get())));
     } catch (IOException | IllegalArgumentException e) {
       Log.logger
           .atWarning()
@@ -62,6 +59,16 @@
     }
   }
 
+  private static ServerSocketChannel bind(Endpoint address) throws IOException {
+    ServerSocketChannel channel = ServerSocketChannel.open();
+    try {
+      return channel.bind(new InetSocketAddress(address.host(), address.port()), WAITING_CALLERS);
+    } catch (IOException e) {
+      channel.close();
+      throw e;
+    }
+  }
+
   /** Returns the address in the settings, read without what the whole settings need. */
   private static Optional<Endpoint> callersIn(Path settings) throws IOException {
     try (JsonParser parser = new JsonFactory().createParser(settings.toFile())) {
--- a/org.oatlug.test/tst/org/oatlug/test/GatewayAnswerProcessTest.java
+++ b/org.oatlug.test/tst/org/oatlug/test/GatewayAnswerProcessTest.java
@@ -101,6 +101,10 @@
     cluster.upstreams.values().forEach(one -> one.setFillBytes(1_000_000));
     all(Behaviour.CUTS);
     assertThrows(IOException.class, () -> Http.send(cluster.request(0, SampleObjects.ONCE + "x")));
+    int before = cluster.arrivals();
+    assertThrows(
+        IOException.class, () -> Http.send(cluster.request(0, SampleObjects.REPEATABLE + "x")));
+    assertEquals(cluster.arrivals(), before + 1, "nothing can replace what was handed on");
   }
 
   @Test
--- a/org.oatlug/src/org/oatlug/internal/gateway/ExchangeAttempt.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/ExchangeAttempt.java
@@ -44,6 +44,7 @@
   private final Instant started;
   private final PlainAnswer plain;
   private final SilenceWatch watch;
+  private final StreamPace pace = new StreamPace();
   private UpstreamAttempt link;
   private HttpClientResponse response;
   private boolean streaming;
@@ -123,7 +124,7 @@
 
   /** Ends the attempt at an upstream that is silent for too long, if another one may be asked. */
   private void askElsewhere() {
-    if (exchange.mayTryAgain("upstream-silent")) {
+    if (!plain.isHandedOn() && exchange.mayTryAgain("upstream-silent")) {
       abandon();
       describe("silent");
       chosen.row().failed(parts.clock().instant());
@@ -281,8 +282,10 @@
       plain.take(response, data, this::write);
       return;
     }
+    long before = relay.events();
     Buffer events = relay.take(data);
     if (events.length() > 0) {
+      pace.add(relay.events() - before, parts.clock().instant()).ifPresent(this::notePace);
       beginStream();
       write(events);
     }
@@ -290,6 +293,7 @@
 
   private void write(Buffer data) {
     if (answer.write(data, this::drained)) {
+      pace.spoil();
       watch.pause();
       link.pause();
     }
@@ -321,6 +325,7 @@
       chosen.row().succeeded(parts.clock().instant());
     }
     if (streaming) {
+      pace.end().ifPresent(this::notePace);
       beginStream();
       exchange.finish("stream");
       answer.end();
@@ -343,6 +348,7 @@
     noteOutcome(true);
     relay.nextUpstream();
     if (route.isRepeatable()
+        && !plain.isHandedOn()
         && exchange.mayTryAgain("upstream-" + (streaming ? "stream" : "answer"))) {
       exchange.next();
     } else {
@@ -363,6 +369,16 @@
                 incoming.service(), version, route, model.orElse(""), bad, took()));
   }
 
+  /** Tells the rule of versions how fast the upstream's version makes the stream. */
+  private void notePace(double millisPerEvent) {
+    String version = chosen.upstream().version();
+    parts
+        .versions()
+        .paced(
+            new VersionRule.Pace(
+                incoming.service(), version, route, model.orElse(""), millisPerEvent));
+  }
+
   /** Returns how long ago the attempt began. */
   private Duration took() {
     return Duration.between(started, parts.clock().instant());
--- a/org.oatlug/src/org/oatlug/internal/gateway/PlainAnswer.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/PlainAnswer.java
@@ -24,6 +24,7 @@
   private final GatewayParts parts;
   private final CallerAnswer answer;
   private final Buffer body = Buffer.buffer();
+  private boolean handedOn;
 
   private PlainAnswer(GatewayParts parts, CallerAnswer answer) {
     this.parts = parts;
@@ -47,12 +48,18 @@
       return;
     }
     if (!answer.isBegun()) {
+      handedOn = true;
       answer.begin(response.statusCode(), parts.adapter().upstreams().passedBack(response));
       writer.accept(body);
     }
     writer.accept(part);
   }
 
+  /** Returns whether a part was handed on, so that no other attempt can replace the answer. */
+  boolean isHandedOn() {
+    return handedOn;
+  }
+
   /** Ends the caller's answer, with all that is held if nothing of it was handed on. */
   void end(HttpClientResponse response) {
     if (answer.isBegun()) {
--- a/org.oatlug/src/org/oatlug/internal/gateway/RolloutDirector.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/RolloutDirector.java
@@ -13,6 +13,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.function.Consumer;
 import org.oatlug.api.ObjectKey;
 import org.oatlug.errors.ConflictException;
 import org.oatlug.gateway.GatewayKinds;
@@ -169,18 +170,24 @@
 
   @Override
   public void answered(Answer answer) {
-    runningTrial(answer.service())
-        .ifPresent(
-            trial -> {
-              boolean before = trial.isRefuted();
-              trial.add(answer, clock.instant());
-              if (trial.isRefuted() && !before) {
-                meters.count("rollout.halted-here");
-                logger.atWarning().log(
-                    "version %s of %s is refuted here, evidence=%.1f answers=%d",
-                    trial.version(), answer.service(), trial.ownEvidence(), trial.ownAnswers());
-              }
-            });
+    judge(answer.service(), trial -> trial.add(answer, clock.instant()));
+  }
+
+  @Override
+  public void paced(Pace pace) {
+    judge(pace.service(), trial -> trial.add(pace, clock.instant()));
+  }
+
+  private void judge(String service, Consumer<RolloutTrial> judgement) {
+    Optional<RolloutTrial> running = runningTrial(service).filter(trial -> !trial.isRefuted());
+    running.ifPresent(judgement);
+    if (running.filter(RolloutTrial::isRefuted).isPresent()) {
+      RolloutTrial trial = running.get();
+      meters.count("rollout.halted-here");
+      logger.atWarning().log(
+          "version %s of %s is refuted here, evidence=%.1f answers=%d",
+          trial.version(), service, trial.ownEvidence(), trial.ownAnswers());
+    }
   }
 
   /** Takes in a message of another instance about a roll-out. */
@@ -190,7 +197,7 @@
         .filter(trial -> trial.isOf(report.targetVersion(), report.orderedAt()))
         .ifPresent(
             trial -> {
-              trial.report(from.process(), report.logEvidence(), report.answers());
+              trial.report(from.process(), report.errors(), report.times(), report.answers());
               if (report.refuted() && !trial.isRefuted()) {
                 trial.refute();
                 logger.atWarning().log(
@@ -235,7 +242,8 @@
             service,
             trial.version(),
             trial.orderedAt(),
-            trial.ownEvidence(),
+            trial.ownErrors(),
+            trial.ownTimes(),
             trial.ownAnswers(),
             trial.isRefuted(),
             kept);
--- a/org.oatlug/src/org/oatlug/internal/gateway/RolloutTrial.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/RolloutTrial.java
@@ -7,7 +7,9 @@
 import java.time.Instant;
 import java.util.HashMap;
 import java.util.Map;
+import org.oatlug.gateway.Route;
 import org.oatlug.internal.rollout.CandidateEvidence;
+import org.oatlug.internal.rollout.PairCounts;
 import org.oatlug.internal.rollout.RolloutGuard.Measure;
 
 /**
@@ -16,47 +18,50 @@
  * <p>Owned by one event loop, not thread-safe.
  */
 final class RolloutTrial {
-  /** An answer is slow that takes this many times the old version's mean. */
-  private static final double SLOW_FACTOR = 3;
-
-  /** Added to the bound of slowness, in milliseconds, against chance at short times. */
-  private static final double SLOW_MARGIN_MILLIS = 60;
-
-  /** The weight of one answer in the running means. */
-  private static final double SMOOTHING = 0.1;
-
   /**
    * Times are compared only within this span: the old version's answers of an earlier load say
    * nothing of the new one's under the present load.
    */
   private static final Duration COMPARED_WITHIN = Duration.ofSeconds(1);
 
-  /** The weight of one answer in the candidate's share of slow ones: the last ten or so count. */
-  private static final double SLOW_SMOOTHING = 0.15;
+  /** An answer is late to begin that takes this many times the old version's median. */
+  private static final double LATE_FACTOR = 4;
+
+  /** Added to the bound of lateness, in milliseconds, against chance at short times. */
+  private static final double LATE_MARGIN_MILLIS = 60;
+
+  /**
+   * A version is late only while this share of its answers is. Bad versions are in about half of
+   * them; a good one with all requests and cold caches in about one of eight.
+   */
+  private static final double LEAST_LATE_SHARE = 0.25;
 
   /**
-   * A version is slow only while this share of its answers is. Bad versions are slow in about half
-   * of them; a good one with all requests and cold caches in about one of eight, while the old
-   * version that it is compared with has no more requests.
+   * A stream is slow whose events take this many times the old version's median. Slow versions took
+   * 1.7 to 5 times the median on the days of both sites, good ones with cold caches 1.4 times.
    */
-  private static final double LEAST_SLOW_SHARE = 0.25;
+  private static final double SLOW_FACTOR = 1.8;
+
+  /** Added to the bound of slowness, in milliseconds for an event. */
+  private static final double SLOW_MARGIN_MILLIS = 5;
+
+  /** Nearly all streams of a slow version are slow; of a good one on cold engines a quarter. */
+  private static final double LEAST_SLOW_SHARE = 0.4;
 
   private final String version;
   private final long orderedAt;
   private final Instant learnedAt;
   private final CandidateEvidence evidence = CandidateEvidence.create();
-  private final Map<String, Double> meanMillis = new HashMap<>();
+  private final Slowness begins = Slowness.above(LATE_FACTOR, LATE_MARGIN_MILLIS, LEAST_LATE_SHARE);
+  private final Slowness paces = Slowness.above(SLOW_FACTOR, SLOW_MARGIN_MILLIS, LEAST_SLOW_SHARE);
   private final Map<String, Reported> reports = new HashMap<>();
 
   private Instant comparedSince = Instant.EPOCH;
 
-  /** At the bound to begin with, so that the first slow answers count. */
-  private double slowShare = LEAST_SLOW_SHARE;
-
   private long answers;
   private boolean refuted;
 
-  private record Reported(double logEvidence, long answers) {}
+  private record Reported(PairCounts errors, PairCounts times, long answers) {}
 
   private RolloutTrial(String version, long orderedAt, Instant learnedAt) {
     this.version = version;
@@ -92,35 +97,39 @@
 
   /** Takes in an answer seen here. */
   void add(VersionRule.Answer answer, Instant now) {
-    if (now.isAfter(comparedSince.plus(COMPARED_WITHIN))) {
-      comparedSince = now;
-      evidence.forgetUnpaired(Measure.RATINGS);
-    }
     boolean ofCandidate = answer.version().equals(version);
     answers += ofCandidate ? 1 : 0;
     evidence.add(Measure.ERRORS, ofCandidate, answer.failed());
     if (!answer.failed()) {
-      evidence.add(Measure.RATINGS, ofCandidate, isSlow(answer, ofCandidate));
+      String kind = kindOf(answer.route(), answer.model());
+      compare(begins.isSlow(kind, answer.took().toMillis(), ofCandidate), ofCandidate, now);
     }
     refuted |= evidence.refutesAlone();
   }
 
-  private boolean isSlow(VersionRule.Answer answer, boolean ofCandidate) {
-    String kind = answer.route().name() + " " + answer.model();
-    double millis = answer.took().toMillis();
-    double mean = meanMillis.getOrDefault(kind, millis);
-    boolean slow = millis > SLOW_FACTOR * mean + SLOW_MARGIN_MILLIS;
-    if (!ofCandidate) {
-      meanMillis.put(kind, mean + SMOOTHING * (millis - mean));
-      return slow;
+  /** Takes in how fast a stream goes here. */
+  void add(VersionRule.Pace pace, Instant now) {
+    boolean ofCandidate = pace.version().equals(version);
+    String kind = pace.model().isEmpty() ? pace.route().name() : pace.model();
+    compare(paces.isSlow(kind, pace.millisPerEvent(), ofCandidate), ofCandidate, now);
+    refuted |= evidence.refutesAlone();
+  }
+
+  private void compare(boolean slow, boolean ofCandidate, Instant now) {
+    if (now.isAfter(comparedSince.plus(COMPARED_WITHIN))) {
+      comparedSince = now;
+      evidence.forgetUnpaired(Measure.RATINGS);
     }
-    slowShare += SLOW_SMOOTHING * ((slow ? 1 : 0) - slowShare);
-    return slow && slowShare >= LEAST_SLOW_SHARE;
+    evidence.add(Measure.RATINGS, ofCandidate, slow);
+  }
+
+  private static String kindOf(Route route, String model) {
+    return route.name() + " " + model;
   }
 
   /** Takes in what another instance has seen. */
-  void report(String process, double logEvidence, long candidateAnswers) {
-    reports.put(process, new Reported(logEvidence, candidateAnswers));
+  void report(String process, PairCounts errors, PairCounts times, long candidateAnswers) {
+    reports.put(process, new Reported(errors, times, candidateAnswers));
   }
 
   /** Notes that the version is bad, whoever found it. */
@@ -138,6 +147,16 @@
     return evidence.logEvidence();
   }
 
+  /** Returns the own pairs of answers in which just one version failed. */
+  PairCounts ownErrors() {
+    return evidence.counts(Measure.ERRORS);
+  }
+
+  /** Returns the own pairs of answers in which just one version was slow. */
+  PairCounts ownTimes() {
+    return evidence.counts(Measure.RATINGS);
+  }
+
   /** Returns the answers of the version seen here. */
   long ownAnswers() {
     return answers;
@@ -145,7 +164,13 @@
 
   /** Returns the logarithm of the evidence of all instances. */
   double allEvidence() {
-    return ownEvidence() + reports.values().stream().mapToDouble(Reported::logEvidence).sum();
+    PairCounts errors = ownErrors();
+    PairCounts times = ownTimes();
+    for (Reported report : reports.values()) {
+      errors = errors.plus(report.errors());
+      times = times.plus(report.times());
+    }
+    return CandidateEvidence.logEvidence(errors, times);
   }
 
   /** Returns the answers of the version that all instances have seen. */
--- a/org.oatlug/src/org/oatlug/internal/gateway/VersionRule.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/VersionRule.java
@@ -49,4 +49,18 @@
 
   /** Takes in an answer. */
   void answered(Answer answer);
+
+  /**
+   * How fast a version makes the events of a stream.
+   *
+   * @param service the service
+   * @param version the version that answers
+   * @param route the route
+   * @param model the model, empty for none
+   * @param millisPerEvent the mean time between events
+   */
+  record Pace(String service, String version, Route route, String model, double millisPerEvent) {}
+
+  /** Takes in how fast a stream goes. */
+  void paced(Pace pace);
 }
--- a/org.oatlug/src/org/oatlug/internal/peer/PeerMessage.java
+++ b/org.oatlug/src/org/oatlug/internal/peer/PeerMessage.java
@@ -10,6 +10,7 @@
 import org.oatlug.internal.billing.Bill;
 import org.oatlug.internal.ledger.LedgerEntry;
 import org.oatlug.internal.ledger.LedgerResult;
+import org.oatlug.internal.rollout.PairCounts;
 import org.oatlug.platform.StoredObject;
 
 /** A message between entry instances. Immutable. Ages are in milliseconds. */
@@ -91,15 +92,17 @@
   record GuardEvidence(String candidate, double logEvidence) implements PeerMessage {}
 
   /**
-   * What one instance has seen of a version under roll-out since the order at a revision: its
-   * evidence against it, a logarithm, how many of its answers, whether it is known to be bad, and
-   * which sessions the instance keeps on the old version though their share would move them.
+   * What one instance has seen of a version under roll-out since the order at a revision: the pairs
+   * of answers in which just one version failed or was slow, how many answers the version gave,
+   * whether it is known to be bad, and which sessions the instance keeps on the old version though
+   * their share would move them.
    */
   record RolloutReport(
       String service,
       String targetVersion,
       long orderedAt,
-      double logEvidence,
+      PairCounts errors,
+      PairCounts times,
       long answers,
       boolean refuted,
       List<Long> keptSessions)
--- a/org.oatlug/src/org/oatlug/internal/rollout/CandidateEvidence.java
+++ b/org.oatlug/src/org/oatlug/internal/rollout/CandidateEvidence.java
@@ -45,7 +45,22 @@
 
   /** Returns the logarithm of the evidence; 0 is none. */
   public double logEvidence() {
-    return Math.log((Math.exp(errors.logEvidence()) + Math.exp(ratings.logEvidence())) / 2);
+    return logEvidence(errors.counts(), ratings.counts());
+  }
+
+  /**
+   * Returns the logarithm of the evidence of two measures: the mean of both, so that looking at two
+   * makes no false alarm likelier.
+   */
+  public static double logEvidence(PairCounts errors, PairCounts ratings) {
+    double ofErrors = Math.exp(SequentialTest.logEvidence(errors));
+    double ofRatings = Math.exp(SequentialTest.logEvidence(ratings));
+    return Math.log((ofErrors + ofRatings) / 2);
+  }
+
+  /** Returns the pairs of one measure in which just one version failed. */
+  public PairCounts counts(RolloutGuard.Measure measure) {
+    return testOf(measure).counts();
   }
 
   /** Returns whether this instance may halt its own share. */
