--- a/org.oatlug.test/tst/org/oatlug/internal/gateway/GatewayDecisionTest.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/gateway/GatewayDecisionTest.java
@@ -368,7 +368,7 @@
     }
     int instances = 7;
     for (int other = 1; other < instances; other++) {
-      good.report("other-" + other, good.ownErrors(), good.ownTimes(), 400);
+      good.report("other-" + other, good.ownSeen(), 400);
     }
     assertFalse(RolloutGuard.refutesTogether(good.allEvidence()), "evidence " + good.allEvidence());
     int seen = 0;
--- a/org.oatlug/src/org/oatlug/internal/gateway/RolloutDirector.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/RolloutDirector.java
@@ -197,7 +197,9 @@
         .filter(trial -> trial.isOf(report.targetVersion(), report.orderedAt()))
         .ifPresent(
             trial -> {
-              trial.report(from.process(), report.errors(), report.times(), report.answers());
+              RolloutTrial.Seen seen =
+                  new RolloutTrial.Seen(report.failures(), report.lateness(), report.slowness());
+              trial.report(from.process(), seen, report.answers());
               if (report.refuted() && !trial.isRefuted()) {
                 trial.refute();
                 logger.atWarning().log(
@@ -242,8 +244,9 @@
             service,
             trial.version(),
             trial.orderedAt(),
-            trial.ownErrors(),
-            trial.ownTimes(),
+            trial.ownSeen().failures(),
+            trial.ownSeen().lateness(),
+            trial.ownSeen().slowness(),
             trial.ownAnswers(),
             trial.isRefuted(),
             kept);
--- a/org.oatlug/src/org/oatlug/internal/gateway/RolloutTrial.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/RolloutTrial.java
@@ -6,11 +6,12 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import org.oatlug.gateway.Route;
-import org.oatlug.internal.rollout.CandidateEvidence;
 import org.oatlug.internal.rollout.PairCounts;
-import org.oatlug.internal.rollout.RolloutGuard.Measure;
+import org.oatlug.internal.rollout.RolloutGuard;
+import org.oatlug.internal.rollout.SequentialTest;
 
 /**
  * What is known of one roll-out that runs: own evidence and that of other instances.
@@ -18,6 +19,9 @@
  * <p>Owned by one event loop, not thread-safe.
  */
 final class RolloutTrial {
+  /** Failures, lateness and slowness. */
+  private static final int MEASURES = 3;
+
   /**
    * Times are compared only within this span: the old version's answers of an earlier load say
    * nothing of the new one's under the present load.
@@ -51,7 +55,9 @@
   private final String version;
   private final long orderedAt;
   private final Instant learnedAt;
-  private final CandidateEvidence evidence = CandidateEvidence.create();
+  private final SequentialTest failures = SequentialTest.create();
+  private final SequentialTest lateness = SequentialTest.create();
+  private final SequentialTest slowness = SequentialTest.create();
   private final Slowness begins = Slowness.above(LATE_FACTOR, LATE_MARGIN_MILLIS, LEAST_LATE_SHARE);
   private final Slowness paces = Slowness.above(SLOW_FACTOR, SLOW_MARGIN_MILLIS, LEAST_SLOW_SHARE);
   private final Map<String, Reported> reports = new HashMap<>();
@@ -61,7 +67,30 @@
   private long answers;
   private boolean refuted;
 
-  private record Reported(PairCounts errors, PairCounts times, long answers) {}
+  private record Reported(Seen seen, long answers) {}
+
+  /**
+   * The pairs of answers in which just one version failed, was late to begin, or was slow.
+   *
+   * <p>Kept apart, because an answer in time is no counterpart to a slow stream.
+   */
+  record Seen(PairCounts failures, PairCounts lateness, PairCounts slowness) {
+    private Seen plus(Seen other) {
+      return new Seen(
+          failures.plus(other.failures),
+          lateness.plus(other.lateness),
+          slowness.plus(other.slowness));
+    }
+
+    /** Returns the logarithm of the mean evidence, so that three looks alarm no more than one. */
+    private double logEvidence() {
+      double sum = 0;
+      for (PairCounts pairs : List.of(failures, lateness, slowness)) {
+        sum += Math.exp(SequentialTest.logEvidence(pairs));
+      }
+      return Math.log(sum / MEASURES);
+    }
+  }
 
   private RolloutTrial(String version, long orderedAt, Instant learnedAt) {
     this.version = version;
@@ -99,28 +128,42 @@
   void add(VersionRule.Answer answer, Instant now) {
     boolean ofCandidate = answer.version().equals(version);
     answers += ofCandidate ? 1 : 0;
-    evidence.add(Measure.ERRORS, ofCandidate, answer.failed());
+    add(failures, ofCandidate, answer.failed());
     if (!answer.failed()) {
+      forgetOldTimes(now);
       String kind = kindOf(answer.route(), answer.model());
-      compare(begins.isSlow(kind, answer.took().toMillis(), ofCandidate), ofCandidate, now);
+      add(lateness, ofCandidate, begins.isSlow(kind, answer.took().toMillis(), ofCandidate));
     }
-    refuted |= evidence.refutesAlone();
+    refuted |= refutesAlone();
   }
 
   /** Takes in how fast a stream goes here. */
   void add(VersionRule.Pace pace, Instant now) {
     boolean ofCandidate = pace.version().equals(version);
     String kind = pace.model().isEmpty() ? pace.route().name() : pace.model();
-    compare(paces.isSlow(kind, pace.millisPerEvent(), ofCandidate), ofCandidate, now);
-    refuted |= evidence.refutesAlone();
+    forgetOldTimes(now);
+    add(slowness, ofCandidate, paces.isSlow(kind, pace.millisPerEvent(), ofCandidate));
+    refuted |= refutesAlone();
   }
 
-  private void compare(boolean slow, boolean ofCandidate, Instant now) {
+  private static void add(SequentialTest test, boolean ofCandidate, boolean bad) {
+    if (ofCandidate) {
+      test.candidate(bad);
+    } else {
+      test.current(bad);
+    }
+  }
+
+  private void forgetOldTimes(Instant now) {
     if (now.isAfter(comparedSince.plus(COMPARED_WITHIN))) {
       comparedSince = now;
-      evidence.forgetUnpaired(Measure.RATINGS);
+      lateness.forgetUnpaired();
+      slowness.forgetUnpaired();
     }
-    evidence.add(Measure.RATINGS, ofCandidate, slow);
+  }
+
+  private boolean refutesAlone() {
+    return ownEvidence() >= -Math.log(RolloutGuard.ALPHA_ALONE);
   }
 
   private static String kindOf(Route route, String model) {
@@ -128,8 +171,8 @@
   }
 
   /** Takes in what another instance has seen. */
-  void report(String process, PairCounts errors, PairCounts times, long candidateAnswers) {
-    reports.put(process, new Reported(errors, times, candidateAnswers));
+  void report(String process, Seen seen, long candidateAnswers) {
+    reports.put(process, new Reported(seen, candidateAnswers));
   }
 
   /** Notes that the version is bad, whoever found it. */
@@ -144,17 +187,12 @@
 
   /** Returns the logarithm of the own evidence. */
   double ownEvidence() {
-    return evidence.logEvidence();
-  }
-
-  /** Returns the own pairs of answers in which just one version failed. */
-  PairCounts ownErrors() {
-    return evidence.counts(Measure.ERRORS);
+    return ownSeen().logEvidence();
   }
 
-  /** Returns the own pairs of answers in which just one version was slow. */
-  PairCounts ownTimes() {
-    return evidence.counts(Measure.RATINGS);
+  /** Returns the pairs of answers seen here. */
+  Seen ownSeen() {
+    return new Seen(failures.counts(), lateness.counts(), slowness.counts());
   }
 
   /** Returns the answers of the version seen here. */
@@ -164,13 +202,11 @@
 
   /** Returns the logarithm of the evidence of all instances. */
   double allEvidence() {
-    PairCounts errors = ownErrors();
-    PairCounts times = ownTimes();
+    Seen all = ownSeen();
     for (Reported report : reports.values()) {
-      errors = errors.plus(report.errors());
-      times = times.plus(report.times());
+      all = all.plus(report.seen());
     }
-    return CandidateEvidence.logEvidence(errors, times);
+    return all.logEvidence();
   }
 
   /** Returns the answers of the version that all instances have seen. */
--- a/org.oatlug/src/org/oatlug/internal/peer/PeerMessage.java
+++ b/org.oatlug/src/org/oatlug/internal/peer/PeerMessage.java
@@ -93,16 +93,17 @@
 
   /**
    * What one instance has seen of a version under roll-out since the order at a revision: the pairs
-   * of answers in which just one version failed or was slow, how many answers the version gave,
-   * whether it is known to be bad, and which sessions the instance keeps on the old version though
-   * their share would move them.
+   * of answers in which just one version failed, was late or slow, how many answers the version
+   * gave, whether it is known to be bad, and which sessions the instance keeps on the old version
+   * though their share would move them.
    */
   record RolloutReport(
       String service,
       String targetVersion,
       long orderedAt,
-      PairCounts errors,
-      PairCounts times,
+      PairCounts failures,
+      PairCounts lateness,
+      PairCounts slowness,
       long answers,
       boolean refuted,
       List<Long> keptSessions)
--- a/org.oatlug/src/org/oatlug/internal/rollout/CandidateEvidence.java
+++ b/org.oatlug/src/org/oatlug/internal/rollout/CandidateEvidence.java
@@ -26,7 +26,7 @@
    * @param ofCandidate whether it is the candidate's, not the current version's
    */
   public void add(RolloutGuard.Measure measure, boolean ofCandidate, boolean failed) {
-    SequentialTest test = testOf(measure);
+    SequentialTest test = measure == RolloutGuard.Measure.ERRORS ? errors : ratings;
     if (ofCandidate) {
       test.candidate(failed);
     } else {
@@ -34,33 +34,9 @@
     }
   }
 
-  private SequentialTest testOf(RolloutGuard.Measure measure) {
-    return measure == RolloutGuard.Measure.ERRORS ? errors : ratings;
-  }
-
-  /** Drops the outcomes that have no counterpart yet, so that later ones meet only later ones. */
-  public void forgetUnpaired(RolloutGuard.Measure measure) {
-    testOf(measure).forgetUnpaired();
-  }
-
   /** Returns the logarithm of the evidence; 0 is none. */
   public double logEvidence() {
-    return logEvidence(errors.counts(), ratings.counts());
-  }
-
-  /**
-   * Returns the logarithm of the evidence of two measures: the mean of both, so that looking at two
-   * makes no false alarm likelier.
-   */
-  public static double logEvidence(PairCounts errors, PairCounts ratings) {
-    double ofErrors = Math.exp(SequentialTest.logEvidence(errors));
-    double ofRatings = Math.exp(SequentialTest.logEvidence(ratings));
-    return Math.log((ofErrors + ofRatings) / 2);
-  }
-
-  /** Returns the pairs of one measure in which just one version failed. */
-  public PairCounts counts(RolloutGuard.Measure measure) {
-    return testOf(measure).counts();
+    return Math.log((Math.exp(errors.logEvidence()) + Math.exp(ratings.logEvidence())) / 2);
   }
 
   /** Returns whether this instance may halt its own share. */
--- a/org.oatlug/src/org/oatlug/internal/rollout/RolloutGuard.java
+++ b/org.oatlug/src/org/oatlug/internal/rollout/RolloutGuard.java
@@ -40,7 +40,7 @@
   static final double ALPHA_TOGETHER = 0.004;
 
   /** The probability with which one instance may ever halt its share of a good candidate. */
-  static final double ALPHA_ALONE = 0.0005;
+  public static final double ALPHA_ALONE = 0.0005;
 
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final Duration INTERVAL = Duration.ofMillis(1000);
