--- a/org.oatlug.entry/src/org/oatlug/entry/Oatlugd.java
+++ b/org.oatlug.entry/src/org/oatlug/entry/Oatlugd.java
@@ -70,19 +70,20 @@
   }
 
   private static void runGateway(CommandLine line) throws SettingsInvalidException {
+    Path file = settingsPath(line);
     if (line.hasOption("check")) {
-      SettingsFile.checkGateway(settingsPath(line));
+      SettingsFile.checkGateway(file);
       System.out.println("settings are good");
       return;
     }
-    Optional<EarlySocket> early = EarlySocket.open(settingsPath(line));
-    GatewaySettings settings = SettingsFile.readGateway(settingsPath(line));
+    Optional<EarlySocket> early = EarlySocket.open(file);
+    GatewaySettings settings = SettingsFile.readGateway(file);
     DeploymentAdapter adapter =
         ServiceLoader.load(DeploymentAdapter.class)
             .findFirst()
             .orElseThrow(() -> new SettingsInvalidException(List.of("no adapter is installed")));
     GatewayInstance instance = new GatewayInstance(settings, adapter);
-    SettingsWatch.start(settingsPath(line), instance);
+    SettingsWatch.start(file, instance);
     run(instance, early.map(EarlySocket::transport).orElse(Transport.NIO));
   }
 
--- a/org.oatlug/src/org/oatlug/internal/gateway/RolloutDirector.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/RolloutDirector.java
@@ -239,14 +239,15 @@
     List<Long> kept =
         sessionsOf(service).seenOnOthers(trial.version(), now.minus(INTERVAL.multipliedBy(2)));
     kept.removeIf(session -> positionOf(session) >= schedule.shareAt(0));
+    RolloutTrial.Seen seen = trial.ownSeen();
     PeerMessage report =
         new PeerMessage.RolloutReport(
             service,
             trial.version(),
             trial.orderedAt(),
-            trial.ownSeen().failures(),
-            trial.ownSeen().lateness(),
-            trial.ownSeen().slowness(),
+            seen.failures(),
+            seen.lateness(),
+            seen.slowness(),
             trial.ownAnswers(),
             trial.isRefuted(),
             kept);
--- a/org.oatlug/src/org/oatlug/internal/gateway/RolloutTrial.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/RolloutTrial.java
@@ -61,9 +61,7 @@
   private final Slowness begins = Slowness.above(LATE_FACTOR, LATE_MARGIN_MILLIS, LEAST_LATE_SHARE);
   private final Slowness paces = Slowness.above(SLOW_FACTOR, SLOW_MARGIN_MILLIS, LEAST_SLOW_SHARE);
   private final Map<String, Reported> reports = new HashMap<>();
-
   private Instant comparedSince = Instant.EPOCH;
-
   private long answers;
   private boolean refuted;
 
@@ -134,7 +132,7 @@
       String kind = kindOf(answer.route(), answer.model());
       add(lateness, ofCandidate, begins.isSlow(kind, answer.took().toMillis(), ofCandidate));
     }
-    refuted |= refutesAlone();
+    refuted |= RolloutGuard.refutesAlone(ownEvidence());
   }
 
   /** Takes in how fast a stream goes here. */
@@ -143,7 +141,7 @@
     String kind = pace.model().isEmpty() ? pace.route().name() : pace.model();
     forgetOldTimes(now);
     add(slowness, ofCandidate, paces.isSlow(kind, pace.millisPerEvent(), ofCandidate));
-    refuted |= refutesAlone();
+    refuted |= RolloutGuard.refutesAlone(ownEvidence());
   }
 
   private static void add(SequentialTest test, boolean ofCandidate, boolean bad) {
@@ -162,10 +160,6 @@
     }
   }
 
-  private boolean refutesAlone() {
-    return ownEvidence() >= -Math.log(RolloutGuard.ALPHA_ALONE);
-  }
-
   private static String kindOf(Route route, String model) {
     return route.name() + " " + model;
   }
--- a/org.oatlug/src/org/oatlug/internal/gateway/Slowness.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/Slowness.java
@@ -53,7 +53,7 @@
   /**
    * Takes in an answer; returns whether it counts as slow.
    *
-   * @param kind what the answer is compared within: the route and the model
+   * @param kind what the answer is compared within, such as the answers of one model
    * @param ofCandidate whether it is the new version's
    */
   boolean isSlow(String kind, double millis, boolean ofCandidate) {
--- a/org.oatlug/src/org/oatlug/internal/gateway/UpstreamSelection.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/UpstreamSelection.java
@@ -119,23 +119,24 @@
 
   private List<Chosen> candidates(Wanted wanted, boolean asWished) {
     List<Chosen> candidates = new ArrayList<>();
+    int most = mostConnections(wanted.service());
     for (String name : tables.upstreamsOf(wanted.service())) {
       UpstreamRecord upstream = tables.upstream(name).orElseThrow();
       UpstreamRow row = tables.loads().row(name);
       boolean usable = !upstream.leaving() && !row.leaving() && !wanted.excluded().contains(name);
       boolean fits =
           !asWished || wanted.version().map(w -> w.isMetBy(upstream.version())).orElse(true);
-      if (usable && fits && hasConnectionLeft(wanted.service(), row)) {
+      if (usable && fits && row.expectedLoad() < most) {
         candidates.add(new Chosen(name, upstream, row));
       }
     }
     return candidates;
   }
 
-  /** Returns whether the upstream takes one more connection; each open request has its own. */
-  private boolean hasConnectionLeft(String service, UpstreamRow row) {
+  /** Returns how many connections an upstream takes; each open request has its own. */
+  private int mostConnections(String service) {
     int most = tables.service(service).map(ServiceDefinition::maximumConnections).orElse(0);
-    return most <= 0 || row.expectedLoad() + 1 <= most;
+    return most > 0 ? most : Integer.MAX_VALUE;
   }
 
   private double cost(Chosen candidate, Instant now) {
--- a/org.oatlug/src/org/oatlug/internal/rollout/CandidateEvidence.java
+++ b/org.oatlug/src/org/oatlug/internal/rollout/CandidateEvidence.java
@@ -41,6 +41,6 @@
 
   /** Returns whether this instance may halt its own share. */
   public boolean refutesAlone() {
-    return logEvidence() >= -Math.log(RolloutGuard.ALPHA_ALONE);
+    return RolloutGuard.refutesAlone(logEvidence());
   }
 }
--- a/org.oatlug/src/org/oatlug/internal/rollout/RolloutGuard.java
+++ b/org.oatlug/src/org/oatlug/internal/rollout/RolloutGuard.java
@@ -40,7 +40,7 @@
   static final double ALPHA_TOGETHER = 0.004;
 
   /** The probability with which one instance may ever halt its share of a good candidate. */
-  public static final double ALPHA_ALONE = 0.0005;
+  static final double ALPHA_ALONE = 0.0005;
 
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final Duration INTERVAL = Duration.ofMillis(1000);
@@ -88,6 +88,11 @@
     RATINGS
   }
 
+  /** Returns whether the evidence of one instance is enough for it to halt its own share. */
+  public static boolean refutesAlone(double logEvidence) {
+    return logEvidence >= -Math.log(ALPHA_ALONE);
+  }
+
   /** Returns whether the evidence of all instances, added up, refutes that a candidate is good. */
   public static boolean refutesTogether(double logEvidence) {
     return logEvidence >= -Math.log(ALPHA_TOGETHER);
