--- a/org.oatlug.entry/src/org/oatlug/entry/GatewayInstance.java
+++ b/org.oatlug.entry/src/org/oatlug/entry/GatewayInstance.java
@@ -19,6 +19,7 @@
 import org.oatlug.gateway.GatewayKinds;
 import org.oatlug.gateway.GatewaySettings;
 import org.oatlug.internal.config.ConfigurationSystem;
+import org.oatlug.internal.engine.OpenReadingSystem;
 import org.oatlug.internal.gateway.CallerFront;
 import org.oatlug.internal.gateway.GatewayParts;
 import org.oatlug.internal.gateway.GatewayTables;
@@ -122,13 +123,18 @@
     RolloutDirector rollouts =
         RolloutDirector.create(
             tables, platform, membership, network, clock, meters, settings.bounds());
-    late.handOnTo(
-        new SharedStatePeers(
-            membership, configuration, (from, message) -> answer(rollouts, from, message)));
     GatewayParts parts =
         GatewayParts.create(vertx, settings, clock, adapter, tables, rollouts, random, meters);
+    OpenReadingSystem prompts =
+        OpenReadingSystem.create(
+            parts.reading(), parts.speeds(), membership, network, clock, meters);
+    late.handOnTo(
+        new SharedStatePeers(
+            membership,
+            configuration,
+            (from, message) -> answer(rollouts, prompts, from, message)));
     front = CallerFront.create(parts, random);
-    systems = List.of(configuration, membership::tick, rollouts, this::noteConfiguration);
+    systems = List.of(configuration, membership::tick, rollouts, prompts, this::noteConfiguration);
     return parts;
   }
 
@@ -170,7 +176,11 @@
   }
 
   private static Uni<PeerMessage> answer(
-      RolloutDirector rollouts, Member from, PeerMessage message) {
+      RolloutDirector rollouts, OpenReadingSystem prompts, Member from, PeerMessage message) {
+    if (message instanceof PeerMessage.OpenPrompts open) {
+      prompts.handle(from, open);
+      return Uni.createFrom().item(new PeerMessage.Done());
+    }
     if (message instanceof PeerMessage.RolloutReport report) {
       rollouts.handle(from, report);
       return Uni.createFrom().item(new PeerMessage.Done());
--- a/org.oatlug.test/tst/org/oatlug/internal/gateway/GatewayDecisionTest.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/gateway/GatewayDecisionTest.java
@@ -30,6 +30,8 @@
 import org.oatlug.gateway.ServiceDefinition;
 import org.oatlug.gateway.UpstreamRecord;
 import org.oatlug.gateway.WorkspaceKeys;
+import org.oatlug.internal.engine.EngineSpeeds;
+import org.oatlug.internal.engine.OpenReading;
 import org.oatlug.internal.rollout.RolloutGuard;
 import org.oatlug.internal.util.Json;
 import org.oatlug.platform.StoredObject;
@@ -38,6 +40,9 @@
 
 /** Shows the decisions about routes, upstreams, models, retries and roll-outs by themselves. */
 public class GatewayDecisionTest {
+  /** How long the largest model is expected to take to begin its answer. */
+  private static final Duration EXPECTED = Duration.ofMillis(100);
+
   private Instant now = Instant.parse("2026-12-02T12:00:00Z");
   private final InstantSource clock = () -> now;
   private GatewayTables tables;
@@ -102,11 +107,17 @@
   }
 
   private UpstreamSelection.Wanted wanted(Optional<VersionRule.Wish> wish, Set<String> excluded) {
-    return new UpstreamSelection.Wanted("pool", wish, Optional.empty(), Optional.empty(), excluded);
+    return new UpstreamSelection.Wanted(
+        "pool", wish, Optional.empty(), Optional.empty(), 0, excluded);
+  }
+
+  private UpstreamSelection selection() {
+    return UpstreamSelection.create(
+        "here", tables, EngineSpeeds.create(), OpenReading.create(), new Random(1));
   }
 
   private Optional<String> choose(Optional<VersionRule.Wish> wish, Set<String> excluded) {
-    UpstreamSelection selection = UpstreamSelection.create("here", tables, new Random(1));
+    UpstreamSelection selection = selection();
     return selection.choose(wanted(wish, excluded), now).map(UpstreamSelection.Chosen::name);
   }
 
@@ -223,7 +234,7 @@
     upstream("i-2", "here", "v1", false);
     Generation text = generation(50_000, 10, 7, 8);
     UpstreamSelection.rememberPrompt(tables.loads().row("i-2"), "m", generation(1, 1, 7));
-    UpstreamSelection selection = UpstreamSelection.create("here", tables, new Random(1));
+    UpstreamSelection selection = selection();
     UpstreamSelection.Wanted wanted =
         new UpstreamSelection.Wanted(
             "pool",
@@ -232,6 +243,7 @@
             Optional.of(
                 new Generation(
                     "*", 100, 10, List.of(new PromptPart(7, 90_000)), OptionalInt.empty())),
+            100,
             Set.of());
     assertEquals(selection.choose(wanted, now).orElseThrow().name(), "i-2");
     assertEquals(text.prompt().size(), 2);
@@ -242,7 +254,13 @@
     ExpectedWorth rule = ExpectedWorth.create(tables, times);
     return rule.insteadOf(
         new StageRule.Poor(
-            route, "pool", generation(1000, 300), stage, confidence, Duration.ofMillis(elapsed)));
+            route,
+            "pool",
+            generation(1000, 300),
+            stage,
+            confidence,
+            Duration.ofMillis(elapsed),
+            model -> EXPECTED));
   }
 
   @Test
@@ -252,7 +270,7 @@
     assertEquals(instead(times, 0, 10, 100), OptionalInt.of(2));
     assertEquals(instead(times, 0, 90, 100), OptionalInt.empty());
     assertEquals(instead(times, 2, 10, 100), OptionalInt.empty());
-    AnswerTimes.Kind slow = new AnswerTimes.Kind(route("a", "/x/"), "large", 1000);
+    AnswerTimes.Kind slow = new AnswerTimes.Kind(route("a", "/x/"), "large", EXPECTED);
     for (int answer = 0; answer < 200; answer++) {
       times.headTook(slow, Duration.ofMillis(5000));
     }
@@ -263,8 +281,8 @@
   public void testPatienceGrowsWithThePromptAndWithSlowAnswers() {
     AnswerTimes times = AnswerTimes.create(clock);
     Route route = route("a", "/x/");
-    AnswerTimes.Kind small = new AnswerTimes.Kind(route, "large", 0);
-    AnswerTimes.Kind large = new AnswerTimes.Kind(route, "large", 500_000);
+    AnswerTimes.Kind small = new AnswerTimes.Kind(route, "large", Duration.ofMillis(200));
+    AnswerTimes.Kind large = new AnswerTimes.Kind(route, "large", Duration.ofSeconds(30));
     assertEquals(times.headPatience(small), Duration.ofMillis(2500));
     for (int answer = 0; answer < 100; answer++) {
       times.headTook(small, Duration.ofMillis(300));
--- a/org.oatlug/src/org/oatlug/internal/gateway/AnswerTimes.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/AnswerTimes.java
@@ -14,9 +14,9 @@
  * How long answers usually take to begin and pause, and from when on silence means that the
  * upstream is lost.
  *
- * <p>The time to the head of a generated answer grows with its prompt, so it is measured per token
- * of prompt. The bounds follow the measured times, so that a pool that is slow as a whole is not
- * asked everything twice. Owned by one event loop, not thread-safe.
+ * <p>The time to the head of a generated answer is forecast; measured is by how much it comes
+ * later. The bounds follow the measured times, so that a pool that is slow as a whole is not asked
+ * everything twice. Owned by one event loop, not thread-safe.
  */
 final class AnswerTimes {
   /** The weight of one measurement in the running means. */
@@ -46,20 +46,8 @@
   /** The scale of a logistic distribution for a mean absolute deviation of one. */
   private static final double SCALE_OF_DEVIATION = 0.72;
 
-  /**
-   * The prompt tokens whose reading takes as long as the fixed part of a first token: 47 ms at 112
-   * tokens a millisecond, from the sheets of the deployments' engines.
-   */
-  private static final int FIXED_TOKENS = 5000;
-
-  /** The share of answers that are faster than what counts as the undisturbed time. */
-  private static final double UNDISTURBED_QUANTILE = 0.2;
-
-  /** How far one answer moves the undisturbed time, as a share of it. */
-  private static final double QUANTILE_STEP = 0.05;
-
   private final InstantSource clock;
-  private final Map<String, HeadEstimate> heads = new HashMap<>();
+  private final Map<String, Estimate> delays = new HashMap<>();
   private final Map<String, Estimate> pauses = new HashMap<>();
 
   /**
@@ -67,17 +55,13 @@
    *
    * @param route the route
    * @param model the model, empty for none
-   * @param promptTokens the tokens of the prompt, 0 for none
+   * @param expected the time to the head that was forecast, zero if none was
    */
-  record Kind(Route route, String model, int promptTokens) {
-    /** Returns the group whose answers take the same time for the same size. */
+  record Kind(Route route, String model, Duration expected) {
+    /** Returns the group whose answers are late by the same time. */
     private String group() {
       return model.isEmpty() ? route.name() : model;
     }
-
-    private double size() {
-      return model.isEmpty() ? 1 : (double) (promptTokens + FIXED_TOKENS) / FIXED_TOKENS;
-    }
   }
 
   /** A running mean and mean deviation, in milliseconds. */
@@ -101,6 +85,9 @@
 
     /** Returns the chance that the next one is below the bound, by a logistic distribution. */
     double chanceBelow(double bound) {
+      if (!any) {
+        return bound > 0 ? 1 : 0;
+      }
       double age = Duration.between(last, clock.instant()).toMillis();
       double fading = Math.exp(-Math.max(0, age - FADES_AFTER_MILLIS) / FADES_AFTER_MILLIS);
       double scale = Math.max(1, deviation * SCALE_OF_DEVIATION);
@@ -115,37 +102,6 @@
     }
   }
 
-  /**
-   * The time to the head of an answer: an undisturbed part that grows with the size, and a delay by
-   * other requests that does not.
-   */
-  private final class HeadEstimate {
-    private final Estimate delay = new Estimate();
-    private double undisturbed;
-    private boolean any;
-
-    void add(double millis, double size) {
-      double ratio = millis / size;
-      if (!any) {
-        any = true;
-        undisturbed = ratio;
-      } else {
-        double step = undisturbed * QUANTILE_STEP;
-        boolean below = ratio < undisturbed;
-        undisturbed += below ? -step * (1 - UNDISTURBED_QUANTILE) : step * UNDISTURBED_QUANTILE;
-      }
-      delay.add(Math.max(0, millis - undisturbed * size));
-    }
-
-    double chanceWithin(double bound, double size) {
-      return any ? delay.chanceBelow(bound - undisturbed * size) : 1;
-    }
-
-    Duration patience(double least, double size) {
-      return delay.patience(least, undisturbed * size);
-    }
-  }
-
   private AnswerTimes(InstantSource clock) {
     this.clock = clock;
   }
@@ -156,18 +112,19 @@
   }
 
   /**
-   * Returns the chance that an answer begins within the time; 1 before the first measurement.
+   * Returns the chance that an answer begins within the time; before the first measurement the
+   * forecast is believed.
    *
    * <p>A measurement that was long ago counts for less, so that a model that nobody asks because it
    * was slow is tried again.
    */
   double chanceOfHeadWithin(Kind kind, Duration time) {
-    return head(kind).chanceWithin(time.toMillis(), kind.size());
+    return delay(kind).chanceBelow(time.minus(kind.expected()).toMillis());
   }
 
   /** Takes in how long an answer took to begin. */
   void headTook(Kind kind, Duration took) {
-    head(kind).add(took.toMillis(), kind.size());
+    delay(kind).add(Math.max(0, took.minus(kind.expected()).toMillis()));
   }
 
   /** Takes in a pause between events. */
@@ -178,7 +135,7 @@
   /** Returns how long to wait for an answer to begin. */
   Duration headPatience(Kind kind) {
     double least = LEAST_SHARE_OF_GOAL * kind.route().goalMillis();
-    return head(kind).patience(least, kind.size());
+    return delay(kind).patience(least, kind.expected().toMillis());
   }
 
   /** Returns how long to wait for the next event. */
@@ -188,8 +145,8 @@
     return pause(kind).patience(least, 0);
   }
 
-  private HeadEstimate head(Kind kind) {
-    return heads.computeIfAbsent(kind.group(), unused -> new HeadEstimate());
+  private Estimate delay(Kind kind) {
+    return delays.computeIfAbsent(kind.group(), unused -> new Estimate());
   }
 
   private Estimate pause(Kind kind) {
--- a/org.oatlug/src/org/oatlug/internal/gateway/Exchange.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/Exchange.java
@@ -5,11 +5,14 @@
 
 import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Locale;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.Set;
+import java.util.function.Function;
 import org.oatlug.api.Refusal;
 import org.oatlug.api.RefusalReason;
 import org.oatlug.errors.ErrorText;
@@ -29,6 +32,9 @@
   /** When a refused caller may come back: about the time in which a place becomes free. */
   private static final Duration COME_BACK = Duration.ofMillis(300);
 
+  /** The time to an answer that no upstream will give. */
+  private static final Duration NEVER = Duration.ofDays(1);
+
   /** Below this an attempt cannot bring an answer any more. */
   private static final Duration LEAST_TIME = Duration.ofMillis(30);
 
@@ -106,13 +112,12 @@
       giveUp(RefusalReason.NO_UPSTREAM, text);
       return;
     }
-    current = new ExchangeAttempt(this, chosen.get(), model());
-    current.send();
+    attempt(chosen.get());
   }
 
-  /** Returns whether another upstream can be asked for a model of the cascade. */
-  boolean hasUpstreamFor(int otherStage) {
-    return choose(Optional.of(route.models().get(otherStage))).isPresent();
+  private void attempt(UpstreamSelection.Chosen chosen) {
+    current = new ExchangeAttempt(this, chosen, model());
+    current.send();
   }
 
   private Optional<UpstreamSelection.Chosen> choose(Optional<String> model) {
@@ -129,7 +134,12 @@
       Optional<VersionRule.Wish> version, Optional<String> model, Set<String> excluded) {
     UpstreamSelection.Wanted wanted =
         new UpstreamSelection.Wanted(
-            incoming.service(), version, model, incoming.head().generation(), Set.copyOf(excluded));
+            incoming.service(),
+            version,
+            model,
+            incoming.head().generation(),
+            incoming.body().length(),
+            Set.copyOf(excluded));
     return parts.selection().choose(wanted, parts.clock().instant());
   }
 
@@ -175,17 +185,40 @@
     }
   }
 
-  /** Returns the stage to ask instead of taking an answer of this confidence, empty to take it. */
-  OptionalInt stageInsteadOf(int confidence) {
+  /**
+   * A model of the cascade that is worth asking, and the upstream to ask.
+   *
+   * @param stage the place of the model in the cascade
+   * @param chosen the upstream
+   */
+  record Replacement(int stage, UpstreamSelection.Chosen chosen) {}
+
+  /** Returns what to ask instead of taking an answer of this confidence, empty to take it. */
+  Optional<Replacement> replacementOf(int confidence) {
+    Map<String, Optional<UpstreamSelection.Chosen>> known = new HashMap<>();
+    Function<String, Optional<UpstreamSelection.Chosen>> best =
+        name -> known.computeIfAbsent(name, other -> choose(Optional.of(other)));
     StageRule.Poor poor =
-        new StageRule.Poor(route, incoming.service(), generation(), stage, confidence, elapsed());
-    return parts.stages().insteadOf(poor);
+        new StageRule.Poor(
+            route,
+            incoming.service(),
+            generation(),
+            stage,
+            confidence,
+            elapsed(),
+            name -> best.apply(name).map(one -> one.forecast().timeToHead()).orElse(NEVER));
+    OptionalInt instead = parts.stages().insteadOf(poor);
+    if (instead.isEmpty()) {
+      return Optional.empty();
+    }
+    return best.apply(route.models().get(instead.getAsInt()))
+        .map(chosen -> new Replacement(instead.getAsInt(), chosen));
   }
 
   /** Goes on with another model of the cascade. */
-  void nextAt(int otherStage) {
-    stage = otherStage;
-    next();
+  void nextAt(Replacement replacement) {
+    stage = replacement.stage();
+    attempt(replacement.chosen());
   }
 
   /**
--- a/org.oatlug/src/org/oatlug/internal/gateway/ExchangeAttempt.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/ExchangeAttempt.java
@@ -19,6 +19,7 @@
 import org.oatlug.gateway.Route;
 import org.oatlug.gateway.RouteKind;
 import org.oatlug.gateway.WorkspaceKeys;
+import org.oatlug.internal.engine.HeadForecast;
 
 /**
  * One attempt of an exchange at one upstream, and what becomes of its answer.
@@ -32,6 +33,13 @@
   private static final String EVENT_STREAM = "text/event-stream";
   private static final int FIRST_SERVER_ERROR = 500;
   private static final int OK = 200;
+  private static final int LEAST_URGENT = 9;
+
+  /** A prompt whose reading takes less than this share of its goal delays nobody much. */
+  private static final double BRIEF_SHARE_OF_GOAL = 0.1;
+
+  /** By how much a long prompt is less urgent than brief ones of the same rank. */
+  private static final int LONG_READING_STEP = 3;
 
   private final Exchange exchange;
   private final GatewayParts parts;
@@ -49,6 +57,7 @@
   private HttpClientResponse response;
   private boolean streaming;
   private boolean released;
+  private boolean reading;
 
   ExchangeAttempt(Exchange exchange, UpstreamSelection.Chosen chosen, Optional<String> model) {
     this.exchange = exchange;
@@ -76,6 +85,7 @@
   /** Sends the request to the upstream. */
   void send() {
     chosen.row().reserve();
+    beginReading();
     exchange.noteSent(chosen.name());
     parts.versions().sent(incoming.service(), chosen.upstream().version(), incoming.head());
     MultiMap headers = MultiMap.caseInsensitiveMultiMap().addAll(incoming.headers());
@@ -91,9 +101,24 @@
     }
   }
 
+  /** Counts the prompt as one that waits at the upstream, until the answer begins. */
+  private void beginReading() {
+    reading = true;
+    parts.reading().begin(chosen.name(), chosen.forecast().readingMillis());
+  }
+
+  private void endReading() {
+    if (reading) {
+      reading = false;
+      parts.reading().end(chosen.name(), chosen.forecast().readingMillis());
+    }
+  }
+
   private void logSent() {
+    HeadForecast forecast = chosen.forecast();
     exchange.log().log(
-        "attempt=%d route=%s upstream=%s version=%s model=%s load=%d left=%d after=%s",
+        "attempt=%d route=%s upstream=%s version=%s model=%s load=%d left=%d after=%s"
+            + " unread=%.0f waiting=%.0f expected=%d",
         exchange.sent(),
         route.name(),
         chosen.name(),
@@ -101,7 +126,10 @@
         model.orElse("-"),
         chosen.row().expectedLoad(),
         exchange.timeLeft().toMillis(),
-        relay.last());
+        relay.last(),
+        forecast.unreadTokens(),
+        forecast.waitingMillis(),
+        forecast.timeToHead().toMillis());
   }
 
   private UpstreamAttempt.Call call(MultiMap headers) {
@@ -112,7 +140,7 @@
   }
 
   private AnswerTimes.Kind kind() {
-    return new AnswerTimes.Kind(route, model.orElse(""), exchange.generation().promptTokens());
+    return new AnswerTimes.Kind(route, model.orElse(""), chosen.forecast().timeToHead());
   }
 
   /** Returns how long the upstream may be silent now. */
@@ -146,7 +174,9 @@
   }
 
   private int priority() {
-    return incoming.workspace().flatMap(WorkspaceKeys::priority).orElse(route.priority());
+    int wanted = incoming.workspace().flatMap(WorkspaceKeys::priority).orElse(route.priority());
+    boolean brief = chosen.forecast().readingMillis() < BRIEF_SHARE_OF_GOAL * route.goalMillis();
+    return Math.min(LEAST_URGENT, brief ? wanted : wanted + LONG_READING_STEP);
   }
 
   /** Ends the attempt without a result. */
@@ -160,6 +190,7 @@
   private void release() {
     if (!released) {
       released = true;
+      endReading();
       chosen.row().release();
       plain.release();
       watch.stop();
@@ -169,6 +200,7 @@
   @Override
   public void head(HttpClientResponse received) {
     response = received;
+    endReading();
     heard();
     AnswerHead head = parts.adapter().upstreams().read(received);
     head.load()
@@ -189,6 +221,9 @@
     }
     boolean failure = head.status() >= FIRST_SERVER_ERROR;
     noteOutcome(failure);
+    if (!failure) {
+      noteSpeed();
+    }
     if (failure && isReplacedAfterFailure(head)) {
       return;
     }
@@ -198,6 +233,21 @@
     accept(head);
   }
 
+  /** Learns from the time to the head, and notes by how much the forecast missed it. */
+  private void noteSpeed() {
+    parts.times().headTook(kind(), took());
+    HeadForecast forecast = chosen.forecast();
+    if (forecast.equals(HeadForecast.NONE)) {
+      return;
+    }
+    describe("begins expected=" + forecast.timeToHead().toMillis());
+    Duration late = took().minus(forecast.timeToHead());
+    parts.meters().time(late.isNegative() ? "forecast.early" : "forecast.late", late.abs());
+    parts
+        .speeds()
+        .answered(chosen.name(), model.orElse(""), forecast, took(), parts.clock().instant());
+  }
+
   private void refusedByUpstream(AnswerHead head) {
     abandon();
     boolean moved = head.verdict() == AnswerHead.Verdict.WRONG_UPSTREAM;
@@ -235,26 +285,20 @@
       return false;
     }
     int confidence = head.confidence().getAsInt();
-    OptionalInt instead = exchange.stageInsteadOf(confidence);
-    if (instead.isEmpty() || !exchange.hasUpstreamFor(instead.getAsInt())) {
-      return false;
-    }
-    if (!exchange.mayTryAgain("larger-model")) {
+    Optional<Exchange.Replacement> instead = exchange.replacementOf(confidence);
+    if (instead.isEmpty() || !exchange.mayTryAgain("larger-model")) {
       return false;
     }
     exchange.noteMayHaveRun();
     chosen.row().succeeded(parts.clock().instant());
     abandon();
     describe("dropped confidence=" + confidence);
-    exchange.nextAt(instead.getAsInt());
+    exchange.nextAt(instead.get());
     return true;
   }
 
   private void accept(AnswerHead head) {
     exchange.noteMayHaveRun();
-    if (head.status() < FIRST_SERVER_ERROR) {
-      parts.times().headTook(kind(), took());
-    }
     String type = response.getHeader("Content-Type");
     streaming =
         route.kind() == RouteKind.STREAM
--- a/org.oatlug/src/org/oatlug/internal/gateway/ExpectedWorth.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/ExpectedWorth.java
@@ -85,7 +85,7 @@
   private double worthInTime(Poor answer, String model) {
     Duration left = Duration.ofMillis(answer.route().goalMillis()).minus(answer.elapsed());
     AnswerTimes.Kind kind =
-        new AnswerTimes.Kind(answer.route(), model, answer.generation().promptTokens());
+        new AnswerTimes.Kind(answer.route(), model, answer.expected().apply(model));
     double inTime = times.chanceOfHeadWithin(kind, left);
     return inTime + (1 - inTime) * LATE_WORTH;
   }
--- a/org.oatlug/src/org/oatlug/internal/gateway/GatewayParts.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/GatewayParts.java
@@ -9,6 +9,8 @@
 import java.util.random.RandomGenerator;
 import org.oatlug.gateway.DeploymentAdapter;
 import org.oatlug.gateway.GatewaySettings;
+import org.oatlug.internal.engine.EngineSpeeds;
+import org.oatlug.internal.engine.OpenReading;
 import org.oatlug.internal.metrics.Meters;
 
 /**
@@ -20,6 +22,8 @@
  * @param adapter the wire forms of the deployment
  * @param client opens connections to upstreams
  * @param tables the tables
+ * @param speeds how fast engines read
+ * @param reading which prompts wait at upstreams
  * @param selection chooses upstreams
  * @param stages chooses models of cascades
  * @param versions chooses versions while a roll-out runs
@@ -36,6 +40,8 @@
     DeploymentAdapter adapter,
     HttpClient client,
     GatewayTables tables,
+    EngineSpeeds speeds,
+    OpenReading reading,
     UpstreamSelection selection,
     StageRule stages,
     VersionRule versions,
@@ -55,6 +61,8 @@
       RandomGenerator random,
       Meters meters) {
     AnswerTimes times = AnswerTimes.create(clock);
+    EngineSpeeds speeds = EngineSpeeds.create();
+    OpenReading reading = OpenReading.create();
     return new GatewayParts(
         vertx,
         settings,
@@ -62,7 +70,9 @@
         adapter,
         UpstreamAttempt.newClient(vertx),
         tables,
-        UpstreamSelection.create(settings.zone(), tables, random),
+        speeds,
+        reading,
+        UpstreamSelection.create(settings.zone(), tables, speeds, reading, random),
         ExpectedWorth.create(tables, times),
         versions,
         RetryBudgets.within(settings.bounds()),
--- a/org.oatlug/src/org/oatlug/internal/gateway/RouteExplanation.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/RouteExplanation.java
@@ -30,6 +30,9 @@
   /** The highest confidence that a model states, in hundredths. */
   private static final int MOST_CONFIDENCE = 100;
 
+  /** The size of the request that is made up. */
+  private static final int NO_BODY = 0;
+
   /** The id of the request that is made up to ask the decisions. */
   private static final String REQUEST_ID = "explain";
 
@@ -114,31 +117,34 @@
             ? Optional.of(route.models().get(parts.stages().first(route)))
             : Optional.empty();
     UpstreamSelection.Wanted wanted =
-        new UpstreamSelection.Wanted(service, wish, firstModel, head.generation(), Set.of());
-    Generation generation = head.generation().orElse(Generation.UNKNOWN);
+        new UpstreamSelection.Wanted(
+            service, wish, firstModel, head.generation(), NO_BODY, Set.of());
     return new Target(
-        service,
-        target.weight(),
-        wish,
-        stages(parts, route, service, generation),
-        candidates(parts, wanted));
+        service, target.weight(), wish, stages(parts, route, wanted), candidates(parts, wanted));
   }
 
   private static List<Stage> stages(
-      GatewayParts parts, Route route, String service, Generation generation) {
+      GatewayParts parts, Route route, UpstreamSelection.Wanted wanted) {
     List<Stage> stages = new ArrayList<>();
     for (int stage = 0; stage < route.models().size(); stage++) {
-      int least = leastConfidence(parts, route, service, generation, stage);
+      int least = leastConfidence(parts, route, wanted, stage);
       stages.add(new Stage(route.models().get(stage), least));
     }
     return stages;
   }
 
   private static int leastConfidence(
-      GatewayParts parts, Route route, String service, Generation generation, int stage) {
+      GatewayParts parts, Route route, UpstreamSelection.Wanted wanted, int stage) {
     for (int confidence = 0; confidence < MOST_CONFIDENCE; confidence++) {
       StageRule.Poor answer =
-          new StageRule.Poor(route, service, generation, stage, confidence, Duration.ZERO);
+          new StageRule.Poor(
+              route,
+              wanted.service(),
+              wanted.generation().orElse(Generation.UNKNOWN),
+              stage,
+              confidence,
+              Duration.ZERO,
+              model -> timeToHead(parts, wanted, model));
       if (parts.stages().insteadOf(answer).isEmpty()) {
         return confidence;
       }
@@ -146,15 +152,24 @@
     return MOST_CONFIDENCE;
   }
 
+  private static Duration timeToHead(
+      GatewayParts parts, UpstreamSelection.Wanted wanted, String model) {
+    return parts
+        .selection()
+        .choose(wanted.of(model), parts.clock().instant())
+        .map(chosen -> chosen.forecast().timeToHead())
+        .orElse(Duration.ZERO);
+  }
+
   private static List<Candidate> candidates(GatewayParts parts, UpstreamSelection.Wanted wanted) {
-    List<UpstreamSelection.Costed> costs = parts.selection().costs(wanted, parts.clock().instant());
+    List<UpstreamSelection.Chosen> costs = parts.selection().costs(wanted, parts.clock().instant());
     List<Candidate> candidates = new ArrayList<>();
     for (String name : parts.tables().upstreamsOf(wanted.service())) {
       UpstreamRecord upstream = parts.tables().upstream(name).orElseThrow();
       Optional<Long> cost =
           costs.stream()
-              .filter(one -> one.candidate().name().equals(name))
-              .map(one -> Math.round(one.millis()))
+              .filter(one -> one.name().equals(name))
+              .map(one -> Math.round(one.costMillis()))
               .findFirst();
       int load = parts.tables().loads().row(name).expectedLoad();
       candidates.add(new Candidate(name, upstream.zone(), upstream.version(), load, cost));
--- a/org.oatlug/src/org/oatlug/internal/gateway/StageRule.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/StageRule.java
@@ -5,6 +5,7 @@
 
 import java.time.Duration;
 import java.util.OptionalInt;
+import java.util.function.Function;
 import org.oatlug.gateway.Generation;
 import org.oatlug.gateway.Route;
 
@@ -27,6 +28,7 @@
    * @param stage the stage that answers
    * @param confidence the model's opinion of its answer, 0 to 100
    * @param elapsed how long the caller has waited
+   * @param expected how long another model would take to begin its answer
    */
   record Poor(
       Route route,
@@ -34,7 +36,8 @@
       Generation generation,
       int stage,
       int confidence,
-      Duration elapsed) {}
+      Duration elapsed,
+      Function<String, Duration> expected) {}
 
   /** Returns the stage to ask instead of taking the answer, empty to take it. */
   OptionalInt insteadOf(Poor answer);
--- a/org.oatlug/src/org/oatlug/internal/gateway/UpstreamSelection.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/UpstreamSelection.java
@@ -14,56 +14,53 @@
 import org.oatlug.gateway.PromptPart;
 import org.oatlug.gateway.ServiceDefinition;
 import org.oatlug.gateway.UpstreamRecord;
+import org.oatlug.internal.engine.EngineSpeeds;
+import org.oatlug.internal.engine.HeadForecast;
+import org.oatlug.internal.engine.OpenReading;
+import org.oatlug.internal.routing.PlacementCost;
 import org.oatlug.internal.table.UpstreamRow;
 import org.oatlug.internal.util.Hashes;
 
 /**
  * Chooses the upstream of a service that answers a request.
  *
- * <p>The cost of an upstream is the time that the request would wait and read its prompt there, as
- * far as this instance knows. Own availability zone first: another one costs a fixed time more,
- * because bytes between zones are dear. Invariant: an upstream that is leaving, was tried or has no
- * connection left is never chosen; one that is kept out after failures only if there is no other.
- * Owned by one event loop, not thread-safe.
+ * <p>What is known of each upstream is put together here and weighed by {@link PlacementCost}. A
+ * shared part of a prompt has a home, the same upstream for all instances, which is taken to keep
+ * it; an upstream that this instance sent it to keeps it too. Invariant: an upstream that is
+ * leaving, was tried or has no connection left is never chosen; one that is kept out after failures
+ * only if there is no other. Owned by one event loop, not thread-safe.
  */
 final class UpstreamSelection {
-  /** What a request in another zone costs more, in milliseconds; from the price of the bytes. */
-  private static final double OTHER_ZONE_MILLIS = 400;
-
-  /** What a fully used upstream costs more than an empty one, in milliseconds. */
-  private static final double FULL_LOAD_MILLIS = 300;
-
-  /** What each request beyond the slots of an upstream costs, in milliseconds. */
-  private static final double WAITING_MILLIS = 100;
-
-  /** What an upstream that is kept out costs, in milliseconds: more than any load. */
-  private static final double KEPT_OUT_MILLIS = 100_000;
-
-  /** Prompt tokens that an engine reads in a millisecond; from the deployments' sheets. */
-  private static final double TOKENS_PER_MILLI = 112;
-
-  /**
-   * What an upstream costs more that fails every request, in milliseconds: a failure takes an
-   * attempt, its time and a part of the retry budget. Measured on the days of both sites.
-   */
-  private static final double FAILING_MILLIS = 800;
-
   /** Spreads requests over upstreams of equal cost, in milliseconds. */
   private static final double SPREAD_MILLIS = 5;
 
   private final String zone;
   private final GatewayTables tables;
+  private final EngineSpeeds speeds;
+  private final OpenReading reading;
   private final RandomGenerator random;
 
-  private UpstreamSelection(String zone, GatewayTables tables, RandomGenerator random) {
+  private UpstreamSelection(
+      String zone,
+      GatewayTables tables,
+      EngineSpeeds speeds,
+      OpenReading reading,
+      RandomGenerator random) {
     this.zone = zone;
     this.tables = tables;
+    this.speeds = speeds;
+    this.reading = reading;
     this.random = random;
   }
 
   /** Returns a selection for an instance of the zone. */
-  static UpstreamSelection create(String zone, GatewayTables tables, RandomGenerator random) {
-    return new UpstreamSelection(zone, tables, random);
+  static UpstreamSelection create(
+      String zone,
+      GatewayTables tables,
+      EngineSpeeds speeds,
+      OpenReading reading,
+      RandomGenerator random) {
+    return new UpstreamSelection(zone, tables, speeds, reading, random);
   }
 
   /**
@@ -73,6 +70,7 @@
    * @param version which versions may answer, empty for any
    * @param model the model that will answer, empty for none
    * @param generation what the request says of its prompt
+   * @param bodyBytes the size of the request
    * @param excluded upstreams that were tried
    */
   record Wanted(
@@ -80,45 +78,80 @@
       Optional<VersionRule.Wish> version,
       Optional<String> model,
       Optional<Generation> generation,
-      Set<String> excluded) {}
+      int bodyBytes,
+      Set<String> excluded) {
+    /** Returns the same for another model. */
+    Wanted of(String other) {
+      return new Wanted(service, version, Optional.of(other), generation, bodyBytes, excluded);
+    }
+  }
 
-  /** A chosen upstream. */
-  record Chosen(String name, UpstreamRecord upstream, UpstreamRow row) {}
+  /** An upstream of a service, with what this instance knows of it. */
+  private record Candidate(String name, UpstreamRecord upstream, UpstreamRow row) {}
 
   /**
    * An upstream that can be chosen.
    *
-   * @param candidate the upstream
-   * @param millis what it costs to choose it, in milliseconds
+   * @param name its name
+   * @param upstream its entry
+   * @param row what this instance knows of it
+   * @param forecast what is expected there until the answer begins
+   * @param costMillis what it costs to choose it, in milliseconds
    */
-  record Costed(Chosen candidate, double millis) {}
+  record Chosen(
+      String name,
+      UpstreamRecord upstream,
+      UpstreamRow row,
+      HeadForecast forecast,
+      double costMillis) {}
 
   /** Returns the cheapest upstream, empty if there is none. */
   Optional<Chosen> choose(Wanted wanted, Instant now) {
-    return costs(wanted, now).stream()
-        .min(Comparator.comparingDouble(Costed::millis))
-        .map(Costed::candidate);
+    return costs(wanted, now).stream().min(Comparator.comparingDouble(Chosen::costMillis));
   }
 
   /** Returns the upstreams that can be chosen, with their costs, in no order. */
-  List<Costed> costs(Wanted wanted, Instant now) {
-    List<Chosen> candidates = candidates(wanted, true);
+  List<Chosen> costs(Wanted wanted, Instant now) {
+    List<Candidate> candidates = candidates(wanted, true);
     if (candidates.isEmpty() && !wanted.version().map(VersionRule.Wish::strict).orElse(true)) {
       candidates = candidates(wanted, false);
     }
-    List<Costed> costs = new ArrayList<>();
     String home = homeOf(wanted, candidates);
     Optional<Prompt> prompt =
         wanted.generation().map(text -> Prompt.of(wanted.model().orElse(""), text));
-    for (Chosen candidate : candidates) {
-      double unread = prompt.map(read -> read.uncachedTokens(candidate, home)).orElse(0.0);
-      costs.add(new Costed(candidate, cost(candidate, now) + unread / TOKENS_PER_MILLI));
+    List<Chosen> costs = new ArrayList<>();
+    for (Candidate candidate : candidates) {
+      HeadForecast forecast =
+          prompt.map(text -> forecast(candidate, text, home, now)).orElse(HeadForecast.NONE);
+      double cost = PlacementCost.of(place(candidate, forecast, now), wanted.bodyBytes());
+      double spread = random.nextDouble() * SPREAD_MILLIS;
+      costs.add(
+          new Chosen(
+              candidate.name(), candidate.upstream(), candidate.row(), forecast, cost + spread));
     }
     return costs;
   }
 
-  private List<Chosen> candidates(Wanted wanted, boolean asWished) {
-    List<Chosen> candidates = new ArrayList<>();
+  private HeadForecast forecast(Candidate candidate, Prompt prompt, String home, Instant now) {
+    Unread unread = prompt.unreadAt(candidate, home);
+    double slowness = speeds.slownessOf(candidate.name(), now);
+    double waiting = reading.waitingMillis(candidate.name(), now);
+    double own = speeds.lineOf(prompt.model()).millisFor(unread.tokens());
+    return new HeadForecast(slowness * waiting, slowness * own, unread.tokens(), unread.certain());
+  }
+
+  private PlacementCost.Place place(Candidate candidate, HeadForecast forecast, Instant now) {
+    return new PlacementCost.Place(
+        forecast,
+        tables.loads().estimatedLoad(candidate.row()),
+        Math.max(1, candidate.upstream().slots()),
+        !candidate.upstream().zone().equals(zone),
+        candidate.row().failureShare(now),
+        candidate.row().ejected(now));
+  }
+
+  private List<Candidate> candidates(Wanted wanted, boolean asWished) {
+    List<Candidate> candidates = new ArrayList<>();
     int most = mostConnections(wanted.service());
     for (String name : tables.upstreamsOf(wanted.service())) {
       UpstreamRecord upstream = tables.upstream(name).orElseThrow();
@@ -127,7 +160,7 @@
       boolean fits =
           !asWished || wanted.version().map(w -> w.isMetBy(upstream.version())).orElse(true);
       if (usable && fits && row.expectedLoad() < most) {
-        candidates.add(new Chosen(name, upstream, row));
+        candidates.add(new Candidate(name, upstream, row));
       }
     }
     return candidates;
@@ -139,33 +172,25 @@
     return most > 0 ? most : Integer.MAX_VALUE;
   }
 
-  private double cost(Chosen candidate, Instant now) {
-    int slots = Math.max(1, candidate.upstream().slots());
-    double load = tables.loads().estimatedLoad(candidate.row());
-    double cost = FULL_LOAD_MILLIS * load / slots + random.nextDouble() * SPREAD_MILLIS;
-    cost += WAITING_MILLIS * Math.max(0, load + 1 - slots);
-    if (!candidate.upstream().zone().equals(zone)) {
-      cost += OTHER_ZONE_MILLIS;
-    }
-    cost += FAILING_MILLIS * candidate.row().failureShare(now);
-    if (candidate.row().ejected(now)) {
-      cost += KEPT_OUT_MILLIS;
-    }
-    return cost;
-  }
-
-  /** Returns the upstream of the own zone that all instances prefer for the shared prompt. */
-  private String homeOf(Wanted wanted, List<Chosen> candidates) {
+  /**
+   * Returns the upstream that keeps the shared part of the prompt: one for all zones if reading the
+   * part again takes longer than the way into another zone costs, else one of the own zone.
+   */
+  private String homeOf(Wanted wanted, List<Candidate> candidates) {
     List<PromptPart> parts = wanted.generation().map(Generation::prompt).orElse(List.of());
     if (parts.size() < 2) {
       return "";
     }
+    int sharedTokens = parts.stream().limit(parts.size() - 1L).mapToInt(PromptPart::tokens).sum();
+    double again = speeds.lineOf(wanted.model().orElse("")).millisPerToken() * sharedTokens;
+    boolean anyZone = again > PlacementCost.otherZoneOfEngine(wanted.bodyBytes());
     long shared = parts.get(parts.size() - 2).hash();
     String home = "";
     long highest = Long.MIN_VALUE;
-    for (Chosen candidate : candidates) {
+    for (Candidate candidate : candidates) {
       long rank = candidate.row().rankFor(shared);
-      if (candidate.upstream().zone().equals(zone) && rank > highest) {
+      boolean near = anyZone || candidate.upstream().zone().equals(zone);
+      if (near && rank > highest) {
         highest = rank;
         home = candidate.name();
       }
@@ -178,31 +203,44 @@
     Prompt.of(model, generation).cacheKeys().forEach(row::rememberPrefix);
   }
 
+  /**
+   * The part of a prompt that an upstream has to read.
+   *
+   * @param tokens its size
+   * @param certain whether that is known, and not only hoped
+   */
+  private record Unread(double tokens, boolean certain) {}
+
   /**
    * A prompt as the caches of one model know it.
    *
+   * @param model the model
    * @param generation what the request says of its prompt
    * @param cacheKeys the keys of its parts, which are other ones for another model
    */
-  private record Prompt(Generation generation, List<Long> cacheKeys) {
+  private record Prompt(String model, Generation generation, List<Long> cacheKeys) {
     static Prompt of(String model, Generation generation) {
       long hash = Hashes.hash64(model);
       List<Long> keys =
           generation.prompt().stream().map(part -> Hashes.combine(hash, part.hash())).toList();
-      return new Prompt(generation, keys);
+      return new Prompt(model, generation, keys);
     }
 
-    /** Returns the prompt tokens that the upstream probably has to read. */
-    double uncachedTokens(Chosen candidate, String home) {
-      int cached = 0;
+    /** Returns what the upstream probably has to read; the home is taken to keep what is shared. */
+    Unread unreadAt(Candidate candidate, String home) {
+      int kept = 0;
+      boolean certain = true;
       for (int index = 0; index < cacheKeys.size(); index++) {
         boolean known = candidate.row().hasPrefix(cacheKeys.get(index));
-        if (!known && !candidate.name().equals(home)) {
+        boolean shared = index < cacheKeys.size() - 1;
+        boolean hoped = shared && candidate.name().equals(home);
+        if (!known && !hoped) {
           break;
         }
-        cached += generation.prompt().get(index).tokens();
+        certain &= known;
+        kept += generation.prompt().get(index).tokens();
       }
-      return Math.max(0, generation.promptTokens() - cached);
+      return new Unread(Math.max(0, generation.promptTokens() - kept), certain);
     }
   }
 }
--- a/org.oatlug/src/org/oatlug/internal/peer/PeerMessage.java
+++ b/org.oatlug/src/org/oatlug/internal/peer/PeerMessage.java
@@ -6,8 +6,10 @@
 import com.fasterxml.jackson.annotation.JsonSubTypes;
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
 import java.util.List;
+import java.util.Map;
 import org.oatlug.api.ObjectKey;
 import org.oatlug.internal.billing.Bill;
+import org.oatlug.internal.engine.ReadingLine;
 import org.oatlug.internal.ledger.LedgerEntry;
 import org.oatlug.internal.ledger.LedgerResult;
 import org.oatlug.internal.rollout.PairCounts;
@@ -34,6 +36,7 @@
   @JsonSubTypes.Type(value = PeerMessage.UpstreamLeaving.class, name = "upstreamLeaving"),
   @JsonSubTypes.Type(value = PeerMessage.GuardEvidence.class, name = "guard"),
   @JsonSubTypes.Type(value = PeerMessage.RolloutReport.class, name = "rollout"),
+  @JsonSubTypes.Type(value = PeerMessage.OpenPrompts.class, name = "openPrompts"),
   @JsonSubTypes.Type(value = PeerMessage.Done.class, name = "done"),
   @JsonSubTypes.Type(value = PeerMessage.Failed.class, name = "failed")
 })
@@ -109,6 +112,13 @@
       List<Long> keptSessions)
       implements PeerMessage {}
 
+  /**
+   * How long the prompts take that the sender has waiting, in milliseconds by upstream, and, in a
+   * part of the messages, how fast it saw engines read, by model.
+   */
+  record OpenPrompts(Map<String, Integer> millisByUpstream, Map<String, ReadingLine> lines)
+      implements PeerMessage {}
+
   /** An answer without content. */
   record Done() implements PeerMessage {}
 
