--- /dev/null
+++ b/org.oatlug.test/tst/org/oatlug/internal/engine/EngineSpeedsTest.java
@@ -0,0 +1,142 @@
+// Copyright (c) 2026, the oatlug authors
+// SPDX-License-Identifier: BSD-3-Clause
+
+package org.oatlug.internal.engine;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Map;
+import java.util.Random;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.DoubleRange;
+import org.oatlug.internal.util.BoundedMap;
+
+/** Shows that the speed of engines is found, followed and forgotten, within a bounded memory. */
+class EngineSpeedsTest {
+  private static final String SEED = "20261202";
+  private static final String UPSTREAM = "i-1";
+  private static final int WILD_IN = 10;
+  private static final int LARGEST_PROMPT = 20_000;
+
+  private Instant now = Instant.parse("2026-12-02T12:00:00Z");
+
+  /** An engine whose answers come a tenth sooner or later than its line, one in ten far off. */
+  private final class Engine {
+    private final Random random;
+    private double millisPerToken;
+    private int answers;
+
+    Engine(Random random, double millisPerToken) {
+      this.random = random;
+      this.millisPerToken = millisPerToken;
+    }
+
+    void answer(EngineSpeeds speeds, String model) {
+      answers++;
+      int tokens = 500 + random.nextInt(LARGEST_PROMPT);
+      double noise = 0.9 + 0.2 * random.nextDouble();
+      boolean wild = answers % WILD_IN == 0;
+      double millis = (30 + millisPerToken * tokens) * noise * (wild ? 8 : 1);
+      HeadForecast forecast =
+          new HeadForecast(0, speeds.lineOf(model).millisFor(tokens), tokens, true);
+      now = now.plusMillis(200);
+      speeds.answered(UPSTREAM, model, forecast, Duration.ofMillis(Math.round(millis)), now);
+    }
+  }
+
+  private static void assertWithin(double found, double wanted, double share) {
+    assertTrue(Math.abs(found - wanted) <= share * wanted, found + " instead of " + wanted);
+  }
+
+  @Property(seed = SEED)
+  void testAnySpeedWithinTwoDecadesIsFoundInThirtyAnswers(
+      @ForAll @DoubleRange(min = -2.3, max = -0.3) double exponent, @ForAll Random random) {
+    EngineSpeeds speeds = EngineSpeeds.create();
+    double wanted = Math.pow(10, exponent);
+    Engine engine = new Engine(random, wanted);
+    for (int answer = 0; answer < 30; answer++) {
+      engine.answer(speeds, "m");
+    }
+    assertWithin(speeds.lineOf("m").millisPerToken(), wanted, 0.2);
+  }
+
+  @Property(seed = SEED)
+  void testChangeOfSpeedIsFollowedWithinTenAnswers(@ForAll Random random) {
+    EngineSpeeds speeds = EngineSpeeds.create();
+    Engine engine = new Engine(random, 0.02);
+    for (int answer = 0; answer < 30; answer++) {
+      engine.answer(speeds, "m");
+    }
+    engine.millisPerToken = 0.08;
+    for (int answer = 0; answer < 10; answer++) {
+      engine.answer(speeds, "m");
+    }
+    assertTrue(speeds.lineOf("m").millisPerToken() > 0.05, "line " + speeds.lineOf("m"));
+  }
+
+  /** A queue that is told too long must not make the engine seem infinitely quick. */
+  @Example
+  void testAnswersSoonerThanTheWaitDoNotMakeReadingFree() {
+    EngineSpeeds speeds = EngineSpeeds.create();
+    for (int answer = 0; answer < 40; answer++) {
+      double own = speeds.lineOf("m").millisFor(1000 + answer * 100);
+      HeadForecast forecast = new HeadForecast(3000, own, 1000 + answer * 100, true);
+      speeds.answered(UPSTREAM, "m", forecast, Duration.ofMillis(500), now);
+    }
+    assertTrue(speeds.lineOf("m").millisFor(20_000) > 20, "line " + speeds.lineOf("m"));
+  }
+
+  @Example
+  void testModelThatNobodyMeasuredCountsAsSlow() {
+    EngineSpeeds speeds = EngineSpeeds.create();
+    double unmeasured = speeds.lineOf("large").millisPerToken();
+    Engine quick = new Engine(new Random(1), 0.005);
+    for (int answer = 0; answer < 30; answer++) {
+      quick.answer(speeds, "small");
+    }
+    assertEquals(speeds.lineOf("large").millisPerToken(), unmeasured);
+    Engine slow = new Engine(new Random(1), 0.4);
+    for (int answer = 0; answer < 30; answer++) {
+      slow.answer(speeds, "middle");
+    }
+    assertEquals(speeds.lineOf("large"), speeds.lineOf("middle"));
+    ReadingLine told = new ReadingLine(10, 0.1);
+    speeds.heard("large", told);
+    assertEquals(speeds.lineOf("large"), told);
+    speeds.heard("small", told);
+    assertWithin(speeds.lineOf("small").millisPerToken(), 0.005, 0.2);
+  }
+
+  @Example
+  void testSlowUpstreamIsSlowerThanItsModelUntilThatIsLongAgo() {
+    EngineSpeeds speeds = EngineSpeeds.create();
+    HeadForecast forecast = new HeadForecast(0, 200, 4000, false);
+    for (int answer = 0; answer < 5; answer++) {
+      speeds.answered(UPSTREAM, "m", forecast, Duration.ofMillis(1200), now);
+    }
+    assertTrue(speeds.slownessOf(UPSTREAM, now) > 2);
+    assertTrue(speeds.slownessOf(UPSTREAM, now) <= 8.01);
+    assertEquals(speeds.slownessOf("i-2", now), 1.0);
+    assertTrue(speeds.slownessOf(UPSTREAM, now.plusSeconds(30)) < 1.01);
+  }
+
+  @Example
+  void testMemoryIsBounded() {
+    Map<Integer, Integer> map = BoundedMap.ofMost(3);
+    for (int key = 0; key < 100; key++) {
+      map.put(key, key);
+      map.get(0);
+    }
+    assertEquals(map.keySet(), java.util.Set.of(0, 98, 99));
+    EngineSpeeds speeds = EngineSpeeds.create();
+    for (int model = 0; model < 2 * EngineSpeeds.MOST_MODELS; model++) {
+      speeds.heard("m" + model, new ReadingLine(1, 1 + model));
+    }
+    assertEquals(speeds.lineOf("m1").millisPerToken(), speeds.lineOf("none").millisPerToken());
+  }
+}
--- a/org.oatlug.test/tst/org/oatlug/internal/gateway/GatewayDecisionTest.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/gateway/GatewayDecisionTest.java
@@ -31,8 +31,10 @@
 import org.oatlug.gateway.UpstreamRecord;
 import org.oatlug.gateway.WorkspaceKeys;
 import org.oatlug.internal.engine.EngineSpeeds;
+import org.oatlug.internal.engine.HeadForecast;
 import org.oatlug.internal.engine.OpenReading;
 import org.oatlug.internal.rollout.RolloutGuard;
+import org.oatlug.internal.routing.ZoneReach;
 import org.oatlug.internal.util.Json;
 import org.oatlug.platform.StoredObject;
 import org.testng.annotations.BeforeMethod;
@@ -113,7 +115,12 @@
 
   private UpstreamSelection selection() {
     return UpstreamSelection.create(
-        "here", tables, EngineSpeeds.create(), OpenReading.create(), new Random(1));
+        "here",
+        tables,
+        EngineSpeeds.create(),
+        OpenReading.create(),
+        ZoneReach.create(),
+        new Random(1));
   }
 
   private Optional<String> choose(Optional<VersionRule.Wish> wish, Set<String> excluded) {
@@ -260,7 +267,7 @@
             stage,
             confidence,
             Duration.ofMillis(elapsed),
-            model -> EXPECTED));
+            model -> new HeadForecast(0, EXPECTED.toMillis(), 1000, true)));
   }
 
   @Test
--- a/org.oatlug/src/org/oatlug/internal/engine/EngineSpeeds.java
+++ b/org.oatlug/src/org/oatlug/internal/engine/EngineSpeeds.java
@@ -91,6 +91,7 @@
   private Optional<ReadingLine> slowest() {
     return models.values().stream()
         .flatMap(samples -> samples.line().stream())
+        .filter(line -> line.millisPerToken() > UNMEASURED.millisPerToken())
         .max(Comparator.comparingDouble(ReadingLine::millisPerToken));
   }
 
@@ -115,9 +116,10 @@
     noteSlowness(upstream, Math.log(ratio), now);
     ReadingSamples samples = models.computeIfAbsent(model, unused -> new ReadingSamples());
     boolean alone = forecast.waitingMillis() <= forecast.readingMillis();
-    if (forecast.certain() && (alone || !samples.isFull())) {
-      double own = Math.max(0, took.toMillis() - forecast.waitingMillis());
-      samples.add(forecast.unreadTokens(), own);
+    if (forecast.certain() && expected > 0 && (alone || !samples.isFull())) {
+      // What came later or sooner than expected is shared between its own reading and the wait.
+      double share = forecast.readingMillis() / expected;
+      samples.add(forecast.unreadTokens(), took.toMillis() * share);
     }
   }
 
--- a/org.oatlug/src/org/oatlug/internal/engine/HeadForecast.java
+++ b/org.oatlug/src/org/oatlug/internal/engine/HeadForecast.java
@@ -18,6 +18,10 @@
   /** Stands for a request that no engine answers, of which nothing is expected. */
   public static final HeadForecast NONE = new HeadForecast(0, 0, 0, false);
 
+  /** Stands for an answer that no upstream will give. */
+  public static final HeadForecast NEVER =
+      new HeadForecast(Duration.ofDays(1).toMillis(), 0, 0, false);
+
   /** Returns the expected time to the head of the answer. */
   public Duration timeToHead() {
     return Duration.ofMillis(Math.round(waitingMillis + readingMillis));
--- a/org.oatlug/src/org/oatlug/internal/gateway/Exchange.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/Exchange.java
@@ -18,6 +18,7 @@
 import org.oatlug.errors.ErrorText;
 import org.oatlug.gateway.Generation;
 import org.oatlug.gateway.Route;
+import org.oatlug.internal.engine.HeadForecast;
 
 /**
  * The way of one request: attempts at upstreams one after the other until one answers.
@@ -32,9 +33,6 @@
   /** When a refused caller may come back: about the time in which a place becomes free. */
   private static final Duration COME_BACK = Duration.ofMillis(300);
 
-  /** The time to an answer that no upstream will give. */
-  private static final Duration NEVER = Duration.ofDays(1);
-
   /** Below this an attempt cannot bring an answer any more. */
   private static final Duration LEAST_TIME = Duration.ofMillis(30);
 
@@ -206,7 +204,10 @@
             stage,
             confidence,
             elapsed(),
-            name -> best.apply(name).map(one -> one.forecast().timeToHead()).orElse(NEVER));
+            name ->
+                best.apply(name)
+                    .map(UpstreamSelection.Chosen::forecast)
+                    .orElse(HeadForecast.NEVER));
     OptionalInt instead = parts.stages().insteadOf(poor);
     if (instead.isEmpty()) {
       return Optional.empty();
--- a/org.oatlug/src/org/oatlug/internal/gateway/ExchangeAttempt.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/ExchangeAttempt.java
@@ -145,9 +145,10 @@
 
   /** Returns how long the upstream may be silent now. */
   private Duration patience() {
-    return response == null
-        ? parts.times().headPatience(kind())
-        : parts.times().pausePatience(kind());
+    if (response != null) {
+      return parts.times().pausePatience(kind());
+    }
+    return parts.times().headPatience(kind());
   }
 
   /** Ends the attempt at an upstream that is silent for too long, if another one may be asked. */
@@ -201,6 +202,7 @@
   public void head(HttpClientResponse received) {
     response = received;
     endReading();
+    parts.zones().reached(chosen.upstream().zone());
     heard();
     AnswerHead head = parts.adapter().upstreams().read(received);
     head.load()
@@ -385,6 +387,7 @@
     chosen.row().failed(parts.clock().instant());
     describe("failed " + progress + " " + problem);
     if (progress == Progress.NOT_SENT) {
+      parts.zones().notReached(chosen.upstream().zone(), chosen.name(), parts.clock().instant());
       exchange.notReached();
       return;
     }
--- a/org.oatlug/src/org/oatlug/internal/gateway/ExpectedWorth.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/ExpectedWorth.java
@@ -9,6 +9,7 @@
 import org.oatlug.gateway.Generation;
 import org.oatlug.gateway.Route;
 import org.oatlug.gateway.ServiceDefinition;
+import org.oatlug.internal.engine.HeadForecast;
 
 /**
  * Starts with the smallest model and goes straight to the largest when that is worth more.
@@ -21,7 +22,7 @@
  */
 final class ExpectedWorth implements StageRule {
   /** The confidence at which an answer is as often good as not; the best of the trials. */
-  private static final double EVEN_CONFIDENCE = 47;
+  private static final double EVEN_CONFIDENCE = 38;
 
   /** How much confidence makes an answer surer, as the scale of a logistic; best of the trials. */
   private static final double CONFIDENCE_SCALE = 8;
@@ -47,6 +48,9 @@
   /** The tokens made that the price of a model is for. */
   private static final double COST_TOKENS = 1000;
 
+  /** What reading for as long as the goal of the request costs others, as a share of its worth. */
+  private static final double READING_LOSS = 1.0;
+
   private final GatewayTables tables;
   private final AnswerTimes times;
 
@@ -74,7 +78,11 @@
     double good = chanceOfGood(answer.confidence());
     double taken = good + (1 - good) * POOR_WORTH;
     String model = answer.route().models().get(largest);
-    double asked = worthInTime(answer, model) - relativePrice(answer, model);
+    HeadForecast forecast = answer.expected().apply(model);
+    double asked =
+        worthInTime(answer, model, forecast)
+            - relativePrice(answer, model)
+            - lossOfOthers(answer, forecast);
     return asked > taken + LEAST_GAIN ? OptionalInt.of(largest) : OptionalInt.empty();
   }
 
@@ -82,10 +90,17 @@
     return 1 / (1 + Math.exp((EVEN_CONFIDENCE - confidence) / CONFIDENCE_SCALE));
   }
 
-  private double worthInTime(Poor answer, String model) {
+  /**
+   * Returns what others lose while the engine reads the prompt: they wait for it, and the later
+   * they begin the more of them are late.
+   */
+  private static double lossOfOthers(Poor answer, HeadForecast forecast) {
+    return READING_LOSS * forecast.readingMillis() / answer.route().goalMillis();
+  }
+
+  private double worthInTime(Poor answer, String model, HeadForecast forecast) {
     Duration left = Duration.ofMillis(answer.route().goalMillis()).minus(answer.elapsed());
-    AnswerTimes.Kind kind =
-        new AnswerTimes.Kind(answer.route(), model, answer.expected().apply(model));
+    AnswerTimes.Kind kind = new AnswerTimes.Kind(answer.route(), model, forecast.timeToHead());
     double inTime = times.chanceOfHeadWithin(kind, left);
     return inTime + (1 - inTime) * LATE_WORTH;
   }
--- a/org.oatlug/src/org/oatlug/internal/gateway/GatewayParts.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/GatewayParts.java
@@ -12,6 +12,7 @@
 import org.oatlug.internal.engine.EngineSpeeds;
 import org.oatlug.internal.engine.OpenReading;
 import org.oatlug.internal.metrics.Meters;
+import org.oatlug.internal.routing.ZoneReach;
 
 /**
  * The parts of one instance that requests use. Immutable; its parts belong to one event loop.
@@ -24,6 +25,7 @@
  * @param tables the tables
  * @param speeds how fast engines read
  * @param reading which prompts wait at upstreams
+ * @param zones which availability zones are reached
  * @param selection chooses upstreams
  * @param stages chooses models of cascades
  * @param versions chooses versions while a roll-out runs
@@ -42,6 +44,7 @@
     GatewayTables tables,
     EngineSpeeds speeds,
     OpenReading reading,
+    ZoneReach zones,
     UpstreamSelection selection,
     StageRule stages,
     VersionRule versions,
@@ -63,6 +66,7 @@
     AnswerTimes times = AnswerTimes.create(clock);
     EngineSpeeds speeds = EngineSpeeds.create();
     OpenReading reading = OpenReading.create();
+    ZoneReach zones = ZoneReach.create();
     return new GatewayParts(
         vertx,
         settings,
@@ -72,7 +76,8 @@
         tables,
         speeds,
         reading,
-        UpstreamSelection.create(settings.zone(), tables, speeds, reading, random),
+        zones,
+        UpstreamSelection.create(settings.zone(), tables, speeds, reading, zones, random),
         ExpectedWorth.create(tables, times),
         versions,
         RetryBudgets.within(settings.bounds()),
--- a/org.oatlug/src/org/oatlug/internal/gateway/RouteExplanation.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/RouteExplanation.java
@@ -15,6 +15,7 @@
 import org.oatlug.gateway.Route;
 import org.oatlug.gateway.RouteKind;
 import org.oatlug.gateway.UpstreamRecord;
+import org.oatlug.internal.engine.HeadForecast;
 
 /**
  * What an instance would do with a request now, and why. Immutable.
@@ -144,7 +145,7 @@
               stage,
               confidence,
               Duration.ZERO,
-              model -> timeToHead(parts, wanted, model));
+              model -> forecast(parts, wanted, model));
       if (parts.stages().insteadOf(answer).isEmpty()) {
         return confidence;
       }
@@ -152,13 +153,13 @@
     return MOST_CONFIDENCE;
   }
 
-  private static Duration timeToHead(
+  private static HeadForecast forecast(
       GatewayParts parts, UpstreamSelection.Wanted wanted, String model) {
     return parts
         .selection()
         .choose(wanted.of(model), parts.clock().instant())
-        .map(chosen -> chosen.forecast().timeToHead())
-        .orElse(Duration.ZERO);
+        .map(UpstreamSelection.Chosen::forecast)
+        .orElse(HeadForecast.NEVER);
   }
 
   private static List<Candidate> candidates(GatewayParts parts, UpstreamSelection.Wanted wanted) {
--- a/org.oatlug/src/org/oatlug/internal/gateway/StageRule.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/StageRule.java
@@ -8,6 +8,7 @@
 import java.util.function.Function;
 import org.oatlug.gateway.Generation;
 import org.oatlug.gateway.Route;
+import org.oatlug.internal.engine.HeadForecast;
 
 /**
  * Which model of a cascade answers first, and which one is asked instead when an answer seems poor.
@@ -28,7 +29,7 @@
    * @param stage the stage that answers
    * @param confidence the model's opinion of its answer, 0 to 100
    * @param elapsed how long the caller has waited
-   * @param expected how long another model would take to begin its answer
+   * @param expected what is expected of another model where it would be asked
    */
   record Poor(
       Route route,
@@ -37,7 +38,7 @@
       int stage,
       int confidence,
       Duration elapsed,
-      Function<String, Duration> expected) {}
+      Function<String, HeadForecast> expected) {}
 
   /** Returns the stage to ask instead of taking the answer, empty to take it. */
   OptionalInt insteadOf(Poor answer);
--- a/org.oatlug/src/org/oatlug/internal/gateway/UpstreamSelection.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/UpstreamSelection.java
@@ -18,6 +18,7 @@
 import org.oatlug.internal.engine.HeadForecast;
 import org.oatlug.internal.engine.OpenReading;
 import org.oatlug.internal.routing.PlacementCost;
+import org.oatlug.internal.routing.ZoneReach;
 import org.oatlug.internal.table.UpstreamRow;
 import org.oatlug.internal.util.Hashes;
 
@@ -38,6 +39,7 @@
   private final GatewayTables tables;
   private final EngineSpeeds speeds;
   private final OpenReading reading;
+  private final ZoneReach zones;
   private final RandomGenerator random;
 
   private UpstreamSelection(
@@ -45,11 +47,13 @@
       GatewayTables tables,
       EngineSpeeds speeds,
       OpenReading reading,
+      ZoneReach zones,
       RandomGenerator random) {
     this.zone = zone;
     this.tables = tables;
     this.speeds = speeds;
     this.reading = reading;
+    this.zones = zones;
     this.random = random;
   }
 
@@ -59,8 +63,9 @@
       GatewayTables tables,
       EngineSpeeds speeds,
       OpenReading reading,
+      ZoneReach zones,
       RandomGenerator random) {
-    return new UpstreamSelection(zone, tables, speeds, reading, random);
+    return new UpstreamSelection(zone, tables, speeds, reading, zones, random);
   }
 
   /**
@@ -141,13 +146,15 @@
   }
 
   private PlacementCost.Place place(Candidate candidate, HeadForecast forecast, Instant now) {
+    boolean otherZone = !candidate.upstream().zone().equals(zone);
+    boolean cutOff = otherZone && zones.isCutOff(candidate.upstream().zone(), now);
     return new PlacementCost.Place(
         forecast,
         tables.loads().estimatedLoad(candidate.row()),
         Math.max(1, candidate.upstream().slots()),
-        !candidate.upstream().zone().equals(zone),
+        otherZone,
         candidate.row().failureShare(now),
-        candidate.row().ejected(now));
+        cutOff || candidate.row().ejected(now));
   }
 
   private List<Candidate> candidates(Wanted wanted, boolean asWished) {
--- a/org.oatlug/src/org/oatlug/internal/routing/PlacementCost.java
+++ b/org.oatlug/src/org/oatlug/internal/routing/PlacementCost.java
@@ -20,7 +20,7 @@
    * What a kilobyte of a prompt costs on its way into another zone, in milliseconds: bytes between
    * zones have a price, a long wait costs most of what an answer is worth. Best of the trials.
    */
-  private static final double OTHER_ZONE_MILLIS_PER_KILOBYTE = 24;
+  private static final double OTHER_ZONE_MILLIS_PER_KILOBYTE = 50;
 
   private static final double KILOBYTE = 1000;
 
@@ -40,7 +40,7 @@
   private static final double FAILING_MILLIS = 800;
 
   /** How often the reading of a prompt counts: for the request itself and for those behind it. */
-  private static final double READING_WEIGHT = 1;
+  private static final double READING_WEIGHT = 2;
 
   private PlacementCost() {}
 
