--- a/org.oatlug/src/org/oatlug/internal/engine/OpenReadingSystem.java
+++ b/org.oatlug/src/org/oatlug/internal/engine/OpenReadingSystem.java
@@ -21,8 +21,8 @@
  * takes in what they tell.
  *
  * <p>Invariants: nothing is sent while nothing changed and what was told still counts; each peer is
- * told at most once in {@link #LEAST_PAUSE}, and the more seldom the more peers there are, so that
- * an instance sends a bounded number of messages. Owned by one event loop, not thread-safe.
+ * told at most once in a pause that grows with the number of peers, so that an instance sends a
+ * bounded number of messages. Owned by one event loop, not thread-safe.
  */
 public final class OpenReadingSystem implements TickSystem {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
@@ -33,8 +33,11 @@
   /** The same between availability zones, where bytes have a price. */
   private static final Duration LEAST_PAUSE_BETWEEN_ZONES = Duration.ofMillis(300);
 
-  /** How much longer the pause is for each peer: at most 50 messages a second, 2 KB or so. */
-  private static final Duration PAUSE_PER_PEER = Duration.ofMillis(20);
+  /**
+   * How much longer the pause is for each instance, so that 20 messages are sent a second at most.
+   * Where the pause would outlast what is told, nothing is: each instance then goes by its own.
+   */
+  private static final Duration PAUSE_PER_PEER = Duration.ofMillis(50);
 
   /** How long a peer may take to answer; a lost message is made good by the next. */
   private static final Duration PATIENCE = Duration.ofMillis(500);
@@ -110,7 +113,8 @@
       if (since.compareTo(leastPause) < 0) {
         return;
       }
-      if (since.compareTo(PAUSE_PER_PEER.multipliedBy(membership.live().size())) < 0) {
+      Duration pause = PAUSE_PER_PEER.multipliedBy(membership.live().size());
+      if (since.compareTo(pause) < 0 || pause.compareTo(OpenReading.VALID) > 0) {
         return;
       }
       Map<String, Integer> open = reading.own();
--- a/org.oatlug/src/org/oatlug/internal/gateway/ExchangeAttempt.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/ExchangeAttempt.java
@@ -20,6 +20,7 @@
 import org.oatlug.gateway.RouteKind;
 import org.oatlug.gateway.WorkspaceKeys;
 import org.oatlug.internal.engine.HeadForecast;
+import org.oatlug.internal.routing.Urgency;
 
 /**
  * One attempt of an exchange at one upstream, and what becomes of its answer.
@@ -33,13 +34,6 @@
   private static final String EVENT_STREAM = "text/event-stream";
   private static final int FIRST_SERVER_ERROR = 500;
   private static final int OK = 200;
-  private static final int LEAST_URGENT = 9;
-
-  /** A prompt whose reading takes less than this share of its goal delays nobody much. */
-  private static final double BRIEF_SHARE_OF_GOAL = 0.1;
-
-  /** By how much a long prompt is less urgent than brief ones of the same rank. */
-  private static final int LONG_READING_STEP = 3;
 
   private final Exchange exchange;
   private final GatewayParts parts;
@@ -176,8 +170,7 @@
 
   private int priority() {
     int wanted = incoming.workspace().flatMap(WorkspaceKeys::priority).orElse(route.priority());
-    boolean brief = chosen.forecast().readingMillis() < BRIEF_SHARE_OF_GOAL * route.goalMillis();
-    return Math.min(LEAST_URGENT, brief ? wanted : wanted + LONG_READING_STEP);
+    return Urgency.of(wanted, chosen.forecast(), route.goalMillis());
   }
 
   /** Ends the attempt without a result. */
--- a/org.oatlug/src/org/oatlug/internal/gateway/ExpectedWorth.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/ExpectedWorth.java
@@ -22,7 +22,7 @@
  */
 final class ExpectedWorth implements StageRule {
   /** The confidence at which an answer is as often good as not; the best of the trials. */
-  private static final double EVEN_CONFIDENCE = 38;
+  private static final double EVEN_CONFIDENCE = 43;
 
   /** How much confidence makes an answer surer, as the scale of a logistic; best of the trials. */
   private static final double CONFIDENCE_SCALE = 8;
@@ -49,7 +49,7 @@
   private static final double COST_TOKENS = 1000;
 
   /** What reading for as long as the goal of the request costs others, as a share of its worth. */
-  private static final double READING_LOSS = 1.0;
+  private static final double READING_LOSS = 2.0;
 
   private final GatewayTables tables;
   private final AnswerTimes times;
