Test what is learned of engines, and mend a line that fell to nothing

Reading is now never taken for less than half of the answer's time where the wait was short, and long waits teach only an upper bound. A change of speed is told by five misses in a row.

--- a/org.oatlug.test/tst/org/oatlug/internal/gateway/GatewayDecisionTest.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/gateway/GatewayDecisionTest.java
@@ -5,12 +5,14 @@
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertNotEquals;
 import static org.testng.Assert.assertTrue;
 
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
 import java.util.Arrays;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -33,6 +35,7 @@
 import org.oatlug.internal.engine.EngineSpeeds;
 import org.oatlug.internal.engine.HeadForecast;
 import org.oatlug.internal.engine.OpenReading;
+import org.oatlug.internal.engine.ReadingLine;
 import org.oatlug.internal.rollout.RolloutGuard;
 import org.oatlug.internal.routing.ZoneReach;
 import org.oatlug.internal.util.Json;
@@ -256,6 +259,81 @@
     assertEquals(text.prompt().size(), 2);
   }
 
+  /** The upstream that an instance of the zone sends the prompt to, with engines of a speed. */
+  private String placed(String zone, double millisPerToken, OpenReading reading, ZoneReach zones) {
+    EngineSpeeds speeds = EngineSpeeds.create();
+    speeds.heard("m", new ReadingLine(20, millisPerToken));
+    UpstreamSelection selection =
+        UpstreamSelection.create(zone, tables, speeds, reading, zones, new Random(1));
+    List<PromptPart> parts = List.of(new PromptPart(7, 13_000), new PromptPart(8, 4000));
+    Generation text = new Generation("*", 17_000, 300, parts, OptionalInt.empty());
+    UpstreamSelection.Wanted wanted =
+        new UpstreamSelection.Wanted(
+            "pool", Optional.empty(), Optional.of("m"), Optional.of(text), 17_000, Set.of());
+    return selection.choose(wanted, now).orElseThrow().name();
+  }
+
+  private void upstreamsOfThreeZones() {
+    for (String zone : List.of("a", "b", "c")) {
+      for (int number = 0; number < 3; number++) {
+        upstream("i-" + zone + number, zone, "v1", false);
+      }
+    }
+  }
+
+  @Test
+  public void testSharedPartHasOneHomeWhereReadingItAgainTakesLong() {
+    upstreamsOfThreeZones();
+    Set<String> slow = new HashSet<>();
+    Set<String> quick = new HashSet<>();
+    for (String zone : List.of("a", "b", "c")) {
+      slow.add(placed(zone, 0.2, OpenReading.create(), ZoneReach.create()));
+      String near = placed(zone, 0.008, OpenReading.create(), ZoneReach.create());
+      assertTrue(near.startsWith("i-" + zone), near + " for " + zone);
+      quick.add(near);
+    }
+    assertEquals(slow.size(), 1, "homes " + slow);
+    assertEquals(quick.size(), 3, "one home a zone");
+  }
+
+  @Test
+  public void testHomeThatIsBusyOrCutOffGivesWay() {
+    upstreamsOfThreeZones();
+    String home = placed("a", 0.2, OpenReading.create(), ZoneReach.create());
+    OpenReading reading = OpenReading.create();
+    reading.heard("peer", Map.of(home, 20_000), now);
+    assertNotEquals(placed("a", 0.2, reading, ZoneReach.create()), home);
+    String homeZone = tables.upstream(home).orElseThrow().zone();
+    String away = homeZone.equals("a") ? "b" : "a";
+    ZoneReach zones = ZoneReach.create();
+    zones.notReached(homeZone, "i-x", now);
+    zones.notReached(homeZone, "i-y", now);
+    String other = placed(away, 0.2, OpenReading.create(), zones);
+    assertNotEquals(tables.upstream(other).orElseThrow().zone(), homeZone);
+  }
+
+  @Test
+  public void testAnswerThatMayBeGoodIsTakenWhereReadingAgainDelaysOthers() {
+    configuration(1, "k");
+    AnswerTimes times = AnswerTimes.create(clock);
+    assertEquals(instead(times, 40, 50), OptionalInt.of(2));
+    assertEquals(instead(times, 40, 900), OptionalInt.empty());
+    assertEquals(instead(times, 5, 500), OptionalInt.of(2), "a poor one is not");
+  }
+
+  private OptionalInt instead(AnswerTimes times, int confidence, int readingMillis) {
+    return ExpectedWorth.create(tables, times)
+        .insteadOf(
+            new StageRule.Poor(
+                route("a", "/x/"),
+                "pool",
+                generation(1000, 300),
+                0,
+                confidence,
+                Duration.ofMillis(100),
+                model -> new HeadForecast(0, readingMillis, 1000, true)));
+  }
+
   private OptionalInt instead(AnswerTimes times, int stage, int confidence, long elapsed) {
     Route route = route("a", "/x/");
     ExpectedWorth rule = ExpectedWorth.create(tables, times);
--- a/org.oatlug/src/org/oatlug/internal/engine/EngineSpeeds.java
+++ b/org.oatlug/src/org/oatlug/internal/engine/EngineSpeeds.java
@@ -8,6 +8,7 @@
 import java.util.Comparator;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.TreeMap;
 import org.oatlug.internal.util.BoundedMap;
 
@@ -114,15 +115,29 @@
     double expected = forecast.waitingMillis() + forecast.readingMillis();
     double ratio = (took.toMillis() + GRAIN_MILLIS) / (expected + GRAIN_MILLIS);
     noteSlowness(upstream, Math.log(ratio), now);
-    ReadingSamples samples = models.computeIfAbsent(model, unused -> new ReadingSamples());
-    boolean alone = forecast.waitingMillis() <= forecast.readingMillis();
-    if (forecast.certain() && expected > 0 && (alone || !samples.isFull())) {
-      // What came later or sooner than expected is shared between its own reading and the wait.
-      double share = forecast.readingMillis() / expected;
-      samples.add(forecast.unreadTokens(), took.toMillis() * share);
+    if (forecast.certain() && expected > 0) {
+      ownReading(forecast, took.toMillis())
+          .ifPresent(millis -> samplesOf(model).add(forecast.unreadTokens(), millis));
     }
   }
 
+  /**
+   * Returns how long the own prompt was read, empty if that cannot be told from a long wait. Never
+   * longer than the answer took and, where the wait was short, at least half as long: so no belief
+   * about what waits can make reading seem free.
+   */
+  private static OptionalDouble ownReading(HeadForecast forecast, double took) {
+    double reading = forecast.readingMillis();
+    if (forecast.waitingMillis() <= reading) {
+      return OptionalDouble.of(took * reading / (forecast.waitingMillis() + reading));
+    }
+    return reading > took ? OptionalDouble.of(took) : OptionalDouble.empty();
+  }
+
+  private ReadingSamples samplesOf(String model) {
+    return models.computeIfAbsent(model, unused -> new ReadingSamples());
+  }
+
   private void noteSlowness(String upstream, double logarithm, Instant now) {
     double bounded = Math.max(-MOST_LOGARITHM, Math.min(MOST_LOGARITHM, logarithm));
     Slowness before = upstreams.get(upstream);
--- a/org.oatlug/src/org/oatlug/internal/engine/ReadingSamples.java
+++ b/org.oatlug/src/org/oatlug/internal/engine/ReadingSamples.java
@@ -12,15 +12,22 @@
  * <p>The line is the one of Theil and Sen: the median of the slopes of all pairs of answers, so
  * that an answer in four may be wild, because its prompt was not kept as believed or it waited for
  * a request that nobody here knew. The origin pairs with each answer too, so that prompts of one
- * size have a slope. Invariants: at most {@link #KEPT} answers are held, the oldest goes first; the
- * line rises. Owned by one event loop, not thread-safe.
+ * size have a slope. Invariants: at most {@link #KEPT} answers are held, the oldest goes first;
+ * after {@link #CHANGED_AFTER} answers in a row that miss the line on one side only these are held;
+ * the line rises. Owned by one event loop, not thread-safe.
  */
 final class ReadingSamples {
   /**
-   * How many answers count: enough that a tenth of wild ones does not move the line by a fifth, and
-   * so few that ten answers of another speed outweigh the ones before; both by property tests.
+   * How many answers count: with these, a tenth of wild ones does not move the line by a fifth, by
+   * property test.
    */
-  static final int KEPT = 15;
+  private static final int KEPT = 15;
+
+  /** So many misses in a row are a change of speed; ten answers after one it is followed. */
+  private static final int CHANGED_AFTER = 5;
+
+  /** An answer that takes this many times what the line says, or that part of it, misses it. */
+  private static final double MISS = 1.5;
 
   /** Fewer answers than this make no line. */
   private static final int LEAST = 3;
@@ -30,8 +37,11 @@
 
   private final double[] tokens = new double[KEPT];
   private final double[] millis = new double[KEPT];
-  private int next;
   private int size;
+
+  /** The misses in a row: above zero if answers took longer, below if they were quicker. */
+  private int misses;
+
   private Optional<ReadingLine> line = Optional.empty();
 
   /**
@@ -41,23 +51,41 @@
    * @param took how long they and the fixed part took, in milliseconds
    */
   void add(double unreadTokens, double took) {
-    tokens[next] = unreadTokens;
-    millis[next] = took;
-    next = (next + 1) % KEPT;
-    size = Math.min(KEPT, size + 1);
+    line.ifPresent(known -> countMiss(took / Math.max(1, known.millisFor(unreadTokens))));
+    if (size == KEPT) {
+      keepLatest(KEPT - 1);
+    }
+    tokens[size] = unreadTokens;
+    millis[size] = took;
+    size++;
+    if (Math.abs(misses) >= CHANGED_AFTER) {
+      keepLatest(CHANGED_AFTER);
+      misses = 0;
+    }
     line = size < LEAST ? Optional.empty() : Optional.of(fit());
   }
 
+  private void countMiss(double ratio) {
+    if (ratio > MISS) {
+      misses = Math.max(0, misses) + 1;
+    } else if (ratio < 1 / MISS) {
+      misses = Math.min(0, misses) - 1;
+    } else {
+      misses = 0;
+    }
+  }
+
+  private void keepLatest(int count) {
+    System.arraycopy(tokens, size - count, tokens, 0, count);
+    System.arraycopy(millis, size - count, millis, 0, count);
+    size = count;
+  }
+
   /** Returns the line through the answers, empty while there are too few. */
   Optional<ReadingLine> line() {
     return line;
   }
 
-  /** Returns whether as many answers are held as there can be. */
-  boolean isFull() {
-    return size == KEPT;
-  }
-
   private ReadingLine fit() {
     double slope = medianSlope();
     double[] rests = new double[size];
--- a/org.oatlug/src/org/oatlug/internal/routing/Urgency.java
+++ b/org.oatlug/src/org/oatlug/internal/routing/Urgency.java
@@ -32,7 +32,7 @@
    * @param goalMillis the time within which its answer is of full use, in milliseconds
    */
   public static int of(int configured, HeadForecast forecast, long goalMillis) {
-    boolean brief = forecast.readingMillis() < BRIEF_SHARE_OF_GOAL * goalMillis;
+    boolean brief = forecast.readingMillis() <= BRIEF_SHARE_OF_GOAL * goalMillis;
     int rank = brief ? configured : configured + LONG_READING_STEP;
     return Math.min(LEAST_URGENT, rank);
   }
