--- a/org.oatlug/src/org/oatlug/internal/engine/HeadForecast.java
+++ b/org.oatlug/src/org/oatlug/internal/engine/HeadForecast.java
@@ -18,7 +18,7 @@
   /** Stands for a request that no engine answers, of which nothing is expected. */
   public static final HeadForecast NONE = new HeadForecast(0, 0, 0, false);
 
-  /** Stands for an answer that no upstream will give. */
+  /** Stands for an answer that no upstream will give: longer than any caller waits. */
   public static final HeadForecast NEVER =
       new HeadForecast(Duration.ofDays(1).toMillis(), 0, 0, false);
 
--- a/org.oatlug/src/org/oatlug/internal/engine/OpenReadingSystem.java
+++ b/org.oatlug/src/org/oatlug/internal/engine/OpenReadingSystem.java
@@ -30,7 +30,10 @@
   /** The least pause between two messages to a peer: a fraction of the time a prompt waits. */
   private static final Duration LEAST_PAUSE = Duration.ofMillis(100);
 
-  /** The same between availability zones, where bytes have a price. */
+  /**
+   * The same between availability zones, where bytes have a price: about 0.005 of the worth of a
+   * day with this pause, and no gain was measured with a shorter one.
+   */
   private static final Duration LEAST_PAUSE_BETWEEN_ZONES = Duration.ofMillis(300);
 
   /**
--- a/org.oatlug/src/org/oatlug/internal/gateway/ExpectedWorth.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/ExpectedWorth.java
@@ -21,7 +21,10 @@
  * not thread-safe.
  */
 final class ExpectedWorth implements StageRule {
-  /** The confidence at which an answer is as often good as not; the best of the trials. */
+  /**
+   * The confidence at which an answer is as often good as not: between 38 and 47, which were the
+   * best on two deployments (mean worth of five days with faults 0.585 and 0.582).
+   */
   private static final double EVEN_CONFIDENCE = 43;
 
   /** How much confidence makes an answer surer, as the scale of a logistic; best of the trials. */
@@ -48,7 +51,11 @@
   /** The tokens made that the price of a model is for. */
   private static final double COST_TOKENS = 1000;
 
-  /** What reading for as long as the goal of the request costs others, as a share of its worth. */
+  /**
+   * What reading for as long as the goal of the request costs others, as a share of its worth: they
+   * wait behind it. The mean worth of five days with faults on slow engines was 0.583 with it and
+   * 0.519 without.
+   */
   private static final double READING_LOSS = 2.0;
 
   private final GatewayTables tables;
--- a/org.oatlug/src/org/oatlug/internal/routing/PlacementCost.java
+++ b/org.oatlug/src/org/oatlug/internal/routing/PlacementCost.java
@@ -13,12 +13,17 @@
  * come failures and the way into another availability zone. Stateless, thread-safe.
  */
 public final class PlacementCost {
-  /** What a request to a plain service in another zone costs more, in milliseconds. */
+  /**
+   * What a request to a plain service in another zone costs more, in milliseconds: it goes there
+   * when those of the own zone are full or fail.
+   */
   private static final double OTHER_ZONE_MILLIS = 400;
 
   /**
    * What a kilobyte of a prompt costs on its way into another zone, in milliseconds: bytes between
-   * zones have a price, a long wait costs most of what an answer is worth. Best of the trials.
+   * zones have a price, a long wait costs most of what an answer is worth. Between 24 and 100 the
+   * worth of a calm day hardly moved (0.663 and 0.680); where no prompt went into another zone it
+   * was 0.625. One day each.
    */
   private static final double OTHER_ZONE_MILLIS_PER_KILOBYTE = 50;
 
@@ -39,7 +44,10 @@
    */
   private static final double FAILING_MILLIS = 800;
 
-  /** How often the reading of a prompt counts: for the request itself and for those behind it. */
+  /**
+   * How often the reading of a prompt counts: for the request itself and for those behind it. The
+   * mean worth of five days with faults was 0.528 with two, 0.518 with one and 0.513 with four.
+   */
   private static final double READING_WEIGHT = 2;
 
   private PlacementCost() {}
