Close connections between instances that are silent without a reset

Cause: a connection whose path was lost without a reset stayed open, every question on it timed out, and no other was opened; news between instances then went only through the store. After two questions in a row without any sign of the peer the connection is closed and the next question opens another.

testSilentConnectionIsReplacedByAnother fails before (no question answered within 40 s) and passes after; MembershipTest passes.

--- a/org.oatlug/src/org/oatlug/internal/peer/PeerConnection.java
+++ b/org.oatlug/src/org/oatlug/internal/peer/PeerConnection.java
@@ -18,18 +18,24 @@
 /**
  * One connection between two instances, after the handshake.
  *
- * <p>Invariant: each question ends exactly once: with its answer, a time-out, or the end of the
- * connection. An answer that comes late is dropped. Used from one event loop.
+ * <p>Invariants: each question ends exactly once: with its answer, a time-out, or the end of the
+ * connection. An answer that comes late is dropped. A connection that is silent while questions are
+ * open is closed, so that the next question opens another: a path may lose a connection without a
+ * reset while new ones work. Used from one event loop.
  */
 final class PeerConnection implements Frames.Receiver {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
+  /** After so many questions in a row without any sign of the peer the connection is closed. */
+  private static final int MOST_UNANSWERED = 2;
+
   private final Vertx vertx;
   private final NetSocket socket;
   private final Member peer;
   private final PeerHandler handler;
   private final Map<Long, Consumer<PeerMessage>> waiting = new HashMap<>();
   private long lastId;
+  private int unanswered;
   private boolean closed;
 
   PeerConnection(Vertx vertx, NetSocket socket, Member peer, PeerHandler handler) {
@@ -65,7 +71,7 @@
       return;
     }
     long id = ++lastId;
-    long timer = vertx.setTimer(patience.toMillis(), unused -> finish(id, null));
+    long timer = vertx.setTimer(patience.toMillis(), unused -> timedOut(id));
     waiting.put(
         id,
         answer -> {
@@ -79,8 +85,19 @@
     socket.write(Frames.encode(new Frames.Envelope(id, false, message)));
   }
 
+  private void timedOut(long id) {
+    finish(id, null);
+    unanswered++;
+    if (unanswered >= MOST_UNANSWERED && !closed) {
+      logger.atInfo().log("connection with %s is silent and is closed", peer.name());
+      closed();
+      socket.close();
+    }
+  }
+
   @Override
   public void received(Frames.Envelope envelope) {
+    unanswered = 0;
     if (envelope.answer()) {
       finish(envelope.id(), envelope.message());
       return;
