--- a/org.oatlug/src/org/oatlug/internal/table/UpstreamRow.java
+++ b/org.oatlug/src/org/oatlug/internal/table/UpstreamRow.java
@@ -5,8 +5,8 @@
 
 import java.time.Duration;
 import java.time.Instant;
-import java.util.LinkedHashMap;
 import java.util.Map;
+import org.oatlug.internal.util.BoundedMap;
 import org.oatlug.internal.util.Hashes;
 
 /**
@@ -32,15 +32,7 @@
 
   private final String name;
   private final long nameHash;
-  private final Map<Long, Boolean> prefixes =
-      new LinkedHashMap<>(16, 0.75f, true) {
-        private static final long serialVersionUID = 1L;
-
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<Long, Boolean> eldest) {
-          return size() > REMEMBERED_PREFIXES;
-        }
-      };
+  private final Map<Long, Boolean> prefixes = BoundedMap.ofMost(REMEMBERED_PREFIXES);
   private int inFlight;
   private int reportedRunning;
   private int reportedWaiting;
