Ask the largest model on a route without a goal too

Cause: what others lose was divided by the goal of the route, so that a route without one never left the smallest model. testRouteWithoutGoalStillGetsBetterAnswers failed before. Routes with a goal are decided as before.

--- a/org.oatlug.test/tst/org/oatlug/internal/gateway/GatewayDecisionTest.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/gateway/GatewayDecisionTest.java
@@ -60,13 +60,17 @@
   }
 
   private static Route route(String host, String prefix) {
+    return route(host, prefix, 2000);
+  }
+
+  private static Route route(String host, String prefix, long goalMillis) {
     return new Route(
         host + prefix,
         host,
         prefix,
         RouteKind.STREAM,
         20_000,
-        2000,
+        goalMillis,
         3,
         1,
         false,
@@ -321,11 +325,22 @@
     assertEquals(instead(times, 5, 500), OptionalInt.of(2), "a poor one is not");
   }
 
+  @Test
+  public void testRouteWithoutGoalStillGetsBetterAnswers() {
+    configuration(1, "k");
+    Route withoutGoal = route("a", "/x/", 0);
+    assertEquals(instead(withoutGoal, AnswerTimes.create(clock), 0, 300), OptionalInt.of(2));
+  }
+
   private OptionalInt instead(AnswerTimes times, int confidence, int readingMillis) {
+    return instead(route("a", "/x/"), times, confidence, readingMillis);
+  }
+
+  private OptionalInt instead(Route route, AnswerTimes times, int confidence, int readingMillis) {
     return ExpectedWorth.create(tables, times)
         .insteadOf(
             new StageRule.Poor(
-                route("a", "/x/"),
+                route,
                 "pool",
                 generation(1000, 300),
                 0,
--- a/org.oatlug/src/org/oatlug/internal/gateway/ExpectedWorth.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/ExpectedWorth.java
@@ -99,10 +99,11 @@
 
   /**
    * Returns what others lose while the engine reads the prompt: they wait for it, and the later
-   * they begin the more of them are late.
+   * they begin the more of them are late. On a route without a goal nobody is late.
    */
   private static double lossOfOthers(Poor answer, HeadForecast forecast) {
-    return READING_LOSS * forecast.readingMillis() / answer.route().goalMillis();
+    long goal = answer.route().goalMillis();
+    return goal > 0 ? READING_LOSS * forecast.readingMillis() / goal : 0;
   }
 
   private double worthInTime(Poor answer, String model, HeadForecast forecast) {
