Log which way news came, pushes that fail, and what attempts believed

Cause: the hypotheses of the incident could not be told apart. A line about an upstream said neither which way the news came nor from whom, a failed push left no line, an attempt did not say which revision of the entry it believed. Change: the fields by= and from= on lines about objects, a line for a push that is not taken (at most 20 a second), a line when the reader's role changes, revision= on the line of an attempt, and a line when a request is written though its upstream is known to leave. Behaviour is unchanged, except that the role of reader is worked out once a tick and not once for each watch.

--- a/org.oatlug/src/org/oatlug/internal/config/Catalogue.java
+++ b/org.oatlug/src/org/oatlug/internal/config/Catalogue.java
@@ -56,7 +56,7 @@
   }
 
   @Override
-  public List<StoredObject> mergeAll(List<StoredObject> objects) {
+  public List<StoredObject> mergeAll(List<StoredObject> objects, Origin origin) {
     List<StoredObject> fresh = new ArrayList<>();
     Set<String> kinds = new TreeSet<>();
     for (StoredObject object : objects) {
--- a/org.oatlug/src/org/oatlug/internal/config/ConfigurationSystem.java
+++ b/org.oatlug/src/org/oatlug/internal/config/ConfigurationSystem.java
@@ -14,6 +14,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 import org.oatlug.api.ObjectKey;
 import org.oatlug.config.Kinds;
@@ -53,6 +54,9 @@
    */
   private static final Duration LAPSE_GRACE = Duration.ofMillis(1800);
 
+  /** At most a line each so many milliseconds tells of pushes that were not taken. */
+  private static final int LOST_PUSH_LINES_MILLIS = 50;
+
   private static final int TREE_WIDTH = 4;
   private static final int WATCHES_PER_BOUND = 3;
   private static final int REMOTE_RECEIVERS = 2;
@@ -66,6 +70,7 @@
   private final RandomGenerator random;
   private final Meters meters;
   private final List<Watch> watches;
+  private boolean reader;
   private Instant nextExchange = Instant.EPOCH;
   private Instant nextInstances = Instant.EPOCH;
 
@@ -112,6 +117,7 @@
   @Override
   public void tick() {
     Instant now = clock.instant();
+    noteRole();
     readInstances(now);
     watches.forEach(watch -> watch.tick(now));
     exchange(now);
@@ -130,7 +136,8 @@
       return Uni.createFrom().item(answer);
     }
     PeerMessage.Objects objects = (PeerMessage.Objects) message;
-    List<StoredObject> fresh = this.objects.mergeAll(objects.objects());
+    List<StoredObject> fresh =
+        this.objects.mergeAll(objects.objects(), Origin.pushedBy(from.name()));
     if (objects.forward() && !fresh.isEmpty()) {
       forward(fresh, false);
     }
@@ -143,12 +150,21 @@
     return listOnce().onFailure().recoverWithUni(unused -> withPeer).onFailure().recoverWithNull();
   }
 
+  private void noteRole() {
+    boolean isReader = membership.isReader();
+    if (isReader != reader) {
+      reader = isReader;
+      String role = reader ? "reads the store for its zone" : "leaves the store to other readers";
+      logger.atInfo().log("this instance %s", role);
+    }
+  }
+
   private void readInstances(Instant now) {
     if (now.isBefore(nextInstances)) {
       return;
     }
     nextInstances = now.plus(INSTANCES_INTERVAL);
-    if (!membership.isReader() && !membership.zonePeers().isEmpty()) {
+    if (!reader && !membership.zonePeers().isEmpty()) {
       return;
     }
     platform.instances().subscribe().with(membership::listed, failure -> {});
@@ -176,11 +192,12 @@
     return gone;
   }
 
-  private void received(List<StoredObject> received, long revision) {
+  private void received(List<StoredObject> received, long revision, Origin origin) {
     freshness.learn(Duration.ZERO, clock.instant());
-    List<StoredObject> fresh = objects.mergeAll(received);
+    List<StoredObject> fresh = objects.mergeAll(received, origin);
     if (!fresh.isEmpty()) {
-      logger.atInfo().log("%d objects came into force at revision %d", fresh.size(), revision);
+      logger.atInfo().log(
+          "%d objects came into force at revision %d %s", fresh.size(), revision, origin);
       forward(fresh, true);
     }
   }
@@ -199,7 +216,7 @@
     }
 
     void tick(Instant now) {
-      if (waiting || now.isBefore(nextCall) || !membership.isReader()) {
+      if (waiting || now.isBefore(nextCall) || !reader) {
         return;
       }
       waiting = true;
@@ -222,7 +239,7 @@
         nextList = clock.instant().plus(LIST_INTERVAL);
         all.addAll(vanished(kinds, batch));
       }
-      received(all, revision);
+      received(all, revision, Origin.LIST);
     }
 
     private Uni<Void> watchOnce() {
@@ -234,7 +251,7 @@
 
     private void changed(Platform.Batch batch) {
       revision = batch.revision();
-      received(batch.objects(), revision);
+      received(batch.objects(), revision, Origin.WATCH);
     }
 
     private void succeeded() {
@@ -267,13 +284,12 @@
    *     to a few instances of other zones, which may be cut from it
    */
   private void forward(List<StoredObject> objects, boolean fromPlatform) {
-    long newest = objects.stream().mapToLong(StoredObject::version).max().orElse(0);
     List<Member> zone = new ArrayList<>(membership.zonePeers());
     zone.add(membership.self());
     List<String> names = zone.stream().map(Member::name).toList();
-    List<String> order = Hashes.rendezvous("tree-" + newest, names);
+    List<String> order = Hashes.rendezvous("tree-" + newestOf(objects), names);
     int position = order.indexOf(membership.self().name());
-    PeerMessage message = new PeerMessage.Objects(objects, age(), true);
+    PeerMessage.Objects message = new PeerMessage.Objects(objects, age(), true);
     for (Member peer : zone) {
       int rank = order.indexOf(peer.name());
       boolean child = rank > 0 && (rank - 1) / TREE_WIDTH == position;
@@ -299,11 +315,22 @@
     return receivers;
   }
 
-  private void send(Member peer, PeerMessage message) {
+  private void send(Member peer, PeerMessage.Objects message) {
     network
         .ask(peer, message, PATIENCE)
         .subscribe()
-        .with(answer -> {}, failure -> meters.count("retry.peer-objects"));
+        .with(answer -> {}, failure -> notTaken(peer, message, failure));
+  }
+
+  private void notTaken(Member peer, PeerMessage.Objects message, Throwable failure) {
+    meters.count("retry.peer-objects");
+    logger.atInfo().atMostEvery(LOST_PUSH_LINES_MILLIS, TimeUnit.MILLISECONDS).log(
+        "%d objects up to revision %d did not reach %s: %s",
+        message.objects().size(), newestOf(message.objects()), peer.name(), failure.getMessage());
+  }
+
+  private static long newestOf(List<StoredObject> objects) {
+    return objects.stream().mapToLong(StoredObject::version).max().orElse(0);
   }
 
   private void exchange(Instant now) {
@@ -354,12 +381,13 @@
     long[] own = objects.join().bucketDigests();
     return network
         .ask(peer, new PeerMessage.BucketDigests(own, age()), PATIENCE)
-        .invoke(answer -> takeDifference((PeerMessage.Objects) answer))
+        .invoke(answer -> takeDifference(peer, (PeerMessage.Objects) answer))
         .replaceWithVoid();
   }
 
-  private void takeDifference(PeerMessage.Objects objects) {
-    List<StoredObject> fresh = this.objects.mergeAll(objects.objects());
+  private void takeDifference(Member peer, PeerMessage.Objects objects) {
+    List<StoredObject> fresh =
+        this.objects.mergeAll(objects.objects(), Origin.comparedWith(peer.name()));
     learnAge(objects.contactAge());
     if (!fresh.isEmpty()) {
       meters.count("configuration.repaired");
--- a/org.oatlug/src/org/oatlug/internal/config/ObjectSink.java
+++ b/org.oatlug/src/org/oatlug/internal/config/ObjectSink.java
@@ -10,7 +10,12 @@
 public interface ObjectSink {
 
   /** Takes objects in and returns those that were newer than what was known. */
-  List<StoredObject> mergeAll(List<StoredObject> objects);
+  List<StoredObject> mergeAll(List<StoredObject> objects, Origin origin);
+
+  /** Takes in objects that this instance wrote. */
+  default List<StoredObject> mergeAll(List<StoredObject> objects) {
+    return mergeAll(objects, Origin.OWN_WRITE);
+  }
 
   /** Returns the join of all objects taken in. */
   ObjectJoin join();
--- a/org.oatlug/src/org/oatlug/internal/gateway/ExchangeAttempt.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/ExchangeAttempt.java
@@ -111,11 +111,12 @@
   private void logSent() {
     HeadForecast forecast = chosen.forecast();
     exchange.log().log(
-        "attempt=%d route=%s upstream=%s version=%s model=%s load=%d left=%d after=%s"
+        "attempt=%d route=%s upstream=%s revision=%d version=%s model=%s load=%d left=%d after=%s"
             + " unread=%.0f waiting=%.0f expected=%d",
         exchange.sent(),
         route.name(),
         chosen.name(),
+        parts.tables().revisionOf(chosen.name()),
         chosen.upstream().version(),
         model.orElse("-"),
         chosen.row().expectedLoad(),
@@ -191,6 +192,13 @@
     }
   }
 
+  @Override
+  public void sending() {
+    if (parts.tables().isLeaving(chosen.name())) {
+      describe("is sent though the upstream leaves");
+    }
+  }
+
   @Override
   public void head(HttpClientResponse received) {
     response = received;
--- a/org.oatlug/src/org/oatlug/internal/gateway/GatewayTables.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/GatewayTables.java
@@ -12,6 +12,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import org.oatlug.api.ObjectKey;
 import org.oatlug.config.Kinds;
 import org.oatlug.gateway.CallerLimits;
 import org.oatlug.gateway.GatewayKinds;
@@ -21,6 +22,7 @@
 import org.oatlug.gateway.UpstreamRecord;
 import org.oatlug.internal.config.ObjectJoin;
 import org.oatlug.internal.config.ObjectSink;
+import org.oatlug.internal.config.Origin;
 import org.oatlug.internal.table.UpstreamTable;
 import org.oatlug.internal.util.Json;
 import org.oatlug.platform.StoredObject;
@@ -58,23 +60,23 @@
   }
 
   @Override
-  public List<StoredObject> mergeAll(List<StoredObject> objects) {
+  public List<StoredObject> mergeAll(List<StoredObject> objects, Origin origin) {
     List<StoredObject> fresh = new ArrayList<>();
     for (StoredObject object : objects) {
       if (join.merge(object)) {
         fresh.add(object);
-        take(object);
+        take(object, origin);
       }
     }
     return fresh;
   }
 
-  private void take(StoredObject object) {
+  private void take(StoredObject object, Origin origin) {
     try {
       switch (object.key().kind()) {
-        case GatewayKinds.ROUTING -> takeRouting(object);
-        case GatewayKinds.UPSTREAM -> takeUpstream(object);
-        case GatewayKinds.ROLLOUT -> takeRollout(object);
+        case GatewayKinds.ROUTING -> takeRouting(object, origin);
+        case GatewayKinds.UPSTREAM -> takeUpstream(object, origin);
+        case GatewayKinds.ROLLOUT -> takeRollout(object, origin);
         default -> logger.atWarning().log("object %s is of an unknown kind", object.key());
       }
     } catch (JsonProcessingException e) {
@@ -82,7 +84,7 @@
     }
   }
 
-  private void takeRouting(StoredObject object) throws JsonProcessingException {
+  private void takeRouting(StoredObject object, Origin origin) throws JsonProcessingException {
     if (Kinds.isTombstone(object.value())) {
       return;
     }
@@ -93,15 +95,15 @@
     services.clear();
     read.services().forEach(service -> services.put(service.name(), service));
     logger.atInfo().log(
-        "configuration version=%d revision=%d is in force, %d routes",
-        read.version(), object.version(), read.routes().size());
+        "configuration version=%d revision=%d is in force, %d routes %s",
+        read.version(), object.version(), read.routes().size(), origin);
   }
 
-  private void takeUpstream(StoredObject object) throws JsonProcessingException {
+  private void takeUpstream(StoredObject object, Origin origin) throws JsonProcessingException {
     String name = object.key().name();
     if (Kinds.isTombstone(object.value())) {
       forgetUpstream(name);
-      logger.atInfo().log("upstream %s revision=%d is gone", name, object.version());
+      logger.atInfo().log("upstream %s revision=%d is gone %s", name, object.version(), origin);
       return;
     }
     UpstreamRecord read = Json.STRICT.treeToValue(object.value(), UpstreamRecord.class);
@@ -110,8 +112,14 @@
     upstreamsByService.computeIfAbsent(read.service(), unused -> new ArrayList<>()).add(name);
     if (known.isEmpty() || known.get().leaving() != read.leaving()) {
       logger.atInfo().log(
-          "upstream %s revision=%d service=%s version=%s zone=%s leaving=%b",
-          name, object.version(), read.service(), read.version(), read.zone(), read.leaving());
+          "upstream %s revision=%d service=%s version=%s zone=%s leaving=%b %s",
+          name,
+          object.version(),
+          read.service(),
+          read.version(),
+          read.zone(),
+          read.leaving(),
+          origin);
     }
   }
 
@@ -121,7 +129,7 @@
     return known;
   }
 
-  private void takeRollout(StoredObject object) throws JsonProcessingException {
+  private void takeRollout(StoredObject object, Origin origin) throws JsonProcessingException {
     String name = object.key().name();
     if (Kinds.isTombstone(object.value())) {
       rollouts.remove(name);
@@ -130,8 +138,8 @@
     ServiceRollout read = Json.STRICT.treeToValue(object.value(), ServiceRollout.class);
     rollouts.put(name, read);
     logger.atInfo().log(
-        "roll-out of %s revision=%d to=%s state=%s",
-        name, object.version(), read.targetVersion(), read.state());
+        "roll-out of %s revision=%d to=%s state=%s %s",
+        name, object.version(), read.targetVersion(), read.state(), origin);
   }
 
   /** Returns the configuration in force, empty before the first one. */
@@ -164,6 +172,18 @@
     return Optional.ofNullable(upstreams.get(name));
   }
 
+  /** Returns the store's revision of what is known of an upstream, 0 if nothing is. */
+  public long revisionOf(String upstream) {
+    ObjectKey key = ObjectKey.valueOf(GatewayKinds.UPSTREAM, upstream);
+    return join.get(key).map(StoredObject::version).orElse(0L);
+  }
+
+  /** Returns whether an upstream said that it is about to go, or has gone. */
+  public boolean isLeaving(String upstream) {
+    return upstream(upstream).map(UpstreamRecord::leaving).orElse(true)
+        || loads.row(upstream).leaving();
+  }
+
   /** Returns the names of the upstreams of a service. */
   public List<String> upstreamsOf(String service) {
     return upstreamsByService.getOrDefault(service, List.of());
--- a/org.oatlug/src/org/oatlug/internal/gateway/UpstreamAttempt.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/UpstreamAttempt.java
@@ -43,6 +43,9 @@
 
   /** Is told how an attempt goes. */
   interface Listener {
+    /** The connection is open and the request is about to be written. */
+    void sending();
+
     /** The head of the answer is here; data follows. */
     void head(HttpClientResponse response);
 
@@ -109,6 +112,7 @@
       opened.reset();
       return;
     }
+    listener.sending();
     opened.headers().addAll(call.headers());
     opened.exceptionHandler(failure -> fail(Progress.SENT, problemOf(failure)));
     opened
