--- /dev/null
+++ b/org.oatlug.test/tst/org/oatlug/internal/config/VirtualFleet.java
@@ -0,0 +1,343 @@
+// Copyright (c) 2026, the oatlug authors
+// SPDX-License-Identifier: BSD-3-Clause
+
+package org.oatlug.internal.config;
+
+import com.codahale.metrics.MetricRegistry;
+import com.fasterxml.jackson.databind.JsonNode;
+import io.smallrye.mutiny.Uni;
+import io.smallrye.mutiny.subscription.UniEmitter;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Function;
+import org.oatlug.api.ObjectKey;
+import org.oatlug.config.Kinds;
+import org.oatlug.errors.PeerUnavailableException;
+import org.oatlug.errors.PlatformUnavailableException;
+import org.oatlug.gateway.GatewayKinds;
+import org.oatlug.gateway.UpstreamRecord;
+import org.oatlug.internal.gateway.GatewayTables;
+import org.oatlug.internal.membership.Membership;
+import org.oatlug.internal.metrics.Meters;
+import org.oatlug.internal.peer.Member;
+import org.oatlug.internal.peer.PeerMessage;
+import org.oatlug.internal.peer.PeerNetwork;
+import org.oatlug.internal.table.Freshness;
+import org.oatlug.internal.util.Json;
+import org.oatlug.platform.Platform;
+import org.oatlug.platform.StoredObject;
+
+/**
+ * Instances of some availability zones, their store and the ways between them in virtual time.
+ *
+ * <p>Runs the real membership and configuration systems; a message takes some milliseconds, drawn
+ * from the seed. Instances may be silent (stopped without anybody knowing), turned away by the
+ * store, and zones cut off from each other. Used from one thread.
+ */
+final class VirtualFleet {
+  /** How often an instance looks whether something is due. */
+  private static final Duration TICK = Duration.ofMillis(20);
+
+  private static final Duration LIST_TIME = Duration.ofMillis(4);
+  private static final int MOST_DELAY_MILLIS = 6;
+
+  private final Random random;
+  private final PriorityQueue<Event> events =
+      new PriorityQueue<>(Comparator.comparing(Event::at).thenComparing(Event::number));
+  private final Map<String, Instance> instances = new TreeMap<>();
+  private final Map<ObjectKey, StoredObject> stored = new TreeMap<>();
+  private final List<StoredObject> history = new ArrayList<>();
+  private final List<Runnable> watchers = new ArrayList<>();
+  private final Set<String> silent = new HashSet<>();
+  private final Set<String> turnedAway = new HashSet<>();
+  private final Set<String> cutZones = new HashSet<>();
+  private final Map<String, Instant> acknowledged = new TreeMap<>();
+  private Instant now = Instant.parse("2026-12-02T12:00:00Z");
+  private long numbers;
+  private long revision;
+
+  private VirtualFleet(long seed) {
+    random = new Random(seed);
+  }
+
+  private record Event(Instant at, long number, Runnable action) {}
+
+  /** One instance. */
+  private final class Instance implements Platform, PeerNetwork {
+    private final GatewayTables tables = GatewayTables.create();
+    private final Map<String, Instant> learned = new TreeMap<>();
+    private final Membership membership;
+    private final ConfigurationSystem configuration;
+
+    Instance(Member self) {
+      Random own = new Random(random.nextLong());
+      membership = Membership.create(self, () -> now, own);
+      membership.connect(this);
+      Meters meters = Meters.of(new MetricRegistry());
+      configuration =
+          ConfigurationSystem.create(
+              new Noted(),
+              Freshness.withBound(Duration.ofSeconds(12)),
+              this,
+              membership,
+              this,
+              new ConfigurationSystem.Support(
+                  () -> now, own, meters, List.of(List.of(GatewayKinds.UPSTREAM))));
+    }
+
+    /** The tables, with the moment at which an upstream was first known to leave. */
+    private final class Noted implements ObjectSink {
+      @Override
+      public List<StoredObject> mergeAll(List<StoredObject> objects, Origin origin) {
+        List<StoredObject> fresh = tables.mergeAll(objects, origin);
+        for (StoredObject object : fresh) {
+          if (tables.isLeaving(object.key().name())) {
+            learned.putIfAbsent(object.key().name(), now);
+          }
+        }
+        return fresh;
+      }
+
+      @Override
+      public ObjectJoin join() {
+        return tables.join();
+      }
+    }
+
+    private String name() {
+      return membership.self().name();
+    }
+
+    private void tick() {
+      if (!silent.contains(name())) {
+        membership.tick();
+        configuration.tick();
+      }
+      after(TICK, this::tick);
+    }
+
+    @Override
+    public Uni<PeerMessage> ask(Member peer, PeerMessage message, Duration patience) {
+      Instance target = instances.get(peer.name());
+      return Uni.createFrom()
+          .emitter(
+              emitter -> {
+                after(patience, () -> emitter.fail(new PeerUnavailableException(peer.name())));
+                if (reaches(target)) {
+                  after(delay(), () -> target.receive(this, message, emitter));
+                }
+              });
+    }
+
+    private boolean reaches(Instance target) {
+      String own = membership.self().zone();
+      String other = target.membership.self().zone();
+      boolean cut = !own.equals(other) && (cutZones.contains(own) || cutZones.contains(other));
+      return !cut && !silent.contains(name()) && !silent.contains(target.name());
+    }
+
+    private void receive(
+        Instance from, PeerMessage message, UniEmitter<? super PeerMessage> emitter) {
+      if (silent.contains(name())) {
+        return;
+      }
+      boolean probe = message instanceof PeerMessage.Ping || message instanceof PeerMessage.PingFor;
+      Uni<PeerMessage> answer =
+          probe
+              ? membership.handle(from.membership.self(), message)
+              : configuration.handle(from.membership.self(), message);
+      answer
+          .subscribe()
+          .with(
+              item -> after(delay(), () -> emitter.complete(item)),
+              failure -> after(delay(), () -> emitter.fail(failure)));
+    }
+
+    private <T> Uni<T> call(Function<UniEmitter<? super T>, Runnable> effect) {
+      return Uni.createFrom()
+          .emitter(
+              emitter -> {
+                Runnable answer = effect.apply(emitter);
+                after(
+                    LIST_TIME,
+                    () -> {
+                      if (turnedAway.contains(name())) {
+                        emitter.fail(new PlatformUnavailableException("turned away", null));
+                      } else {
+                        answer.run();
+                      }
+                    });
+              });
+    }
+
+    @Override
+    public Uni<Batch> list(List<String> kinds) {
+      return call(
+          emitter -> () -> emitter.complete(new Batch(revision, List.copyOf(stored.values()))));
+    }
+
+    @Override
+    public Uni<Batch> watch(List<String> kinds, long since, Duration wait) {
+      return call(emitter -> () -> answerWatch(since, wait, emitter));
+    }
+
+    private void answerWatch(long since, Duration wait, UniEmitter<? super Batch> emitter) {
+      Runnable answer =
+          () -> {
+            if (!turnedAway.contains(name())) {
+              emitter.complete(new Batch(revision, changesAfter(since)));
+            }
+          };
+      if (revision > since) {
+        answer.run();
+        return;
+      }
+      watchers.add(() -> after(delay(), answer));
+      after(wait, answer);
+      after(
+          wait.plusSeconds(1),
+          () -> emitter.fail(new PlatformUnavailableException("silent", null)));
+    }
+
+    @Override
+    public Uni<Optional<StoredObject>> get(ObjectKey key) {
+      throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public Uni<Long> put(ObjectKey key, long expected, JsonNode value) {
+      throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public Uni<List<ListedInstance>> instances() {
+      return Uni.createFrom().item(List.of());
+    }
+  }
+
+  /** Starts instances that know each other. */
+  static VirtualFleet of(int zones, int instancesPerZone, long seed) {
+    VirtualFleet fleet = new VirtualFleet(seed);
+    List<Member> members = new ArrayList<>();
+    for (int zone = 0; zone < zones; zone++) {
+      for (int number = 0; number < instancesPerZone; number++) {
+        String name = "entry-" + zone + "-" + Integer.toHexString(fleet.random.nextInt());
+        members.add(
+            new Member(name, "zone-" + zone, name, "127.0.0.1", 1, 1, 0, Member.State.ALIVE));
+      }
+    }
+    members.forEach(member -> fleet.instances.put(member.name(), fleet.new Instance(member)));
+    for (Instance instance : fleet.instances.values()) {
+      members.forEach(instance.membership::merge);
+      fleet.after(fleet.within(TICK), instance::tick);
+    }
+    return fleet;
+  }
+
+  private Duration delay() {
+    return Duration.ofMillis(1 + random.nextInt(MOST_DELAY_MILLIS));
+  }
+
+  /** Returns a time up to {@code longest}. */
+  Duration within(Duration longest) {
+    return Duration.ofMillis(random.nextInt((int) longest.toMillis()));
+  }
+
+  private void after(Duration wait, Runnable action) {
+    events.add(new Event(now.plus(wait), numbers++, action));
+  }
+
+  /** Lets the time pass. */
+  void run(Duration time) {
+    Instant end = now.plus(time);
+    while (!events.isEmpty() && !events.peek().at().isAfter(end)) {
+      Event next = events.poll();
+      now = next.at();
+      next.action().run();
+    }
+    now = end;
+  }
+
+  private List<StoredObject> changesAfter(long since) {
+    return history.stream().filter(change -> change.version() > since).toList();
+  }
+
+  private void change(ObjectKey key, JsonNode value) {
+    StoredObject object = new StoredObject(key, ++revision, value);
+    history.add(object);
+    if (Kinds.isTombstone(value)) {
+      stored.remove(key);
+    } else {
+      stored.put(key, object);
+    }
+    List<Runnable> waiting = List.copyOf(watchers);
+    watchers.clear();
+    waiting.forEach(Runnable::run);
+  }
+
+  /** Writes the entry of an upstream. */
+  void register(String upstream, boolean leaving) {
+    UpstreamRecord entry = new UpstreamRecord("pool", "127.0.0.1", 1, "zone-0", "v1", 4, leaving);
+    if (leaving) {
+      acknowledged.put(upstream, now);
+    }
+    change(ObjectKey.valueOf(GatewayKinds.UPSTREAM, upstream), Json.STRICT.valueToTree(entry));
+  }
+
+  /** Removes the entry of an upstream that never said that it leaves. */
+  void remove(String upstream) {
+    acknowledged.put(upstream, now);
+    change(ObjectKey.valueOf(GatewayKinds.UPSTREAM, upstream), Kinds.tombstone());
+  }
+
+  /** Returns the names of the readers of a zone. */
+  List<String> readersOf(String zone) {
+    return namesIn(zone).stream()
+        .filter(name -> instances.get(name).membership.isReader())
+        .toList();
+  }
+
+  /** Returns the names of the instances of a zone. */
+  List<String> namesIn(String zone) {
+    return instances.keySet().stream()
+        .filter(name -> instances.get(name).membership.self().zone().equals(zone))
+        .toList();
+  }
+
+  /** Lets the store turn instances away from now on. */
+  void turnAway(List<String> names) {
+    turnedAway.addAll(names);
+  }
+
+  /** Stops instances; nobody is told. */
+  void silence(List<String> names) {
+    silent.addAll(names);
+  }
+
+  /** Cuts a zone off from the others. */
+  void cutOff(String zone) {
+    cutZones.add(zone);
+  }
+
+  /** Returns by instance how long after the store it knew that the upstream leaves. */
+  Map<String, Duration> delaysOf(String upstream) {
+    Map<String, Duration> delays = new TreeMap<>();
+    for (Instance instance : instances.values()) {
+      if (!silent.contains(instance.name())) {
+        Instant when = instance.learned.getOrDefault(upstream, now.plus(Duration.ofHours(1)));
+        delays.put(instance.name(), Duration.between(acknowledged.get(upstream), when));
+      }
+    }
+    return delays;
+  }
+}
--- /dev/null
+++ b/org.oatlug.test/tst/org/oatlug/internal/config/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of how published objects reach every instance. */
+package org.oatlug.internal.config;
