Push changes along trees of their own, past silent instances, from wherever they enter

Cause: three ways in which a push ended early and left instances to the digests, a second a step. The tree of a batch was drawn from what was new to the receiver, so batches of two readers that overlapped left instances out of both trees. An instance that got a change from another zone or by digests told its own children only; just readers told the root. A child that did not answer took its subtree with it. Also, the ones who were told in another zone were always the first two by name. Change: the tree follows from the change alone; whoever brings a change into its zone tells the root; those below a silent child are told past it after 300 ms, at once if it is suspected; receivers in other zones are drawn each time.

--- a/org.oatlug/src/org/oatlug/internal/config/ConfigurationSystem.java
+++ b/org.oatlug/src/org/oatlug/internal/config/ConfigurationSystem.java
@@ -9,12 +9,9 @@
 import java.time.Instant;
 import java.time.InstantSource;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 import org.oatlug.api.ObjectKey;
 import org.oatlug.config.Kinds;
@@ -24,7 +21,6 @@
 import org.oatlug.internal.peer.PeerMessage;
 import org.oatlug.internal.peer.PeerNetwork;
 import org.oatlug.internal.table.Freshness;
-import org.oatlug.internal.util.Hashes;
 import org.oatlug.internal.util.TickSystem;
 import org.oatlug.platform.Platform;
 import org.oatlug.platform.StoredObject;
@@ -32,10 +28,10 @@
 /**
  * Brings published objects into force.
  *
- * <p>The readers of an availability zone watch the platform and pass changes on over a fan-out
- * tree; every instance exchanges digests with another one each interval, which repairs any loss.
- * Objects are joined by version, so nothing that arrives late or twice has an effect. Owned by one
- * event loop, not thread-safe.
+ * <p>The readers of an availability zone watch the platform and push changes to all others, see
+ * {@link ObjectSpread}; every instance exchanges digests with another one each interval, which
+ * repairs any loss. Objects are joined by version, so nothing that arrives late or twice has an
+ * effect. Owned by one event loop, not thread-safe.
  */
 public final class ConfigurationSystem implements TickSystem {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
@@ -54,12 +50,7 @@
    */
   private static final Duration LAPSE_GRACE = Duration.ofMillis(1800);
 
-  /** At most a line each so many milliseconds tells of pushes that were not taken. */
-  private static final int LOST_PUSH_LINES_MILLIS = 50;
-
-  private static final int TREE_WIDTH = 4;
   private static final int WATCHES_PER_BOUND = 3;
-  private static final int REMOTE_RECEIVERS = 2;
 
   private final ObjectSink objects;
   private final Freshness freshness;
@@ -69,6 +60,7 @@
   private final InstantSource clock;
   private final RandomGenerator random;
   private final Meters meters;
+  private final ObjectSpread spread;
   private final List<Watch> watches;
   private boolean reader;
   private Instant nextExchange = Instant.EPOCH;
@@ -89,6 +81,7 @@
     this.clock = support.clock();
     this.random = support.random();
     this.meters = support.meters();
+    this.spread = ObjectSpread.create(membership, network, random, meters, this::age);
     this.watches = support.watchGroups().stream().map(Watch::new).toList();
   }
 
@@ -139,7 +132,7 @@
     List<StoredObject> fresh =
         this.objects.mergeAll(objects.objects(), Origin.pushedBy(from.name()));
     if (objects.forward() && !fresh.isEmpty()) {
-      forward(fresh, false);
+      spread.pushed(from, fresh);
     }
     return Uni.createFrom().item(new PeerMessage.Done());
   }
@@ -198,7 +191,7 @@
     if (!fresh.isEmpty()) {
       logger.atInfo().log(
           "%d objects came into force at revision %d %s", fresh.size(), revision, origin);
-      forward(fresh, true);
+      spread.read(fresh);
     }
   }
 
@@ -277,62 +270,6 @@
     }
   }
 
-  /**
-   * Passes objects on to this instance's children in the tree of the newest of them.
-   *
-   * @param fromPlatform whether they come from the platform and not from a peer; then they also go
-   *     to a few instances of other zones, which may be cut from it
-   */
-  private void forward(List<StoredObject> objects, boolean fromPlatform) {
-    List<Member> zone = new ArrayList<>(membership.zonePeers());
-    zone.add(membership.self());
-    List<String> names = zone.stream().map(Member::name).toList();
-    List<String> order = Hashes.rendezvous("tree-" + newestOf(objects), names);
-    int position = order.indexOf(membership.self().name());
-    PeerMessage.Objects message = new PeerMessage.Objects(objects, age(), true);
-    for (Member peer : zone) {
-      int rank = order.indexOf(peer.name());
-      boolean child = rank > 0 && (rank - 1) / TREE_WIDTH == position;
-      boolean root = rank == 0 && membership.isReader();
-      if ((child || root) && !membership.isSelf(peer)) {
-        send(peer, message);
-      }
-    }
-    if (fromPlatform) {
-      remoteReceivers().forEach(peer -> send(peer, message));
-    }
-  }
-
-  /** Returns the first live instances of each other zone. */
-  private List<Member> remoteReceivers() {
-    Map<String, Integer> chosen = new HashMap<>();
-    List<Member> receivers = new ArrayList<>();
-    for (Member peer : membership.remotePeers()) {
-      if (chosen.merge(peer.zone(), 1, Integer::sum) <= REMOTE_RECEIVERS) {
-        receivers.add(peer);
-      }
-    }
-    return receivers;
-  }
-
-  private void send(Member peer, PeerMessage.Objects message) {
-    network
-        .ask(peer, message, PATIENCE)
-        .subscribe()
-        .with(answer -> {}, failure -> notTaken(peer, message, failure));
-  }
-
-  private void notTaken(Member peer, PeerMessage.Objects message, Throwable failure) {
-    meters.count("retry.peer-objects");
-    logger.atInfo().atMostEvery(LOST_PUSH_LINES_MILLIS, TimeUnit.MILLISECONDS).log(
-        "%d objects up to revision %d did not reach %s: %s",
-        message.objects().size(), newestOf(message.objects()), peer.name(), failure.getMessage());
-  }
-
-  private static long newestOf(List<StoredObject> objects) {
-    return objects.stream().mapToLong(StoredObject::version).max().orElse(0);
-  }
-
   private void exchange(Instant now) {
     if (now.isBefore(nextExchange)) {
       return;
@@ -391,7 +328,7 @@
     learnAge(objects.contactAge());
     if (!fresh.isEmpty()) {
       meters.count("configuration.repaired");
-      forward(fresh, false);
+      spread.brought(fresh);
     }
   }
 
