--- a/org.oatlug.test/tst/org/oatlug/internal/config/NewsSpreadTest.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/config/NewsSpreadTest.java
@@ -39,6 +39,7 @@
   private static final int LEAVING = 24;
   private static final Duration START = Duration.ofSeconds(6);
   private static final Duration REST = Duration.ofMillis(700);
+  private static final Duration TAKE_OVER = Duration.ofSeconds(3);
   private static final Duration STEP = Duration.ofMillis(12);
 
   /** Half of the time for which upstreams serve on after they said that they leave. */
@@ -104,6 +105,21 @@
     }
   }
 
+  /**
+   * The others of the zone reach the store; before they read it in place of the readers, they never
+   * learned of the change while the zone was cut off.
+   */
+  @Test
+  public void testCutZoneWhoseReadersAreTurnedAwayReadsThroughOthers() {
+    for (int seed = 1; seed <= SEEDS; seed++) {
+      VirtualFleet fleet = begin(seed);
+      fleet.cutOff("zone-0");
+      fleet.turnAway(fleet.readersOf("zone-0"));
+      fleet.run(TAKE_OVER);
+      assertKnownSoon(fleet, leave(fleet), seed);
+    }
+  }
+
   @Test
   public void testInstancesBehindSilentOnesKnowSoon() {
     for (int seed = 1; seed <= SEEDS; seed++) {
--- a/org.oatlug.test/tst/org/oatlug/internal/config/VirtualFleet.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/config/VirtualFleet.java
@@ -194,7 +194,9 @@
     private void answerWatch(long since, Duration wait, UniEmitter<? super Batch> emitter) {
       Runnable answer =
           () -> {
-            if (!turnedAway.contains(name())) {
+            if (turnedAway.contains(name())) {
+              emitter.fail(new PlatformUnavailableException("turned away", null));
+            } else {
               emitter.complete(new Batch(revision, changesAfter(since)));
             }
           };
@@ -204,9 +206,6 @@
       }
       watchers.add(() -> after(delay(), answer));
       after(wait, answer);
-      after(
-          wait.plusSeconds(1),
-          () -> emitter.fail(new PlatformUnavailableException("silent", null)));
     }
 
     @Override
@@ -280,6 +279,10 @@
     } else {
       stored.put(key, object);
     }
+    answerWatchers();
+  }
+
+  private void answerWatchers() {
     List<Runnable> waiting = List.copyOf(watchers);
     watchers.clear();
     waiting.forEach(Runnable::run);
@@ -314,9 +317,10 @@
         .toList();
   }
 
-  /** Lets the store turn instances away from now on. */
+  /** Lets the store turn instances away from now on; watches that wait are cut. */
   void turnAway(List<String> names) {
     turnedAway.addAll(names);
+    answerWatchers();
   }
 
   /** Stops instances; nobody is told. */
