Let another instance read the store in the place of a reader that it fails

Cause: the two readers of a zone are drawn by rank, whether or not the store answers them. A zone that is cut off from the others and whose readers the store turns away learned nothing, though the rest of its instances reached the store and went on sending requests to upstreams that had left. Change: a reader that failed twice in a row asks the next instance of its zone, one a second, to read instead for three seconds; that one agrees after it read something itself.

--- a/org.oatlug.entry/src/org/oatlug/entry/SharedStatePeers.java
+++ b/org.oatlug.entry/src/org/oatlug/entry/SharedStatePeers.java
@@ -15,7 +15,7 @@
  * messages on. Used from one event loop.
  *
  * @param membership answers probes
- * @param configuration answers digests and takes objects
+ * @param configuration answers digests, takes objects and reads the platform
  * @param others answers everything else
  */
 record SharedStatePeers(
@@ -29,7 +29,8 @@
     }
     if (message instanceof PeerMessage.Digest
         || message instanceof PeerMessage.BucketDigests
-        || message instanceof PeerMessage.Objects) {
+        || message instanceof PeerMessage.Objects
+        || message instanceof PeerMessage.ReadInstead) {
       return configuration.handle(from, message);
     }
     return others.handle(from, message);
--- a/org.oatlug/src/org/oatlug/internal/config/ConfigurationSystem.java
+++ b/org.oatlug/src/org/oatlug/internal/config/ConfigurationSystem.java
@@ -61,8 +61,8 @@
   private final RandomGenerator random;
   private final Meters meters;
   private final ObjectSpread spread;
+  private final ReaderRole role;
   private final List<Watch> watches;
-  private boolean reader;
   private Instant nextExchange = Instant.EPOCH;
   private Instant nextInstances = Instant.EPOCH;
 
@@ -82,6 +82,7 @@
     this.random = support.random();
     this.meters = support.meters();
     this.spread = ObjectSpread.create(membership, network, random, meters, this::age);
+    this.role = ReaderRole.create(membership, network, clock, meters, this::checkPlatform);
     this.watches = support.watchGroups().stream().map(Watch::new).toList();
   }
 
@@ -110,13 +111,13 @@
   @Override
   public void tick() {
     Instant now = clock.instant();
-    noteRole();
+    role.tick();
     readInstances(now);
     watches.forEach(watch -> watch.tick(now));
     exchange(now);
   }
 
-  /** Answers a digest, buckets or objects of a peer. */
+  /** Answers a digest, buckets, objects or the wish of a reader to be replaced. */
   public Uni<PeerMessage> handle(Member from, PeerMessage message) {
     if (message instanceof PeerMessage.Digest digest) {
       if (digest.digest() == objects.join().digest()) {
@@ -128,6 +129,9 @@
       PeerMessage answer = new PeerMessage.Objects(differing(buckets.digests()), age(), false);
       return Uni.createFrom().item(answer);
     }
+    if (message instanceof PeerMessage.ReadInstead) {
+      return role.readInstead();
+    }
     PeerMessage.Objects objects = (PeerMessage.Objects) message;
     List<StoredObject> fresh =
         this.objects.mergeAll(objects.objects(), Origin.pushedBy(from.name()));
@@ -143,13 +147,10 @@
     return listOnce().onFailure().recoverWithUni(unused -> withPeer).onFailure().recoverWithNull();
   }
 
-  private void noteRole() {
-    boolean isReader = membership.isReader();
-    if (isReader != reader) {
-      reader = isReader;
-      String role = reader ? "reads the store for its zone" : "leaves the store to other readers";
-      logger.atInfo().log("this instance %s", role);
-    }
+  /** Reads something from the platform, unless a watch that works is there already. */
+  private Uni<Void> checkPlatform() {
+    Watch first = watches.get(0);
+    return first.isHealthy() ? Uni.createFrom().voidItem() : first.listOnce();
   }
 
   private void readInstances(Instant now) {
@@ -157,7 +158,7 @@
       return;
     }
     nextInstances = now.plus(INSTANCES_INTERVAL);
-    if (!reader && !membership.zonePeers().isEmpty()) {
+    if (!role.isReader() && !membership.zonePeers().isEmpty()) {
       return;
     }
     platform.instances().subscribe().with(membership::listed, failure -> {});
@@ -209,7 +210,7 @@
     }
 
     void tick(Instant now) {
-      if (waiting || now.isBefore(nextCall) || !reader) {
+      if (waiting || now.isBefore(nextCall) || !role.isReader()) {
         return;
       }
       waiting = true;
@@ -218,6 +219,10 @@
       read.subscribe().with(unused -> succeeded(), this::failed);
     }
 
+    boolean isHealthy() {
+      return role.isReader() && revision != 0 && failuresInRow == 0;
+    }
+
     Uni<Void> listOnce() {
       return platform.list(kinds).invoke(this::listed).replaceWithVoid();
     }
@@ -267,6 +272,9 @@
       revision = 0;
       nextCall = failuresInRow == 0 ? clock.instant() : clock.instant().plus(RETRY_INTERVAL);
       failuresInRow++;
+      if (failuresInRow >= OUTAGE_FAILURES) {
+        role.platformFails();
+      }
     }
   }
 
@@ -277,7 +285,7 @@
     nextExchange = now.plus(EXCHANGE_INTERVAL);
     pick(membership.zonePeers()).subscribe().with(peer -> {}, failure -> {});
     membership.parent().ifPresent(this::exchangeWithParent);
-    if (membership.isReader() || membership.zonePeers().isEmpty()) {
+    if (role.isReader() || membership.zonePeers().isEmpty()) {
       pick(membership.remotePeers()).subscribe().with(peer -> {}, failure -> {});
     }
   }
--- a/org.oatlug/src/org/oatlug/internal/membership/Membership.java
+++ b/org.oatlug/src/org/oatlug/internal/membership/Membership.java
@@ -10,6 +10,7 @@
 import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -209,6 +210,19 @@
     return rank >= 0 && rank < READERS;
   }
 
+  /**
+   * Returns those who may read in the place of this instance: the others of the zone that are not
+   * readers, by rank, from another one on for each of the readers.
+   */
+  public List<Member> standInsForReader() {
+    List<String> ranked = readerRank();
+    List<Member> others = new ArrayList<>(ranked.stream().skip(READERS).map(members::get).toList());
+    if (others.size() > 1) {
+      Collections.rotate(others, -(ranked.indexOf(self.name()) % others.size()));
+    }
+    return others;
+  }
+
   /** Returns the instance that is one step nearer to the readers, empty for a reader. */
   public Optional<Member> parent() {
     List<String> ranked = readerRank();
--- a/org.oatlug/src/org/oatlug/internal/peer/PeerMessage.java
+++ b/org.oatlug/src/org/oatlug/internal/peer/PeerMessage.java
@@ -37,6 +37,7 @@
   @JsonSubTypes.Type(value = PeerMessage.GuardEvidence.class, name = "guard"),
   @JsonSubTypes.Type(value = PeerMessage.RolloutReport.class, name = "rollout"),
   @JsonSubTypes.Type(value = PeerMessage.OpenPrompts.class, name = "openPrompts"),
+  @JsonSubTypes.Type(value = PeerMessage.ReadInstead.class, name = "readInstead"),
   @JsonSubTypes.Type(value = PeerMessage.Done.class, name = "done"),
   @JsonSubTypes.Type(value = PeerMessage.Failed.class, name = "failed")
 })
@@ -70,6 +71,9 @@
   record Objects(List<StoredObject> objects, long contactAge, boolean forward)
       implements PeerMessage {}
 
+  /** Asks the receiver to read the platform in the place of the sender, which cannot reach it. */
+  record ReadInstead() implements PeerMessage {}
+
   /** Asks which version of an object is in force. */
   record VersionQuery(ObjectKey key) implements PeerMessage {}
 
