--- a/org.oatlug.test/tst/org/oatlug/test/Ports.java
+++ b/org.oatlug.test/tst/org/oatlug/test/Ports.java
@@ -17,7 +17,7 @@
  * <p>Invariant: runs of the tests at the same time use different ports, because each holds the lock
  * of a range for as long as it runs.
  */
-final class Ports {
+public final class Ports {
   private static final int FIRST = 20_000;
   private static final int RANGES = 30;
   private static final int RANGE_SIZE = 400;
@@ -28,7 +28,8 @@
 
   private Ports() {}
 
-  static synchronized int free() {
+  /** Returns a port that nothing listens on. */
+  public static synchronized int free() {
     if (lock == null) {
       lockRange();
     }
