Look at the upstream's entry again before a request is written

Cause: between the choice and the write lies the opening of a connection, up to 400 ms and more in a process that stood still; nothing looked at the entry again. Change: the attempt asks once the connection is open. A request whose upstream leaves by then is withheld and goes elsewhere, without a retry from the budget; with no other upstream it is refused as not run.

--- a/org.oatlug/src/org/oatlug/internal/gateway/Exchange.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/Exchange.java
@@ -36,8 +36,8 @@
   /** Below this an attempt cannot bring an answer any more. */
   private static final Duration LEAST_TIME = Duration.ofMillis(30);
 
-  /** How often a connection may fail to open before the request is given up. */
-  private static final int MAXIMUM_UNREACHED = 4;
+  /** So many attempts may end before anything was written until the request is given up. */
+  private static final int MAXIMUM_UNSENT = 4;
 
   private final GatewayParts parts;
   private final CallerAnswer answer;
@@ -47,7 +47,7 @@
   private final StreamRelay relay;
   private long deadlineTimer;
   private int sent;
-  private int unreached;
+  private int unsent;
   private int stage;
   private boolean mayHaveRun;
   private Optional<String> lastFailed = Optional.empty();
@@ -171,12 +171,16 @@
     lastFailed = Optional.of(version);
   }
 
-  /** Goes on after a connection that did not open; that takes no retry out of the budget. */
-  void notReached() {
+  /**
+   * Goes on after an attempt of which nothing was written; that takes no retry out of the budget.
+   *
+   * @param cause the counter of its cause
+   */
+  void notSent(String cause) {
     sent--;
-    unreached++;
-    parts.meters().count("retry.upstream-not-reached");
-    if (unreached < MAXIMUM_UNREACHED && timeLeft().compareTo(LEAST_TIME) > 0) {
+    unsent++;
+    parts.meters().count(cause);
+    if (unsent < MAXIMUM_UNSENT && timeLeft().compareTo(LEAST_TIME) > 0) {
       next();
     } else {
       giveUp(RefusalReason.NO_UPSTREAM, ErrorText.get().upstreamBroke);
--- a/org.oatlug/src/org/oatlug/internal/gateway/ExchangeAttempt.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/ExchangeAttempt.java
@@ -192,11 +192,19 @@
     }
   }
 
+  /**
+   * Looks at the entry of the upstream once more: it may have begun to leave while the connection
+   * was opened, which takes up to 400 ms and longer in a process that stood still.
+   */
   @Override
-  public void sending() {
-    if (parts.tables().isLeaving(chosen.name())) {
-      describe("is sent though the upstream leaves");
+  public boolean maySend() {
+    if (!parts.tables().isLeaving(chosen.name())) {
+      return true;
     }
+    release();
+    describe("withheld, the upstream leaves");
+    exchange.notSent("retry.upstream-leaves");
+    return false;
   }
 
   @Override
@@ -389,7 +397,7 @@
     describe("failed " + progress + " " + problem);
     if (progress == Progress.NOT_SENT) {
       parts.zones().notReached(chosen.upstream().zone(), chosen.name(), parts.clock().instant());
-      exchange.notReached();
+      exchange.notSent("retry.upstream-not-reached");
       return;
     }
     exchange.noteMayHaveRun();
--- a/org.oatlug/src/org/oatlug/internal/gateway/UpstreamAttempt.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/UpstreamAttempt.java
@@ -43,8 +43,11 @@
 
   /** Is told how an attempt goes. */
   interface Listener {
-    /** The connection is open and the request is about to be written. */
-    void sending();
+    /**
+     * Returns whether the request may still be written, now that the connection is open. If not,
+     * the attempt is over and nothing more is told.
+     */
+    boolean maySend();
 
     /** The head of the answer is here; data follows. */
     void head(HttpClientResponse response);
@@ -112,9 +115,12 @@
       opened.reset();
       return;
     }
-    listener.sending();
-    opened.headers().addAll(call.headers());
     opened.exceptionHandler(failure -> fail(Progress.SENT, problemOf(failure)));
+    if (!listener.maySend()) {
+      cancel();
+      return;
+    }
+    opened.headers().addAll(call.headers());
     opened
         .response()
         .onComplete(this::answered, failure -> fail(Progress.SENT, problemOf(failure)));
