Chat interface: look at the route again when the connection is open

The last look at the upstream and at the version was taken before the connection opened, so that a request could reach an upstream that left, or a version that was withdrawn, in between. Change: the call asks once more before it writes; a request whose route is no longer right is decided anew, which costs no retry and is no failure of the upstream.

--- /dev/null
+++ b/org.oatlug.test/tst/org/oatlug/internal/engine/UpstreamCallerTest.java
@@ -0,0 +1,74 @@
+// Copyright (c) 2026, the oatlug authors
+// SPDX-License-Identifier: BSD-3-Clause
+
+package org.oatlug.internal.engine;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpMethod;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.oatlug.config.Upstream;
+import org.oatlug.errors.UpstreamFailedException;
+import org.oatlug.test.Ports;
+import org.testng.annotations.Test;
+
+/**
+ * A call whose route is no longer right once its connection is open.
+ *
+ * <p>Before, the last look was taken when the connection began to open, so a request could reach an
+ * upstream that left, or a version that was withdrawn, in between.
+ */
+public class UpstreamCallerTest {
+
+  @Test
+  public void testCallIsNotSentOnceItsRouteIsNoLongerRight() throws IOException {
+    Vertx vertx = Vertx.vertx();
+    AtomicInteger arrivals = new AtomicInteger();
+    int port = Ports.free();
+    vertx
+        .createHttpServer()
+        .requestHandler(
+            request -> {
+              arrivals.incrementAndGet();
+              request.response().end();
+            })
+        .listen(port, "127.0.0.1")
+        .toCompletionStage()
+        .toCompletableFuture()
+        .join();
+    Upstream upstream =
+        new Upstream(
+            Upstream.Kind.ENGINE, "127.0.0.1", port, "hall-a", List.of("v1"), 1, false, false);
+    UpstreamCaller.Call call =
+        new UpstreamCaller.Call(
+            HttpMethod.POST, "/", Map.of(), Buffer.buffer("a"), true, Duration.ofSeconds(5));
+    UpstreamCaller.Attempt attempt = UpstreamCaller.Attempt.whileRight(() -> false);
+    Future<HttpClientResponse> answer =
+        UpstreamCaller.create(vertx).send("engine", upstream, call, attempt);
+    Throwable failure = failureOf(answer);
+    assertTrue(failure instanceof UpstreamFailedException, String.valueOf(failure));
+    assertEquals(
+        ((UpstreamFailedException) failure).progress(), UpstreamFailedException.Progress.NOT_SENT);
+    assertEquals(arrivals.get(), 0);
+    vertx.close().toCompletionStage().toCompletableFuture().join();
+  }
+
+  private static Throwable failureOf(Future<?> answer) {
+    try {
+      answer.toCompletionStage().toCompletableFuture().join();
+      throw new AssertionError("the call was answered");
+    } catch (CompletionException e) {
+      return e.getCause();
+    }
+  }
+}
--- a/org.oatlug/src/org/oatlug/internal/engine/UpstreamCaller.java
+++ b/org.oatlug/src/org/oatlug/internal/engine/UpstreamCaller.java
@@ -16,6 +16,7 @@
 import io.vertx.core.http.RequestOptions;
 import java.time.Duration;
 import java.util.Map;
+import java.util.function.BooleanSupplier;
 import org.oatlug.config.Upstream;
 import org.oatlug.errors.UpstreamFailedException;
 import org.oatlug.errors.UpstreamFailedException.Progress;
@@ -75,9 +76,26 @@
 
   /** One attempt that can be cancelled. Used from one event loop. */
   public static final class Attempt {
+    private final BooleanSupplier stillRight;
     private HttpClientRequest request;
     private boolean cancelled;
 
+    private Attempt(BooleanSupplier stillRight) {
+      this.stillRight = stillRight;
+    }
+
+    /**
+     * Returns an attempt that is not sent unless it is still right when its connection is open: an
+     * upstream may begin to leave, and a version may be withdrawn, while that takes its time.
+     */
+    public static Attempt whileRight(BooleanSupplier stillRight) {
+      return new Attempt(stillRight);
+    }
+
+    private boolean maySend() {
+      return !cancelled && stillRight.getAsBoolean();
+    }
+
     /** Cancels the attempt at the upstream, if it was sent. */
     public void cancel() {
       cancelled = true;
@@ -115,9 +133,9 @@
 
   private Future<HttpClientResponse> sendOn(
       String name, HttpClientRequest request, Call call, Attempt attempt) {
-    if (attempt.isCancelled()) {
+    if (!attempt.maySend()) {
       request.reset();
-      return failed(name, Progress.NOT_SENT, "cancelled");
+      return failed(name, Progress.NOT_SENT, "withheld");
     }
     attempt.request = request;
     call.headers().forEach(request::putHeader);
--- a/org.oatlug/src/org/oatlug/internal/http/Forwarding.java
+++ b/org.oatlug/src/org/oatlug/internal/http/Forwarding.java
@@ -44,7 +44,7 @@
   private final CallerRequest request;
   private final Plan plan;
   private final Set<String> failed = new HashSet<>();
-  private UpstreamCaller.Attempt attempt = new UpstreamCaller.Attempt();
+  private UpstreamCaller.Attempt attempt = UpstreamCaller.Attempt.whileRight(() -> true);
   private boolean dispatched;
   private boolean mayHaveRun;
   private boolean reported;
@@ -174,24 +174,32 @@
       unanswered();
       return;
     }
-    Optional<Upstream> upstream = services.tables().catalogue().upstream(route.upstream());
-    boolean gone = upstream.isEmpty() || upstream.get().leaving() || row.leaving();
-    boolean confirmed = services.tables().freshness().isConfirmed();
-    if (gone || !confirmed || !plan.stillAllowed(route)) {
-      services.meters().count("retry.route-changed");
-      release(row);
-      tryOnce();
+    if (!isStillRight(route, row)) {
+      routeChanged(row);
       return;
     }
-    attempt = new UpstreamCaller.Attempt();
+    Upstream upstream = services.tables().catalogue().upstream(route.upstream()).orElseThrow();
+    attempt = UpstreamCaller.Attempt.whileRight(() -> isStillRight(route, row));
     dispatched = true;
     Instant sent = services.clock().instant();
     services
         .caller()
-        .send(route.upstream(), upstream.get(), plan.call(route), attempt)
+        .send(route.upstream(), upstream, plan.call(route), attempt)
         .onComplete(
             response -> answered(route, row, sent, response),
-            failure -> attemptFailed(route, row, upstream.get(), failure));
+            failure -> attemptFailed(route, row, upstream, failure));
+  }
+
+  private boolean isStillRight(Route route, UpstreamRow row) {
+    Optional<Upstream> upstream = services.tables().catalogue().upstream(route.upstream());
+    boolean gone = upstream.isEmpty() || upstream.get().leaving() || row.leaving();
+    return !gone && services.tables().freshness().isConfirmed() && plan.stillAllowed(route);
+  }
+
+  private void routeChanged(UpstreamRow row) {
+    services.meters().count("retry.route-changed");
+    release(row);
+    tryOnce();
   }
 
   private void answered(Route route, UpstreamRow row, Instant sent, HttpClientResponse response) {
@@ -254,14 +262,19 @@
 
   private void attemptFailed(Route route, UpstreamRow row, Upstream upstream, Throwable failure) {
     dispatched = false;
-    release(row);
     UpstreamFailedException known =
         failure instanceof UpstreamFailedException typed
             ? typed
             : new UpstreamFailedException(
                 route.upstream(), Progress.SENT, failure.getClass().getSimpleName());
+    boolean unsent = known.progress() == Progress.NOT_SENT;
+    if (unsent && !request.isEnded() && !isStillRight(route, row)) {
+      routeChanged(row);
+      return;
+    }
+    release(row);
     boolean trusted = known.progress() == Progress.REFUSED && upstream.trustedRefusals();
-    boolean ran = known.progress() != Progress.NOT_SENT && !trusted;
+    boolean ran = !unsent && !trusted;
     mayHaveRun |= ran;
     if (request.isEnded()) {
       unanswered();
