--- a/org.oatlug.test/tst/org/oatlug/test/SilentConnectionTest.java
+++ b/org.oatlug.test/tst/org/oatlug/test/SilentConnectionTest.java
@@ -3,6 +3,7 @@
 
 package org.oatlug.test;
 
+import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
 import io.smallrye.mutiny.Uni;
@@ -94,6 +95,27 @@
     inward.resume();
   }
 
+  /**
+   * Pushes wait for their answer before they go past a silent instance; a connection that does not
+   * come about took two seconds, whatever the patience was.
+   */
+  @Test
+  public void testPatienceCoversTheOpeningOfTheConnection() throws Exception {
+    int port = Ports.free();
+    wait(vertx.createNetServer().connectHandler(socket -> {}).listen(port, "127.0.0.1"));
+    Member mute = member("mute", port);
+    CompletableFuture<String> first = new CompletableFuture<>();
+    vertx.runOnContext(
+        unused -> {
+          vertx.setTimer(1500, timer -> first.complete("the other timer"));
+          caller
+              .ask(mute, new PeerMessage.Ping(List.of()), PATIENCE)
+              .subscribe()
+              .with(message -> first.complete("answer"), failure -> first.complete("failure"));
+        });
+    assertEquals(first.get(BOUND_SECONDS, TimeUnit.SECONDS), "failure");
+  }
+
   private boolean asks() throws Exception {
     CompletableFuture<Boolean> answered = new CompletableFuture<>();
     vertx.runOnContext(
