Let a question's patience cover the opening of its connection

Cause: the patience ran from the moment the connection was there; until then a question waited for the connect (1 s) and the handshake (2 s). A push to a silent instance without a connection so went past it that much later. Change: a connection that does not come about in time fails the question, and may still serve later ones.

--- a/org.oatlug/src/org/oatlug/internal/peer/TcpPeers.java
+++ b/org.oatlug/src/org/oatlug/internal/peer/TcpPeers.java
@@ -19,6 +19,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.UUID;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import org.oatlug.config.Settings;
 import org.oatlug.errors.MalformedFrameException;
@@ -77,11 +78,21 @@
 
   @Override
   public Uni<PeerMessage> ask(Member peer, PeerMessage message, Duration patience) {
-    return Unis.fromFuture(() -> connection(peer))
+    return Unis.fromFuture(() -> connectionWithin(peer, patience))
         .onItem()
         .transformToUni(connection -> connection.ask(message, patience));
   }
 
+  /**
+   * Returns the connection if it comes about in time; otherwise it may still serve later questions.
+   * Without this bound a question to a silent instance took two seconds, whatever its patience.
+   */
+  private Future<PeerConnection> connectionWithin(Member peer, Duration patience) {
+    return connection(peer)
+        .timeout(patience.toMillis(), TimeUnit.MILLISECONDS)
+        .recover(failure -> Future.failedFuture(new PeerUnavailableException(peer.name())));
+  }
+
   private Future<PeerConnection> connection(Member peer) {
     String address = peer.host() + ":" + peer.peerPort();
     Future<PeerConnection> known = connections.get(address);
