Move the watch at the store into a class of its own, log comparisons that fail

Behaviour is unchanged but for a counter and at most one line a second about comparisons that failed, which were dropped without a word.

--- a/org.oatlug/src/org/oatlug/internal/config/ConfigurationSystem.java
+++ b/org.oatlug/src/org/oatlug/internal/config/ConfigurationSystem.java
@@ -9,12 +9,9 @@
 import java.time.Instant;
 import java.time.InstantSource;
 import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.List;
-import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
-import org.oatlug.api.ObjectKey;
-import org.oatlug.config.Kinds;
 import org.oatlug.internal.membership.Membership;
 import org.oatlug.internal.metrics.Meters;
 import org.oatlug.internal.peer.Member;
@@ -36,19 +33,11 @@
 public final class ConfigurationSystem implements TickSystem {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final Duration EXCHANGE_INTERVAL = Duration.ofMillis(1000);
-  private static final Duration LIST_INTERVAL = Duration.ofSeconds(30);
   private static final Duration INSTANCES_INTERVAL = Duration.ofSeconds(3);
-  private static final Duration RETRY_INTERVAL = Duration.ofMillis(500);
   private static final Duration PATIENCE = Duration.ofMillis(800);
 
-  /** So many failures in a row are an outage, during which entries may lapse by themselves. */
-  private static final int OUTAGE_FAILURES = 2;
-
-  /**
-   * How long after an outage missing entries are believed to come back: the two seconds in which
-   * the platform says they do, less what remains of the bound for leaving upstreams.
-   */
-  private static final Duration LAPSE_GRACE = Duration.ofMillis(1800);
+  /** At most a line each so many seconds tells of comparisons that failed. */
+  private static final int FAILED_DIGEST_LINES_SECONDS = 1;
 
   private static final int WATCHES_PER_BOUND = 3;
 
@@ -62,7 +51,7 @@
   private final Meters meters;
   private final ObjectSpread spread;
   private final ReaderRole role;
-  private final List<Watch> watches;
+  private final List<StoreWatch> watches;
   private Instant nextExchange = Instant.EPOCH;
   private Instant nextInstances = Instant.EPOCH;
 
@@ -83,7 +72,7 @@
     this.meters = support.meters();
     this.spread = ObjectSpread.create(membership, network, random, meters, this::age);
     this.role = ReaderRole.create(membership, network, clock, meters, this::checkPlatform);
-    this.watches = support.watchGroups().stream().map(Watch::new).toList();
+    this.watches = support.watchGroups().stream().map(this::watchOf).toList();
   }
 
   /**
@@ -149,7 +138,7 @@
 
   /** Reads something from the platform, unless a watch that works is there already. */
   private Uni<Void> checkPlatform() {
-    Watch first = watches.get(0);
+    StoreWatch first = watches.get(0);
     return first.isHealthy() ? Uni.createFrom().voidItem() : first.listOnce();
   }
 
@@ -166,115 +155,47 @@
 
   private Uni<Void> listOnce() {
     Uni<Void> all = Uni.createFrom().voidItem();
-    for (Watch watch : watches) {
+    for (StoreWatch watch : watches) {
       all = all.onItem().transformToUni(unused -> watch.listOnce());
     }
     return all;
   }
 
-  /** Returns tombstones for objects of the kinds that the platform no longer lists. */
-  private List<StoredObject> vanished(List<String> kinds, Platform.Batch batch) {
-    Set<ObjectKey> listed = new HashSet<>();
-    batch.objects().forEach(object -> listed.add(object.key()));
-    List<StoredObject> gone = new ArrayList<>();
-    for (StoredObject known : objects.join().all()) {
-      boolean covered = kinds.contains(known.key().kind()) && known.version() <= batch.revision();
-      if (covered && !listed.contains(known.key()) && !Kinds.isTombstone(known.value())) {
-        gone.add(new StoredObject(known.key(), batch.revision(), Kinds.tombstone()));
-      }
-    }
-    return gone;
+  private StoreWatch watchOf(List<String> kinds) {
+    Duration longestWait = freshness.bound().dividedBy(WATCHES_PER_BOUND);
+    return StoreWatch.create(kinds, longestWait, platform, clock, meters, new WatchOwner());
   }
 
-  private void received(List<StoredObject> received, long revision, Origin origin) {
-    freshness.learn(Duration.ZERO, clock.instant());
-    List<StoredObject> fresh = objects.mergeAll(received, origin);
-    if (!fresh.isEmpty()) {
-      logger.atInfo().log(
-          "%d objects came into force at revision %d %s", fresh.size(), revision, origin);
-      spread.read(fresh);
+  /** What the watches need of this system. */
+  private final class WatchOwner implements StoreWatch.Owner {
+    @Override
+    public boolean isReader() {
+      return role.isReader();
     }
-  }
 
-  /** Reads the kinds of one group: a list first, then watches, a list again after any failure. */
-  private final class Watch {
-    private final List<String> kinds;
-    private boolean waiting;
-    private long revision;
-    private int failuresInRow;
-    private Instant nextList = Instant.EPOCH;
-    private Instant nextCall = Instant.EPOCH;
-
-    Watch(List<String> kinds) {
-      this.kinds = kinds;
-    }
-
-    void tick(Instant now) {
-      if (waiting || now.isBefore(nextCall) || !role.isReader()) {
-        return;
-      }
-      waiting = true;
-      boolean list = revision == 0 || !now.isBefore(nextList);
-      Uni<Void> read = list ? listOnce() : watchOnce();
-      read.subscribe().with(unused -> succeeded(), this::failed);
+    @Override
+    public ObjectJoin known() {
+      return objects.join();
     }
 
-    boolean isHealthy() {
-      return role.isReader() && revision != 0 && failuresInRow == 0;
+    @Override
+    public void received(List<StoredObject> read, long revision, Origin origin) {
+      take(read, revision, origin);
     }
 
-    Uni<Void> listOnce() {
-      return platform.list(kinds).invoke(this::listed).replaceWithVoid();
-    }
-
-    private void listed(Platform.Batch batch) {
-      revision = batch.revision();
-      List<StoredObject> all = new ArrayList<>(batch.objects());
-      boolean mayComeBack = failuresInRow >= OUTAGE_FAILURES;
-      if (mayComeBack) {
-        nextList = clock.instant().plus(LAPSE_GRACE);
-      } else {
-        nextList = clock.instant().plus(LIST_INTERVAL);
-        all.addAll(vanished(kinds, batch));
-      }
-      received(all, revision, Origin.LIST);
-    }
-
-    private Uni<Void> watchOnce() {
-      Duration longest = freshness.bound().dividedBy(WATCHES_PER_BOUND);
-      Duration untilList = Duration.between(clock.instant(), nextList);
-      Duration wait = untilList.compareTo(longest) < 0 ? untilList : longest;
-      return platform.watch(kinds, revision, wait).invoke(this::changed).replaceWithVoid();
-    }
-
-    private void changed(Platform.Batch batch) {
-      revision = batch.revision();
-      received(batch.objects(), revision, Origin.WATCH);
-    }
-
-    private void succeeded() {
-      if (failuresInRow > 0) {
-        logger.atInfo().log("the platform answers again for %s", kinds);
-      }
-      failuresInRow = 0;
-      waiting = false;
-      if (revision == 0) {
-        nextCall = clock.instant().plus(RETRY_INTERVAL);
-      }
+    @Override
+    public void platformFails() {
+      role.platformFails();
     }
+  }
 
-    private void failed(Throwable failure) {
-      if (failuresInRow == 0) {
-        logger.atWarning().log("the platform fails for %s: %s", kinds, failure.getMessage());
-      }
-      meters.count("retry.platform-watch");
-      waiting = false;
-      revision = 0;
-      nextCall = failuresInRow == 0 ? clock.instant() : clock.instant().plus(RETRY_INTERVAL);
-      failuresInRow++;
-      if (failuresInRow >= OUTAGE_FAILURES) {
-        role.platformFails();
-      }
+  private void take(List<StoredObject> received, long revision, Origin origin) {
+    freshness.learn(Duration.ZERO, clock.instant());
+    List<StoredObject> fresh = objects.mergeAll(received, origin);
+    if (!fresh.isEmpty()) {
+      logger.atInfo().log(
+          "%d objects came into force at revision %d %s", fresh.size(), revision, origin);
+      spread.read(fresh);
     }
   }
 
@@ -283,15 +204,22 @@
       return;
     }
     nextExchange = now.plus(EXCHANGE_INTERVAL);
-    pick(membership.zonePeers()).subscribe().with(peer -> {}, failure -> {});
-    membership.parent().ifPresent(this::exchangeWithParent);
+    start(pick(membership.zonePeers()));
+    membership.parent().ifPresent(parent -> start(exchangeWith(parent)));
     if (role.isReader() || membership.zonePeers().isEmpty()) {
-      pick(membership.remotePeers()).subscribe().with(peer -> {}, failure -> {});
+      start(pick(membership.remotePeers()));
     }
   }
 
-  private void exchangeWithParent(Member parent) {
-    exchangeWith(parent).subscribe().with(unused -> {}, failure -> {});
+  /** Starts a comparison; one that fails is made up for by the next. */
+  private void start(Uni<Void> comparison) {
+    comparison.subscribe().with(unused -> {}, this::notCompared);
+  }
+
+  private void notCompared(Throwable failure) {
+    meters.count("retry.peer-digest");
+    logger.atInfo().atMostEvery(FAILED_DIGEST_LINES_SECONDS, TimeUnit.SECONDS).log(
+        "digests were not compared: %s", failure.getMessage());
   }
 
   private Uni<Void> pick(List<Member> peers) {
