--- a/org.oatlug/src/org/oatlug/internal/config/ObjectSpread.java
+++ b/org.oatlug/src/org/oatlug/internal/config/ObjectSpread.java
@@ -90,14 +90,14 @@
 
   /** Passes on what this instance brought into its zone. */
   void brought(List<StoredObject> changes) {
-    SpreadTrees now = trees();
+    SpreadTrees current = trees();
     String self = membership.self().name();
     push(
-        now,
+        current,
         changes,
         change -> {
-          List<String> receivers = new ArrayList<>(now.childrenOf(change, self));
-          receivers.add(now.rootOf(change));
+          List<String> receivers = new ArrayList<>(current.childrenOf(change, self));
+          receivers.add(current.rootOf(change));
           return receivers;
         });
   }
@@ -105,14 +105,14 @@
   /** Passes on what another instance pushed to this one. */
   void pushed(Member from, List<StoredObject> changes) {
     if (!from.zone().equals(membership.self().zone())) {
-      // Only its own children heard of it, when it did not tell the root: half of a zone whose
-      // readers were turned away by the store then knew 540 ms late, the last one 3 s.
+      // The root has to hear of it, too. With the own children alone, half of a zone whose readers
+      // the store turned away knew up to 540 ms late and the last instance 3 s late (virtual time).
       brought(changes);
       return;
     }
-    SpreadTrees now = trees();
+    SpreadTrees current = trees();
     String self = membership.self().name();
-    push(now, changes, change -> now.childrenOf(change, self));
+    push(current, changes, change -> current.childrenOf(change, self));
   }
 
   /** Returns the trees over the live instances of the zone; they are drawn when these change. */
@@ -153,8 +153,8 @@
    */
   private void pushTo(
       SpreadTrees over, String name, Optional<Member> peer, List<StoredObject> changes) {
-    // Those below a silent instance waited for digests: 1 in 10 for 535 ms, the last for 3.3 s,
-    // with 3 silent ones among 23.
+    // Those below a silent instance would wait for digests: with 3 silent ones among 23, 1 in 10
+    // waited 535 ms and the last one 3.3 s (virtual time).
     Runnable passOver = () -> push(over, changes, change -> over.childrenOf(change, name));
     if (peer.isEmpty()) {
       passOver.run();
