--- a/org.oatlug.test/tst/org/oatlug/internal/config/NewsSpreadTest.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/config/NewsSpreadTest.java
@@ -3,6 +3,7 @@
 
 package org.oatlug.internal.config;
 
+import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
 import java.time.Duration;
@@ -40,6 +41,11 @@
   private static final Duration START = Duration.ofSeconds(6);
   private static final Duration REST = Duration.ofMillis(700);
   private static final Duration TAKE_OVER = Duration.ofSeconds(3);
+  private static final Duration OUTAGE = Duration.ofSeconds(2);
+
+  /** Less than the two seconds in which the platform says that such entries are back. */
+  private static final Duration BACK_AFTER = Duration.ofMillis(1400);
+
   private static final Duration STEP = Duration.ofMillis(12);
 
   /** Half of the time for which upstreams serve on after they said that they leave. */
@@ -120,6 +126,27 @@
     }
   }
 
+  /**
+   * Entries lapse while the store is away for all, and are back soon after it is. One that reads
+   * instead of a reader saw nothing of the outage; it took the entries for gone at once.
+   */
+  @Test
+  public void testEntriesThatLapsedInAnOutageAreBelievedToComeBack() {
+    for (int seed = 1; seed <= SEEDS; seed++) {
+      VirtualFleet fleet = begin(seed);
+      fleet.refuseSilently();
+      fleet.turnAway(fleet.names());
+      fleet.run(OUTAGE);
+      fleet.lapse("i-0");
+      fleet.run(OUTAGE.plus(fleet.within(REST)));
+      fleet.takeBack();
+      fleet.run(BACK_AFTER);
+      fleet.register("i-0", false);
+      fleet.run(START);
+      assertEquals(fleet.whoGaveUp("i-0"), List.of(), "seed " + seed);
+    }
+  }
+
   @Test
   public void testInstancesBehindSilentOnesKnowSoon() {
     for (int seed = 1; seed <= SEEDS; seed++) {
--- a/org.oatlug.test/tst/org/oatlug/internal/config/VirtualFleet.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/config/VirtualFleet.java
@@ -49,6 +49,7 @@
   private static final Duration TICK = Duration.ofMillis(20);
 
   private static final Duration LIST_TIME = Duration.ofMillis(4);
+  private static final Duration CALL_TIME = Duration.ofSeconds(1);
   private static final int MOST_DELAY_MILLIS = 6;
 
   private final Random random;
@@ -62,6 +63,7 @@
   private final Set<String> turnedAway = new HashSet<>();
   private final Set<String> cutZones = new HashSet<>();
   private final Map<String, Instant> acknowledged = new TreeMap<>();
+  private Duration refusalTime = LIST_TIME;
   private Instant now = Instant.parse("2026-12-02T12:00:00Z");
   private long numbers;
   private long revision;
@@ -169,7 +171,7 @@
               emitter -> {
                 Runnable answer = effect.apply(emitter);
                 after(
-                    LIST_TIME,
+                    turnedAway.contains(name()) ? refusalTime : LIST_TIME,
                     () -> {
                       if (turnedAway.contains(name())) {
                         emitter.fail(new PlatformUnavailableException("turned away", null));
@@ -323,6 +325,34 @@
     answerWatchers();
   }
 
+  /** Lets the store keep those whom it turns away waiting until they give up, for a second. */
+  void refuseSilently() {
+    refusalTime = CALL_TIME;
+  }
+
+  /** Lets the store answer all instances again. */
+  void takeBack() {
+    turnedAway.clear();
+  }
+
+  /** Removes the entry of an upstream that lives, as when it cannot write for too long. */
+  void lapse(String upstream) {
+    change(ObjectKey.valueOf(GatewayKinds.UPSTREAM, upstream), Kinds.tombstone());
+  }
+
+  /** Returns the instances that ever took the upstream to leave or to be gone. */
+  List<String> whoGaveUp(String upstream) {
+    return instances.values().stream()
+        .filter(instance -> instance.learned.containsKey(upstream))
+        .map(Instance::name)
+        .toList();
+  }
+
+  /** Returns the names of all instances. */
+  List<String> names() {
+    return List.copyOf(instances.keySet());
+  }
+
   /** Stops instances; nobody is told. */
   void silence(List<String> names) {
     silent.addAll(names);
