Believe that lapsed entries come back also where one reads instead of a reader

Cause: the belief hung on the failures that the reader itself had counted. Who was asked to read instead had counted none, and the first list after the outage marked all that was missing as gone, for all instances. Change: the time until which missing entries are believed is kept by itself; it starts after an outage and with reading instead, and a failure within it does not end it.

--- a/org.oatlug/src/org/oatlug/internal/config/ConfigurationSystem.java
+++ b/org.oatlug/src/org/oatlug/internal/config/ConfigurationSystem.java
@@ -139,7 +139,11 @@
   /** Reads something from the platform, unless a watch that works is there already. */
   private Uni<Void> checkPlatform() {
     StoreWatch first = watches.get(0);
-    return first.isHealthy() ? Uni.createFrom().voidItem() : first.listOnce();
+    if (first.isHealthy()) {
+      return Uni.createFrom().voidItem();
+    }
+    watches.forEach(StoreWatch::believeMissing);
+    return first.listOnce().invoke(() -> watches.forEach(StoreWatch::believeMissing));
   }
 
   private void readInstances(Instant now) {
--- a/org.oatlug/src/org/oatlug/internal/config/StoreWatch.java
+++ b/org.oatlug/src/org/oatlug/internal/config/StoreWatch.java
@@ -47,6 +47,7 @@
   private boolean waiting;
   private long revision;
   private int failuresInRow;
+  private Instant believedUntil = Instant.EPOCH;
   private Instant nextList = Instant.EPOCH;
   private Instant nextCall = Instant.EPOCH;
 
@@ -119,17 +120,28 @@
 
   private void listed(Platform.Batch batch) {
     revision = batch.revision();
+    if (failuresInRow >= OUTAGE_FAILURES) {
+      believeMissing();
+    }
     List<StoredObject> all = new ArrayList<>(batch.objects());
-    boolean mayComeBack = failuresInRow >= OUTAGE_FAILURES;
-    if (mayComeBack) {
-      nextList = clock.instant().plus(LAPSE_GRACE);
+    Instant now = clock.instant();
+    if (now.isBefore(believedUntil)) {
+      nextList = believedUntil;
     } else {
-      nextList = clock.instant().plus(LIST_INTERVAL);
+      nextList = now.plus(LIST_INTERVAL);
       all.addAll(vanished(batch));
     }
     owner.received(all, revision, Origin.LIST);
   }
 
+  /**
+   * Believes entries that are missing to come back soon, as after an outage. One who reads instead
+   * of a reader has not seen the outage: without this it took all that had lapsed for gone.
+   */
+  void believeMissing() {
+    believedUntil = clock.instant().plus(LAPSE_GRACE);
+  }
+
   /** Returns tombstones for objects that the platform no longer lists. */
   private List<StoredObject> vanished(Platform.Batch batch) {
     Set<ObjectKey> listed = new HashSet<>();
