--- a/org.oatlug/src/org/oatlug/internal/engine/UpstreamCaller.java
+++ b/org.oatlug/src/org/oatlug/internal/engine/UpstreamCaller.java
@@ -103,11 +103,6 @@
         request.reset();
       }
     }
-
-    /** Returns whether the attempt was cancelled. */
-    public boolean isCancelled() {
-      return cancelled;
-    }
   }
 
   /**
