Test what a start of all instances asks of the store; fails

95 instances that start at once while 42 upstreams register made 1,802 calls in virtual time, 19 an instance, because each takes itself for the reader of its zone until it has met the others.

--- a/org.oatlug.test/tst/org/oatlug/internal/config/VirtualFleet.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/config/VirtualFleet.java
@@ -22,6 +22,7 @@
 import java.util.function.Function;
 import org.oatlug.api.ObjectKey;
 import org.oatlug.config.Kinds;
+import org.oatlug.config.Settings;
 import org.oatlug.errors.PeerUnavailableException;
 import org.oatlug.errors.PlatformUnavailableException;
 import org.oatlug.gateway.GatewayKinds;
@@ -52,10 +53,14 @@
   private static final Duration CALL_TIME = Duration.ofSeconds(1);
   private static final int MOST_DELAY_MILLIS = 6;
 
+  /** How many instances a starting one is told of. */
+  private static final int SEEDS = 3;
+
   private final Random random;
   private final PriorityQueue<Event> events =
       new PriorityQueue<>(Comparator.comparing(Event::at).thenComparing(Event::number));
   private final Map<String, Instance> instances = new TreeMap<>();
+  private final Map<Integer, Instance> byPort = new TreeMap<>();
   private final Map<ObjectKey, StoredObject> stored = new TreeMap<>();
   private final List<StoredObject> history = new ArrayList<>();
   private final List<Runnable> watchers = new ArrayList<>();
@@ -67,6 +72,7 @@
   private Instant now = Instant.parse("2026-12-02T12:00:00Z");
   private long numbers;
   private long revision;
+  private int storeCalls;
 
   private VirtualFleet(long seed) {
     random = new Random(seed);
@@ -130,7 +136,8 @@
 
     @Override
     public Uni<PeerMessage> ask(Member peer, PeerMessage message, Duration patience) {
-      Instance target = instances.get(peer.name());
+      // A seed is asked by its address; its name is not known before it answers.
+      Instance target = instances.getOrDefault(peer.name(), byPort.get(peer.peerPort()));
       return Uni.createFrom()
           .emitter(
               emitter -> {
@@ -169,6 +176,7 @@
       return Uni.createFrom()
           .emitter(
               emitter -> {
+                storeCalls++;
                 Runnable answer = effect.apply(emitter);
                 after(
                     turnedAway.contains(name()) ? refusalTime : LIST_TIME,
@@ -229,20 +237,60 @@
   /** Starts instances that know each other. */
   static VirtualFleet of(int zones, int instancesPerZone, long seed) {
     VirtualFleet fleet = new VirtualFleet(seed);
+    List<Member> members = fleet.createInstances(zones, instancesPerZone);
+    for (Instance instance : fleet.instances.values()) {
+      members.forEach(instance.membership::merge);
+      fleet.after(fleet.within(TICK), instance::tick);
+    }
+    return fleet;
+  }
+
+  /** Starts all instances within the time; each knows a few seeds and nobody else. */
+  static VirtualFleet starting(int zones, int instancesPerZone, Duration within, long seed) {
+    VirtualFleet fleet = new VirtualFleet(seed);
+    List<Member> members = fleet.createInstances(zones, instancesPerZone);
+    List<Settings.Address> seeds =
+        members.stream()
+            .filter(member -> member.peerPort() % instancesPerZone == 1)
+            .limit(SEEDS)
+            .map(member -> new Settings.Address(member.host(), member.peerPort()))
+            .toList();
+    for (Instance instance : fleet.instances.values()) {
+      instance.membership.seeds(seeds);
+      fleet.after(fleet.within(within), instance::tick);
+    }
+    return fleet;
+  }
+
+  private List<Member> createInstances(int zones, int instancesPerZone) {
     List<Member> members = new ArrayList<>();
     for (int zone = 0; zone < zones; zone++) {
       for (int number = 0; number < instancesPerZone; number++) {
-        String name = "entry-" + zone + "-" + Integer.toHexString(fleet.random.nextInt());
+        String name = "entry-" + zone + "-" + Integer.toHexString(random.nextInt());
+        int port = members.size() + 1;
         members.add(
-            new Member(name, "zone-" + zone, name, "127.0.0.1", 1, 1, 0, Member.State.ALIVE));
+            new Member(name, "zone-" + zone, name, "127.0.0.1", port, 1, 0, Member.State.ALIVE));
       }
     }
-    members.forEach(member -> fleet.instances.put(member.name(), fleet.new Instance(member)));
-    for (Instance instance : fleet.instances.values()) {
-      members.forEach(instance.membership::merge);
-      fleet.after(fleet.within(TICK), instance::tick);
+    for (Member member : members) {
+      Instance instance = new Instance(member);
+      instances.put(member.name(), instance);
+      byPort.put(member.peerPort(), instance);
     }
-    return fleet;
+    return members;
+  }
+
+  /** Returns how many calls the store got from all instances. */
+  int storeCalls() {
+    return storeCalls;
+  }
+
+  /** Returns the names of the instances that do not know of an upstream that lives. */
+  List<String> whoMisses(String upstream) {
+    return instances.values().stream()
+        .filter(instance -> instance.tables.upstream(upstream).isEmpty())
+        .map(Instance::name)
+        .toList();
   }
 
   private Duration delay() {
