--- /dev/null
+++ b/org.oatlug.test/tst/org/oatlug/internal/gateway/HeldUpFront.java
@@ -0,0 +1,153 @@
+// Copyright (c) 2026, the oatlug authors
+// SPDX-License-Identifier: BSD-3-Clause
+
+package org.oatlug.internal.gateway;
+
+import com.codahale.metrics.MetricRegistry;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import io.vertx.core.Vertx;
+import io.vertx.core.json.JsonObject;
+import java.io.IOException;
+import java.time.Instant;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.random.RandomGenerator;
+import org.oatlug.adapter.PlatformAdapter;
+import org.oatlug.adapter.standin.SampleObjects;
+import org.oatlug.adapter.standin.UpstreamStandin;
+import org.oatlug.api.ObjectKey;
+import org.oatlug.gateway.CallerLimits;
+import org.oatlug.gateway.GatewayKinds;
+import org.oatlug.gateway.GatewaySettings;
+import org.oatlug.gateway.RequestHead;
+import org.oatlug.gateway.Route;
+import org.oatlug.gateway.RouteKind;
+import org.oatlug.gateway.RoutingConfiguration;
+import org.oatlug.gateway.ServiceDefinition;
+import org.oatlug.gateway.UpstreamRecord;
+import org.oatlug.internal.metrics.Meters;
+import org.oatlug.internal.util.Json;
+import org.oatlug.platform.StoredObject;
+import org.oatlug.test.Ports;
+
+/**
+ * A callers' front in this process whose choice of an upstream can be held up, with upstreams to
+ * choose from. Ends what it started; used from one thread.
+ */
+final class HeldUpFront implements AutoCloseable {
+  static final String HOST = "127.0.0.1";
+
+  private final GatewayTables tables = GatewayTables.create();
+  private final Vertx vertx = Vertx.vertx();
+  private volatile Runnable afterChoice = () -> {};
+  private long revision;
+
+  /** Runs an action on the event loop each time that a choice has its candidates. */
+  void afterChoice(Runnable action) {
+    afterChoice = action;
+  }
+
+  private void put(String kind, String name, Object value) {
+    StoredObject object =
+        new StoredObject(ObjectKey.valueOf(kind, name), ++revision, Json.STRICT.valueToTree(value));
+    tables.mergeAll(List.of(object));
+  }
+
+  /** Starts an upstream and registers it. */
+  UpstreamStandin addUpstream(String name, String zone) throws IOException {
+    UpstreamStandin upstream = UpstreamStandin.create(vertx, name);
+    int port = Ports.free();
+    upstream.listen(HOST, port).toCompletionStage().toCompletableFuture().join();
+    put(GatewayKinds.UPSTREAM, name, record(port, zone, false));
+    return upstream;
+  }
+
+  private static UpstreamRecord record(int port, String zone, boolean leaving) {
+    return new UpstreamRecord(SampleObjects.SERVICE, HOST, port, zone, "v1", 8, leaving);
+  }
+
+  /** Takes in that the upstream leaves. */
+  void leaves(String name) {
+    UpstreamRecord known = tables.upstream(name).orElseThrow();
+    if (!known.leaving()) {
+      put(GatewayKinds.UPSTREAM, name, record(known.port(), known.zone(), true));
+    }
+  }
+
+  private static RoutingConfiguration configuration() {
+    Route route =
+        new Route(
+            "stock",
+            HOST,
+            SampleObjects.ONCE,
+            RouteKind.AT_MOST_ONCE,
+            5000,
+            500,
+            1,
+            1,
+            true,
+            false,
+            false,
+            0,
+            List.of(),
+            List.of(new Route.WeightedTarget(SampleObjects.SERVICE, 1)));
+    return new RoutingConfiguration(
+        1,
+        List.of(route),
+        List.of(new ServiceDefinition(SampleObjects.SERVICE, 100, Optional.empty())),
+        CallerLimits.DEFAULT,
+        Optional.empty());
+  }
+
+  /** Starts the front and returns its port. */
+  int listen() throws JsonProcessingException {
+    put(GatewayKinds.ROUTING, "main", configuration());
+    List<Integer> ports = List.of(1, 1, Ports.free(), 1, 1, 1);
+    JsonObject text = SampleObjects.settings("entry-0", ports, List.of());
+    GatewaySettings settings = Json.STRICT.readValue(text.encode(), GatewaySettings.class);
+    RandomGenerator choosing =
+        () -> {
+          afterChoice.run();
+          return 0;
+        };
+    GatewayParts parts =
+        GatewayParts.create(
+            vertx,
+            settings,
+            Instant::now,
+            new PlatformAdapter(),
+            tables,
+            new AnyVersion(),
+            choosing,
+            Meters.of(new MetricRegistry()));
+    CallerFront.create(parts, new Random(1))
+        .listen()
+        .toCompletionStage()
+        .toCompletableFuture()
+        .join();
+    return ports.get(2);
+  }
+
+  @Override
+  public void close() {
+    vertx.close().toCompletionStage().toCompletableFuture().join();
+  }
+
+  /** No roll-out runs. */
+  private static final class AnyVersion implements VersionRule {
+    @Override
+    public Optional<Wish> wishFor(String service, RequestHead head, Optional<String> lastFailed) {
+      return Optional.empty();
+    }
+
+    @Override
+    public void sent(String service, String version, RequestHead head) {}
+
+    @Override
+    public void answered(Answer answer) {}
+
+    @Override
+    public void paced(Pace pace) {}
+  }
+}
