Look at the caller's socket before a request is written to an upstream

Cause: a close is seen when the event loop comes to the socket; in a busy instance a request was written in the same round before that.

--- a/org.oatlug/src/org/oatlug/internal/gateway/CallerAnswer.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/CallerAnswer.java
@@ -44,6 +44,11 @@
     }
   }
 
+  /** Looks whether the caller went away, also if that was not reported yet. */
+  boolean isCallerGone() {
+    return ended || CallerSocket.isClosed(request.connection());
+  }
+
   boolean isBegun() {
     return response.headWritten();
   }
