Let changes come together in one call of the store, watch longer beside the first reader

Cause: each change of an upstream ended the watches of ten readers, who watched again at once; a reader beside the first one waited as briefly. Change: a watch rests 150 ms after it brought something, 500 ms beside the first reader, which pushes what it reads; beside the first one it waits three times as long.

--- a/org.oatlug/src/org/oatlug/internal/config/ConfigurationSystem.java
+++ b/org.oatlug/src/org/oatlug/internal/config/ConfigurationSystem.java
@@ -177,6 +177,11 @@
       return role.isReader();
     }
 
+    @Override
+    public boolean isFirstReader() {
+      return role.isFirstReader();
+    }
+
     @Override
     public boolean isStarting() {
       return role.isStarting();
--- a/org.oatlug/src/org/oatlug/internal/config/ReaderRole.java
+++ b/org.oatlug/src/org/oatlug/internal/config/ReaderRole.java
@@ -118,6 +118,11 @@
     return reader;
   }
 
+  /** Returns whether the zone depends on what this instance reads. */
+  boolean isFirstReader() {
+    return membership.isFirstReader() || standsIn();
+  }
+
   /** Returns whether this instance has just started and reads everything once for itself. */
   boolean isStarting() {
     return starting;
--- a/org.oatlug/src/org/oatlug/internal/config/StoreWatch.java
+++ b/org.oatlug/src/org/oatlug/internal/config/StoreWatch.java
@@ -29,6 +29,18 @@
   private static final Duration LIST_INTERVAL = Duration.ofSeconds(30);
   private static final Duration RETRY_INTERVAL = Duration.ofMillis(500);
 
+  /**
+   * How long a watch rests after it brought something, so that changes which follow each other come
+   * with one call. Little beside the two seconds for which leaving upstreams serve on.
+   */
+  private static final Duration REST_AFTER_CHANGE = Duration.ofMillis(150);
+
+  /** The same at a reader that stands beside the first one, which pushes what it reads. */
+  private static final Duration REST_BESIDE_FIRST = Duration.ofMillis(500);
+
+  /** How many times longer a reader beside the first one waits for a change. */
+  private static final int WAIT_FACTOR_BESIDE_FIRST = 3;
+
   /** So many failures in a row are an outage, during which entries may lapse by themselves. */
   private static final int OUTAGE_FAILURES = 2;
 
@@ -71,6 +83,9 @@
     /** Returns whether this instance reads the platform. */
     boolean isReader();
 
+    /** Returns whether the availability zone depends on what this instance reads. */
+    boolean isFirstReader();
+
     /** Returns whether this instance has just started and reads once for itself. */
     boolean isStarting();
 
@@ -88,7 +103,7 @@
    * Returns a watch that has not read anything yet.
    *
    * @param kinds the kinds that are read with one call
-   * @param longestWait how long a watch waits for a change
+   * @param longestWait how long a watch of the first reader waits for a change
    */
   static StoreWatch create(
       List<String> kinds,
@@ -162,12 +177,18 @@
 
   private Uni<Void> watchOnce() {
     Duration untilList = Duration.between(clock.instant(), nextList);
-    Duration wait = untilList.compareTo(longestWait) < 0 ? untilList : longestWait;
+    Duration longest =
+        owner.isFirstReader() ? longestWait : longestWait.multipliedBy(WAIT_FACTOR_BESIDE_FIRST);
+    Duration wait = untilList.compareTo(longest) < 0 ? untilList : longest;
     return platform.watch(kinds, revision, wait).invoke(this::changed).replaceWithVoid();
   }
 
   private void changed(Platform.Batch batch) {
     revision = batch.revision();
+    if (!batch.objects().isEmpty()) {
+      nextCall =
+          clock.instant().plus(owner.isFirstReader() ? REST_AFTER_CHANGE : REST_BESIDE_FIRST);
+    }
     owner.received(batch.objects(), revision, Origin.WATCH);
   }
 
--- a/org.oatlug/src/org/oatlug/internal/membership/Membership.java
+++ b/org.oatlug/src/org/oatlug/internal/membership/Membership.java
@@ -215,6 +215,11 @@
     return rank >= 0 && rank < READERS;
   }
 
+  /** Returns whether this instance is the first of the readers, whom the others stand beside. */
+  public boolean isFirstReader() {
+    return view().readerRank().indexOf(self.name()) == 0;
+  }
+
   /**
    * Returns those who may read in the place of this instance: the others of the zone that are not
    * readers, by rank, from another one on for each of the readers.
