Count calls of the store and questions to peers by type; a line at the end of a start

On call could not tell which calls and messages an instance makes, nor how long a start took until it served.

--- a/org.oatlug.entry/src/org/oatlug/entry/GatewayInstance.java
+++ b/org.oatlug.entry/src/org/oatlug/entry/GatewayInstance.java
@@ -10,6 +10,7 @@
 import io.vertx.core.Promise;
 import io.vertx.core.VerticleBase;
 import java.time.Duration;
+import java.time.Instant;
 import java.time.InstantSource;
 import java.util.List;
 import java.util.Optional;
@@ -31,8 +32,11 @@
 import org.oatlug.internal.gather.GatherSystem;
 import org.oatlug.internal.membership.Membership;
 import org.oatlug.internal.metrics.Meters;
+import org.oatlug.internal.peer.CountedPeers;
 import org.oatlug.internal.peer.Member;
+import org.oatlug.internal.peer.PeerNetwork;
 import org.oatlug.internal.peer.TcpPeers;
+import org.oatlug.internal.platform.CountedPlatform;
 import org.oatlug.internal.table.Freshness;
 import org.oatlug.internal.util.MonotonicClock;
 import org.oatlug.internal.util.TickSystem;
@@ -74,8 +78,11 @@
   private GatewaySettings settings;
   private Membership membership;
   private CallerFront front;
-  private TcpPeers network;
+  private TcpPeers listener;
   private List<TickSystem> systems = List.of();
+  private final Instant startedAt = clock.instant();
+  private Instant listeningAt = Instant.MAX;
+  private Instant configuredAt = Instant.MAX;
   private boolean stopping;
   private boolean configured;
 
@@ -109,7 +116,7 @@
   private Future<?> listen(InspectionServer inspection, GatewayParts parts) {
     // The callers' server is the first one: it takes over the socket that was opened for it.
     final Future<?> callers = front.listen();
-    network.listen().onFailure(failure -> logger.atSevere().withCause(failure).log("peers"));
+    listener.listen().onFailure(failure -> logger.atSevere().withCause(failure).log("peers"));
     systems.forEach(TickSystem::tick);
     vertx.setPeriodic(TICK_MILLIS, unused -> systems.forEach(TickSystem::tick));
     return callers
@@ -117,16 +124,36 @@
         .compose(
             unused ->
                 inspection.listenForOperators(settings.callers().host(), settings.metrics(), parts))
-        .onSuccess(unused -> logger.atInfo().log("instance %s listens", settings.name()));
+        .onSuccess(unused -> listens());
+  }
+
+  private void listens() {
+    listeningAt = clock.instant();
+    logger.atInfo().log("instance %s listens", settings.name());
+    noteStarted();
+  }
+
+  /** Writes the line that ends a start, once the instance listens and has a configuration. */
+  private void noteStarted() {
+    if (configured && !listeningAt.equals(Instant.MAX)) {
+      logger.atInfo().log(
+          "instance %s can serve, listening=%d configured=%d millis after its start",
+          settings.name(), millisOfStart(listeningAt), millisOfStart(configuredAt));
+    }
+  }
+
+  private long millisOfStart(Instant moment) {
+    return Duration.between(startedAt, moment).toMillis();
   }
 
   /** Makes the parts of the instance and tells them of each other. */
   private GatewayParts wire(Meters meters) {
-    Platform platform = adapter.platform(vertx, settings);
+    Platform platform = CountedPlatform.of(adapter.platform(vertx, settings), meters);
     LatePeers late = new LatePeers();
-    network = TcpPeers.create(vertx, peerSettings(), membership::self, late);
+    listener = TcpPeers.create(vertx, peerSettings(), membership::self, late);
+    PeerNetwork network = CountedPeers.of(listener, membership::self, meters);
     membership.connect(network);
-    ConfigurationSystem configuration = configurationSystem(platform, meters);
+    ConfigurationSystem configuration = configurationSystem(platform, network, meters);
     RolloutDirector rollouts =
         RolloutDirector.create(tables, platform, membership, clock, meters, settings.bounds());
     GatewayParts parts =
@@ -145,7 +172,8 @@
     return parts;
   }
 
-  private ConfigurationSystem configurationSystem(Platform platform, Meters meters) {
+  private ConfigurationSystem configurationSystem(
+      Platform platform, PeerNetwork network, Meters meters) {
     return ConfigurationSystem.create(
         new NotedObjects(),
         Freshness.withBound(FRESHNESS),
@@ -193,7 +221,9 @@
   private void noteConfiguration() {
     if (!configured && tables.configuration().isPresent()) {
       configured = true;
+      configuredAt = clock.instant();
       front.configured();
+      noteStarted();
     }
   }
 
--- /dev/null
+++ b/org.oatlug.test/tst/org/oatlug/internal/platform/CountedPlatformTest.java
@@ -0,0 +1,77 @@
+// Copyright (c) 2026, the oatlug authors
+// SPDX-License-Identifier: BSD-3-Clause
+
+package org.oatlug.internal.platform;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.expectThrows;
+
+import com.codahale.metrics.MetricRegistry;
+import com.fasterxml.jackson.databind.JsonNode;
+import io.smallrye.mutiny.Uni;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import org.oatlug.api.ObjectKey;
+import org.oatlug.errors.PlatformUnavailableException;
+import org.oatlug.internal.metrics.Meters;
+import org.oatlug.platform.Platform;
+import org.oatlug.platform.StoredObject;
+import org.testng.annotations.Test;
+
+/** Shows that calls of the store are counted by operation and kind, when they are made. */
+public class CountedPlatformTest {
+  private final MetricRegistry registry = new MetricRegistry();
+  private final Platform platform = CountedPlatform.of(new Store(), Meters.of(registry));
+
+  private long count(String name) {
+    return registry.counter(name).getCount();
+  }
+
+  @Test
+  public void testCallsAreCountedWhenTheyAreMade() {
+    Uni<Platform.Batch> notMade = platform.list(List.of("upstream"));
+    assertEquals(count("store.list.upstream"), 0);
+    notMade.await().indefinitely();
+    platform.watch(List.of("upstream"), 1, Duration.ofSeconds(1)).await().indefinitely();
+    assertEquals(count("store.list.upstream"), 1);
+    assertEquals(count("store.watch.upstream"), 1);
+    assertEquals(count("store.failed.list.upstream"), 0);
+  }
+
+  @Test
+  public void testCallsThatFailAreCountedTwice() {
+    Uni<Optional<StoredObject>> call = platform.get(ObjectKey.valueOf("rollout", "pool"));
+    expectThrows(RuntimeException.class, () -> call.await().indefinitely());
+    assertEquals(count("store.get.rollout"), 1);
+    assertEquals(count("store.failed.get.rollout"), 1);
+  }
+
+  /** Lists and watches answer, other calls fail. */
+  private static final class Store implements Platform {
+    @Override
+    public Uni<Optional<StoredObject>> get(ObjectKey key) {
+      return Uni.createFrom().failure(new PlatformUnavailableException("get", null));
+    }
+
+    @Override
+    public Uni<Batch> list(List<String> kinds) {
+      return Uni.createFrom().item(new Batch(1, List.of()));
+    }
+
+    @Override
+    public Uni<Long> put(ObjectKey key, long expected, JsonNode value) {
+      return Uni.createFrom().failure(new PlatformUnavailableException("put", null));
+    }
+
+    @Override
+    public Uni<Batch> watch(List<String> kinds, long revision, Duration wait) {
+      return Uni.createFrom().item(new Batch(revision, List.of()));
+    }
+
+    @Override
+    public Uni<List<ListedInstance>> instances() {
+      return Uni.createFrom().item(List.of());
+    }
+  }
+}
--- /dev/null
+++ b/org.oatlug/src/org/oatlug/internal/platform/CountedPlatform.java
@@ -0,0 +1,66 @@
+// Copyright (c) 2026, the oatlug authors
+// SPDX-License-Identifier: BSD-3-Clause
+
+package org.oatlug.internal.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.smallrye.mutiny.Uni;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import org.oatlug.api.ObjectKey;
+import org.oatlug.internal.metrics.Meters;
+import org.oatlug.platform.Platform;
+import org.oatlug.platform.StoredObject;
+
+/**
+ * Counts the calls of a platform by operation and kind, and those that failed: {@code
+ * store.OPERATION.KIND} and {@code store.failed.OPERATION.KIND}. Used from one event loop.
+ */
+public final class CountedPlatform implements Platform {
+  private final Platform counted;
+  private final Meters meters;
+
+  private CountedPlatform(Platform counted, Meters meters) {
+    this.counted = counted;
+    this.meters = meters;
+  }
+
+  /** Returns the platform with its calls counted. */
+  public static Platform of(Platform counted, Meters meters) {
+    return new CountedPlatform(counted, meters);
+  }
+
+  private <T> Uni<T> count(String operation, String kind, Uni<T> call) {
+    String name = operation + "." + kind;
+    return call.onSubscription()
+        .invoke(() -> meters.count("store." + name))
+        .onFailure()
+        .invoke(() -> meters.count("store.failed." + name));
+  }
+
+  @Override
+  public Uni<Optional<StoredObject>> get(ObjectKey key) {
+    return count("get", key.kind(), counted.get(key));
+  }
+
+  @Override
+  public Uni<Batch> list(List<String> kinds) {
+    return count("list", String.join("-", kinds), counted.list(kinds));
+  }
+
+  @Override
+  public Uni<Long> put(ObjectKey key, long expected, JsonNode value) {
+    return count("put", key.kind(), counted.put(key, expected, value));
+  }
+
+  @Override
+  public Uni<Batch> watch(List<String> kinds, long revision, Duration wait) {
+    return count("watch", String.join("-", kinds), counted.watch(kinds, revision, wait));
+  }
+
+  @Override
+  public Uni<List<ListedInstance>> instances() {
+    return counted.instances();
+  }
+}
