Split what zones were told and kept sessions off; take missing lists for empty

Names and sizes only, but for a zone that lost a message: it is told of sessions from where it stood before that message. A message without its list of sessions counts as one with an empty list.

--- a/org.oatlug/src/org/oatlug/internal/gateway/RolloutDirector.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/RolloutDirector.java
@@ -27,7 +27,6 @@
 import org.oatlug.internal.metrics.Meters;
 import org.oatlug.internal.rollout.RolloutGuard;
 import org.oatlug.internal.rollout.VersionEvidence;
-import org.oatlug.internal.util.BoundedMap;
 import org.oatlug.internal.util.Hashes;
 import org.oatlug.internal.util.Json;
 import org.oatlug.internal.util.TickSystem;
@@ -50,9 +49,6 @@
   /** How often duties are done. */
   private static final Duration INTERVAL = Duration.ofMillis(250);
 
-  /** Sessions of the longest pause at the busiest instance of the design size. */
-  private static final int MOST_KEPT_TOLD = 4096;
-
   /** Fewer answers than this show nothing; a version that had fewer is not taken over. */
   private static final long LEAST_ANSWERS = 20;
 
@@ -62,19 +58,14 @@
   /** The number of hashes without a sign. */
   private static final double HASH_RANGE = Math.pow(2, 63);
 
-  /** Stands for the old version of a session that another instance keeps on it. */
-  private static final String KEPT_ELSEWHERE = "";
-
   private final GatewayTables tables;
   private final Platform platform;
   private final Membership membership;
   private final InstantSource clock;
   private final Meters meters;
   private final RolloutSchedule schedule;
-  private final Map<String, SessionVersions> sessions = new HashMap<>();
+  private final KeptSessions sessions;
   private final Map<String, RolloutTrial> trials = new HashMap<>();
-  private final Duration sessionPause;
-  private final Map<KeptSession, Instant> keptToldAt = BoundedMap.ofMost(MOST_KEPT_TOLD);
   private Runnable onRefuted = () -> {};
   private boolean writing;
   private Instant keptSince = Instant.EPOCH;
@@ -93,7 +84,7 @@
     this.clock = clock;
     this.meters = meters;
     this.schedule = RolloutSchedule.within(bounds.exposureShare());
-    this.sessionPause = Duration.ofMillis(bounds.sessionMillis());
+    this.sessions = KeptSessions.withPause(Duration.ofMillis(bounds.sessionMillis()));
   }
 
   /** Returns a director that has seen nothing yet. */
@@ -137,7 +128,7 @@
     if (session.isEmpty()) {
       return chosen;
     }
-    Optional<String> seen = sessionsOf(service).versionOf(number, clock.instant());
+    Optional<String> seen = sessions.of(service).versionOf(number, clock.instant());
     if (seen.isEmpty()) {
       return chosen;
     }
@@ -165,7 +156,7 @@
   @Override
   public void sent(String service, String version, RequestHead head) {
     SessionVersions.sessionOf(head)
-        .ifPresent(session -> sessionsOf(service).seen(session, version, clock.instant()));
+        .ifPresent(session -> sessions.of(service).seen(session, version, clock.instant()));
   }
 
   @Override
@@ -240,38 +231,26 @@
     }
   }
 
-  /**
-   * Returns the sessions that stay on the old version although their share would move them, those
-   * seen since the last call; each one once in the longest pause of a session.
-   */
+  /** Returns the sessions that other instances are to keep on the old version, too. */
   public List<KeptSession> newlyKept() {
     Instant now = clock.instant();
     List<KeptSession> kept = new ArrayList<>();
     for (String service : tables.servicesWithRollout()) {
-      runningTrial(service).ifPresent(trial -> addKept(service, trial, kept));
+      runningTrial(service)
+          .map(trial -> sessions.toTell(service, trial.version(), keptSince, this::wouldMove, now))
+          .ifPresent(kept::addAll);
     }
-    kept.removeIf(one -> isToldLately(one, now));
-    kept.forEach(one -> keptToldAt.put(one, now));
     keptSince = now;
     return kept;
   }
 
-  private void addKept(String service, RolloutTrial trial, List<KeptSession> kept) {
-    for (long session : sessionsOf(service).seenOnOthers(trial.version(), keptSince)) {
-      if (positionOf(session) < schedule.shareAt(0)) {
-        kept.add(new KeptSession(service, session));
-      }
-    }
-  }
-
-  private boolean isToldLately(KeptSession session, Instant now) {
-    Instant toldAt = keptToldAt.getOrDefault(session, Instant.EPOCH);
-    return now.isBefore(toldAt.plus(sessionPause));
+  private boolean wouldMove(long session) {
+    return positionOf(session) < schedule.shareAt(0);
   }
 
-  /** Takes in sessions that another instance keeps on the old version. */
+  /** Takes in a session that another instance keeps on the old version. */
   public void heardKept(KeptSession session) {
-    sessionsOf(session.service()).heard(session.session(), KEPT_ELSEWHERE, clock.instant());
+    sessions.heard(session, clock.instant());
   }
 
   @Override
@@ -375,8 +354,4 @@
     }
     return known;
   }
-
-  private SessionVersions sessionsOf(String service) {
-    return sessions.computeIfAbsent(service, unused -> SessionVersions.withPause(sessionPause));
-  }
 }
--- a/org.oatlug/src/org/oatlug/internal/gather/GatherSystem.java
+++ b/org.oatlug/src/org/oatlug/internal/gather/GatherSystem.java
@@ -8,9 +8,7 @@
 import java.time.Instant;
 import java.time.InstantSource;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.oatlug.internal.engine.OpenReading;
@@ -46,12 +44,6 @@
   /** The same while nothing is open and no version is brought in. */
   private static final Duration IDLE_REFRESH = Duration.ofSeconds(1);
 
-  /**
-   * The pause between two messages to another zone, where bytes have a price: 0.003 to 0.007 of the
-   * worth of a day with this pause and all instances telling each other, three days, one run each.
-   */
-  private static final Duration ZONE_PAUSE = Duration.ofMillis(300);
-
   /** How long a peer may take to answer: many times the way between zones. */
   private static final Duration PATIENCE = Duration.ofMillis(400);
 
@@ -70,7 +62,7 @@
   private final Accounts accounts = Accounts.create();
   private final SessionLog sessions = SessionLog.create();
   private final List<KeptSession> untold = new ArrayList<>();
-  private final Map<String, ToldZone> toldZones = new HashMap<>();
+  private final ToldZones zones = ToldZones.create(sessions);
   private Account told = Account.EMPTY;
   private Instant toldAt = Instant.EPOCH;
   private boolean asking;
@@ -78,16 +70,6 @@
   private long readUpTo;
   private long pushedRefuted;
 
-  /** What a zone was told, and when. */
-  private record ToldZone(Account account, Instant at, long sessionsUpTo) {
-    static final ToldZone NOTHING = new ToldZone(Account.EMPTY, Instant.EPOCH, 0);
-
-    /** Returns what a zone was told that knows nothing but the sessions of earlier messages. */
-    ToldZone anew(Instant now) {
-      return new ToldZone(Account.EMPTY, now, sessionsUpTo);
-    }
-  }
-
   private GatherSystem(
       Membership membership,
       PeerNetwork network,
@@ -212,34 +194,15 @@
   }
 
   private void tellZones(Instant now) {
-    Account zone = accounts.ofZone(now);
+    Account own = accounts.ofZone(now);
     for (Member peer : collectors.ofOtherZones()) {
-      ToldZone before = toldZones.getOrDefault(peer.zone(), ToldZone.NOTHING);
-      SessionLog.Part part = sessions.ofOwnZoneAfter(before.sessionsUpTo());
-      if (isZoneDue(before, zone, part, now)) {
-        toldZones.put(peer.zone(), new ToldZone(zone, now, part.upTo()));
-        tellZone(peer, before, zone, part);
-      }
-    }
-  }
-
-  private static boolean isZoneDue(
-      ToldZone before, Account zone, SessionLog.Part part, Instant now) {
-    Account last = before.account();
-    if (zone.worsePairs() > last.worsePairs() || zone.refuted() > last.refuted()) {
-      return true;
-    }
-    Duration since = Duration.between(before.at(), now);
-    if (since.compareTo(ZONE_PAUSE) < 0) {
-      return false;
+      zones.newsFor(peer.zone(), own, now).ifPresent(news -> tellZone(peer, news));
     }
-    boolean fades = !zone.openMillis().isEmpty() && since.compareTo(REFRESH) >= 0;
-    return fades || !part.sessions().isEmpty() || !zone.equals(last);
   }
 
-  private void tellZone(Member peer, ToldZone before, Account zone, SessionLog.Part part) {
+  private void tellZone(Member peer, ToldZones.News news) {
     PeerMessage message =
-        new PeerMessage.ZoneAccount(membership.self().zone(), zone, part.sessions());
+        new PeerMessage.ZoneAccount(membership.self().zone(), news.account(), news.kept());
     network
         .ask(peer, message, PATIENCE)
         .subscribe()
@@ -247,8 +210,7 @@
             answer -> collectors.answered(peer),
             failure -> {
               lost(peer, failure);
-              // The next message tells what this one should have told.
-              toldZones.put(peer.zone(), before.anew(clock.instant()));
+              zones.lost(peer.zone(), clock.instant());
             });
   }
 
--- /dev/null
+++ b/org.oatlug/src/org/oatlug/internal/gather/ToldZones.java
@@ -0,0 +1,89 @@
+// Copyright (c) 2026, the oatlug authors
+// SPDX-License-Identifier: BSD-3-Clause
+
+package org.oatlug.internal.gather;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.oatlug.internal.engine.OpenReading;
+
+/**
+ * What a collector has told the other availability zones, and what it is due to tell them.
+ *
+ * <p>Load pattern: the account of a zone changes with each request, and bytes between zones have a
+ * price. Invariants: a zone is told at most once a pause, but for evidence against a version, which
+ * goes at once; nothing is told that a zone was told already and still counts. Owned by one event
+ * loop, not thread-safe.
+ */
+final class ToldZones {
+  /**
+   * The pause between two messages to a zone: 0.003 to 0.007 of the worth of a day with this pause
+   * and all instances telling each other, three days, one run each.
+   */
+  private static final Duration PAUSE = Duration.ofMillis(300);
+
+  /** The pause after which open prompts are told anew, before they are forgotten. */
+  private static final Duration REFRESH = OpenReading.VALID.dividedBy(4);
+
+  private final SessionLog sessions;
+  private final Map<String, Told> byZone = new HashMap<>();
+
+  /**
+   * What a zone was told last.
+   *
+   * @param sessionsBefore up to which number it had been told of sessions before that
+   */
+  private record Told(Account account, Instant at, long sessionsUpTo, long sessionsBefore) {
+    static final Told NOTHING = new Told(Account.EMPTY, Instant.EPOCH, 0, 0);
+  }
+
+  /**
+   * What a zone is to be told.
+   *
+   * @param account the account of the own zone
+   * @param kept the sessions that it has not been told of
+   */
+  record News(Account account, List<KeptSession> kept) {}
+
+  private ToldZones(SessionLog sessions) {
+    this.sessions = sessions;
+  }
+
+  /** Returns zones that were told nothing yet. */
+  static ToldZones create(SessionLog sessions) {
+    return new ToldZones(sessions);
+  }
+
+  /** Returns what the zone is to be told now, and counts it as told; empty if nothing is due. */
+  Optional<News> newsFor(String zone, Account own, Instant now) {
+    Told before = byZone.getOrDefault(zone, Told.NOTHING);
+    SessionLog.Part part = sessions.ofOwnZoneAfter(before.sessionsUpTo());
+    boolean isNew = !part.sessions().isEmpty() || !own.equals(before.account());
+    if (!isUrgent(before, own) && !isDue(before, own, isNew, now)) {
+      return Optional.empty();
+    }
+    byZone.put(zone, new Told(own, now, part.upTo(), before.sessionsUpTo()));
+    return Optional.of(new News(own, part.sessions()));
+  }
+
+  private static boolean isUrgent(Told before, Account own) {
+    return own.worsePairs() > before.account().worsePairs()
+        || own.refuted() > before.account().refuted();
+  }
+
+  private static boolean isDue(Told before, Account own, boolean isNew, Instant now) {
+    Duration since = Duration.between(before.at(), now);
+    boolean fades = !own.openMillis().isEmpty() && since.compareTo(REFRESH) >= 0;
+    return since.compareTo(PAUSE) >= 0 && (isNew || fades);
+  }
+
+  /** Notes that the zone did not get its last message; the next one tells it again. */
+  void lost(String zone, Instant now) {
+    long known = byZone.getOrDefault(zone, Told.NOTHING).sessionsBefore();
+    byZone.put(zone, new Told(Account.EMPTY, now, known, known));
+  }
+}
--- a/org.oatlug/src/org/oatlug/internal/peer/PeerMessage.java
+++ b/org.oatlug/src/org/oatlug/internal/peer/PeerMessage.java
@@ -103,14 +103,29 @@
    * an old version since the last message, and up to which number it read the collector's sessions.
    */
   record InstanceAccount(Account account, List<KeptSession> kept, long sessionsUpTo)
-      implements PeerMessage {}
+      implements PeerMessage {
+    /** Takes a missing list for an empty one. */
+    public InstanceAccount {
+      kept = kept == null ? List.of() : kept;
+    }
+  }
 
   /** What a collector answers: the account of all others, and the sessions after that number. */
   record FleetAccount(Account others, List<KeptSession> kept, long sessionsUpTo)
-      implements PeerMessage {}
+      implements PeerMessage {
+    /** Takes a missing list for an empty one. */
+    public FleetAccount {
+      kept = kept == null ? List.of() : kept;
+    }
+  }
 
   /** What the collector of a zone tells those of the others of its zone. */
-  record ZoneAccount(String zone, Account account, List<KeptSession> kept) implements PeerMessage {}
+  record ZoneAccount(String zone, Account account, List<KeptSession> kept) implements PeerMessage {
+    /** Takes a missing list for an empty one. */
+    public ZoneAccount {
+      kept = kept == null ? List.of() : kept;
+    }
+  }
 
   /** A message of a type that this version does not know, from a later or an earlier one. */
   record Unknown() implements PeerMessage {}
