Work an instance's account out once a tick; one virtual time for both fleets of the tests

Read again: the account was worked out twice before each question, the refresh stood in two classes, the moments of a start were told by a flag and a far future instant, and the two virtual fleets repeated their event queue. Behaviour and assertions are as before.

--- a/org.oatlug.entry/src/org/oatlug/entry/GatewayInstance.java
+++ b/org.oatlug.entry/src/org/oatlug/entry/GatewayInstance.java
@@ -54,8 +54,8 @@
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
   /**
-   * How often the systems look whether something is due: a fraction of their intervals, which are
-   * 250 ms and longer. With 20 ms an idle instance woke up 59 times a second.
+   * How often the systems look whether something is due: as long as the least of their intervals.
+   * With 20 ms an idle instance woke up 59 times a second.
    */
   private static final long TICK_MILLIS = 100;
 
@@ -75,16 +75,15 @@
   private final InstantSource clock = MonotonicClock.create();
   private final RandomGenerator random = RandomGenerator.getDefault();
   private final GatewayTables tables = GatewayTables.create();
+  private final Instant startedAt = clock.instant();
   private GatewaySettings settings;
   private Membership membership;
   private CallerFront front;
   private TcpPeers listener;
   private List<TickSystem> systems = List.of();
-  private final Instant startedAt = clock.instant();
-  private Instant listeningAt = Instant.MAX;
-  private Instant configuredAt = Instant.MAX;
+  private Optional<Instant> listeningAt = Optional.empty();
+  private Optional<Instant> configuredAt = Optional.empty();
   private boolean stopping;
-  private boolean configured;
 
   GatewayInstance(GatewaySettings settings, DeploymentAdapter adapter) {
     this.settings = settings;
@@ -128,17 +127,17 @@
   }
 
   private void listens() {
-    listeningAt = clock.instant();
+    listeningAt = Optional.of(clock.instant());
     logger.atInfo().log("instance %s listens", settings.name());
     noteStarted();
   }
 
   /** Writes the line that ends a start, once the instance listens and has a configuration. */
   private void noteStarted() {
-    if (configured && !listeningAt.equals(Instant.MAX)) {
+    if (configuredAt.isPresent() && listeningAt.isPresent()) {
       logger.atInfo().log(
           "instance %s can serve, listening=%d configured=%d millis after its start",
-          settings.name(), millisOfStart(listeningAt), millisOfStart(configuredAt));
+          settings.name(), millisOfStart(listeningAt.get()), millisOfStart(configuredAt.get()));
     }
   }
 
@@ -219,9 +218,8 @@
 
   /** Lets callers go on that came before the first configuration. */
   private void noteConfiguration() {
-    if (!configured && tables.configuration().isPresent()) {
-      configured = true;
-      configuredAt = clock.instant();
+    if (configuredAt.isEmpty() && tables.configuration().isPresent()) {
+      configuredAt = Optional.of(clock.instant());
       front.configured();
       noteStarted();
     }
--- a/org.oatlug.test/tst/org/oatlug/internal/config/VirtualFleet.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/config/VirtualFleet.java
@@ -10,12 +10,10 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
 import java.util.TreeMap;
@@ -37,6 +35,7 @@
 import org.oatlug.internal.util.Json;
 import org.oatlug.platform.Platform;
 import org.oatlug.platform.StoredObject;
+import org.oatlug.test.VirtualTime;
 
 /**
  * Instances of some availability zones, their store and the ways between them in virtual time.
@@ -57,8 +56,7 @@
   private static final int SEEDS = 3;
 
   private final Random random;
-  private final PriorityQueue<Event> events =
-      new PriorityQueue<>(Comparator.comparing(Event::at).thenComparing(Event::number));
+  private final VirtualTime time = new VirtualTime();
   private final Map<String, Instance> instances = new TreeMap<>();
   private final Map<Integer, Instance> byPort = new TreeMap<>();
   private final Map<ObjectKey, StoredObject> stored = new TreeMap<>();
@@ -69,8 +67,6 @@
   private final Set<String> cutZones = new HashSet<>();
   private final Map<String, Instant> acknowledged = new TreeMap<>();
   private Duration refusalTime = LIST_TIME;
-  private Instant now = Instant.parse("2026-12-02T12:00:00Z");
-  private long numbers;
   private long revision;
   private int storeCalls;
 
@@ -78,8 +74,6 @@
     random = new Random(seed);
   }
 
-  private record Event(Instant at, long number, Runnable action) {}
-
   /** One instance. */
   private final class Instance implements Platform, PeerNetwork {
     private final GatewayTables tables = GatewayTables.create();
@@ -89,7 +83,7 @@
 
     Instance(Member self) {
       Random own = new Random(random.nextLong());
-      membership = Membership.create(self, () -> now, own);
+      membership = Membership.create(self, time, own);
       membership.connect(this);
       Meters meters = Meters.of(new MetricRegistry());
       configuration =
@@ -100,7 +94,7 @@
               membership,
               this,
               new ConfigurationSystem.Support(
-                  () -> now, own, meters, List.of(List.of(GatewayKinds.UPSTREAM))));
+                  time, own, meters, List.of(List.of(GatewayKinds.UPSTREAM))));
     }
 
     /** The tables, with the moment at which an upstream was first known to leave. */
@@ -110,7 +104,7 @@
         List<StoredObject> fresh = tables.mergeAll(objects, origin);
         for (StoredObject object : fresh) {
           if (tables.isLeaving(object.key().name())) {
-            learned.putIfAbsent(object.key().name(), now);
+            learned.putIfAbsent(object.key().name(), time.instant());
           }
         }
         return fresh;
@@ -303,18 +297,12 @@
   }
 
   private void after(Duration wait, Runnable action) {
-    events.add(new Event(now.plus(wait), numbers++, action));
+    time.after(wait, action);
   }
 
   /** Lets the time pass. */
-  void run(Duration time) {
-    Instant end = now.plus(time);
-    while (!events.isEmpty() && !events.peek().at().isAfter(end)) {
-      Event next = events.poll();
-      now = next.at();
-      next.action().run();
-    }
-    now = end;
+  void run(Duration duration) {
+    time.run(duration);
   }
 
   private List<StoredObject> changesAfter(long since) {
@@ -342,14 +330,14 @@
   void register(String upstream, boolean leaving) {
     UpstreamRecord entry = new UpstreamRecord("pool", "127.0.0.1", 1, "zone-0", "v1", 4, leaving);
     if (leaving) {
-      acknowledged.put(upstream, now);
+      acknowledged.put(upstream, time.instant());
     }
     change(ObjectKey.valueOf(GatewayKinds.UPSTREAM, upstream), Json.STRICT.valueToTree(entry));
   }
 
   /** Removes the entry of an upstream that never said that it leaves. */
   void remove(String upstream) {
-    acknowledged.put(upstream, now);
+    acknowledged.put(upstream, time.instant());
     change(ObjectKey.valueOf(GatewayKinds.UPSTREAM, upstream), Kinds.tombstone());
   }
 
@@ -416,7 +404,8 @@
     Map<String, Duration> delays = new TreeMap<>();
     for (Instance instance : instances.values()) {
       if (!silent.contains(instance.name())) {
-        Instant when = instance.learned.getOrDefault(upstream, now.plus(Duration.ofHours(1)));
+        Instant when =
+            instance.learned.getOrDefault(upstream, time.instant().plus(Duration.ofHours(1)));
         delays.put(instance.name(), Duration.between(acknowledged.get(upstream), when));
       }
     }
--- a/org.oatlug.test/tst/org/oatlug/internal/gather/GatherFleet.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/gather/GatherFleet.java
@@ -6,13 +6,10 @@
 import com.codahale.metrics.MetricRegistry;
 import io.smallrye.mutiny.Uni;
 import java.time.Duration;
-import java.time.Instant;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
 import java.util.TreeMap;
@@ -24,6 +21,7 @@
 import org.oatlug.internal.rollout.ComparedPairs;
 import org.oatlug.internal.rollout.PairCounts;
 import org.oatlug.internal.rollout.VersionEvidence;
+import org.oatlug.test.VirtualTime;
 
 /**
  * Instances of some availability zones that gather what they know, in virtual time.
@@ -38,13 +36,10 @@
   private static final int MOST_DELAY_MILLIS = 6;
 
   private final Random random;
-  private final PriorityQueue<Event> events =
-      new PriorityQueue<>(Comparator.comparing(Event::at).thenComparing(Event::number));
+  private final VirtualTime time = new VirtualTime();
   private final Map<String, Instance> instances = new TreeMap<>();
   private final Set<String> silent = new HashSet<>();
   private final Set<String> cutZones = new HashSet<>();
-  private Instant now = Instant.parse("2026-12-02T12:00:00Z");
-  private long numbers;
   private int messages;
   private int messagesBetweenZones;
 
@@ -52,8 +47,6 @@
     random = new Random(seed);
   }
 
-  private record Event(Instant at, long number, Runnable action) {}
-
   /** One instance: what it sees, and what it was told last of all others. */
   final class Instance implements Participant {
     final Membership membership;
@@ -66,10 +59,9 @@
     Account others = Account.EMPTY;
 
     private Instance(Member self) {
-      membership = Membership.create(self, () -> now, new Random(random.nextLong()));
+      membership = Membership.create(self, time, new Random(random.nextLong()));
       system =
-          GatherSystem.create(
-              membership, this::ask, () -> now, Meters.of(new MetricRegistry()), this);
+          GatherSystem.create(membership, this::ask, time, Meters.of(new MetricRegistry()), this);
     }
 
     String name() {
@@ -169,18 +161,12 @@
   }
 
   private void after(Duration wait, Runnable action) {
-    events.add(new Event(now.plus(wait), numbers++, action));
+    time.after(wait, action);
   }
 
   /** Lets the time pass. */
-  void run(Duration time) {
-    Instant end = now.plus(time);
-    while (!events.isEmpty() && !events.peek().at().isAfter(end)) {
-      Event next = events.poll();
-      now = next.at();
-      next.action().run();
-    }
-    now = end;
+  void run(Duration duration) {
+    time.run(duration);
   }
 
   /** Returns the instances. */
@@ -195,7 +181,7 @@
             .filter(one -> one.membership.self().zone().equals(zone))
             .findFirst()
             .orElseThrow();
-    return ZoneCollectors.of(any.membership, () -> now)
+    return ZoneCollectors.of(any.membership, time)
         .ofOwnZone()
         .map(member -> instances.get(member.name()))
         .orElse(any);
--- a/org.oatlug/src/org/oatlug/internal/gather/Accounts.java
+++ b/org.oatlug/src/org/oatlug/internal/gather/Accounts.java
@@ -28,7 +28,8 @@
   /** Several times the availability zones of the design size. */
   private static final int MOST_ZONES = 64;
 
-  private static final Duration OPEN_VALID = OpenReading.VALID;
+  /** The pause after which an account is told anew, before its open prompts are forgotten. */
+  static final Duration REFRESH = OpenReading.VALID.dividedBy(4);
 
   /** How long the evidence of an instance that is gone, or of a zone that is cut off, counts. */
   static final Duration EVIDENCE_VALID = Duration.ofSeconds(60);
@@ -41,7 +42,7 @@
       if (now.isAfter(at.plus(EVIDENCE_VALID))) {
         return Account.EMPTY;
       }
-      return now.isAfter(at.plus(OPEN_VALID)) ? account.withoutOpen() : account;
+      return now.isAfter(at.plus(OpenReading.VALID)) ? account.withoutOpen() : account;
     }
   }
 
--- a/org.oatlug/src/org/oatlug/internal/gather/GatherSystem.java
+++ b/org.oatlug/src/org/oatlug/internal/gather/GatherSystem.java
@@ -11,7 +11,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
-import org.oatlug.internal.engine.OpenReading;
 import org.oatlug.internal.membership.Membership;
 import org.oatlug.internal.metrics.Meters;
 import org.oatlug.internal.peer.Member;
@@ -38,10 +37,7 @@
   /** How much longer the pause is for each instance of the zone: a collector gets 100 a second. */
   private static final Duration PAUSE_PER_INSTANCE = Duration.ofMillis(10);
 
-  /** The pause after which the account is told anew, before what was told is forgotten. */
-  private static final Duration REFRESH = OpenReading.VALID.dividedBy(4);
-
-  /** The same while nothing is open and no version is brought in. */
+  /** The pause after which the account is told anew while nothing is open or brought in. */
   private static final Duration IDLE_REFRESH = Duration.ofSeconds(1);
 
   /** How long a peer may take to answer: many times the way between zones. */
@@ -101,11 +97,12 @@
     while (untold.size() > MOST_UNTOLD) {
       untold.remove(0);
     }
+    Account own = participant.own();
     Optional<Member> other = collectors.ofOwnZone();
     if (other.isEmpty()) {
-      collect(now);
-    } else if (!asking && isDue(participant.own(), now)) {
-      ask(other.get(), now);
+      collect(own, now);
+    } else if (!asking && isDue(own, now)) {
+      ask(other.get(), own, now);
     }
   }
 
@@ -120,7 +117,7 @@
     if (own.worsePairs() > told.worsePairs() || own.refuted() > told.refuted()) {
       return true;
     }
-    Duration refresh = own.isIdle() && told.isIdle() ? IDLE_REFRESH : REFRESH;
+    Duration refresh = own.isIdle() && told.isIdle() ? IDLE_REFRESH : Accounts.REFRESH;
     if (since.compareTo(refresh) >= 0) {
       return true;
     }
@@ -129,13 +126,13 @@
     return changed && since.compareTo(LEAST_PAUSE) >= 0 && since.compareTo(pause) >= 0;
   }
 
-  private void ask(Member peer, Instant now) {
+  private void ask(Member peer, Account own, Instant now) {
     if (!peer.process().equals(collector)) {
       collector = peer.process();
       readUpTo = 0;
     }
     asking = true;
-    told = participant.own();
+    told = own;
     toldAt = now;
     List<KeptSession> sent = List.copyOf(untold);
     PeerMessage question = new PeerMessage.InstanceAccount(told, sent, readUpTo);
@@ -170,9 +167,8 @@
   }
 
   /** Adds up the zone, this instance included, and tells the others. */
-  private void collect(Instant now) {
+  private void collect(Account own, Instant now) {
     String self = membership.self().process();
-    Account own = participant.own();
     accounts.told(self, own, now);
     sessions.add(untold, true);
     untold.clear();
--- a/org.oatlug/src/org/oatlug/internal/gather/ToldZones.java
+++ b/org.oatlug/src/org/oatlug/internal/gather/ToldZones.java
@@ -9,7 +9,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import org.oatlug.internal.engine.OpenReading;
 
 /**
  * What a collector has told the other availability zones, and what it is due to tell them.
@@ -26,9 +25,6 @@
    */
   private static final Duration PAUSE = Duration.ofMillis(300);
 
-  /** The pause after which open prompts are told anew, before they are forgotten. */
-  private static final Duration REFRESH = OpenReading.VALID.dividedBy(4);
-
   private final SessionLog sessions;
   private final Map<String, Told> byZone = new HashMap<>();
 
@@ -77,7 +73,7 @@
 
   private static boolean isDue(Told before, Account own, boolean isNew, Instant now) {
     Duration since = Duration.between(before.at(), now);
-    boolean fades = !own.openMillis().isEmpty() && since.compareTo(REFRESH) >= 0;
+    boolean fades = !own.openMillis().isEmpty() && since.compareTo(Accounts.REFRESH) >= 0;
     return since.compareTo(PAUSE) >= 0 && (isNew || fades);
   }
 
