Read bounds as numbers of any form in the unit of their field

Cause: the template made milliseconds of the seconds of the deployment by appending three zeros; a session pause of 8.5 s became 8.5000, which is no whole number, and no instance started (exit 2). Change: seconds are fields of seconds, taken as any number or as text; ranges are checked and refusals name field, value and unit; missing bounds have documented defaults; unknown fields pass.

--- a/org.oatlug.entry/src/org/oatlug/entry/GatewayInstance.java
+++ b/org.oatlug.entry/src/org/oatlug/entry/GatewayInstance.java
@@ -263,7 +263,7 @@
               "instance %s stops as planned, %d open", settings.name(), front.open());
           stopping = true;
           membership.leave();
-          long grace = settings.bounds().graceMillis() - CUT_BEFORE_END.toMillis();
+          long grace = settings.bounds().grace().minus(CUT_BEFORE_END).toMillis();
           front.beginStop(clock.instant().plusMillis(grace));
           vertx.setTimer(BALANCER_LAG.toMillis(), timer -> finishOpen(promise));
           vertx.setTimer(Math.max(1, grace), timer -> endGrace(promise));
--- a/org.oatlug.test/tst/org/oatlug/internal/gateway/GatewayDecisionTest.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/gateway/GatewayDecisionTest.java
@@ -396,7 +396,7 @@
 
   @Test
   public void testRetriesOfAllInstancesStayWithinTheAgreedShare() {
-    GatewaySettings.Bounds bounds = new GatewaySettings.Bounds(8000, 0.9, 52, 0.15, 5000);
+    GatewaySettings.Bounds bounds = GatewaySettings.Bounds.of(8.0, 0.9, 52.0, 0.15, 5.0, 1.5, 5.0);
     int retries = 0;
     int instances = 7;
     int firstTries = 100;
--- a/org.oatlug.test/tst/org/oatlug/test/RolloutRaceTest.java
+++ b/org.oatlug.test/tst/org/oatlug/test/RolloutRaceTest.java
@@ -49,7 +49,7 @@
   private static final int INSTANCES = 3;
   private static final Duration STEP = Duration.ofMillis(300);
   private static final GatewaySettings.Bounds BOUNDS =
-      new GatewaySettings.Bounds(8000, 0.9, 52, 0.15, 5000);
+      GatewaySettings.Bounds.of(8.0, 0.9, 52.0, 0.15, 5.0, 1.5, 5.0);
   private static final Route ROUTE =
       new Route(
           "r",
--- a/org.oatlug/src/org/oatlug/gateway/GatewaySettings.java
+++ b/org.oatlug/src/org/oatlug/gateway/GatewaySettings.java
@@ -4,9 +4,11 @@
 package org.oatlug.gateway;
 
 import com.fasterxml.jackson.annotation.JsonCreator;
+import com.fasterxml.jackson.annotation.JsonIgnoreProperties;
+import com.fasterxml.jackson.annotation.JsonProperty;
 import com.fasterxml.jackson.annotation.JsonValue;
+import java.time.Duration;
 import java.util.List;
-import java.util.stream.Stream;
 
 /**
  * The settings of one entry instance that serves routed services. Immutable.
@@ -20,6 +22,7 @@
  * @param platform the deployment's store
  * @param bounds what the deployment promises its users
  */
+@JsonIgnoreProperties(ignoreUnknown = true)
 public record GatewaySettings(
     String name,
     String zone,
@@ -30,11 +33,27 @@
     Endpoint platform,
     Bounds bounds) {
 
+  private static final int MILLIS_PER_SECOND = 1000;
+  private static final int MOST_PORT = 65_535;
+
   /** Refuses settings that lack a field. */
   public GatewaySettings {
-    Stream.of(name, zone, callers, readiness, peers, platform, bounds)
-        .forEach(field -> require(field != null, "a field is missing"));
-    require(metrics > 0, "metrics is no port");
+    requireField("name", name);
+    requireField("zone", zone);
+    requireField("callers", callers);
+    requireField("readiness", readiness);
+    requireField("peers", peers);
+    requireField("platform", platform);
+    requireField("bounds", bounds);
+    require(isPort(metrics), "metrics is " + metrics + ", not a port of 1 to " + MOST_PORT);
+  }
+
+  private static void requireField(String field, Object value) {
+    require(value != null, field + " is missing");
+  }
+
+  private static boolean isPort(int number) {
+    return number > 0 && number <= MOST_PORT;
   }
 
   private static void require(boolean holds, String problem) {
@@ -54,8 +73,10 @@
     @JsonCreator
     public static Endpoint parse(String text) {
       int colon = text.lastIndexOf(':');
-      require(colon > 0, "'" + text + "' is not HOST:PORT");
-      return new Endpoint(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
+      String port = text.substring(colon + 1);
+      boolean sound = colon > 0 && port.matches("\\d{1,5}") && isPort(Integer.parseInt(port));
+      require(sound, "'" + text + "' is not HOST:PORT");
+      return new Endpoint(text.substring(0, colon), Integer.parseInt(port));
     }
 
     @Override
@@ -72,6 +93,7 @@
    * @param key the shared key
    * @param seeds instances to begin with; may be out of date
    */
+  @JsonIgnoreProperties(ignoreUnknown = true)
   public record Peers(Endpoint listen, String key, List<Endpoint> seeds) {
     @Override
     public String toString() {
@@ -82,25 +104,85 @@
   /**
    * What the deployment promises its users.
    *
-   * @param graceMillis how long a planned stop may take
+   * @param grace how long a planned stop may take
    * @param retryShare the retries that a service may receive, as a share of its requests
    * @param retryReserve the retries beyond that share, of all instances together
    * @param exposureShare the share of requests that a version under roll-out may receive
-   * @param sessionMillis the longest pause between requests of one session
+   * @param session the longest pause between requests of one session
+   * @param coldShare the requests that a cold upstream may receive in one second from all instances
+   *     together, as a multiple of those that it says it carries
+   * @param coldReserve the requests beyond that
    */
+  @JsonIgnoreProperties(ignoreUnknown = true)
   public record Bounds(
-      long graceMillis,
+      Duration grace,
       double retryShare,
       double retryReserve,
       double exposureShare,
-      long sessionMillis) {
-
-    /** Refuses bounds that make no sense. */
-    public Bounds {
-      require(graceMillis >= 0, "graceMillis is negative");
-      require(retryShare >= 0 && retryReserve >= 0, "the retry budget is negative");
-      require(exposureShare >= 0 && exposureShare <= 1, "exposureShare is no share");
-      require(sessionMillis >= 0, "sessionMillis is negative");
+      Duration session,
+      double coldShare,
+      double coldReserve) {
+    /** Without a promise about planned stops one ends soon. */
+    private static final double DEFAULT_GRACE_SECONDS = 5;
+
+    /** Without a promise about retries there are few. */
+    private static final double DEFAULT_RETRY_SHARE = 0.1;
+
+    private static final double DEFAULT_RETRY_RESERVE = 10;
+
+    /** Without a promise about new versions they get little. */
+    private static final double DEFAULT_EXPOSURE_SHARE = 0.05;
+
+    /** Sessions that are kept for longer than promised do no harm. */
+    private static final double DEFAULT_SESSION_SECONDS = 30;
+
+    /** Without a promise about cold upstreams they get no more than they say they carry. */
+    private static final double DEFAULT_COLD_SHARE = 1;
+
+    private static final double DEFAULT_COLD_RESERVE = 0;
+
+    /** No time among the bounds is longer: an hour. */
+    private static final double MOST_SECONDS = 3600;
+
+    /** No count among the bounds is larger. */
+    private static final double MOST_COUNT = 1e9;
+
+    /**
+     * Returns bounds as the settings name them; a field that is missing has a default that is safe.
+     *
+     * @throws IllegalArgumentException if a value makes no sense, with its field and unit
+     */
+    @JsonCreator
+    public static Bounds of(
+        @JsonProperty("graceSeconds") Double graceSeconds,
+        @JsonProperty("retryShare") Double retryShare,
+        @JsonProperty("retryReserve") Double retryReserve,
+        @JsonProperty("exposureShare") Double exposureShare,
+        @JsonProperty("sessionSeconds") Double sessionSeconds,
+        @JsonProperty("coldShare") Double coldShare,
+        @JsonProperty("coldReserve") Double coldReserve) {
+      return new Bounds(
+          seconds("graceSeconds", graceSeconds, DEFAULT_GRACE_SECONDS),
+          within("retryShare", retryShare, DEFAULT_RETRY_SHARE, MOST_COUNT, "retries a request"),
+          within("retryReserve", retryReserve, DEFAULT_RETRY_RESERVE, MOST_COUNT, "retries"),
+          within("exposureShare", exposureShare, DEFAULT_EXPOSURE_SHARE, 1, "of all requests"),
+          seconds("sessionSeconds", sessionSeconds, DEFAULT_SESSION_SECONDS),
+          within("coldShare", coldShare, DEFAULT_COLD_SHARE, MOST_COUNT, "times what is carried"),
+          within("coldReserve", coldReserve, DEFAULT_COLD_RESERVE, MOST_COUNT, "requests"));
+    }
+
+    private static Duration seconds(String field, Double value, double missing) {
+      double seconds = within(field, value, missing, MOST_SECONDS, "seconds");
+      return Duration.ofMillis(Math.round(seconds * MILLIS_PER_SECOND));
+    }
+
+    private static double within(
+        String field, Double value, double missing, double most, String unit) {
+      double taken = value == null ? missing : value;
+      require(
+          taken >= 0 && taken <= most,
+          String.format("bounds.%s is %s, not 0 to %.0f %s", field, taken, most, unit));
+      return taken;
     }
   }
 }
--- a/org.oatlug/src/org/oatlug/internal/gateway/RolloutDirector.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/RolloutDirector.java
@@ -84,7 +84,7 @@
     this.clock = clock;
     this.meters = meters;
     this.schedule = RolloutSchedule.within(bounds.exposureShare());
-    this.sessions = KeptSessions.withPause(Duration.ofMillis(bounds.sessionMillis()));
+    this.sessions = KeptSessions.withPause(bounds.session());
   }
 
   /** Returns a director that has seen nothing yet. */
