Empty zones, limit cold upstreams, tell starts apart, refuse foreign entries

Cause: evacuations, cold starts and starts under an earlier name had no code; entries of other writers were guessed at or left the one before.

--- a/org.oatlug.entry/src/org/oatlug/entry/GatewayInstance.java
+++ b/org.oatlug.entry/src/org/oatlug/entry/GatewayInstance.java
@@ -30,6 +30,7 @@
 import org.oatlug.internal.gateway.InspectionServer;
 import org.oatlug.internal.gateway.RolloutDirector;
 import org.oatlug.internal.gather.GatherSystem;
+import org.oatlug.internal.limit.RankedColdSenders;
 import org.oatlug.internal.membership.Membership;
 import org.oatlug.internal.metrics.Meters;
 import org.oatlug.internal.peer.CountedPeers;
@@ -74,7 +75,7 @@
   private final DeploymentAdapter adapter;
   private final InstantSource clock = MonotonicClock.create();
   private final RandomGenerator random = RandomGenerator.getDefault();
-  private final GatewayTables tables = GatewayTables.create();
+  private final GatewayTables tables = GatewayTables.create(clock);
   private final Instant startedAt = clock.instant();
   private GatewaySettings settings;
   private Membership membership;
@@ -155,8 +156,12 @@
     ConfigurationSystem configuration = configurationSystem(platform, network, meters);
     RolloutDirector rollouts =
         RolloutDirector.create(tables, platform, membership, clock, meters, settings.bounds());
+    RankedColdSenders senders =
+        RankedColdSenders.create(
+            settings.name(), membership::live, membership::knowsOfOthers, clock);
     GatewayParts parts =
-        GatewayParts.create(vertx, settings, clock, adapter, tables, rollouts, random, meters);
+        GatewayParts.create(
+            vertx, settings, clock, adapter, tables, rollouts, senders, random, meters);
     GatherSystem gathering =
         GatherSystem.create(
             membership, network, clock, meters, GatheredKnowledge.of(parts, rollouts));
@@ -167,7 +172,7 @@
             configuration,
             (from, message) -> Uni.createFrom().item(gathering.handle(from, message))));
     front = CallerFront.create(parts, random);
-    systems = List.of(configuration, membership::tick, rollouts, gathering);
+    systems = List.of(configuration, membership::tick, rollouts, gathering, senders);
     return parts;
   }
 
@@ -186,7 +191,8 @@
             List.of(
                 List.of(GatewayKinds.ROUTING),
                 List.of(GatewayKinds.UPSTREAM),
-                List.of(GatewayKinds.ROLLOUT))));
+                List.of(GatewayKinds.ROLLOUT),
+                List.of(GatewayKinds.EVACUATION))));
   }
 
   /** Returns the settings of the peers' protocol; the seeds are told to the membership alone. */
--- a/org.oatlug.test/tst/org/oatlug/internal/config/VirtualFleet.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/config/VirtualFleet.java
@@ -76,7 +76,7 @@
 
   /** One instance. */
   private final class Instance implements Platform, PeerNetwork {
-    private final GatewayTables tables = GatewayTables.create();
+    private final GatewayTables tables = GatewayTables.create(time);
     private final Map<String, Instant> learned = new TreeMap<>();
     private final Membership membership;
     private final ConfigurationSystem configuration;
@@ -328,7 +328,7 @@
 
   /** Writes the entry of an upstream. */
   void register(String upstream, boolean leaving) {
-    UpstreamRecord entry = new UpstreamRecord("pool", "127.0.0.1", 1, "zone-0", "v1", 4, leaving);
+    UpstreamRecord entry = UpstreamRecord.of("pool", "127.0.0.1", 1, "zone-0", "v1", 4, leaving);
     if (leaving) {
       acknowledged.put(upstream, time.instant());
     }
--- a/org.oatlug.test/tst/org/oatlug/internal/gateway/HeldUpFront.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/gateway/HeldUpFront.java
@@ -26,6 +26,7 @@
 import org.oatlug.gateway.RoutingConfiguration;
 import org.oatlug.gateway.ServiceDefinition;
 import org.oatlug.gateway.UpstreamRecord;
+import org.oatlug.internal.limit.ColdSenders;
 import org.oatlug.internal.metrics.Meters;
 import org.oatlug.internal.util.Json;
 import org.oatlug.platform.StoredObject;
@@ -38,7 +39,7 @@
 final class HeldUpFront implements AutoCloseable {
   static final String HOST = "127.0.0.1";
 
-  private final GatewayTables tables = GatewayTables.create();
+  private final GatewayTables tables = GatewayTables.create(Instant::now);
   private final Vertx vertx = Vertx.vertx();
   private volatile Runnable afterChoice = () -> {};
   private long revision;
@@ -64,7 +65,7 @@
   }
 
   private static UpstreamRecord record(int port, String zone, boolean leaving) {
-    return new UpstreamRecord(SampleObjects.SERVICE, HOST, port, zone, "v1", 8, leaving);
+    return UpstreamRecord.of(SampleObjects.SERVICE, HOST, port, zone, "v1", 8, leaving);
   }
 
   /** Takes in that the upstream leaves. */
@@ -95,7 +96,7 @@
     return new RoutingConfiguration(
         1,
         List.of(route),
-        List.of(new ServiceDefinition(SampleObjects.SERVICE, 100, Optional.empty())),
+        List.of(ServiceDefinition.of(SampleObjects.SERVICE, 100, Optional.empty())),
         CallerLimits.DEFAULT,
         Optional.empty());
   }
@@ -119,6 +120,7 @@
             new PlatformAdapter(),
             tables,
             new AnyVersion(),
+            ColdSenders.ALL,
             choosing,
             Meters.of(new MetricRegistry()));
     CallerFront.create(parts, new Random(1))
--- a/org.oatlug/src/org/oatlug/config/Kinds.java
+++ b/org.oatlug/src/org/oatlug/config/Kinds.java
@@ -40,6 +40,7 @@
   static final String PUBLISH_ID = "publishId";
 
   private static final String DELETED = "deleted";
+  private static final String UNUSABLE = "unusable";
   private static final String MISSING_NUMBER = "Cannot map `null`";
   private static final Map<String, Class<?>> TYPES =
       Map.of(
@@ -93,6 +94,21 @@
     return Json.STRICT.createObjectNode().put(DELETED, true);
   }
 
+  /**
+   * Returns the content that marks an object which names nothing to use, because another writer
+   * wrote what cannot be read. For all that use objects it is as good as deleted.
+   *
+   * @param problem what is wrong with it
+   */
+  public static ObjectNode unusable(String problem) {
+    return tombstone().put(UNUSABLE, problem);
+  }
+
+  /** Returns what is wrong with an object that names nothing to use, empty for any other. */
+  public static Optional<String> problemOfUnusable(JsonNode value) {
+    return Optional.ofNullable(value.get(UNUSABLE)).map(JsonNode::asText);
+  }
+
   /** Returns whether {@code value} marks a deleted object. */
   public static boolean isTombstone(JsonNode value) {
     return value.path(DELETED).asBoolean(false);
--- a/org.oatlug/src/org/oatlug/errors/ErrorText.java
+++ b/org.oatlug/src/org/oatlug/errors/ErrorText.java
@@ -41,6 +41,8 @@
   public String overloaded;
   public String deadlinePassed;
   public String noUpstream;
+  public String zonesEmptied;
+  public String upstreamsCold;
   public String upstreamRefused;
   public String stillRunning;
   public String answerLost;
--- a/org.oatlug/src/org/oatlug/gateway/AnswerHead.java
+++ b/org.oatlug/src/org/oatlug/gateway/AnswerHead.java
@@ -5,6 +5,7 @@
 
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.OptionalLong;
 
 /**
  * The head of an upstream's answer, read from its wire form. Immutable.
@@ -14,13 +15,15 @@
  * @param verdict what the upstream says of the request
  * @param load the upstream's load, if it tells
  * @param confidence the model's opinion of its answer, 0 to 100
+ * @param coldMillis how much longer the upstream is cold, in milliseconds, if it tells
  */
 public record AnswerHead(
     int status,
     Optional<String> requestId,
     Verdict verdict,
     Optional<Load> load,
-    OptionalInt confidence) {
+    OptionalInt confidence,
+    OptionalLong coldMillis) {
 
   /** What an upstream says of the request. */
   public enum Verdict {
--- a/org.oatlug/src/org/oatlug/gateway/GatewayKinds.java
+++ b/org.oatlug/src/org/oatlug/gateway/GatewayKinds.java
@@ -14,5 +14,10 @@
   /** The roll-outs, an object a service. */
   public static final String ROLLOUT = "rollout";
 
+  /**
+   * The availability zones whose upstreams shall get nothing, an object each, named by the zone.
+   */
+  public static final String EVACUATION = "evacuation";
+
   private GatewayKinds() {}
 }
--- a/org.oatlug/src/org/oatlug/gateway/UpstreamRecord.java
+++ b/org.oatlug/src/org/oatlug/gateway/UpstreamRecord.java
@@ -3,6 +3,9 @@
 
 package org.oatlug.gateway;
 
+import com.fasterxml.jackson.annotation.JsonIgnoreProperties;
+import java.util.OptionalLong;
+
 /**
  * One start of an upstream, as it registered itself. Immutable.
  *
@@ -13,7 +16,12 @@
  * @param version the version of its software
  * @param slots how many requests run at once
  * @param leaving whether it is about to go
+ * @param startedAtMillis when it started, in milliseconds since 1970, if it tells; with the name it
+ *     says which process this is
+ * @param coldMillis how much longer it is cold, in milliseconds from the writing of the entry;
+ *     empty if it is warm
  */
+@JsonIgnoreProperties(ignoreUnknown = true)
 public record UpstreamRecord(
     String service,
     String host,
@@ -21,4 +29,54 @@
     String zone,
     String version,
     int slots,
-    boolean leaving) {}
+    boolean leaving,
+    OptionalLong startedAtMillis,
+    OptionalLong coldMillis) {
+
+  /** Takes what an earlier version of this software does not tell for unknown. */
+  public UpstreamRecord {
+    startedAtMillis = startedAtMillis == null ? OptionalLong.empty() : startedAtMillis;
+    coldMillis = coldMillis == null ? OptionalLong.empty() : coldMillis;
+  }
+
+  /** Returns the record of a warm upstream that does not tell when it started. */
+  public static UpstreamRecord of(
+      String service,
+      String host,
+      int port,
+      String zone,
+      String version,
+      int slots,
+      boolean leaving) {
+    return new UpstreamRecord(
+        service,
+        host,
+        port,
+        zone,
+        version,
+        slots,
+        leaving,
+        OptionalLong.empty(),
+        OptionalLong.empty());
+  }
+
+  /** Returns the record of the same upstream, started at another time. */
+  public UpstreamRecord startedAt(long millis) {
+    return new UpstreamRecord(
+        service, host, port, zone, version, slots, leaving, OptionalLong.of(millis), coldMillis);
+  }
+
+  /** Returns the record of the same upstream, cold for so long. */
+  public UpstreamRecord coldFor(long millis) {
+    return new UpstreamRecord(
+        service,
+        host,
+        port,
+        zone,
+        version,
+        slots,
+        leaving,
+        startedAtMillis,
+        OptionalLong.of(millis));
+  }
+}
--- a/org.oatlug/src/org/oatlug/internal/gateway/Exchange.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/Exchange.java
@@ -106,13 +106,24 @@
   void next() {
     Optional<UpstreamSelection.Chosen> chosen = choose(model());
     if (chosen.isEmpty()) {
-      String text = ErrorText.format(ErrorText.get().noUpstream, incoming.service());
-      giveUp(RefusalReason.NO_UPSTREAM, text);
+      giveUpWithoutUpstream();
       return;
     }
     attempt(chosen.get());
   }
 
+  private void giveUpWithoutUpstream() {
+    String service = incoming.service();
+    RefusalReason reason = parts.selection().reasonOfNone(service, parts.clock().instant());
+    String pattern =
+        switch (reason) {
+          case ZONES_EMPTIED -> ErrorText.get().zonesEmptied;
+          case UPSTREAMS_COLD -> ErrorText.get().upstreamsCold;
+          default -> ErrorText.get().noUpstream;
+        };
+    giveUp(reason, ErrorText.format(pattern, service));
+  }
+
   private void attempt(UpstreamSelection.Chosen chosen) {
     current = new ExchangeAttempt(this, chosen, model());
     current.send();
--- a/org.oatlug/src/org/oatlug/internal/gateway/ExchangeAttempt.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/ExchangeAttempt.java
@@ -20,6 +20,7 @@
 import org.oatlug.gateway.RouteKind;
 import org.oatlug.gateway.WorkspaceKeys;
 import org.oatlug.internal.engine.HeadForecast;
+import org.oatlug.internal.limit.ColdLimit;
 import org.oatlug.internal.routing.Urgency;
 
 /**
@@ -43,6 +44,7 @@
   private final StreamRelay relay;
   private final UpstreamSelection.Chosen chosen;
   private final Optional<String> model;
+  private final String process;
   private final Instant started;
   private final PlainAnswer plain;
   private final SilenceWatch watch;
@@ -52,6 +54,7 @@
   private boolean streaming;
   private boolean released;
   private boolean reading;
+  private Optional<ColdLimit.Permit> permit = Optional.empty();
 
   ExchangeAttempt(Exchange exchange, UpstreamSelection.Chosen chosen, Optional<String> model) {
     this.exchange = exchange;
@@ -62,6 +65,7 @@
     this.relay = exchange.relay();
     this.chosen = chosen;
     this.model = model;
+    this.process = chosen.row().process();
     this.started = parts.clock().instant();
     this.plain = PlainAnswer.create(parts, answer);
     this.watch = SilenceWatch.create(parts, this::patience, this::askElsewhere);
@@ -79,6 +83,7 @@
   /** Sends the request to the upstream. */
   void send() {
     chosen.row().reserve();
+    permit = parts.cold().enter(chosen.name(), chosen.upstream(), started);
     beginReading();
     exchange.noteSent(chosen.name());
     parts.versions().sent(incoming.service(), chosen.upstream().version(), incoming.head());
@@ -98,13 +103,13 @@
   /** Counts the prompt as one that waits at the upstream, until the answer begins. */
   private void beginReading() {
     reading = true;
-    parts.reading().begin(chosen.name(), chosen.forecast().readingMillis());
+    parts.reading().begin(process, chosen.forecast().readingMillis());
   }
 
   private void endReading() {
     if (reading) {
       reading = false;
-      parts.reading().end(chosen.name(), chosen.forecast().readingMillis());
+      parts.reading().end(process, chosen.forecast().readingMillis());
     }
   }
 
@@ -187,6 +192,7 @@
       released = true;
       endReading();
       chosen.row().release();
+      permit.ifPresent(ColdLimit.Permit::giveBack);
       plain.release();
       watch.stop();
     }
@@ -206,12 +212,26 @@
       parts.meters().count("request.withheld-caller-left");
       return false;
     }
-    if (!parts.tables().isLeaving(chosen.name())) {
-      return true;
+    if (parts.tables().isLeaving(chosen.name())) {
+      return withhold("the upstream leaves", "upstream-leaves");
     }
+    if (parts.tables().isEmptied(chosen.name())) {
+      return withhold("its zone is emptied", "zone-emptied");
+    }
+    Instant now = parts.clock().instant();
+    if (permit.isEmpty() && !parts.cold().isOpen(chosen.name(), chosen.upstream(), now)) {
+      return withhold("the upstream turned cold", "upstream-cold");
+    }
+    permit = permit.or(() -> parts.cold().enter(chosen.name(), chosen.upstream(), now));
+    permit.ifPresent(one -> one.written(now));
+    return true;
+  }
+
+  /** Ends the attempt before anything is written, and goes elsewhere. */
+  private boolean withhold(String reason, String cause) {
     release();
-    describe("withheld, the upstream leaves");
-    exchange.notSent("retry.upstream-leaves");
+    describe("withheld, " + reason);
+    exchange.notSent("retry." + cause);
     return false;
   }
 
@@ -225,10 +245,9 @@
     head.load()
         .ifPresent(
             load ->
-                parts
-                    .tables()
-                    .loads()
-                    .report(chosen.name(), load.running(), load.waiting(), false));
+                parts.tables().loads().report(chosen.row(), load.running(), load.waiting(), false));
+    head.coldMillis()
+        .ifPresent(millis -> chosen.row().coldUntil(parts.clock().instant().plusMillis(millis)));
     if (!head.requestId().equals(Optional.of(incoming.head().id()))) {
       link.cancel();
       failed(Progress.ANSWERING, "the answer is to another request");
@@ -262,9 +281,7 @@
     describe("begins expected=" + forecast.timeToHead().toMillis());
     Duration late = took().minus(forecast.timeToHead());
     parts.meters().time(late.isNegative() ? "forecast.early" : "forecast.late", late.abs());
-    parts
-        .speeds()
-        .answered(chosen.name(), model.orElse(""), forecast, took(), parts.clock().instant());
+    parts.speeds().answered(process, model.orElse(""), forecast, took(), parts.clock().instant());
   }
 
   private void refusedByUpstream(AnswerHead head) {
--- a/org.oatlug/src/org/oatlug/internal/gateway/GatewayParts.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/GatewayParts.java
@@ -11,6 +11,8 @@
 import org.oatlug.gateway.GatewaySettings;
 import org.oatlug.internal.engine.EngineSpeeds;
 import org.oatlug.internal.engine.OpenReading;
+import org.oatlug.internal.limit.ColdLimit;
+import org.oatlug.internal.limit.ColdSenders;
 import org.oatlug.internal.metrics.Meters;
 import org.oatlug.internal.routing.ZoneReach;
 
@@ -26,6 +28,7 @@
  * @param speeds how fast engines read
  * @param reading which prompts wait at upstreams
  * @param zones which availability zones are reached
+ * @param cold the limit of upstreams that are cold
  * @param selection chooses upstreams
  * @param stages chooses models of cascades
  * @param versions chooses versions while a roll-out runs
@@ -45,6 +48,7 @@
     EngineSpeeds speeds,
     OpenReading reading,
     ZoneReach zones,
+    ColdGate cold,
     UpstreamSelection selection,
     StageRule stages,
     VersionRule versions,
@@ -61,12 +65,14 @@
       DeploymentAdapter adapter,
       GatewayTables tables,
       VersionRule versions,
+      ColdSenders coldSenders,
       RandomGenerator random,
       Meters meters) {
     AnswerTimes times = AnswerTimes.create(clock);
     EngineSpeeds speeds = EngineSpeeds.create();
     OpenReading reading = OpenReading.create();
     ZoneReach zones = ZoneReach.create();
+    ColdGate cold = ColdGate.create(tables, settings.bounds(), ColdLimit.create(coldSenders));
     return new GatewayParts(
         vertx,
         settings,
@@ -77,7 +83,8 @@
         speeds,
         reading,
         zones,
-        UpstreamSelection.create(settings.zone(), tables, speeds, reading, zones, random),
+        cold,
+        UpstreamSelection.create(settings.zone(), tables, speeds, reading, zones, cold, random),
         ExpectedWorth.create(tables, times),
         versions,
         RetryBudgets.within(settings.bounds()),
--- a/org.oatlug/src/org/oatlug/internal/gateway/GatewayTables.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/GatewayTables.java
@@ -5,13 +5,16 @@
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.google.common.flogger.FluentLogger;
+import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
 import org.oatlug.api.ObjectKey;
 import org.oatlug.config.Kinds;
 import org.oatlug.gateway.CallerLimits;
@@ -23,6 +26,7 @@
 import org.oatlug.internal.config.ObjectJoin;
 import org.oatlug.internal.config.ObjectSink;
 import org.oatlug.internal.config.Origin;
+import org.oatlug.internal.table.UpstreamRow;
 import org.oatlug.internal.table.UpstreamTable;
 import org.oatlug.internal.util.Json;
 import org.oatlug.platform.StoredObject;
@@ -32,26 +36,30 @@
  *
  * <p>Invariants: it shows the newest known version of each object; an older configuration never
  * replaces a newer one. An object that cannot be read is passed over with a log line and the one
- * before it stays. Owned by one event loop, not thread-safe.
+ * before it stays, but for an entry of an upstream, see {@link Kinds#unusable}. Owned by one event
+ * loop, not thread-safe.
  */
 public final class GatewayTables implements ObjectSink {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
+  /** At most a line each so many seconds tells of entries that name no upstream to use. */
+  private static final int UNUSABLE_LINES_SECONDS = 1;
+
   private final ObjectJoin join = ObjectJoin.create();
-  private final UpstreamTable loads = UpstreamTable.create();
-  private final Map<String, UpstreamRecord> upstreams = new TreeMap<>();
-  private final Map<String, List<String>> upstreamsByService = new HashMap<>();
+  private final KnownUpstreams upstreams;
   private final Map<String, ServiceRollout> rollouts = new TreeMap<>();
   private final Map<String, ServiceDefinition> services = new HashMap<>();
   private Optional<RoutingConfiguration> configuration = Optional.empty();
   private RouteIndex routes = RouteIndex.empty();
   private KeyIndex keys = KeyIndex.open();
 
-  private GatewayTables() {}
+  private GatewayTables(InstantSource clock) {
+    this.upstreams = KnownUpstreams.create(clock);
+  }
 
   /** Returns empty tables. */
-  public static GatewayTables create() {
-    return new GatewayTables();
+  public static GatewayTables create(InstantSource clock) {
+    return new GatewayTables(clock);
   }
 
   @Override
@@ -77,6 +85,7 @@
         case GatewayKinds.ROUTING -> takeRouting(object, origin);
         case GatewayKinds.UPSTREAM -> takeUpstream(object, origin);
         case GatewayKinds.ROLLOUT -> takeRollout(object, origin);
+        case GatewayKinds.EVACUATION -> takeEvacuation(object, origin);
         default -> logger.atWarning().log("object %s is of an unknown kind", object.key());
       }
     } catch (JsonProcessingException e) {
@@ -102,31 +111,48 @@
   private void takeUpstream(StoredObject object, Origin origin) throws JsonProcessingException {
     String name = object.key().name();
     if (Kinds.isTombstone(object.value())) {
-      forgetUpstream(name);
-      logger.atInfo().log("upstream %s revision=%d is gone %s", name, object.version(), origin);
+      upstreams.remove(name);
+      noteGone(object, origin);
       return;
     }
     UpstreamRecord read = Json.STRICT.treeToValue(object.value(), UpstreamRecord.class);
-    Optional<UpstreamRecord> known = forgetUpstream(name);
-    upstreams.put(name, read);
-    upstreamsByService.computeIfAbsent(read.service(), unused -> new ArrayList<>()).add(name);
+    Optional<UpstreamRecord> known = upstreams.put(name, read);
     if (known.isEmpty() || known.get().leaving() != read.leaving()) {
       logger.atInfo().log(
-          "upstream %s revision=%d service=%s version=%s zone=%s leaving=%b %s",
+          "upstream %s revision=%d service=%s version=%s zone=%s leaving=%b cold=%s %s",
           name,
           object.version(),
           read.service(),
           read.version(),
           read.zone(),
           read.leaving(),
+          read.coldMillis(),
           origin);
     }
   }
 
-  private Optional<UpstreamRecord> forgetUpstream(String name) {
-    Optional<UpstreamRecord> known = Optional.ofNullable(upstreams.remove(name));
-    known.ifPresent(record -> upstreamsByService.get(record.service()).remove(name));
-    return known;
+  private static void noteGone(StoredObject object, Origin origin) {
+    Optional<String> problem = Kinds.problemOfUnusable(object.value());
+    if (problem.isPresent()) {
+      logger.atWarning().atMostEvery(UNUSABLE_LINES_SECONDS, TimeUnit.SECONDS).log(
+          "entry %s revision=%d names no upstream to use: %s %s",
+          object.key(), object.version(), problem.get(), origin);
+    } else {
+      logger.atInfo().log(
+          "upstream %s revision=%d is gone %s", object.key().name(), object.version(), origin);
+    }
+  }
+
+  private void takeEvacuation(StoredObject object, Origin origin) {
+    String zone = object.key().name();
+    boolean ends = Kinds.isTombstone(object.value());
+    boolean changed =
+        ends ? upstreams.takeBackZone(zone, this::service) : upstreams.emptyZone(zone);
+    if (changed) {
+      logger.atInfo().log(
+          "zone %s is %s revision=%d %s",
+          zone, ends ? "taken back" : "emptied", object.version(), origin);
+    }
   }
 
   private void takeRollout(StoredObject object, Origin origin) throws JsonProcessingException {
@@ -169,7 +195,27 @@
 
   /** Returns the upstream of this name. */
   public Optional<UpstreamRecord> upstream(String name) {
-    return Optional.ofNullable(upstreams.get(name));
+    return upstreams.record(name);
+  }
+
+  /** Returns what was learned of an upstream since its start. */
+  public UpstreamRow row(String upstream) {
+    return upstreams.row(upstream);
+  }
+
+  /** Returns the availability zones whose upstreams shall get nothing. */
+  public Set<String> emptiedZones() {
+    return upstreams.emptiedZones();
+  }
+
+  /** Returns whether the upstream is in an availability zone that shall get nothing. */
+  public boolean isEmptied(String upstream) {
+    return upstream(upstream).map(this::isEmptied).orElse(false);
+  }
+
+  /** Returns whether the upstream is in an availability zone that shall get nothing. */
+  boolean isEmptied(UpstreamRecord upstream) {
+    return upstreams.isEmptied(upstream);
   }
 
   /** Returns the store's revision of what is known of an upstream, 0 if nothing is. */
@@ -180,18 +226,17 @@
 
   /** Returns whether an upstream said that it is about to go, or has gone. */
   public boolean isLeaving(String upstream) {
-    return upstream(upstream).map(UpstreamRecord::leaving).orElse(true)
-        || loads.row(upstream).leaving();
+    return upstream(upstream).map(UpstreamRecord::leaving).orElse(true) || row(upstream).leaving();
   }
 
   /** Returns the names of the upstreams of a service. */
   public List<String> upstreamsOf(String service) {
-    return upstreamsByService.getOrDefault(service, List.of());
+    return upstreams.ofService(service);
   }
 
   /** Returns the names of all upstreams. */
   public Collection<String> upstreamNames() {
-    return upstreams.keySet();
+    return upstreams.names();
   }
 
   /** Returns the roll-out of a service. */
@@ -206,6 +251,6 @@
 
   /** Returns what is known of the load of upstreams. */
   public UpstreamTable loads() {
-    return loads;
+    return upstreams.loads();
   }
 }
--- a/org.oatlug/src/org/oatlug/internal/gateway/RouteExplanation.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/RouteExplanation.java
@@ -172,7 +172,7 @@
               .filter(one -> one.name().equals(name))
               .map(one -> Math.round(one.costMillis()))
               .findFirst();
-      int load = parts.tables().loads().row(name).expectedLoad();
+      int load = parts.tables().row(name).expectedLoad();
       candidates.add(new Candidate(name, upstream.zone(), upstream.version(), load, cost));
     }
     candidates.sort(Comparator.comparingLong(one -> one.costMillis().orElse(Long.MAX_VALUE)));
--- a/org.oatlug/src/org/oatlug/internal/gateway/UpstreamSelection.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/UpstreamSelection.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.random.RandomGenerator;
+import org.oatlug.api.RefusalReason;
 import org.oatlug.gateway.Generation;
 import org.oatlug.gateway.PromptPart;
 import org.oatlug.gateway.ServiceDefinition;
@@ -28,8 +29,9 @@
  * <p>What is known of each upstream is put together here and weighed by {@link PlacementCost}. A
  * shared part of a prompt has a home, the same upstream for all instances, which is taken to keep
  * it; an upstream that this instance sent it to keeps it too. Invariant: an upstream that is
- * leaving, was tried or has no connection left is never chosen; one that is kept out after failures
- * only if there is no other. Owned by one event loop, not thread-safe.
+ * leaving, in an emptied zone, cold without room, tried or without a connection left is never
+ * chosen; one that is kept out after failures only if there is no other. Owned by one event loop,
+ * not thread-safe.
  */
 final class UpstreamSelection {
   /** Spreads requests over upstreams of equal cost, in milliseconds. */
@@ -40,6 +42,7 @@
   private final EngineSpeeds speeds;
   private final OpenReading reading;
   private final ZoneReach zones;
+  private final ColdGate cold;
   private final RandomGenerator random;
 
   private UpstreamSelection(
@@ -48,12 +51,14 @@
       EngineSpeeds speeds,
       OpenReading reading,
       ZoneReach zones,
+      ColdGate cold,
       RandomGenerator random) {
     this.zone = zone;
     this.tables = tables;
     this.speeds = speeds;
     this.reading = reading;
     this.zones = zones;
+    this.cold = cold;
     this.random = random;
   }
 
@@ -64,8 +69,9 @@
       EngineSpeeds speeds,
       OpenReading reading,
       ZoneReach zones,
+      ColdGate cold,
       RandomGenerator random) {
-    return new UpstreamSelection(zone, tables, speeds, reading, zones, random);
+    return new UpstreamSelection(zone, tables, speeds, reading, zones, cold, random);
   }
 
   /**
@@ -117,9 +123,9 @@
 
   /** Returns the upstreams that can be chosen, with their costs, in no order. */
   List<Chosen> costs(Wanted wanted, Instant now) {
-    List<Candidate> candidates = candidates(wanted, true);
+    List<Candidate> candidates = candidates(wanted, true, now);
     if (candidates.isEmpty() && !wanted.version().map(VersionRule.Wish::strict).orElse(true)) {
-      candidates = candidates(wanted, false);
+      candidates = candidates(wanted, false, now);
     }
     String home = homeOf(wanted, candidates);
     Optional<Prompt> prompt =
@@ -137,10 +143,32 @@
     return costs;
   }
 
+  /**
+   * Returns why a service has no upstream to choose, for the caller and the operator.
+   *
+   * @param service the service
+   */
+  RefusalReason reasonOfNone(String service, Instant now) {
+    boolean emptied = false;
+    boolean limited = false;
+    for (String name : tables.upstreamsOf(service)) {
+      UpstreamRecord upstream = tables.upstream(name).orElseThrow();
+      if (upstream.leaving() || tables.row(name).leaving()) {
+        continue;
+      }
+      emptied |= tables.isEmptied(upstream);
+      limited |= !tables.isEmptied(upstream) && !cold.isOpen(name, upstream, now);
+    }
+    if (limited) {
+      return RefusalReason.UPSTREAMS_COLD;
+    }
+    return emptied ? RefusalReason.ZONES_EMPTIED : RefusalReason.NO_UPSTREAM;
+  }
+
   private HeadForecast forecast(Candidate candidate, Prompt prompt, String home, Instant now) {
     Unread unread = prompt.unreadAt(candidate, home);
-    double slowness = speeds.slownessOf(candidate.name(), now);
-    double waiting = reading.waitingMillis(candidate.name(), now);
+    double slowness = speeds.slownessOf(candidate.row().process(), now);
+    double waiting = reading.waitingMillis(candidate.row().process(), now);
     double own = speeds.lineOf(prompt.model()).millisFor(unread.tokens());
     return new HeadForecast(slowness * waiting, slowness * own, unread.tokens(), unread.certain());
   }
@@ -154,19 +182,22 @@
         Math.max(1, candidate.upstream().slots()),
         otherZone,
         candidate.row().failureShare(now),
+        candidate.row().isCold(now),
         cutOff || candidate.row().ejected(now));
   }
 
-  private List<Candidate> candidates(Wanted wanted, boolean asWished) {
+  private List<Candidate> candidates(Wanted wanted, boolean asWished, Instant now) {
     List<Candidate> candidates = new ArrayList<>();
     int most = mostConnections(wanted.service());
     for (String name : tables.upstreamsOf(wanted.service())) {
       UpstreamRecord upstream = tables.upstream(name).orElseThrow();
-      UpstreamRow row = tables.loads().row(name);
-      boolean usable = !upstream.leaving() && !row.leaving() && !wanted.excluded().contains(name);
+      UpstreamRow row = tables.row(name);
+      boolean stays = !upstream.leaving() && !row.leaving();
+      boolean usable = stays && !tables.isEmptied(upstream) && !wanted.excluded().contains(name);
       boolean fits =
           !asWished || wanted.version().map(w -> w.isMetBy(upstream.version())).orElse(true);
-      if (usable && fits && row.expectedLoad() < most) {
+      boolean free = row.expectedLoad() < most && cold.isOpen(name, upstream, now);
+      if (usable && fits && free) {
         candidates.add(new Candidate(name, upstream, row));
       }
     }
--- a/org.oatlug/src/org/oatlug/internal/platform/CountedPlatform.java
+++ b/org.oatlug/src/org/oatlug/internal/platform/CountedPlatform.java
@@ -9,13 +9,15 @@
 import java.util.List;
 import java.util.Optional;
 import org.oatlug.api.ObjectKey;
+import org.oatlug.config.Kinds;
 import org.oatlug.internal.metrics.Meters;
 import org.oatlug.platform.Platform;
 import org.oatlug.platform.StoredObject;
 
 /**
  * Counts the calls of a platform by operation and kind, and those that failed: {@code
- * store.OPERATION.KIND} and {@code store.failed.OPERATION.KIND}. Used from one event loop.
+ * store.OPERATION.KIND} and {@code store.failed.OPERATION.KIND}; and the entries that name nothing
+ * to use, {@code store.unusable.KIND}. Used from one event loop.
  */
 public final class CountedPlatform implements Platform {
   private final Platform counted;
@@ -39,6 +41,14 @@
         .invoke(() -> meters.count("store.failed." + name));
   }
 
+  private void noteUnusable(Batch batch) {
+    for (StoredObject object : batch.objects()) {
+      if (Kinds.problemOfUnusable(object.value()).isPresent()) {
+        meters.count("store.unusable." + object.key().kind());
+      }
+    }
+  }
+
   @Override
   public Uni<Optional<StoredObject>> get(ObjectKey key) {
     return count("get", key.kind(), counted.get(key));
@@ -46,7 +56,7 @@
 
   @Override
   public Uni<Batch> list(List<String> kinds) {
-    return count("list", String.join("-", kinds), counted.list(kinds));
+    return count("list", String.join("-", kinds), counted.list(kinds).invoke(this::noteUnusable));
   }
 
   @Override
@@ -56,7 +66,10 @@
 
   @Override
   public Uni<Batch> watch(List<String> kinds, long revision, Duration wait) {
-    return count("watch", String.join("-", kinds), counted.watch(kinds, revision, wait));
+    return count(
+        "watch",
+        String.join("-", kinds),
+        counted.watch(kinds, revision, wait).invoke(this::noteUnusable));
   }
 
   @Override
--- a/org.oatlug/src/org/oatlug/internal/routing/PlacementCost.java
+++ b/org.oatlug/src/org/oatlug/internal/routing/PlacementCost.java
@@ -43,6 +43,12 @@
    */
   private static final double FAILING_MILLIS = 800;
 
+  /**
+   * What an upstream costs more that is cold, in milliseconds: as much as a full one, so that those
+   * that bear more are asked first and it is asked before they overflow.
+   */
+  private static final double COLD_MILLIS = FULL_LOAD_MILLIS;
+
   /**
    * How often the reading of a prompt counts: for the request itself and for those behind it. The
    * mean worth of five days with faults was 0.528 with two, 0.518 with one and 0.513 with four.
@@ -60,6 +66,7 @@
    * @param slots how many it works on at once
    * @param otherZone whether it is in another availability zone
    * @param failureShare its share of failures, 0 to 1
+   * @param cold whether it has just started and bears few requests
    * @param keptOut whether it is kept out after failures
    */
   public record Place(
@@ -68,6 +75,7 @@
       int slots,
       boolean otherZone,
       double failureShare,
+      boolean cold,
       boolean keptOut) {}
 
   /**
@@ -81,6 +89,9 @@
     cost += FULL_LOAD_MILLIS * place.load() / place.slots();
     cost += WAITING_MILLIS * Math.max(0, place.load() + 1 - place.slots());
     cost += FAILING_MILLIS * place.failureShare();
+    if (place.cold()) {
+      cost += COLD_MILLIS;
+    }
     if (place.otherZone()) {
       cost += otherZone(forecast, bodyBytes);
     }
--- a/org.oatlug/src/org/oatlug/internal/table/UpstreamRow.java
+++ b/org.oatlug/src/org/oatlug/internal/table/UpstreamRow.java
@@ -6,11 +6,12 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.Map;
+import java.util.OptionalLong;
 import org.oatlug.internal.util.BoundedMap;
 import org.oatlug.internal.util.Hashes;
 
 /**
- * What one instance knows of one upstream.
+ * What one instance knows of one upstream, which is one start of a process.
  *
  * <p>Invariant: {@code inFlight} equals the attempts that were reserved and not yet released. A
  * reservation counts into {@code dispatchedSinceReport} until the next load report. Owned by one
@@ -32,6 +33,9 @@
 
   private final String name;
   private final long nameHash;
+  private OptionalLong startedAtMillis;
+  private String process;
+  private Instant coldUntil = Instant.EPOCH;
   private final Map<Long, Boolean> prefixes = BoundedMap.ofMost(REMEMBERED_PREFIXES);
   private int inFlight;
   private int reportedRunning;
@@ -45,8 +49,46 @@
   private Instant failureShareAt = Instant.EPOCH;
 
   UpstreamRow(String name) {
+    this(name, OptionalLong.empty());
+  }
+
+  UpstreamRow(String name, long startedAtMillis) {
+    this(name, OptionalLong.of(startedAtMillis));
+  }
+
+  private UpstreamRow(String name, OptionalLong startedAtMillis) {
     this.name = name;
     this.nameHash = Hashes.hash64(name);
+    this.startedAtMillis = startedAtMillis;
+    this.process = processOf(name, startedAtMillis);
+  }
+
+  private static String processOf(String name, OptionalLong startedAtMillis) {
+    return startedAtMillis.isPresent() ? name + "@" + startedAtMillis.getAsLong() : name;
+  }
+
+  /** Returns whether the row is of this start; one of an unknown start takes it over. */
+  boolean isOfStart(long millis) {
+    if (startedAtMillis.isEmpty()) {
+      startedAtMillis = OptionalLong.of(millis);
+      process = processOf(name, startedAtMillis);
+    }
+    return startedAtMillis.getAsLong() == millis;
+  }
+
+  /** Returns the name with the start, if that is known: no other process has the same. */
+  public String process() {
+    return process;
+  }
+
+  /** Takes in that the upstream is cold up to a moment; a later one counts. */
+  public void coldUntil(Instant moment) {
+    coldUntil = moment.isAfter(coldUntil) ? moment : coldUntil;
+  }
+
+  /** Returns whether the upstream bears few requests now, because it is cold. */
+  public boolean isCold(Instant now) {
+    return now.isBefore(coldUntil);
   }
 
   /** Returns the rank of this upstream for a prompt prefix, the same at every instance. */
--- a/org.oatlug/src/org/oatlug/internal/table/UpstreamTable.java
+++ b/org.oatlug/src/org/oatlug/internal/table/UpstreamTable.java
@@ -7,7 +7,10 @@
 import java.util.Map;
 import java.util.TreeMap;
 
-/** The rows of all upstreams that were met. Owned by one event loop, not thread-safe. */
+/**
+ * The rows of all upstreams that were met, each by its name and, where that is told, its start.
+ * Owned by one event loop, not thread-safe.
+ */
 public final class UpstreamTable {
   private static final double SMOOTHING = 0.1;
   private static final double OWN_WEIGHT = 0.5;
@@ -27,9 +30,28 @@
     return rows.computeIfAbsent(name, UpstreamRow::new);
   }
 
+  /**
+   * Takes in when the process of this name started, and drops the row of an earlier one. The first
+   * start that is told belongs to the row there is.
+   *
+   * @return whether a row was dropped
+   */
+  public boolean started(String name, long startedAtMillis) {
+    if (row(name).isOfStart(startedAtMillis)) {
+      return false;
+    }
+    rows.put(name, new UpstreamRow(name, startedAtMillis));
+    return true;
+  }
+
   /** Takes in a load report. */
   public void report(String name, int running, int waiting, boolean leaving) {
-    row(name).report(running, waiting, leaving);
+    report(row(name), running, waiting, leaving);
+  }
+
+  /** Takes in a load report for the start that the row is of, which may have ended. */
+  public void report(UpstreamRow of, int running, int waiting, boolean leaving) {
+    of.report(running, waiting, leaving);
     int reported = 0;
     int own = 0;
     for (UpstreamRow row : rows.values()) {
