--- a/org.oatlug.test/tst/org/oatlug/internal/config/VirtualFleet.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/config/VirtualFleet.java
@@ -10,6 +10,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -55,7 +56,10 @@
   /** How many instances a starting one is told of. */
   private static final int SEEDS = 3;
 
+  private static final List<List<String>> UPSTREAMS = List.of(List.of(GatewayKinds.UPSTREAM));
+
   private final Random random;
+  private final List<List<String>> watchGroups;
   private final VirtualTime time = new VirtualTime();
   private final Map<String, Instance> instances = new TreeMap<>();
   private final Map<Integer, Instance> byPort = new TreeMap<>();
@@ -70,8 +74,9 @@
   private long revision;
   private int storeCalls;
 
-  private VirtualFleet(long seed) {
-    random = new Random(seed);
+  private VirtualFleet(long seed, List<List<String>> watchGroups) {
+    this.random = new Random(seed);
+    this.watchGroups = watchGroups;
   }
 
   /** One instance. */
@@ -93,8 +98,7 @@
               this,
               membership,
               this,
-              new ConfigurationSystem.Support(
-                  time, own, meters, List.of(List.of(GatewayKinds.UPSTREAM))));
+              new ConfigurationSystem.Support(time, own, meters, watchGroups));
     }
 
     /** The tables, with the moment at which an upstream was first known to leave. */
@@ -103,8 +107,10 @@
       public List<StoredObject> mergeAll(List<StoredObject> objects, Origin origin) {
         List<StoredObject> fresh = tables.mergeAll(objects, origin);
         for (StoredObject object : fresh) {
-          if (tables.isLeaving(object.key().name())) {
-            learned.putIfAbsent(object.key().name(), time.instant());
+          String name = object.key().name();
+          boolean upstream = object.key().kind().equals(GatewayKinds.UPSTREAM);
+          if (upstream ? tables.isLeaving(name) : tables.emptiedZones().contains(name)) {
+            learned.putIfAbsent(name, time.instant());
           }
         }
         return fresh;
@@ -187,21 +193,22 @@
     @Override
     public Uni<Batch> list(List<String> kinds) {
       return call(
-          emitter -> () -> emitter.complete(new Batch(revision, List.copyOf(stored.values()))));
+          emitter -> () -> emitter.complete(new Batch(revision, ofKinds(kinds, stored.values()))));
     }
 
     @Override
     public Uni<Batch> watch(List<String> kinds, long since, Duration wait) {
-      return call(emitter -> () -> answerWatch(since, wait, emitter));
+      return call(emitter -> () -> answerWatch(kinds, since, wait, emitter));
     }
 
-    private void answerWatch(long since, Duration wait, UniEmitter<? super Batch> emitter) {
+    private void answerWatch(
+        List<String> kinds, long since, Duration wait, UniEmitter<? super Batch> emitter) {
       Runnable answer =
           () -> {
             if (turnedAway.contains(name())) {
               emitter.fail(new PlatformUnavailableException("turned away", null));
             } else {
-              emitter.complete(new Batch(revision, changesAfter(since)));
+              emitter.complete(new Batch(revision, ofKinds(kinds, changesAfter(since))));
             }
           };
       if (revision > since) {
@@ -228,9 +235,15 @@
     }
   }
 
-  /** Starts instances that know each other. */
+  /** Starts instances that know each other and watch the upstreams. */
   static VirtualFleet of(int zones, int instancesPerZone, long seed) {
-    VirtualFleet fleet = new VirtualFleet(seed);
+    return of(zones, instancesPerZone, seed, UPSTREAMS);
+  }
+
+  /** Starts instances that know each other and watch groups of kinds. */
+  static VirtualFleet of(
+      int zones, int instancesPerZone, long seed, List<List<String>> watchGroups) {
+    VirtualFleet fleet = new VirtualFleet(seed, watchGroups);
     List<Member> members = fleet.createInstances(zones, instancesPerZone);
     for (Instance instance : fleet.instances.values()) {
       members.forEach(instance.membership::merge);
@@ -241,7 +254,7 @@
 
   /** Starts all instances within the time; each knows a few seeds and nobody else. */
   static VirtualFleet starting(int zones, int instancesPerZone, Duration within, long seed) {
-    VirtualFleet fleet = new VirtualFleet(seed);
+    VirtualFleet fleet = new VirtualFleet(seed, UPSTREAMS);
     List<Member> members = fleet.createInstances(zones, instancesPerZone);
     List<Settings.Address> seeds =
         members.stream()
@@ -305,6 +318,10 @@
     time.run(duration);
   }
 
+  private static List<StoredObject> ofKinds(List<String> kinds, Collection<StoredObject> objects) {
+    return objects.stream().filter(object -> kinds.contains(object.key().kind())).toList();
+  }
+
   private List<StoredObject> changesAfter(long since) {
     return history.stream().filter(change -> change.version() > since).toList();
   }
@@ -335,6 +352,25 @@
     change(ObjectKey.valueOf(GatewayKinds.UPSTREAM, upstream), Json.STRICT.valueToTree(entry));
   }
 
+  /** Writes the order to empty a zone. */
+  void empty(String zone) {
+    acknowledged.put(zone, time.instant());
+    change(ObjectKey.valueOf(GatewayKinds.EVACUATION, zone), Json.STRICT.createObjectNode());
+  }
+
+  /** Takes the order to empty a zone back. */
+  void takeZoneBack(String zone) {
+    change(ObjectKey.valueOf(GatewayKinds.EVACUATION, zone), Kinds.tombstone());
+  }
+
+  /** Returns the instances that send nothing to the upstreams of a zone. */
+  List<String> whoKeepsEmpty(String zone) {
+    return instances.values().stream()
+        .filter(instance -> instance.tables.emptiedZones().contains(zone))
+        .map(Instance::name)
+        .toList();
+  }
+
   /** Removes the entry of an upstream that never said that it leaves. */
   void remove(String upstream) {
     acknowledged.put(upstream, time.instant());
--- /dev/null
+++ b/org.oatlug.test/tst/org/oatlug/test/EvacuationProcessTest.java
@@ -0,0 +1,137 @@
+// Copyright (c) 2026, the oatlug authors
+// SPDX-License-Identifier: BSD-3-Clause
+
+package org.oatlug.test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+import java.io.IOException;
+import org.oatlug.adapter.standin.SampleObjects;
+import org.oatlug.adapter.standin.StoreStandin;
+import org.oatlug.adapter.standin.UpstreamStandin;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.Test;
+
+/** Shows with processes that an emptied zone gets nothing, and that a cold upstream gets little. */
+public class EvacuationProcessTest {
+  private static final String ZONE_OF_FIRST = "hall-a";
+  private static final String OTHER_ZONE = "hall-b";
+  private static final int ROUND = 10;
+
+  private GatewayCluster cluster;
+
+  @AfterMethod(alwaysRun = true)
+  void stop() {
+    if (cluster != null) {
+      cluster.close();
+    }
+  }
+
+  /** Starts instances with an upstream in each of two zones. */
+  private void start(int entries) throws IOException {
+    cluster = GatewayCluster.start(entries, 2);
+    register("i-2", OTHER_ZONE);
+    UpstreamStandin second = cluster.upstreams.get("i-2");
+    Await.until(
+        "the second is known elsewhere", () -> !second.arrivals().isEmpty() || send() == 200);
+  }
+
+  private void register(String name, String zone) {
+    cluster.store.put("servers", name, cluster.entryOf(name).put("zone", zone));
+  }
+
+  private int send() throws IOException {
+    return send(0);
+  }
+
+  private int send(int entry) throws IOException {
+    return Http.send(cluster.request(entry, SampleObjects.ONCE + "x")).status();
+  }
+
+  private int arrivedAt(String name) {
+    return cluster.upstreams.get(name).arrivals().size();
+  }
+
+  private void awaitNothingMoreAt(int entry, String name) {
+    Await.until(
+        "nothing more arrives at " + name,
+        () -> {
+          int before = arrivedAt(name);
+          for (int request = 0; request < ROUND; request++) {
+            assertEquals(send(entry), 200);
+          }
+          return arrivedAt(name) == before;
+        });
+  }
+
+  @Test
+  public void testEmptiedZoneGetsNothingUntilItIsTakenBack() throws IOException {
+    start(2);
+    cluster.store.put("evacuations", ZONE_OF_FIRST, new JsonObject());
+    awaitNothingMoreAt(0, "i-1");
+    awaitNothingMoreAt(1, "i-1");
+    int before = arrivedAt("i-1");
+    cluster.store.delete("evacuations", ZONE_OF_FIRST);
+    Await.until("the zone is used again", () -> send() == 200 && arrivedAt("i-1") > before);
+  }
+
+  @Test
+  public void testAllZonesEmptiedIsRefusedAtOnceAsNotRun() throws IOException {
+    start(1);
+    cluster.store.put("evacuations", ZONE_OF_FIRST, new JsonObject());
+    cluster.store.put("evacuations", OTHER_ZONE, new JsonObject().put("odd", new JsonArray()));
+    Await.until("refused", () -> send() == 503);
+    int before = cluster.arrivals();
+    Http.Answer answer = Http.send(cluster.request(0, SampleObjects.ONCE + "x"));
+    assertEquals(answer.reason(), "zones-emptied");
+    assertTrue(Double.parseDouble(answer.header("Retry-After")) > 0);
+    assertEquals(cluster.arrivals(), before);
+  }
+
+  @Test
+  public void testInstanceThatStartsInAnEvacuationKnowsOfItWhileTheStoreIsAway() throws Exception {
+    start(2);
+    cluster.store.put("evacuations", ZONE_OF_FIRST, new JsonObject());
+    awaitNothingMoreAt(0, "i-1");
+    cluster.store.setMode(StoreStandin.Mode.BUSY);
+    cluster.process(1).destroyForcibly().waitFor();
+    cluster.startEntry(1);
+    cluster.awaitReady(1);
+    awaitNothingMoreAt(1, "i-1");
+  }
+
+  @Test
+  public void testOtherWritersEntryGetsNothingAndTheOthersHold() throws IOException {
+    start(1);
+    JsonObject entry = cluster.entryOf("i-1");
+    cluster.store.put("servers", "i-1", entry.copy().put("state", "asleep"));
+    cluster.store.put("servers", "odd \"name\"/ü\n", new JsonObject().put("service", 7));
+    awaitNothingMoreAt(0, "i-1");
+    int before = arrivedAt("i-1");
+    cluster.store.put("servers", "i-1", entry);
+    Await.until("the entry counts again", () -> send() == 200 && arrivedAt("i-1") > before);
+  }
+
+  @Test
+  public void testOnlyUpstreamThatIsColdIsNotOverrun() throws IOException {
+    cluster = GatewayCluster.start(1, 1);
+    JsonObject configuration = SampleObjects.configuration(2);
+    configuration.getJsonArray("services").getJsonObject(0).put("cold-start-s", 3.5);
+    configuration.getJsonArray("services").getJsonObject(0).put("cold-per-s", 1.0);
+    cluster.store.put("config", "main", configuration);
+    JsonObject entry = cluster.entryOf("i-1");
+    cluster.store.put("servers", "i-1", entry.put("cold-ms", 600_000));
+    Await.until(
+        "refused as cold",
+        () -> {
+          Http.Answer answer = Http.send(cluster.request(0, SampleObjects.ONCE + "x"));
+          return answer.status() == 503 && answer.reason().equals("upstreams-cold");
+        });
+    cluster.store.put("servers", "i-1", entry.put("cold-ms", 0).put("born", 1_764_720_000_000L));
+    cluster.store.put("servers", "i-1", entry.put("born", 1_764_720_009_000L));
+    Await.until("the process that started anew is warm", () -> send() == 200 && send() == 200);
+  }
+}
--- a/org.oatlug.test/tst/org/oatlug/test/GatewayCluster.java
+++ b/org.oatlug.test/tst/org/oatlug/test/GatewayCluster.java
@@ -118,8 +118,13 @@
 
   /** Registers a name at the address of an upstream, which may have another name. */
   void register(String name, String atUpstream, String version) {
-    int port = upstreamPorts.get(atUpstream);
-    store.put("servers", name, SampleObjects.upstream(SampleObjects.SERVICE, HOST, port, version));
+    store.put("servers", name, entryOf(atUpstream).put("version", version));
+  }
+
+  /** Returns the entry of an upstream, as it registers itself when it is ready. */
+  JsonObject entryOf(String upstream) {
+    int port = upstreamPorts.get(upstream);
+    return SampleObjects.upstream(SampleObjects.SERVICE, HOST, port, "v1");
   }
 
   void awaitReady(int entry) {
