--- a/org.oatlug.pgm/src/org/oatlug/pgm/StatusCommand.java
+++ b/org.oatlug.pgm/src/org/oatlug/pgm/StatusCommand.java
@@ -23,7 +23,7 @@
 
   @Override
   public String summary() {
-    return "show an instance, the instances it knows and the upstreams";
+    return "show an instance, the instances it knows, emptied zones and the upstreams";
   }
 
   @Override
@@ -42,9 +42,15 @@
       String state = one.path("state").asText() + " in " + one.path("zone").asText();
       table.add("instance", one.path("name").asText(), state);
     }
+    for (JsonNode zone : status.path("emptiedZones")) {
+      table.add("zone", zone.asText(), "emptied, its upstreams get nothing");
+    }
     for (JsonNode one : status.path("upstreams")) {
-      String leaving = one.path("leaving").asBoolean() ? ", leaving" : "";
-      String state = "load " + one.path("expectedLoad").asText() + leaving;
+      String marks =
+          (one.path("leaving").asBoolean() ? ", leaving" : "")
+              + (one.path("cold").asBoolean() ? ", cold" : "")
+              + (one.path("keptOut").asBoolean() ? ", kept out" : "");
+      String state = "load " + one.path("expectedLoad").asText() + marks;
       table.add("upstream", one.path("name").asText(), state);
     }
     session.print(status, table);
--- a/org.oatlug.test/tst/org/oatlug/test/EvacuationProcessTest.java
+++ b/org.oatlug.test/tst/org/oatlug/test/EvacuationProcessTest.java
@@ -8,10 +8,15 @@
 
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
 import org.oatlug.adapter.standin.SampleObjects;
 import org.oatlug.adapter.standin.StoreStandin;
 import org.oatlug.adapter.standin.UpstreamStandin;
+import org.oatlug.pgm.ExitCode;
+import org.oatlug.pgm.Oatlug;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.Test;
 
@@ -43,6 +48,15 @@
     cluster.store.put("servers", name, cluster.entryOf(name).put("zone", zone));
   }
 
+  /** Returns what the command line shows of the first instance. */
+  private String status() {
+    ByteArrayOutputStream output = new ByteArrayOutputStream();
+    PrintStream out = new PrintStream(output, true, StandardCharsets.UTF_8);
+    String[] arguments = {"status", "--instance", "127.0.0.1:" + cluster.metricsPort(0)};
+    assertEquals(Oatlug.run(arguments, out, out), ExitCode.OK);
+    return output.toString(StandardCharsets.UTF_8);
+  }
+
   private int send() throws IOException {
     return send(0);
   }
@@ -73,6 +87,7 @@
     cluster.store.put("evacuations", ZONE_OF_FIRST, new JsonObject());
     awaitNothingMoreAt(0, "i-1");
     awaitNothingMoreAt(1, "i-1");
+    assertTrue(status().contains("emptied"), status());
     int before = arrivedAt("i-1");
     cluster.store.delete("evacuations", ZONE_OF_FIRST);
     Await.until("the zone is used again", () -> send() == 200 && arrivedAt("i-1") > before);
--- a/org.oatlug/src/org/oatlug/internal/gateway/InspectionServer.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/InspectionServer.java
@@ -29,6 +29,9 @@
   /** The path that explains what becomes of a request. */
   static final String EXPLAIN_PATH = "/explain";
 
+  /** The path that shows what the instance knows. */
+  static final String STATUS_PATH = "/status";
+
   private static final int OK = 200;
   private static final int NOT_FOUND = 404;
   private static final int UNAVAILABLE = 503;
@@ -60,7 +63,8 @@
 
   /**
    * Starts to show the counters, in the text form of Prometheus, on any path but {@value
-   * #EXPLAIN_PATH}, which explains what becomes of a request.
+   * #EXPLAIN_PATH}, which explains what becomes of a request, and {@value #STATUS_PATH}, which
+   * shows the upstreams and the emptied zones.
    *
    * @param parts the parts whose decisions are explained
    */
@@ -72,15 +76,24 @@
   }
 
   private void answerOperator(HttpServerRequest request, GatewayParts parts) {
-    if (!request.path().equals(EXPLAIN_PATH)) {
-      showMetrics(request);
-      return;
+    switch (request.path()) {
+      case EXPLAIN_PATH -> explain(request, parts);
+      case STATUS_PATH ->
+          answer(request, Optional.of(InstanceStatus.of(parts, ready.getAsBoolean())));
+      default -> showMetrics(request);
     }
+  }
+
+  private static void explain(HttpServerRequest request, GatewayParts parts) {
     Generation generation =
         new Generation(
             "", number(request, "read"), number(request, "made"), List.of(), OptionalInt.empty());
-    Optional<RouteExplanation> found =
-        RouteExplanation.of(parts, text(request, "host"), text(request, "path"), generation);
+    answer(
+        request,
+        RouteExplanation.of(parts, text(request, "host"), text(request, "path"), generation));
+  }
+
+  private static void answer(HttpServerRequest request, Optional<?> found) {
     request
         .response()
         .setStatusCode(found.isPresent() ? OK : NOT_FOUND)
--- /dev/null
+++ b/org.oatlug/src/org/oatlug/internal/gateway/InstanceStatus.java
@@ -0,0 +1,63 @@
+// Copyright (c) 2026, the oatlug authors
+// SPDX-License-Identifier: BSD-3-Clause
+
+package org.oatlug.internal.gateway;
+
+import java.time.Instant;
+import java.util.List;
+import org.oatlug.gateway.UpstreamRecord;
+import org.oatlug.internal.table.UpstreamRow;
+
+/**
+ * What an instance knows now, for an operator. Immutable.
+ *
+ * @param name the name of the instance
+ * @param ready whether it tells the balancer that it is ready
+ * @param emptiedZones the availability zones whose upstreams get nothing
+ * @param upstreams the upstreams, ordered by name
+ */
+public record InstanceStatus(
+    String name, boolean ready, List<String> emptiedZones, List<Upstream> upstreams) {
+  /**
+   * An upstream.
+   *
+   * @param name its name
+   * @param service its service
+   * @param zone its availability zone
+   * @param leaving whether it is about to go
+   * @param cold whether it bears few requests now
+   * @param keptOut whether it is kept out after failures
+   * @param expectedLoad the requests that it is believed to have
+   */
+  public record Upstream(
+      String name,
+      String service,
+      String zone,
+      boolean leaving,
+      boolean cold,
+      boolean keptOut,
+      int expectedLoad) {}
+
+  /** Returns the status of the instance that has these parts. */
+  static InstanceStatus of(GatewayParts parts, boolean ready) {
+    GatewayTables tables = parts.tables();
+    List<Upstream> upstreams =
+        tables.upstreamNames().stream().map(name -> upstream(parts, name)).toList();
+    return new InstanceStatus(
+        parts.settings().name(), ready, List.copyOf(tables.emptiedZones()), upstreams);
+  }
+
+  private static Upstream upstream(GatewayParts parts, String name) {
+    UpstreamRecord record = parts.tables().upstream(name).orElseThrow();
+    UpstreamRow row = parts.tables().row(name);
+    Instant now = parts.clock().instant();
+    return new Upstream(
+        name,
+        record.service(),
+        record.zone(),
+        parts.tables().isLeaving(name),
+        row.isCold(now),
+        row.ejected(now),
+        row.expectedLoad());
+  }
+}
