--- a/org.oatlug/src/org/oatlug/internal/gateway/ExchangeAttempt.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/ExchangeAttempt.java
@@ -8,7 +8,6 @@
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.net.SocketAddress;
 import java.time.Duration;
-import java.time.Instant;
 import java.util.Optional;
 import java.util.OptionalInt;
 import org.oatlug.api.RefusalReason;
@@ -20,16 +19,15 @@
 import org.oatlug.gateway.RouteKind;
 import org.oatlug.gateway.WorkspaceKeys;
 import org.oatlug.internal.engine.HeadForecast;
-import org.oatlug.internal.limit.ColdLimit;
 import org.oatlug.internal.routing.Urgency;
 
 /**
  * One attempt of an exchange at one upstream, and what becomes of its answer.
  *
  * <p>The connection is the link's matter; this class says whether the answer is taken, dropped or
- * asked for again. Invariants: the upstream's row holds a reservation from {@link #send} to the end
- * of the attempt and not longer; an answer that was begun towards the caller goes on only with the
- * events that follow. Used from one event loop.
+ * asked for again; what is learned from it is the matter of {@link AttemptFeedback}. Invariant: an
+ * answer that was begun towards the caller goes on only with the events that follow. Used from one
+ * event loop.
  */
 final class ExchangeAttempt implements UpstreamAttempt.Listener {
   private static final String EVENT_STREAM = "text/event-stream";
@@ -44,8 +42,7 @@
   private final StreamRelay relay;
   private final UpstreamSelection.Chosen chosen;
   private final Optional<String> model;
-  private final String process;
-  private final Instant started;
+  private final AttemptFeedback feedback;
   private final PlainAnswer plain;
   private final SilenceWatch watch;
   private final StreamPace pace = new StreamPace();
@@ -53,8 +50,6 @@
   private HttpClientResponse response;
   private boolean streaming;
   private boolean released;
-  private boolean reading;
-  private Optional<ColdLimit.Permit> permit = Optional.empty();
 
   ExchangeAttempt(Exchange exchange, UpstreamSelection.Chosen chosen, Optional<String> model) {
     this.exchange = exchange;
@@ -65,8 +60,7 @@
     this.relay = exchange.relay();
     this.chosen = chosen;
     this.model = model;
-    this.process = chosen.row().process();
-    this.started = parts.clock().instant();
+    this.feedback = new AttemptFeedback(parts, incoming, chosen, model);
     this.plain = PlainAnswer.create(parts, answer);
     this.watch = SilenceWatch.create(parts, this::patience, this::askElsewhere);
   }
@@ -82,17 +76,10 @@
 
   /** Sends the request to the upstream. */
   void send() {
-    chosen.row().reserve();
-    permit = parts.cold().enter(chosen.name(), chosen.upstream(), started);
-    beginReading();
+    feedback.begin();
     exchange.noteSent(chosen.name());
-    parts.versions().sent(incoming.service(), chosen.upstream().version(), incoming.head());
     MultiMap headers = MultiMap.caseInsensitiveMultiMap().addAll(incoming.headers());
     parts.adapter().upstreams().addTerms(headers, terms());
-    incoming
-        .head()
-        .generation()
-        .ifPresent(text -> UpstreamSelection.rememberPrompt(chosen.row(), model.orElse(""), text));
     logSent();
     link = UpstreamAttempt.start(parts.client(), call(headers), this);
     if (route.isRepeatable() && !released) {
@@ -100,19 +87,6 @@
     }
   }
 
-  /** Counts the prompt as one that waits at the upstream, until the answer begins. */
-  private void beginReading() {
-    reading = true;
-    parts.reading().begin(process, chosen.forecast().readingMillis());
-  }
-
-  private void endReading() {
-    if (reading) {
-      reading = false;
-      parts.reading().end(process, chosen.forecast().readingMillis());
-    }
-  }
-
   private void logSent() {
     HeadForecast forecast = chosen.forecast();
     exchange.log().log(
@@ -139,16 +113,9 @@
         address, incoming.method(), incoming.uri(), headers, incoming.body(), incoming.hasBody());
   }
 
-  private AnswerTimes.Kind kind() {
-    return new AnswerTimes.Kind(route, model.orElse(""), chosen.forecast().timeToHead());
-  }
-
   /** Returns how long the upstream may be silent now. */
   private Duration patience() {
-    if (response != null) {
-      return parts.times().pausePatience(kind());
-    }
-    return parts.times().headPatience(kind());
+    return response == null ? feedback.headPatience() : feedback.pausePatience();
   }
 
   /** Ends the attempt at an upstream that is silent for too long, if another one may be asked. */
@@ -156,7 +123,7 @@
     if (!plain.isHandedOn() && exchange.mayTryAgain("upstream-silent")) {
       abandon();
       describe("silent");
-      chosen.row().failed(parts.clock().instant());
+      feedback.failed();
       exchange.noteMayHaveRun();
       noteOutcome(true);
       relay.nextUpstream();
@@ -190,9 +157,7 @@
   private void release() {
     if (!released) {
       released = true;
-      endReading();
-      chosen.row().release();
-      permit.ifPresent(ColdLimit.Permit::giveBack);
+      feedback.end();
       plain.release();
       watch.stop();
     }
@@ -218,12 +183,9 @@
     if (parts.tables().isEmptied(chosen.name())) {
       return withhold("its zone is emptied", "zone-emptied");
     }
-    Instant now = parts.clock().instant();
-    if (permit.isEmpty() && !parts.cold().isOpen(chosen.name(), chosen.upstream(), now)) {
+    if (!feedback.mayWrite()) {
       return withhold("the upstream turned cold", "upstream-cold");
     }
-    permit = permit.or(() -> parts.cold().enter(chosen.name(), chosen.upstream(), now));
-    permit.ifPresent(one -> one.written(now));
     return true;
   }
 
@@ -238,16 +200,9 @@
   @Override
   public void head(HttpClientResponse received) {
     response = received;
-    endReading();
-    parts.zones().reached(chosen.upstream().zone());
     heard();
     AnswerHead head = parts.adapter().upstreams().read(received);
-    head.load()
-        .ifPresent(
-            load ->
-                parts.tables().loads().report(chosen.row(), load.running(), load.waiting(), false));
-    head.coldMillis()
-        .ifPresent(millis -> chosen.row().coldUntil(parts.clock().instant().plusMillis(millis)));
+    feedback.headCame(head);
     if (!head.requestId().equals(Optional.of(incoming.head().id()))) {
       link.cancel();
       failed(Progress.ANSWERING, "the answer is to another request");
@@ -260,7 +215,8 @@
     boolean failure = head.status() >= FIRST_SERVER_ERROR;
     noteOutcome(failure);
     if (!failure) {
-      noteSpeed();
+      describeBegin();
+      feedback.speed();
     }
     if (failure && isReplacedAfterFailure(head)) {
       return;
@@ -271,17 +227,11 @@
     accept(head);
   }
 
-  /** Learns from the time to the head, and notes by how much the forecast missed it. */
-  private void noteSpeed() {
-    parts.times().headTook(kind(), took());
+  private void describeBegin() {
     HeadForecast forecast = chosen.forecast();
-    if (forecast.equals(HeadForecast.NONE)) {
-      return;
+    if (!forecast.equals(HeadForecast.NONE)) {
+      describe("begins expected=" + forecast.timeToHead().toMillis());
     }
-    describe("begins expected=" + forecast.timeToHead().toMillis());
-    Duration late = took().minus(forecast.timeToHead());
-    parts.meters().time(late.isNegative() ? "forecast.early" : "forecast.late", late.abs());
-    parts.speeds().answered(process, model.orElse(""), forecast, took(), parts.clock().instant());
   }
 
   private void refusedByUpstream(AnswerHead head) {
@@ -301,7 +251,7 @@
   /** Returns whether a failure of the upstream was dealt with by another attempt. */
   private boolean isReplacedAfterFailure(AnswerHead head) {
     exchange.noteMayHaveRun();
-    chosen.row().failed(parts.clock().instant());
+    feedback.failed();
     if (!route.isRepeatable()) {
       return false;
     }
@@ -326,7 +276,7 @@
       return false;
     }
     exchange.noteMayHaveRun();
-    chosen.row().succeeded(parts.clock().instant());
+    feedback.succeeded();
     abandon();
     describe("dropped confidence=" + confidence);
     exchange.nextAt(instead.get());
@@ -351,7 +301,7 @@
   private void heard() {
     Duration pause = watch.heard();
     if (streaming) {
-      parts.times().paused(kind(), pause.toMillis());
+      feedback.paused(pause);
     }
   }
 
@@ -365,7 +315,7 @@
     long before = relay.events();
     Buffer events = relay.take(data);
     if (events.length() > 0) {
-      pace.add(relay.events() - before, parts.clock().instant()).ifPresent(this::notePace);
+      pace.add(relay.events() - before, parts.clock().instant()).ifPresent(feedback::pace);
       beginStream();
       write(events);
     }
@@ -402,10 +352,10 @@
     }
     release();
     if (response.statusCode() < FIRST_SERVER_ERROR) {
-      chosen.row().succeeded(parts.clock().instant());
+      feedback.succeeded();
     }
     if (streaming) {
-      pace.end().ifPresent(this::notePace);
+      pace.end().ifPresent(feedback::pace);
       beginStream();
       exchange.finish("stream");
       answer.end();
@@ -418,10 +368,10 @@
   @Override
   public void failed(Progress progress, String problem) {
     release();
-    chosen.row().failed(parts.clock().instant());
+    feedback.failed();
     describe("failed " + progress + " " + problem);
     if (progress == Progress.NOT_SENT) {
-      parts.zones().notReached(chosen.upstream().zone(), chosen.name(), parts.clock().instant());
+      feedback.notReached();
       exchange.notSent("retry.upstream-not-reached");
       return;
     }
@@ -437,37 +387,17 @@
     }
   }
 
-  /** Tells the rule of versions what the upstream's version made of the request. */
+  /** Notes what the upstream's version made of the request. */
   private void noteOutcome(boolean bad) {
-    String version = chosen.upstream().version();
     if (bad) {
-      exchange.noteFailedVersion(version);
+      exchange.noteFailedVersion(chosen.upstream().version());
     }
-    parts
-        .versions()
-        .answered(
-            new VersionRule.Answer(
-                incoming.service(), version, route, model.orElse(""), bad, took()));
-  }
-
-  /** Tells the rule of versions how fast the upstream's version makes the stream. */
-  private void notePace(double millisPerEvent) {
-    String version = chosen.upstream().version();
-    parts
-        .versions()
-        .paced(
-            new VersionRule.Pace(
-                incoming.service(), version, route, model.orElse(""), millisPerEvent));
-  }
-
-  /** Returns how long ago the attempt began. */
-  private Duration took() {
-    return Duration.between(started, parts.clock().instant());
+    feedback.outcome(bad);
   }
 
   private void describe(String what) {
     exchange.log().log(
         "attempt=%d upstream=%s %s millis=%d",
-        exchange.sent(), chosen.name(), what, took().toMillis());
+        exchange.sent(), chosen.name(), what, feedback.took().toMillis());
   }
 }
