Read answers of the store whatever other writers put into an object

Found by reading: bytes that are no text, a control character, deep nesting or a very long number in one entry made the whole list unreadable; the watch then began anew each half second and learned nothing. PlatformCalls reads tolerantly.

--- a/org.oatlug/src/org/oatlug/internal/platform/PlatformCalls.java
+++ b/org.oatlug/src/org/oatlug/internal/platform/PlatformCalls.java
@@ -3,13 +3,19 @@
 
 package org.oatlug.internal.platform;
 
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.StreamReadConstraints;
+import com.fasterxml.jackson.core.json.JsonReadFeature;
 import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectReader;
+import com.fasterxml.jackson.databind.json.JsonMapper;
 import com.google.common.flogger.FluentLogger;
 import io.smallrye.mutiny.Uni;
 import io.vertx.core.Future;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.ext.web.client.HttpResponse;
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.util.Set;
 import java.util.function.Supplier;
 import org.oatlug.errors.PlatformBusyException;
@@ -22,6 +28,16 @@
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final int TOO_MANY = 429;
 
+  /** Deeper and longer than anything that the platform's own writers write. */
+  private static final StreamReadConstraints WIDE =
+      StreamReadConstraints.builder().maxNestingDepth(10_000).maxNumberLength(20_000).build();
+
+  private static final ObjectReader TOLERANT =
+      JsonMapper.builder(JsonFactory.builder().streamReadConstraints(WIDE).build())
+          .enable(JsonReadFeature.ALLOW_UNESCAPED_CONTROL_CHARS)
+          .build()
+          .reader();
+
   private PlatformCalls() {}
 
   /**
@@ -62,10 +78,19 @@
       return Json.STRICT.createObjectNode();
     }
     try {
-      return Json.STRICT.readTree(body.getBytes());
+      return parse(body);
     } catch (IOException e) {
       logger.atWarning().log("an answer of the platform is no JSON: %s", e.getMessage());
       return Json.STRICT.createObjectNode();
     }
   }
+
+  /**
+   * Reads the JSON of an answer. What another writer put into one object does not spoil the others
+   * of the same answer: bytes that are no text become question marks, control characters, deep
+   * nesting and long numbers pass.
+   */
+  static JsonNode parse(Buffer body) throws IOException {
+    return TOLERANT.readTree(body.toString(StandardCharsets.UTF_8));
+  }
 }
