Refuse numbers of entries that no time or count can have; watches take turns in an outage

Found by reading: a cold time of 1e18 ms in an entry of another writer ended the merge with an arithmetic error; fractions of slots were cut.

--- a/org.oatlug.test/tst/org/oatlug/adapter/ForeignEntryTest.java
+++ b/org.oatlug.test/tst/org/oatlug/adapter/ForeignEntryTest.java
@@ -86,8 +86,11 @@
     for (String field : FIELDS) {
       boolean number = List.of("slots", "cold-ms", "sequence").contains(field);
       assertUnusable(sound().put(field, number ? "8" : ""));
-      for (String odd : ODD_VALUES.subList(0, 7)) {
-        assertUnusable(sound().set(field, Json.STRICT.readTree(odd)));
+      for (String odd : ODD_VALUES) {
+        boolean oddText = odd.contains("uD800");
+        if (number || !oddText) {
+          assertUnusable(sound().set(field, Json.STRICT.readTree(odd)));
+        }
       }
     }
   }
--- a/org.oatlug/src/org/oatlug/internal/config/StoreWatch.java
+++ b/org.oatlug/src/org/oatlug/internal/config/StoreWatch.java
@@ -212,14 +212,6 @@
     }
   }
 
-  /** At once after the first failure; in an outage the other watches come next. */
-  private Duration pauseAfterFailure() {
-    if (failuresInRow < OUTAGE_FAILURES) {
-      return Duration.ZERO;
-    }
-    return OutageProbe.PAUSE.multipliedBy(2);
-  }
-
   private void failed(Throwable failure) {
     if (failuresInRow == 0) {
       logger.atWarning().log("the platform fails for %s: %s", kinds, failure.getMessage());
@@ -229,7 +221,9 @@
     waiting = false;
     revision = 0;
     failuresInRow++;
-    nextCall = clock.instant().plus(pauseAfterFailure());
+    // At once after the first failure; in an outage the watches take turns, see OutageProbe.
+    boolean outage = failuresInRow >= OUTAGE_FAILURES;
+    nextCall = outage ? clock.instant().plus(OutageProbe.PAUSE) : clock.instant();
     if (failuresInRow >= OUTAGE_FAILURES) {
       owner.platformFails();
     }
