--- a/org.oatlug/src/org/oatlug/internal/table/UpstreamRow.java
+++ b/org.oatlug/src/org/oatlug/internal/table/UpstreamRow.java
@@ -33,7 +33,7 @@
 
   private final String name;
   private final long nameHash;
-  private OptionalLong startedAtMillis;
+  private OptionalLong startedAtMillis = OptionalLong.empty();
   private String process;
   private Instant coldUntil = Instant.EPOCH;
   private final Map<Long, Boolean> prefixes = BoundedMap.ofMost(REMEMBERED_PREFIXES);
@@ -49,31 +49,20 @@
   private Instant failureShareAt = Instant.EPOCH;
 
   UpstreamRow(String name) {
-    this(name, OptionalLong.empty());
-  }
-
-  UpstreamRow(String name, long startedAtMillis) {
-    this(name, OptionalLong.of(startedAtMillis));
-  }
-
-  private UpstreamRow(String name, OptionalLong startedAtMillis) {
     this.name = name;
     this.nameHash = Hashes.hash64(name);
-    this.startedAtMillis = startedAtMillis;
-    this.process = processOf(name, startedAtMillis);
+    this.process = name;
   }
 
-  private static String processOf(String name, OptionalLong startedAtMillis) {
-    return startedAtMillis.isPresent() ? name + "@" + startedAtMillis.getAsLong() : name;
+  /** Returns whether the row is known to be of another start than this. */
+  boolean isOfAnotherStart(long millis) {
+    return startedAtMillis.isPresent() && startedAtMillis.getAsLong() != millis;
   }
 
-  /** Returns whether the row is of this start; one of an unknown start takes it over. */
-  boolean isOfStart(long millis) {
-    if (startedAtMillis.isEmpty()) {
-      startedAtMillis = OptionalLong.of(millis);
-      process = processOf(name, startedAtMillis);
-    }
-    return startedAtMillis.getAsLong() == millis;
+  /** Takes in when the process started. */
+  void startedAt(long millis) {
+    startedAtMillis = OptionalLong.of(millis);
+    process = name + "@" + millis;
   }
 
   /** Returns the name with the start, if that is known: no other process has the same. */
--- a/org.oatlug/src/org/oatlug/internal/table/UpstreamTable.java
+++ b/org.oatlug/src/org/oatlug/internal/table/UpstreamTable.java
@@ -37,11 +37,12 @@
    * @return whether a row was dropped
    */
   public boolean started(String name, long startedAtMillis) {
-    if (row(name).isOfStart(startedAtMillis)) {
-      return false;
+    boolean other = row(name).isOfAnotherStart(startedAtMillis);
+    if (other) {
+      rows.put(name, new UpstreamRow(name));
     }
-    rows.put(name, new UpstreamRow(name, startedAtMillis));
-    return true;
+    row(name).startedAt(startedAtMillis);
+    return other;
   }
 
   /** Takes in a load report. */
