Say why a request of a session got its version

The lines of an attempt told the version alone. With five hypotheses of moved sessions open, the missing is: what was known of the session and how, how old that was, which part of the duration this instance sees, and whether the wish could be met. Counters of moves by kind, the part of each roll-out in oatlug status. No change of a decision.

--- a/org.oatlug.pgm/src/org/oatlug/pgm/StatusCommand.java
+++ b/org.oatlug.pgm/src/org/oatlug/pgm/StatusCommand.java
@@ -5,11 +5,13 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.List;
+import java.util.Locale;
 import org.apache.commons.cli.CommandLine;
 import org.oatlug.errors.OatlugException;
 
 /** Shows an instance and what it knows of its neighbours. Stateless. */
 final class StatusCommand implements Command {
+  private static final double PERCENT = 100;
 
   @Override
   public String name() {
@@ -23,7 +25,7 @@
 
   @Override
   public String summary() {
-    return "show an instance, the instances it knows, emptied zones and the upstreams";
+    return "show an instance, the instances it knows, emptied zones, roll-outs and the upstreams";
   }
 
   @Override
@@ -45,6 +47,9 @@
     for (JsonNode zone : status.path("emptiedZones")) {
       table.add("zone", zone.asText(), "emptied, its upstreams get nothing");
     }
+    for (JsonNode one : status.path("rollouts")) {
+      table.add("roll-out", one.path("service").asText(), rolloutState(one));
+    }
     for (JsonNode one : status.path("upstreams")) {
       String marks =
           (one.path("leaving").asBoolean() ? ", leaving" : "")
@@ -56,4 +61,17 @@
     session.print(status, table);
     return ExitCode.OK;
   }
+
+  /** Returns how far a roll-out has come at this instance, in hundredths. */
+  private static String rolloutState(JsonNode rollout) {
+    return String.format(
+        Locale.ROOT,
+        "to %s, %.0f%% of its time, share %.0f%%, evidence %.1f of %d answers%s",
+        rollout.path("version").asText(),
+        PERCENT * rollout.path("part").asDouble(),
+        PERCENT * rollout.path("share").asDouble(),
+        rollout.path("evidence").asDouble(),
+        rollout.path("answers").asLong(),
+        rollout.path("refuted").asBoolean() ? ", refuted" : "");
+  }
 }
--- a/org.oatlug.test/tst/org/oatlug/internal/gateway/GatewayDecisionTest.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/gateway/GatewayDecisionTest.java
@@ -251,9 +251,9 @@
   @Test
   public void testStrictWishIsKeptAndOtherWishesGiveWay() {
     upstream("i-1", "here", "v1", false);
-    VersionRule.Wish soft = new VersionRule.Wish("v2", true, false);
+    VersionRule.Wish soft = new VersionRule.Wish("v2", true, false, Optional.empty());
     assertEquals(choose(Optional.of(soft), Set.of()), Optional.of("i-1"));
-    VersionRule.Wish notOld = new VersionRule.Wish("v1", false, true);
+    VersionRule.Wish notOld = new VersionRule.Wish("v1", false, true, Optional.empty());
     assertEquals(choose(Optional.of(notOld), Set.of()), Optional.empty());
   }
 
--- a/org.oatlug.test/tst/org/oatlug/internal/gateway/HeldUpFront.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/gateway/HeldUpFront.java
@@ -155,5 +155,10 @@
 
     @Override
     public void paced(Pace pace) {}
+
+    @Override
+    public List<RolloutStatus> status() {
+      return List.of();
+    }
   }
 }
--- a/org.oatlug/src/org/oatlug/internal/gateway/Exchange.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/Exchange.java
@@ -51,6 +51,7 @@
   private int stage;
   private boolean mayHaveRun;
   private Optional<String> lastFailed = Optional.empty();
+  private Optional<VersionRule.Wish> wish = Optional.empty();
   private ExchangeAttempt current;
 
   private Exchange(GatewayParts parts, CallerAnswer answer, Incoming incoming) {
@@ -125,26 +126,42 @@
   }
 
   private void attempt(UpstreamSelection.Chosen chosen) {
+    wish.ifPresent(one -> noteVersion(one, chosen.upstream().version()));
     current = new ExchangeAttempt(this, chosen, model());
     current.send();
   }
 
+  /** Says why the request goes to this version, while a roll-out runs. */
+  private void noteVersion(VersionRule.Wish known, String version) {
+    boolean met = known.isMetBy(version);
+    if (!met) {
+      parts.meters().count("version.wish-not-met");
+    }
+    known
+        .basis()
+        .ifPresent(
+            basis ->
+                log()
+                    .log(
+                        "version %s %s wanted=%b met=%b failed=%s",
+                        version, basis, known.wanted(), met, lastFailed.orElse("-")));
+  }
+
   private Optional<UpstreamSelection.Chosen> choose(Optional<String> model) {
-    Optional<VersionRule.Wish> version =
-        parts.versions().wishFor(incoming.service(), incoming.head(), lastFailed);
-    Optional<UpstreamSelection.Chosen> untried = chooseBut(version, model, tried);
+    wish = parts.versions().wishFor(incoming.service(), incoming.head(), lastFailed);
+    Optional<UpstreamSelection.Chosen> untried = chooseBut(model, tried);
     if (untried.isPresent() || current == null || !route.isRepeatable()) {
       return untried;
     }
-    return chooseBut(version, model, Set.of(current.upstreamName()));
+    return chooseBut(model, Set.of(current.upstreamName()));
   }
 
   private Optional<UpstreamSelection.Chosen> chooseBut(
-      Optional<VersionRule.Wish> version, Optional<String> model, Set<String> excluded) {
+      Optional<String> model, Set<String> excluded) {
     UpstreamSelection.Wanted wanted =
         new UpstreamSelection.Wanted(
             incoming.service(),
-            version,
+            wish,
             model,
             incoming.head().generation(),
             incoming.body().length(),
--- a/org.oatlug/src/org/oatlug/internal/gateway/InstanceStatus.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/InstanceStatus.java
@@ -14,10 +14,15 @@
  * @param name the name of the instance
  * @param ready whether it tells the balancer that it is ready
  * @param emptiedZones the availability zones whose upstreams get nothing
+ * @param rollouts how far the roll-outs have come that run
  * @param upstreams the upstreams, ordered by name
  */
 public record InstanceStatus(
-    String name, boolean ready, List<String> emptiedZones, List<Upstream> upstreams) {
+    String name,
+    boolean ready,
+    List<String> emptiedZones,
+    List<RolloutStatus> rollouts,
+    List<Upstream> upstreams) {
   /**
    * An upstream.
    *
@@ -44,7 +49,11 @@
     List<Upstream> upstreams =
         tables.upstreamNames().stream().map(name -> upstream(parts, name)).toList();
     return new InstanceStatus(
-        parts.settings().name(), ready, List.copyOf(tables.emptiedZones()), upstreams);
+        parts.settings().name(),
+        ready,
+        List.copyOf(tables.emptiedZones()),
+        parts.versions().status(),
+        upstreams);
   }
 
   private static Upstream upstream(GatewayParts parts, String name) {
--- a/org.oatlug/src/org/oatlug/internal/gateway/RolloutDirector.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/RolloutDirector.java
@@ -22,6 +22,7 @@
 import org.oatlug.gateway.RequestHead;
 import org.oatlug.gateway.ServiceRollout;
 import org.oatlug.gateway.ServiceRollout.State;
+import org.oatlug.internal.gateway.VersionBasis.Knowledge;
 import org.oatlug.internal.gather.KeptSession;
 import org.oatlug.internal.membership.Membership;
 import org.oatlug.internal.metrics.Meters;
@@ -107,35 +108,45 @@
     String target = rollout.get().targetVersion();
     Optional<State> state = rollout.get().state();
     if (state.equals(Optional.of(State.SUCCEEDED))) {
-      return Optional.of(new Wish(target, true, false));
+      return Optional.of(new Wish(target, true, false, Optional.empty()));
     }
     RolloutTrial trial = trialOf(service, rollout.get());
     if (state.equals(Optional.of(State.ROLLED_BACK)) || trial.isRefuted()) {
-      return Optional.of(new Wish(target, false, true));
+      return Optional.of(new Wish(target, false, true, Optional.empty()));
     }
+    VersionBasis basis = basisOf(service, rollout.get(), trial, head);
     boolean failedThere = lastFailed.equals(Optional.of(target));
     boolean away = failedThere && trial.allEvidence() > SUSPICIOUS;
-    boolean wanted = !away && wantsTarget(service, rollout.get(), trial, head);
-    return Optional.of(new Wish(target, wanted, false));
+    boolean wanted = !away && wantsTarget(target, basis, head);
+    return Optional.of(new Wish(target, wanted, false, Optional.of(basis)));
   }
 
-  private boolean wantsTarget(
+  private VersionBasis basisOf(
       String service, ServiceRollout rollout, RolloutTrial trial, RequestHead head) {
     OptionalLong session = SessionVersions.sessionOf(head);
-    long number = session.orElse(Hashes.hash64(head.id()));
     double part = partOf(rollout, trial);
-    boolean chosen = positionOf(number) < schedule.shareAt(part);
+    double share = schedule.shareAt(part);
     if (session.isEmpty()) {
-      return chosen;
+      return new VersionBasis(session, Knowledge.NO_SESSION, "", 0, part, share);
     }
-    Optional<String> seen = sessions.of(service).versionOf(number, clock.instant());
+    Instant now = clock.instant();
+    Optional<SessionVersions.Seen> seen = sessions.of(service).lastOf(session.getAsLong(), now);
     if (seen.isEmpty()) {
-      return chosen;
-    }
-    if (seen.get().equals(rollout.targetVersion())) {
-      return true;
+      return new VersionBasis(session, Knowledge.UNKNOWN, "", 0, part, share);
     }
-    return chosen && schedule.sessionsMayMove(part);
+    Knowledge knowledge = seen.get().here() ? Knowledge.SEEN_HERE : Knowledge.TOLD;
+    long age = Duration.between(seen.get().at(), now).toMillis();
+    return new VersionBasis(session, knowledge, seen.get().version(), age, part, share);
+  }
+
+  private boolean wantsTarget(String target, VersionBasis basis, RequestHead head) {
+    long number = basis.session().orElse(Hashes.hash64(head.id()));
+    boolean chosen = positionOf(number) < basis.share();
+    return switch (basis.knowledge()) {
+      case NO_SESSION, UNKNOWN -> chosen;
+      case SEEN_HERE, TOLD ->
+          basis.before().equals(target) || chosen && schedule.sessionsMayMove(basis.part());
+    };
   }
 
   private static double positionOf(long number) {
@@ -155,8 +166,28 @@
 
   @Override
   public void sent(String service, String version, RequestHead head) {
-    SessionVersions.sessionOf(head)
-        .ifPresent(session -> sessions.of(service).seen(session, version, clock.instant()));
+    SessionVersions.sessionOf(head).ifPresent(session -> noteSeen(service, version, session));
+  }
+
+  private void noteSeen(String service, String version, long session) {
+    Instant now = clock.instant();
+    SessionVersions seen = sessions.of(service);
+    tables
+        .rollout(service)
+        .filter(RolloutDirector::isRunning)
+        .flatMap(rollout -> seen.lastOf(session, now))
+        .filter(before -> !before.version().equals(version))
+        .ifPresent(before -> countMove(service, version));
+    seen.seen(session, version, now);
+  }
+
+  /** Counts a session that goes on at another version than before. */
+  private void countMove(String service, String version) {
+    ServiceRollout rollout = tables.rollout(service).orElseThrow();
+    boolean toTarget = version.equals(rollout.targetVersion());
+    boolean early = !schedule.sessionsMayMove(partOf(rollout, trialOf(service, rollout)));
+    meters.count(
+        toTarget ? early ? "session.moved-early" : "session.moved-to-new" : "session.moved-back");
   }
 
   @Override
@@ -187,6 +218,30 @@
     onRefuted = action;
   }
 
+  @Override
+  public List<RolloutStatus> status() {
+    List<RolloutStatus> all = new ArrayList<>();
+    for (String service : tables.servicesWithRollout()) {
+      ServiceRollout rollout = tables.rollout(service).orElseThrow();
+      if (isRunning(rollout)) {
+        all.add(statusOf(service, rollout, trialOf(service, rollout)));
+      }
+    }
+    return all;
+  }
+
+  private RolloutStatus statusOf(String service, ServiceRollout rollout, RolloutTrial trial) {
+    double part = partOf(rollout, trial);
+    return new RolloutStatus(
+        service,
+        trial.version(),
+        part,
+        schedule.shareAt(part),
+        trial.allEvidence(),
+        trial.allAnswers(),
+        trial.isRefuted());
+  }
+
   /** Returns what this instance has seen of versions that are brought in. */
   public List<VersionEvidence> evidence() {
     List<VersionEvidence> seen = new ArrayList<>();
--- a/org.oatlug/src/org/oatlug/internal/gateway/SessionVersions.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/SessionVersions.java
@@ -40,7 +40,14 @@
         }
       };
 
-  private record Seen(String version, Instant at) {}
+  /**
+   * Where a session was seen last.
+   *
+   * @param version the version
+   * @param at when it was seen, or heard of
+   * @param here whether it was seen by this instance
+   */
+  record Seen(String version, Instant at, boolean here) {}
 
   private SessionVersions(Duration kept) {
     this.kept = kept;
@@ -68,24 +75,27 @@
 
   /** Notes that the session was seen on the version. */
   void seen(long session, String version, Instant now) {
-    sessions.put(session, new Seen(version, now));
+    sessions.put(session, new Seen(version, now, true));
   }
 
   /** Notes that another instance saw the session on the version; own knowledge goes before it. */
   void heard(long session, String version, Instant now) {
-    Optional<String> known = versionOf(session, now);
-    if (known.isEmpty() || known.get().equals(version)) {
-      seen(session, version, now);
+    Optional<Seen> known = lastOf(session, now);
+    if (known.isEmpty() || known.get().version().equals(version)) {
+      boolean here = known.map(Seen::here).orElse(false);
+      sessions.put(session, new Seen(version, now, here));
     }
   }
 
   /** Returns the version on which the session was seen last. */
   Optional<String> versionOf(long session, Instant now) {
-    Seen seen = sessions.get(session);
-    if (seen == null || now.isAfter(seen.at().plus(kept))) {
-      return Optional.empty();
-    }
-    return Optional.of(seen.version());
+    return lastOf(session, now).map(Seen::version);
+  }
+
+  /** Returns where the session was seen last. */
+  Optional<Seen> lastOf(long session, Instant now) {
+    return Optional.ofNullable(sessions.get(session))
+        .filter(seen -> !now.isAfter(seen.at().plus(kept)));
   }
 
   /** Returns the sessions seen since the instant on another version than the given one. */
--- /dev/null
+++ b/org.oatlug/src/org/oatlug/internal/gateway/VersionBasis.java
@@ -0,0 +1,53 @@
+// Copyright (c) 2026, the oatlug authors
+// SPDX-License-Identifier: BSD-3-Clause
+
+package org.oatlug.internal.gateway;
+
+import java.util.Locale;
+import java.util.OptionalLong;
+
+/**
+ * What a wish for a version rests on: what was known of the request's session, and how far the
+ * roll-out had come as seen here. Immutable.
+ *
+ * @param session the number of the session, empty if the request belongs to none
+ * @param knowledge how the session is known
+ * @param before the version on which the session was seen last, empty if it is not known
+ * @param ageMillis how long ago it was seen there, or heard of, in milliseconds
+ * @param part the part of the duration that has passed
+ * @param share the share of the sessions that the new version gets
+ */
+public record VersionBasis(
+    OptionalLong session,
+    Knowledge knowledge,
+    String before,
+    long ageMillis,
+    double part,
+    double share) {
+
+  /** How a session is known. */
+  public enum Knowledge {
+    /** This instance sent a request of it. */
+    SEEN_HERE,
+    /** Another instance told of it. */
+    TOLD,
+    /** Nothing is known of it. */
+    UNKNOWN,
+    /** The request belongs to no session. */
+    NO_SESSION
+  }
+
+  /** Returns the fields of a log line. */
+  @Override
+  public String toString() {
+    return String.format(
+        Locale.ROOT,
+        "session=%s known=%s before=%s age=%d part=%.3f share=%.3f",
+        session.isPresent() ? Long.toHexString(session.getAsLong()) : "-",
+        knowledge,
+        before.isEmpty() ? "-" : before,
+        ageMillis,
+        part,
+        share);
+  }
+}
--- a/org.oatlug/src/org/oatlug/internal/gateway/VersionRule.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/VersionRule.java
@@ -4,6 +4,7 @@
 package org.oatlug.internal.gateway;
 
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 import org.oatlug.gateway.RequestHead;
 import org.oatlug.gateway.Route;
@@ -17,8 +18,9 @@
    * @param version the version that is spoken of
    * @param wanted whether it has to answer, or any other one
    * @param strict whether the wish holds even if no upstream meets it
+   * @param basis what it rests on, empty once the roll-out has ended
    */
-  record Wish(String version, boolean wanted, boolean strict) {
+  record Wish(String version, boolean wanted, boolean strict, Optional<VersionBasis> basis) {
     boolean isMetBy(String other) {
       return version.equals(other) == wanted;
     }
@@ -63,4 +65,7 @@
 
   /** Takes in how fast a stream goes. */
   void paced(Pace pace);
+
+  /** Returns how far the roll-outs have come that run, as seen here. */
+  List<RolloutStatus> status();
 }
