--- /dev/null
+++ b/org.oatlug.test/tst/org/oatlug/test/RolloutFleet.java
@@ -0,0 +1,343 @@
+// Copyright (c) 2026, the oatlug authors
+// SPDX-License-Identifier: BSD-3-Clause
+
+package org.oatlug.test;
+
+import com.codahale.metrics.MetricRegistry;
+import io.smallrye.mutiny.Uni;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeMap;
+import org.oatlug.api.ObjectKey;
+import org.oatlug.errors.PeerUnavailableException;
+import org.oatlug.gateway.GatewayKinds;
+import org.oatlug.gateway.GatewaySettings;
+import org.oatlug.gateway.RequestHead;
+import org.oatlug.gateway.Route;
+import org.oatlug.gateway.RouteKind;
+import org.oatlug.gateway.ServiceRollout;
+import org.oatlug.internal.gateway.GatewayTables;
+import org.oatlug.internal.gateway.RolloutDirector;
+import org.oatlug.internal.gateway.VersionRule;
+import org.oatlug.internal.gather.Account;
+import org.oatlug.internal.gather.GatherSystem;
+import org.oatlug.internal.gather.KeptSession;
+import org.oatlug.internal.gather.Participant;
+import org.oatlug.internal.membership.Membership;
+import org.oatlug.internal.metrics.Meters;
+import org.oatlug.internal.peer.Member;
+import org.oatlug.internal.peer.PeerMessage;
+import org.oatlug.internal.util.Json;
+import org.oatlug.platform.StoredObject;
+
+/**
+ * Instances of some availability zones that bring in a version together, in virtual time: the real
+ * directors and the real exchange between instances, with a store in memory.
+ *
+ * <p>Objects of the store reach each instance some milliseconds after they are written, or as late
+ * as the test says. Instances may be restarted as planned, killed, and started by a clock that is
+ * off. Used from one thread.
+ */
+final class RolloutFleet {
+  static final String SERVICE = "pool";
+  static final String OLD = "v1";
+  static final String NEW = "v2";
+  static final Duration SESSION_PAUSE = Duration.ofSeconds(5);
+  private static final double SHARE = 0.15;
+  private static final ObjectKey KEY = ObjectKey.valueOf(GatewayKinds.ROLLOUT, SERVICE);
+  private static final Duration TICK = Duration.ofMillis(100);
+
+  /** How long the news of the store are on their way. */
+  private static final Duration NEWS = Duration.ofMillis(30);
+
+  /** How long a process takes from its start until it serves. */
+  private static final Duration START = Duration.ofMillis(1500);
+
+  /** How long a planned stop takes until the process is gone. */
+  private static final Duration STOP = Duration.ofMillis(600);
+
+  /** When the others take a killed instance for dead. */
+  private static final Duration DEAD_AFTER = Duration.ofMillis(2800);
+
+  private static final int MOST_DELAY_MILLIS = 6;
+  private static final GatewaySettings.Bounds BOUNDS =
+      new GatewaySettings.Bounds(Duration.ofSeconds(8), 0.9, 52, SHARE, SESSION_PAUSE, 1.5, 5);
+  private static final Route ROUTE =
+      new Route(
+          "r",
+          "h",
+          "/",
+          RouteKind.REPEATABLE,
+          2000,
+          300,
+          2,
+          1,
+          true,
+          false,
+          false,
+          0,
+          List.of(),
+          List.of(new Route.WeightedTarget(SERVICE, 1)));
+
+  private final VirtualTime time = new VirtualTime();
+  private final Random random;
+  private final FakePlatform platform = FakePlatform.create();
+  private final Map<String, Instance> instances = new TreeMap<>();
+  private final Map<String, Duration> newsDelays = new TreeMap<>();
+  private final Map<String, Duration> clockErrors = new TreeMap<>();
+  private final Set<String> down = new HashSet<>();
+  private Optional<Instant> orderedAt = Optional.empty();
+  private Duration duration = Duration.ZERO;
+  private long storeRevision;
+
+  private RolloutFleet(long seed) {
+    random = new Random(seed);
+    platform.waitForTest(false);
+  }
+
+  /** Starts instances that know each other. */
+  static RolloutFleet of(int zones, int instancesPerZone, long seed) {
+    RolloutFleet fleet = new RolloutFleet(seed);
+    for (int zone = 0; zone < zones; zone++) {
+      for (int number = 0; number < instancesPerZone; number++) {
+        fleet.add("entry-" + zone + "-" + number, "zone-" + zone, 1);
+      }
+    }
+    fleet.instances.values().forEach(one -> fleet.instances.values().forEach(one::meet));
+    fleet.time.after(TICK, fleet::readStore);
+    return fleet;
+  }
+
+  private Instance add(String name, String zone, long epoch) {
+    Instance instance =
+        new Instance(
+            new Member(name, zone, name, "127.0.0.1", 1, epoch, 0, Member.State.ALIVE),
+            clockErrors.getOrDefault(name, Duration.ZERO));
+    instances.put(name, instance);
+    time.after(Duration.ofMillis(random.nextInt((int) TICK.toMillis())), instance::tick);
+    return instance;
+  }
+
+  /** One process of an instance. */
+  final class Instance implements Participant {
+    private final Membership membership;
+    private final GatewayTables tables;
+    private final RolloutDirector director;
+    private final GatherSystem gathering;
+
+    private Instance(Member self, Duration clockError) {
+      InstantSource clock = () -> time.instant().plus(clockError);
+      Meters meters = Meters.of(new MetricRegistry());
+      membership = Membership.create(self, clock, new Random(random.nextLong()));
+      tables = GatewayTables.create(clock);
+      director = RolloutDirector.create(tables, platform, membership, clock, meters, BOUNDS);
+      gathering = GatherSystem.create(membership, this::ask, clock, meters, this);
+      director.onRefuted(gathering::tellNow);
+    }
+
+    String name() {
+      return membership.self().name();
+    }
+
+    private boolean isUp() {
+      return instances.get(name()) == this && !down.contains(name());
+    }
+
+    private void meet(Instance other) {
+      if (other != this) {
+        membership.merge(other.membership.self());
+      }
+    }
+
+    private void tick() {
+      if (isUp()) {
+        director.tick();
+        gathering.tick();
+        time.after(TICK, this::tick);
+      }
+    }
+
+    private Uni<PeerMessage> ask(Member peer, PeerMessage message, Duration patience) {
+      return Uni.createFrom()
+          .emitter(
+              emitter -> {
+                time.after(patience, () -> emitter.fail(new PeerUnavailableException(peer.name())));
+                time.after(
+                    delay(),
+                    () -> {
+                      Instance target = instances.get(peer.name());
+                      if (target.isUp()) {
+                        PeerMessage answer = target.gathering.handle(membership.self(), message);
+                        time.after(delay(), () -> emitter.complete(answer));
+                      }
+                    });
+              });
+    }
+
+    /** Sends a request of the session to the version that the instance wants; returns that. */
+    String send(String session) {
+      RequestHead head =
+          new RequestHead(
+              "id-" + random.nextLong(),
+              "h",
+              "/",
+              Optional.empty(),
+              Optional.empty(),
+              Optional.of(session),
+              OptionalLong.empty(),
+              Optional.empty());
+      Optional<VersionRule.Wish> wish = director.wishFor(SERVICE, head, Optional.empty());
+      boolean wantsNew = wish.map(one -> one.version().equals(NEW) == one.wanted()).orElse(false);
+      String version = wantsNew ? NEW : OLD;
+      director.sent(SERVICE, version, head);
+      director.answered(
+          new VersionRule.Answer(SERVICE, version, ROUTE, "", false, Duration.ofMillis(50)));
+      return version;
+    }
+
+    @Override
+    public Account own() {
+      return new Account(Map.of(), director.evidence(), Map.of());
+    }
+
+    @Override
+    public List<KeptSession> newlyKept() {
+      return director.newlyKept();
+    }
+
+    @Override
+    public void heard(Account account) {
+      account.evidence().forEach(director::heard);
+    }
+
+    @Override
+    public void heardKept(List<KeptSession> sessions) {
+      sessions.forEach(director::heardKept);
+    }
+  }
+
+  private Duration delay() {
+    return Duration.ofMillis(1 + random.nextInt(MOST_DELAY_MILLIS));
+  }
+
+  /** Brings what the store holds to all instances. */
+  private void readStore() {
+    platform
+        .get(KEY)
+        .await()
+        .indefinitely()
+        .filter(object -> object.version() > storeRevision)
+        .ifPresent(
+            object -> {
+              storeRevision = object.version();
+              instances.values().forEach(instance -> bring(instance, object));
+            });
+    time.after(Duration.ofMillis(10), this::readStore);
+  }
+
+  private void bring(Instance instance, StoredObject object) {
+    Duration wait = newsDelays.getOrDefault(instance.name(), NEWS);
+    time.after(wait, () -> instance.tables.mergeAll(List.of(object)));
+  }
+
+  /** Orders the version for the service. */
+  void order(Duration rolloutDuration) {
+    duration = rolloutDuration;
+    orderedAt = Optional.of(time.instant());
+    ServiceRollout rollout =
+        new ServiceRollout(SERVICE, NEW, 1, rolloutDuration.toMillis(), Optional.empty());
+    platform.put(KEY, 0, Json.STRICT.valueToTree(rollout)).await().indefinitely();
+  }
+
+  /** Lets what the store says reach an instance later than the others. */
+  void delayNews(String name, Duration delay) {
+    newsDelays.put(name, delay);
+  }
+
+  /** Starts an instance anew, at once, by a clock that is off. */
+  void startByClock(String name, Duration error) {
+    clockErrors.put(name, error);
+    Instance before = instances.get(name);
+    replace(before);
+  }
+
+  /** Stops an instance as planned and starts it again. */
+  void restart(String name) {
+    Instance instance = instances.get(name);
+    instance.membership.leave();
+    others(instance).forEach(other -> other.meet(instance));
+    time.after(STOP, () -> down.add(name));
+    time.after(STOP.plus(START), () -> replace(instance));
+  }
+
+  /** Kills an instance for good; the others find out by themselves. */
+  void kill(String name) {
+    Instance instance = instances.get(name);
+    down.add(name);
+    Member dead = instance.membership.self().withState(Member.State.DEAD);
+    time.after(DEAD_AFTER, () -> others(instance).forEach(other -> other.membership.merge(dead)));
+  }
+
+  private void replace(Instance before) {
+    Member self = before.membership.self();
+    down.remove(self.name());
+    Instance started = add(self.name(), self.zone(), self.epoch() + 1);
+    for (Instance other : others(started)) {
+      other.meet(started);
+      started.meet(other);
+    }
+    platform.get(KEY).await().indefinitely().ifPresent(object -> bringNow(started, object));
+  }
+
+  private static void bringNow(Instance instance, StoredObject object) {
+    instance.tables.mergeAll(List.of(object));
+  }
+
+  private List<Instance> others(Instance instance) {
+    return instances.values().stream().filter(other -> other != instance).toList();
+  }
+
+  /** Returns the instances that take requests. */
+  List<Instance> serving() {
+    List<Instance> serving = new ArrayList<>();
+    for (Instance instance : instances.values()) {
+      boolean stays = instance.membership.self().state() == Member.State.ALIVE;
+      if (instance.isUp() && stays) {
+        serving.add(instance);
+      }
+    }
+    return serving;
+  }
+
+  List<String> names() {
+    return List.copyOf(instances.keySet());
+  }
+
+  /** Returns the part of the duration that has passed since the store took the order. */
+  double part() {
+    return orderedAt
+        .map(at -> (double) Duration.between(at, time.instant()).toMillis() / duration.toMillis())
+        .orElse(0.0);
+  }
+
+  boolean isOrdered() {
+    return orderedAt.isPresent();
+  }
+
+  VirtualTime time() {
+    return time;
+  }
+
+  Random random() {
+    return random;
+  }
+}
