Tell of sessions at all times, on both versions, and anew to another collector

Cause: a session was told to others only while a roll-out ran, from its next request on, only if it stayed on the old version, once a pause to one collector. What was seen before the order, or told to a collector that was restarted, was known to nobody, and its next request elsewhere moved it.

Change: sessions that a roll-out would move at once (nine of 100) are told whether one runs or not, with their version and age; what was seen last counts; a collector that begins, here or in another zone, is told all that still count.

Tests: that own knowledge goes before all that is heard is replaced by what was seen last (testWhatWasSeenLastCountsWhoeverSawIt); which sessions are told is asserted in KeptSessionsTest in place of seenOnOthers, which is gone.

--- a/org.oatlug.test/tst/org/oatlug/internal/gather/GatherFleet.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/gather/GatherFleet.java
@@ -52,7 +52,8 @@
     final Membership membership;
     final GatherSystem system;
     final Map<String, Integer> open = new TreeMap<>();
-    final List<KeptSession> kept = new ArrayList<>();
+    final List<SeenSession> kept = new ArrayList<>();
+    private final List<SeenSession> seen = new ArrayList<>();
     final Set<Long> sessionsHeard = new HashSet<>();
     long worse;
     boolean refuted;
@@ -113,12 +114,18 @@
     }
 
     @Override
-    public List<KeptSession> newlyKept() {
-      List<KeptSession> taken = List.copyOf(kept);
+    public List<SeenSession> newlySeen() {
+      List<SeenSession> taken = List.copyOf(kept);
       kept.clear();
+      seen.addAll(taken);
       return taken;
     }
 
+    @Override
+    public List<SeenSession> allSeen() {
+      return List.copyOf(seen);
+    }
+
     @Override
     public void heard(Account account) {
       others = account;
@@ -126,7 +133,7 @@
     }
 
     @Override
-    public void heardKept(List<KeptSession> sessions) {
+    public void heardSessions(List<SeenSession> sessions) {
       sessions.forEach(one -> sessionsHeard.add(one.session()));
     }
 
--- a/org.oatlug/src/org/oatlug/internal/gateway/GatheredKnowledge.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/GatheredKnowledge.java
@@ -9,8 +9,8 @@
 import java.util.Map;
 import org.oatlug.internal.engine.ReadingLine;
 import org.oatlug.internal.gather.Account;
-import org.oatlug.internal.gather.KeptSession;
 import org.oatlug.internal.gather.Participant;
+import org.oatlug.internal.gather.SeenSession;
 
 /**
  * What the gateway tells the other instances and learns from them: open prompts, reading speeds and
@@ -46,8 +46,13 @@
   }
 
   @Override
-  public List<KeptSession> newlyKept() {
-    return rollouts.newlyKept();
+  public List<SeenSession> newlySeen() {
+    return rollouts.newlySeen();
+  }
+
+  @Override
+  public List<SeenSession> allSeen() {
+    return rollouts.allSeen();
   }
 
   @Override
@@ -58,7 +63,7 @@
   }
 
   @Override
-  public void heardKept(List<KeptSession> sessions) {
-    sessions.forEach(rollouts::heardKept);
+  public void heardSessions(List<SeenSession> sessions) {
+    sessions.forEach(rollouts::heardSession);
   }
 }
--- a/org.oatlug/src/org/oatlug/internal/gateway/RolloutDirector.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/RolloutDirector.java
@@ -23,7 +23,7 @@
 import org.oatlug.gateway.ServiceRollout;
 import org.oatlug.gateway.ServiceRollout.State;
 import org.oatlug.internal.gateway.VersionBasis.Knowledge;
-import org.oatlug.internal.gather.KeptSession;
+import org.oatlug.internal.gather.SeenSession;
 import org.oatlug.internal.membership.Membership;
 import org.oatlug.internal.metrics.Meters;
 import org.oatlug.internal.rollout.RolloutGuard;
@@ -69,7 +69,6 @@
   private final Map<String, RolloutTrial> trials = new HashMap<>();
   private Runnable onRefuted = () -> {};
   private boolean writing;
-  private Instant keptSince = Instant.EPOCH;
   private Instant next = Instant.EPOCH;
 
   private RolloutDirector(
@@ -85,7 +84,7 @@
     this.clock = clock;
     this.meters = meters;
     this.schedule = RolloutSchedule.within(bounds.exposureShare());
-    this.sessions = KeptSessions.withPause(bounds.session());
+    this.sessions = KeptSessions.withPause(bounds.session(), this::movesAtOnce);
   }
 
   /** Returns a director that has seen nothing yet. */
@@ -178,7 +177,7 @@
         .flatMap(rollout -> seen.lastOf(session, now))
         .filter(before -> !before.version().equals(version))
         .ifPresent(before -> countMove(service, version));
-    seen.seen(session, version, now);
+    sessions.seen(service, session, version, now);
   }
 
   /** Counts a session that goes on at another version than before. */
@@ -286,25 +285,22 @@
     }
   }
 
-  /** Returns the sessions that other instances are to keep on the old version, too. */
-  public List<KeptSession> newlyKept() {
-    Instant now = clock.instant();
-    List<KeptSession> kept = new ArrayList<>();
-    for (String service : tables.servicesWithRollout()) {
-      runningTrial(service)
-          .map(trial -> sessions.toTell(service, trial.version(), keptSince, this::wouldMove, now))
-          .ifPresent(kept::addAll);
-    }
-    keptSince = now;
-    return kept;
+  /** Returns the sessions that others have to know of, those seen here since the last call. */
+  public List<SeenSession> newlySeen() {
+    return sessions.toTell(clock.instant());
+  }
+
+  /** Returns all such sessions that count still, those that others told of included. */
+  public List<SeenSession> allSeen() {
+    return sessions.all(clock.instant());
   }
 
-  private boolean wouldMove(long session) {
+  private boolean movesAtOnce(long session) {
     return positionOf(session) < schedule.shareAt(0);
   }
 
-  /** Takes in a session that another instance keeps on the old version. */
-  public void heardKept(KeptSession session) {
+  /** Takes in a session that another instance has seen. */
+  public void heardSession(SeenSession session) {
     sessions.heard(session, clock.instant());
   }
 
--- a/org.oatlug/src/org/oatlug/internal/gateway/SessionVersions.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/SessionVersions.java
@@ -5,12 +5,12 @@
 
 import java.time.Duration;
 import java.time.Instant;
-import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.function.BiConsumer;
 import org.oatlug.gateway.Generation;
 import org.oatlug.gateway.PromptPart;
 import org.oatlug.gateway.RequestHead;
@@ -78,12 +78,11 @@
     sessions.put(session, new Seen(version, now, true));
   }
 
-  /** Notes that another instance saw the session on the version; own knowledge goes before it. */
-  void heard(long session, String version, Instant now) {
-    Optional<Seen> known = lastOf(session, now);
-    if (known.isEmpty() || known.get().version().equals(version)) {
-      boolean here = known.map(Seen::here).orElse(false);
-      sessions.put(session, new Seen(version, now, here));
+  /** Notes that another instance saw the session on the version; what was seen last counts. */
+  void heard(long session, String version, Instant seenAt) {
+    Seen known = sessions.get(session);
+    if (known == null || known.at().isBefore(seenAt)) {
+      sessions.put(session, new Seen(version, seenAt, false));
     }
   }
 
@@ -98,15 +97,14 @@
         .filter(seen -> !now.isAfter(seen.at().plus(kept)));
   }
 
-  /** Returns the sessions seen since the instant on another version than the given one. */
-  List<Long> seenOnOthers(String version, Instant since) {
-    List<Long> found = new ArrayList<>();
+  /** Hands on each session that is known, with where it was seen last. */
+  void forEachKnown(Instant now, BiConsumer<Long, Seen> action) {
+    Instant least = now.minus(kept);
     sessions.forEach(
         (session, seen) -> {
-          if (!seen.version().equals(version) && !seen.at().isBefore(since)) {
-            found.add(session);
+          if (!seen.at().isBefore(least)) {
+            action.accept(session, seen);
           }
         });
-    return found;
   }
 }
--- a/org.oatlug/src/org/oatlug/internal/gather/GatherSystem.java
+++ b/org.oatlug/src/org/oatlug/internal/gather/GatherSystem.java
@@ -7,7 +7,6 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
@@ -43,12 +42,12 @@
   /** How long a peer may take to answer: many times the way between zones. */
   private static final Duration PATIENCE = Duration.ofMillis(400);
 
+  /** How long a collector that has just started waits for what the others have seen. */
+  private static final Duration MEETING = Duration.ofMillis(600);
+
   /** At most a line each so many seconds tells of accounts that were refused. */
   private static final int REFUSED_LINES_SECONDS = 1;
 
-  /** Kept sessions that wait for an answer of the collector; the oldest are dropped. */
-  private static final int MOST_UNTOLD = 1024;
-
   private final Membership membership;
   private final PeerNetwork network;
   private final InstantSource clock;
@@ -57,10 +56,12 @@
   private final ZoneCollectors collectors;
   private final Accounts accounts = Accounts.create();
   private final SessionLog sessions = SessionLog.create();
-  private final List<KeptSession> untold = new ArrayList<>();
+  private final UntoldSessions untold = UntoldSessions.create();
   private final ToldZones zones = ToldZones.create(sessions);
   private Account told = Account.EMPTY;
   private Instant toldAt = Instant.EPOCH;
+  private Optional<Instant> collectsSince = Optional.empty();
+  private boolean informed;
   private boolean asking;
   private String collector = "";
   private long readUpTo;
@@ -93,10 +94,7 @@
   @Override
   public void tick() {
     Instant now = clock.instant();
-    untold.addAll(participant.newlyKept());
-    while (untold.size() > MOST_UNTOLD) {
-      untold.remove(0);
-    }
+    untold.add(participant.newlySeen(), now);
     Account own = participant.own();
     Optional<Member> other = collectors.ofOwnZone();
     if (other.isEmpty()) {
@@ -112,6 +110,16 @@
     tick();
   }
 
+  /**
+   * Returns whether this instance has learned what the others know of sessions: it has the answer
+   * of a collector, or has collected for long enough that all could tell it.
+   */
+  public boolean isInformed() {
+    boolean met =
+        collectsSince.map(since -> clock.instant().isAfter(since.plus(MEETING))).orElse(false);
+    return informed || met;
+  }
+
   private boolean isDue(Account own, Instant now) {
     Duration since = Duration.between(toldAt, now);
     if (own.worsePairs() > told.worsePairs() || own.refuted() > told.refuted()) {
@@ -127,32 +135,46 @@
   }
 
   private void ask(Member peer, Account own, Instant now) {
-    if (!peer.process().equals(collector)) {
-      collector = peer.process();
-      readUpTo = 0;
-    }
+    tellAnew(peer.process(), now);
     asking = true;
     told = own;
     toldAt = now;
-    List<KeptSession> sent = List.copyOf(untold);
-    PeerMessage question = new PeerMessage.InstanceAccount(told, sent, readUpTo);
+    UntoldSessions.Sent sent = untold.sent(now);
+    PeerMessage question = new PeerMessage.InstanceAccount(told, sent.sessions(), readUpTo);
     network
         .ask(peer, question, PATIENCE)
         .subscribe()
         .with(answer -> answered(peer, sent, answer), failure -> notAnswered(peer, failure));
   }
 
-  private void answered(Member peer, List<KeptSession> sent, PeerMessage answer) {
+  /**
+   * Begins anew with another collector: what the one before was told may be lost with it, and then
+   * each instance that starts moved the sessions that it had not heard of.
+   */
+  private void tellAnew(String process, Instant now) {
+    if (!process.equals(collector)) {
+      collector = process;
+      readUpTo = 0;
+      untold.add(participant.allSeen(), now);
+    }
+  }
+
+  private void answered(Member peer, UntoldSessions.Sent sent, PeerMessage answer) {
     asking = false;
     collectors.answered(peer);
-    untold.removeAll(sent);
+    untold.told(sent);
     if (answer instanceof PeerMessage.FleetAccount fleet && isSound(peer, fleet.others())) {
       readUpTo = fleet.sessionsUpTo();
+      informed = true;
       participant.heard(fleet.others());
-      participant.heardKept(fleet.kept());
+      participant.heardSessions(soundOf(fleet.seen()));
     }
   }
 
+  private static List<SeenSession> soundOf(List<SeenSession> sessions) {
+    return sessions.stream().filter(SeenSession::isSound).toList();
+  }
+
   private void notAnswered(Member peer, Throwable failure) {
     asking = false;
     // What was told may be lost, so the next collector is told at the next tick.
@@ -169,22 +191,21 @@
   /** Adds up the zone, this instance included, and tells the others. */
   private void collect(Account own, Instant now) {
     String self = membership.self().process();
+    tellAnew(self, now);
+    collectsSince = collectsSince.or(() -> Optional.of(now));
     accounts.told(self, own, now);
-    sessions.add(untold, true);
-    untold.clear();
+    UntoldSessions.Sent added = untold.sent(now);
+    sessions.add(added.sessions(), true, now);
+    untold.told(added);
     Duration refresh = own.isIdle() ? IDLE_REFRESH : LEAST_PAUSE;
     if (Duration.between(toldAt, now).compareTo(refresh) >= 0) {
       told = own;
       toldAt = now;
       participant.heard(accounts.ofOthers(self, now));
     }
-    if (!self.equals(collector)) {
-      collector = self;
-      readUpTo = 0;
-    }
-    SessionLog.Part part = sessions.after(readUpTo);
+    SessionLog.Part part = sessions.after(readUpTo, now);
     readUpTo = part.upTo();
-    participant.heardKept(part.sessions());
+    participant.heardSessions(part.sessions());
     tellZones(now);
     pushRefuted(now);
   }
@@ -192,13 +213,13 @@
   private void tellZones(Instant now) {
     Account own = accounts.ofZone(now);
     for (Member peer : collectors.ofOtherZones()) {
-      zones.newsFor(peer.zone(), own, now).ifPresent(news -> tellZone(peer, news));
+      zones.newsFor(peer, own, now).ifPresent(news -> tellZone(peer, news));
     }
   }
 
   private void tellZone(Member peer, ToldZones.News news) {
     PeerMessage message =
-        new PeerMessage.ZoneAccount(membership.self().zone(), news.account(), news.kept());
+        new PeerMessage.ZoneAccount(membership.self().zone(), news.account(), news.seen());
     network
         .ask(peer, message, PATIENCE)
         .subscribe()
@@ -206,7 +227,7 @@
             answer -> collectors.answered(peer),
             failure -> {
               lost(peer, failure);
-              zones.lost(peer.zone(), clock.instant());
+              zones.lost(peer, clock.instant());
             });
   }
 
@@ -247,12 +268,12 @@
   private PeerMessage answer(Member from, PeerMessage.InstanceAccount instance) {
     Instant now = clock.instant();
     accounts.told(from.process(), instance.account(), now);
-    sessions.add(instance.kept(), true);
+    sessions.add(instance.seen(), true, now);
     if (instance.account().refuted() > pushedRefuted) {
       tellZones(now);
       pushRefuted(now);
     }
-    SessionLog.Part part = sessions.after(instance.sessionsUpTo());
+    SessionLog.Part part = sessions.after(instance.sessionsUpTo(), now);
     Account others = accounts.ofOthers(from.process(), now);
     return new PeerMessage.FleetAccount(others, part.sessions(), part.upTo());
   }
@@ -264,7 +285,7 @@
     }
     Instant now = clock.instant();
     accounts.toldByZone(zone.zone(), zone.account(), now);
-    sessions.add(zone.kept(), false);
+    sessions.add(zone.seen(), false, now);
     if (zone.account().refuted() > pushedRefuted) {
       pushRefuted(now);
     }
--- a/org.oatlug/src/org/oatlug/internal/gather/Participant.java
+++ b/org.oatlug/src/org/oatlug/internal/gather/Participant.java
@@ -11,12 +11,15 @@
   /** Returns what this instance has open, sees and has measured. */
   Account own();
 
-  /** Returns sessions that this instance keeps on the old version, those since the last call. */
-  List<KeptSession> newlyKept();
+  /** Returns sessions that others have to know of, those seen here since the last call. */
+  List<SeenSession> newlySeen();
+
+  /** Returns all such sessions that count still, those that others told of included. */
+  List<SeenSession> allSeen();
 
   /** Takes in the account of all other instances. */
   void heard(Account others);
 
-  /** Takes in sessions that others keep on the old version. */
-  void heardKept(List<KeptSession> sessions);
+  /** Takes in sessions that others have seen. */
+  void heardSessions(List<SeenSession> sessions);
 }
--- a/org.oatlug/src/org/oatlug/internal/gather/ToldZones.java
+++ b/org.oatlug/src/org/oatlug/internal/gather/ToldZones.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.oatlug.internal.peer.Member;
 
 /**
  * What a collector has told the other availability zones, and what it is due to tell them.
@@ -31,19 +32,26 @@
   /**
    * What a zone was told last.
    *
+   * @param process the collector that was told; another one begins with all sessions
+   * @param account the account
+   * @param at when it was told
+   * @param sessionsUpTo up to which number it has been told of sessions
    * @param sessionsBefore up to which number it had been told of sessions before that
    */
-  private record Told(Account account, Instant at, long sessionsUpTo, long sessionsBefore) {
-    static final Told NOTHING = new Told(Account.EMPTY, Instant.EPOCH, 0, 0);
+  private record Told(
+      String process, Account account, Instant at, long sessionsUpTo, long sessionsBefore) {
+    static Told nothing(String process) {
+      return new Told(process, Account.EMPTY, Instant.EPOCH, 0, 0);
+    }
   }
 
   /**
    * What a zone is to be told.
    *
    * @param account the account of the own zone
-   * @param kept the sessions that it has not been told of
+   * @param seen the sessions that it has not been told of
    */
-  record News(Account account, List<KeptSession> kept) {}
+  record News(Account account, List<SeenSession> seen) {}
 
   private ToldZones(SessionLog sessions) {
     this.sessions = sessions;
@@ -55,17 +63,25 @@
   }
 
   /** Returns what the zone is to be told now, and counts it as told; empty if nothing is due. */
-  Optional<News> newsFor(String zone, Account own, Instant now) {
-    Told before = byZone.getOrDefault(zone, Told.NOTHING);
-    SessionLog.Part part = sessions.ofOwnZoneAfter(before.sessionsUpTo());
+  Optional<News> newsFor(Member collector, Account own, Instant now) {
+    Told before = toldTo(collector);
+    SessionLog.Part part = sessions.ofOwnZoneAfter(before.sessionsUpTo(), now);
     boolean isNew = !part.sessions().isEmpty() || !own.equals(before.account());
     if (!isUrgent(before, own) && !isDue(before, own, isNew, now)) {
       return Optional.empty();
     }
-    byZone.put(zone, new Told(own, now, part.upTo(), before.sessionsUpTo()));
+    byZone.put(
+        collector.zone(),
+        new Told(collector.process(), own, now, part.upTo(), before.sessionsUpTo()));
     return Optional.of(new News(own, part.sessions()));
   }
 
+  private Told toldTo(Member collector) {
+    return Optional.ofNullable(byZone.get(collector.zone()))
+        .filter(told -> told.process().equals(collector.process()))
+        .orElse(Told.nothing(collector.process()));
+  }
+
   private static boolean isUrgent(Told before, Account own) {
     return own.worsePairs() > before.account().worsePairs()
         || own.refuted() > before.account().refuted();
@@ -78,8 +94,8 @@
   }
 
   /** Notes that the zone did not get its last message; the next one tells it again. */
-  void lost(String zone, Instant now) {
-    long known = byZone.getOrDefault(zone, Told.NOTHING).sessionsBefore();
-    byZone.put(zone, new Told(Account.EMPTY, now, known, known));
+  void lost(Member collector, Instant now) {
+    long known = toldTo(collector).sessionsBefore();
+    byZone.put(collector.zone(), new Told(collector.process(), Account.EMPTY, now, known, known));
   }
 }
--- a/org.oatlug/src/org/oatlug/internal/peer/PeerMessage.java
+++ b/org.oatlug/src/org/oatlug/internal/peer/PeerMessage.java
@@ -9,7 +9,7 @@
 import org.oatlug.api.ObjectKey;
 import org.oatlug.internal.billing.Bill;
 import org.oatlug.internal.gather.Account;
-import org.oatlug.internal.gather.KeptSession;
+import org.oatlug.internal.gather.SeenSession;
 import org.oatlug.internal.ledger.LedgerEntry;
 import org.oatlug.internal.ledger.LedgerResult;
 import org.oatlug.platform.StoredObject;
@@ -99,31 +99,31 @@
   record GuardEvidence(String candidate, double logEvidence) implements PeerMessage {}
 
   /**
-   * What one instance tells the collector of its zone: its account, the sessions that it keeps on
-   * an old version since the last message, and up to which number it read the collector's sessions.
+   * What one instance tells the collector of its zone: its account, the sessions that it has seen
+   * since the last message, and up to which number it read the collector's sessions.
    */
-  record InstanceAccount(Account account, List<KeptSession> kept, long sessionsUpTo)
+  record InstanceAccount(Account account, List<SeenSession> seen, long sessionsUpTo)
       implements PeerMessage {
     /** Takes a missing list for an empty one. */
     public InstanceAccount {
-      kept = kept == null ? List.of() : kept;
+      seen = seen == null ? List.of() : seen;
     }
   }
 
   /** What a collector answers: the account of all others, and the sessions after that number. */
-  record FleetAccount(Account others, List<KeptSession> kept, long sessionsUpTo)
+  record FleetAccount(Account others, List<SeenSession> seen, long sessionsUpTo)
       implements PeerMessage {
     /** Takes a missing list for an empty one. */
     public FleetAccount {
-      kept = kept == null ? List.of() : kept;
+      seen = seen == null ? List.of() : seen;
     }
   }
 
   /** What the collector of a zone tells those of the others of its zone. */
-  record ZoneAccount(String zone, Account account, List<KeptSession> kept) implements PeerMessage {
+  record ZoneAccount(String zone, Account account, List<SeenSession> seen) implements PeerMessage {
     /** Takes a missing list for an empty one. */
     public ZoneAccount {
-      kept = kept == null ? List.of() : kept;
+      seen = seen == null ? List.of() : seen;
     }
   }
 
