Use a version only once its order is known, and serve only once orders are read

Cause: upstreams of a new version register as soon as it is ordered, and another watch brings them than the order. Without a known order every version was taken for every session; an instance that started served before it had read the orders.

--- a/org.oatlug.entry/src/org/oatlug/entry/GatewayInstance.java
+++ b/org.oatlug.entry/src/org/oatlug/entry/GatewayInstance.java
@@ -29,6 +29,7 @@
 import org.oatlug.internal.gateway.GatheredKnowledge;
 import org.oatlug.internal.gateway.InspectionServer;
 import org.oatlug.internal.gateway.RolloutDirector;
+import org.oatlug.internal.gateway.StartGate;
 import org.oatlug.internal.gather.GatherSystem;
 import org.oatlug.internal.limit.RankedColdSenders;
 import org.oatlug.internal.membership.Membership;
@@ -83,7 +84,8 @@
   private TcpPeers listener;
   private List<TickSystem> systems = List.of();
   private Optional<Instant> listeningAt = Optional.empty();
-  private Optional<Instant> configuredAt = Optional.empty();
+  private Optional<Instant> servingAt = Optional.empty();
+  private StartGate gate;
   private boolean stopping;
 
   GatewayInstance(GatewaySettings settings, DeploymentAdapter adapter) {
@@ -133,12 +135,12 @@
     noteStarted();
   }
 
-  /** Writes the line that ends a start, once the instance listens and has a configuration. */
+  /** Writes the line that ends a start, once the instance listens and knows enough. */
   private void noteStarted() {
-    if (configuredAt.isPresent() && listeningAt.isPresent()) {
+    if (servingAt.isPresent() && listeningAt.isPresent()) {
       logger.atInfo().log(
           "instance %s can serve, listening=%d configured=%d millis after its start",
-          settings.name(), millisOfStart(listeningAt.get()), millisOfStart(configuredAt.get()));
+          settings.name(), millisOfStart(listeningAt.get()), millisOfStart(servingAt.get()));
     }
   }
 
@@ -171,8 +173,15 @@
             membership,
             configuration,
             (from, message) -> Uni.createFrom().item(gathering.handle(from, message))));
-    front = CallerFront.create(parts, random);
-    systems = List.of(configuration, membership::tick, rollouts, gathering, senders);
+    gate =
+        StartGate.create(
+            clock,
+            () -> tables.configuration().isPresent(),
+            configuration::hasReadAll,
+            () -> !tables.isBringingIn() || gathering.isInformed());
+    front = CallerFront.create(parts, random, gate::isOpen);
+    systems =
+        List.of(configuration, membership::tick, rollouts, gathering, senders, this::openWhenKnown);
     return parts;
   }
 
@@ -207,7 +216,7 @@
         Optional.empty());
   }
 
-  /** The tables; callers that wait for the first configuration go on as soon as it is there. */
+  /** The tables; callers that wait go on as soon as what the instance needs is there. */
   private final class NotedObjects implements ObjectSink {
     @Override
     public ObjectJoin join() {
@@ -217,16 +226,17 @@
     @Override
     public List<StoredObject> mergeAll(List<StoredObject> objects, Origin origin) {
       List<StoredObject> fresh = tables.mergeAll(objects, origin);
-      noteConfiguration();
+      openWhenKnown();
       return fresh;
     }
   }
 
-  /** Lets callers go on that came before the first configuration. */
-  private void noteConfiguration() {
-    if (configuredAt.isEmpty() && tables.configuration().isPresent()) {
-      configuredAt = Optional.of(clock.instant());
-      front.configured();
+  /** Lets callers go on that came before the instance knew enough. */
+  private void openWhenKnown() {
+    if (gate.opens()) {
+      servingAt = Optional.of(clock.instant());
+      tables.allRead();
+      front.started();
       noteStarted();
     }
   }
@@ -238,7 +248,7 @@
   }
 
   private boolean isReady() {
-    return !stopping && tables.configuration().isPresent() && !tables.upstreamNames().isEmpty();
+    return !stopping && gate.isOpen() && !tables.upstreamNames().isEmpty();
   }
 
   /**
--- a/org.oatlug.test/tst/org/oatlug/internal/gateway/HeldUpFront.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/gateway/HeldUpFront.java
@@ -127,7 +127,7 @@
             ColdSenders.ALL,
             choosing,
             Meters.of(new MetricRegistry()));
-    CallerFront.create(parts, new Random(1))
+    CallerFront.create(parts, new Random(1), () -> true)
         .listen()
         .toCompletionStage()
         .toCompletableFuture()
--- a/org.oatlug/src/org/oatlug/gateway/ServiceRollout.java
+++ b/org.oatlug/src/org/oatlug/gateway/ServiceRollout.java
@@ -49,6 +49,11 @@
         .map(Progress::state);
   }
 
+  /** Returns whether the order is not carried out yet, and not taken back. */
+  public boolean runs() {
+    return state().map(known -> known == State.RUNNING).orElse(true);
+  }
+
   /** Returns the same order with other progress. */
   public ServiceRollout withProgress(Progress newProgress) {
     return new ServiceRollout(
--- a/org.oatlug/src/org/oatlug/internal/config/ConfigurationSystem.java
+++ b/org.oatlug/src/org/oatlug/internal/config/ConfigurationSystem.java
@@ -53,6 +53,7 @@
   private final ReaderRole role;
   private final OutageProbe probe = OutageProbe.create();
   private final List<StoreWatch> watches;
+  private boolean learnedAll;
   private Instant nextExchange = Instant.EPOCH;
   private Instant nextInstances = Instant.EPOCH;
 
@@ -131,6 +132,14 @@
     return Uni.createFrom().item(new PeerMessage.Done());
   }
 
+  /**
+   * Returns whether all kinds have been read: from the platform, or from an instance that had read
+   * them. Before, an object that is not known may stand there all the same.
+   */
+  public boolean hasReadAll() {
+    return learnedAll || watches.stream().allMatch(StoreWatch::hasRead);
+  }
+
   /** Confirms the configuration with the platform or a peer; goes on when neither answers. */
   public Uni<Void> confirm() {
     Uni<Void> withPeer = exchangeWithAny();
@@ -266,12 +275,14 @@
   private Uni<Void> compare(Member peer, PeerMessage.Digest digest) {
     if (digest.digest() == objects.join().digest()) {
       learnAge(digest.contactAge());
+      learnedAll |= digest.readAll();
       return Uni.createFrom().voidItem();
     }
     long[] own = objects.join().bucketDigests();
     return network
         .ask(peer, new PeerMessage.BucketDigests(own, age()), PATIENCE)
         .invoke(answer -> takeDifference(peer, (PeerMessage.Objects) answer))
+        .invoke(unused -> learnedAll |= digest.readAll())
         .replaceWithVoid();
   }
 
@@ -297,7 +308,7 @@
   }
 
   private PeerMessage.Digest ownDigest() {
-    return new PeerMessage.Digest(objects.join().digest(), age());
+    return new PeerMessage.Digest(objects.join().digest(), age(), hasReadAll());
   }
 
   private long age() {
--- a/org.oatlug/src/org/oatlug/internal/config/StoreWatch.java
+++ b/org.oatlug/src/org/oatlug/internal/config/StoreWatch.java
@@ -58,6 +58,7 @@
   private final Owner owner;
   private boolean waiting;
   private long revision;
+  private boolean read;
   private int failuresInRow;
   private Instant believedUntil = Instant.EPOCH;
   private Instant nextList = Instant.EPOCH;
@@ -135,6 +136,11 @@
     return failuresInRow < OUTAGE_FAILURES || probe.mayTry(now);
   }
 
+  /** Returns whether these kinds have been read, however long ago. */
+  boolean hasRead() {
+    return read;
+  }
+
   /** Returns whether the platform was read lately and did not fail since. */
   boolean isHealthy() {
     return owner.isReader() && revision != 0 && failuresInRow == 0;
@@ -147,6 +153,7 @@
 
   private void listed(Platform.Batch batch) {
     revision = batch.revision();
+    read = true;
     if (failuresInRow >= OUTAGE_FAILURES) {
       believeMissing();
     }
--- a/org.oatlug/src/org/oatlug/internal/gateway/Admission.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/Admission.java
@@ -8,6 +8,7 @@
 import java.time.Instant;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.BooleanSupplier;
 import org.oatlug.api.Refusal;
 import org.oatlug.api.RefusalReason;
 import org.oatlug.errors.ErrorText;
@@ -36,15 +37,21 @@
   private static final int SEPARATORS_BYTES = 4;
 
   private final GatewayParts parts;
+  private final BooleanSupplier serves;
   private Optional<PlannedStop> stop = Optional.empty();
 
-  private Admission(GatewayParts parts) {
+  private Admission(GatewayParts parts, BooleanSupplier serves) {
     this.parts = parts;
+    this.serves = serves;
   }
 
-  /** Returns an admission of an instance that does not stop yet. */
-  static Admission create(GatewayParts parts) {
-    return new Admission(parts);
+  /**
+   * Returns an admission of an instance that does not stop yet.
+   *
+   * @param serves whether the instance knows enough to serve
+   */
+  static Admission create(GatewayParts parts, BooleanSupplier serves) {
+    return new Admission(parts, serves);
   }
 
   /**
@@ -106,7 +113,7 @@
 
   /** Admits a request, or refuses it. */
   Admitted admit(HttpServerRequest request, RequestHead head) throws RefusedException {
-    if (parts.tables().configuration().isEmpty()) {
+    if (!serves.getAsBoolean()) {
       throw new RefusedException(
           Refusal.retryAfter(RefusalReason.NOT_READY, ErrorText.get().notReady, COME_BACK));
     }
--- a/org.oatlug/src/org/oatlug/internal/gateway/CallerFront.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/CallerFront.java
@@ -18,6 +18,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 import java.util.random.RandomGenerator;
 import org.oatlug.api.Refusal;
 import org.oatlug.api.RefusalReason;
@@ -39,12 +40,12 @@
   private static final int DECODER_HEADER_BYTES = 262_144;
 
   /**
-   * How long a request waits for the first configuration: less than the second after which callers
-   * give up an instance that does not read.
+   * How long a request waits for a start to end: less than the second after which callers give up
+   * an instance that does not read.
    */
-  private static final Duration CONFIGURATION_PATIENCE = Duration.ofMillis(800);
+  private static final Duration START_PATIENCE = Duration.ofMillis(800);
 
-  /** How many requests wait for the first configuration; their bodies are not read meanwhile. */
+  /** How many requests wait for a start to end; their bodies are not read meanwhile. */
   private static final int MAXIMUM_WAITING = 500;
 
   private final HttpServerOptions options =
@@ -58,18 +59,25 @@
   private final RandomGenerator random;
   private final Map<HttpConnection, CallerConnection> connections = new HashMap<>();
   private final Set<OpenRequest> waiting = new LinkedHashSet<>();
+  private final BooleanSupplier serves;
   private final Admission admission;
   private int open;
 
-  private CallerFront(GatewayParts parts, RandomGenerator random) {
+  private CallerFront(GatewayParts parts, RandomGenerator random, BooleanSupplier serves) {
     this.parts = parts;
     this.random = random;
-    this.admission = Admission.create(parts);
+    this.serves = serves;
+    this.admission = Admission.create(parts, serves);
   }
 
-  /** Returns a front that does not listen yet. */
-  public static CallerFront create(GatewayParts parts, RandomGenerator random) {
-    return new CallerFront(parts, random);
+  /**
+   * Returns a front that does not listen yet.
+   *
+   * @param serves whether the instance knows enough to serve
+   */
+  public static CallerFront create(
+      GatewayParts parts, RandomGenerator random, BooleanSupplier serves) {
+    return new CallerFront(parts, random, serves);
   }
 
   /** Starts to accept callers. */
@@ -131,15 +139,15 @@
     }
     OpenRequest opened = new OpenRequest(request, parts.clock().instant());
     opened.begin();
-    if (parts.tables().configuration().isPresent() || waiting.size() >= MAXIMUM_WAITING) {
+    if (serves.getAsBoolean() || waiting.size() >= MAXIMUM_WAITING) {
       opened.proceed();
     } else {
-      opened.awaitConfiguration();
+      opened.awaitStart();
     }
   }
 
-  /** Lets the requests go on that came before there was a configuration. */
-  public void configured() {
+  /** Lets the requests go on that came before the instance knew enough. */
+  public void started() {
     List<OpenRequest> ready = List.copyOf(waiting);
     waiting.clear();
     ready.forEach(OpenRequest::proceed);
@@ -215,14 +223,14 @@
       connection.ifPresent(CallerConnection::requestEnded);
     }
 
-    /** Waits a moment for the configuration that a starting instance is reading. */
-    void awaitConfiguration() {
+    /** Waits a moment for what a starting instance is reading. */
+    void awaitStart() {
       request.pause();
       waiting.add(this);
       parts
           .vertx()
           .setTimer(
-              CONFIGURATION_PATIENCE.toMillis(),
+              START_PATIENCE.toMillis(),
               unused -> {
                 if (waiting.remove(this)) {
                   proceed();
--- a/org.oatlug/src/org/oatlug/internal/gateway/GatewayTables.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/GatewayTables.java
@@ -163,6 +163,7 @@
     }
     ServiceRollout read = Json.STRICT.treeToValue(object.value(), ServiceRollout.class);
     rollouts.put(name, read);
+    upstreams.versions().ordered(read.service(), read.targetVersion());
     logger.atInfo().log(
         "roll-out of %s revision=%d to=%s state=%s %s",
         name, object.version(), read.targetVersion(), read.state(), origin);
@@ -218,6 +219,21 @@
     return upstreams.isEmptied(upstream);
   }
 
+  /** Notes that all kinds of objects were read: versions that appear from now on need an order. */
+  public void allRead() {
+    upstreams.versions().allRead();
+  }
+
+  /** Returns whether the upstream's version appeared beside another and nobody has ordered it. */
+  boolean isUnordered(UpstreamRecord upstream) {
+    return upstreams.versions().isUnordered(upstream.service(), upstream.version());
+  }
+
+  /** Returns whether a version of some service is being brought in. */
+  public boolean isBringingIn() {
+    return rollouts.values().stream().anyMatch(ServiceRollout::runs);
+  }
+
   /** Returns the store's revision of what is known of an upstream, 0 if nothing is. */
   public long revisionOf(String upstream) {
     ObjectKey key = ObjectKey.valueOf(GatewayKinds.UPSTREAM, upstream);
--- a/org.oatlug/src/org/oatlug/internal/gateway/KnownUpstreams.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/KnownUpstreams.java
@@ -38,6 +38,7 @@
   private final Map<String, UpstreamRecord> records = new TreeMap<>();
   private final Map<String, List<String>> byService = new HashMap<>();
   private final Set<String> emptiedZones = new TreeSet<>();
+  private final KnownVersions versions = KnownVersions.create();
 
   private KnownUpstreams(InstantSource clock) {
     this.clock = clock;
@@ -50,6 +51,8 @@
 
   /** Takes in what an upstream says of itself; returns what it said before. */
   Optional<UpstreamRecord> put(String name, UpstreamRecord read) {
+    // Before the entry it replaces goes, so that no version seems to be without upstreams.
+    versions.added(read.service(), read.version());
     final Optional<UpstreamRecord> known = remove(name);
     records.put(name, read);
     byService.computeIfAbsent(read.service(), unused -> new ArrayList<>()).add(name);
@@ -70,7 +73,11 @@
   /** Takes in that an upstream is gone; returns what it said of itself. */
   Optional<UpstreamRecord> remove(String name) {
     Optional<UpstreamRecord> known = Optional.ofNullable(records.remove(name));
-    known.ifPresent(record -> byService.get(record.service()).remove(name));
+    known.ifPresent(
+        record -> {
+          byService.get(record.service()).remove(name);
+          versions.removed(record.service(), record.version());
+        });
     return known;
   }
 
@@ -113,6 +120,11 @@
     return !emptiedZones.isEmpty() && emptiedZones.contains(record.zone());
   }
 
+  /** Returns which versions have upstreams. */
+  KnownVersions versions() {
+    return versions;
+  }
+
   /** Returns what an upstream says of itself. */
   Optional<UpstreamRecord> record(String name) {
     return Optional.ofNullable(records.get(name));
--- a/org.oatlug/src/org/oatlug/internal/gateway/RolloutDirector.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/RolloutDirector.java
@@ -173,7 +173,7 @@
     SessionVersions seen = sessions.of(service);
     tables
         .rollout(service)
-        .filter(RolloutDirector::isRunning)
+        .filter(ServiceRollout::runs)
         .flatMap(rollout -> seen.lastOf(session, now))
         .filter(before -> !before.version().equals(version))
         .ifPresent(before -> countMove(service, version));
@@ -222,7 +222,7 @@
     List<RolloutStatus> all = new ArrayList<>();
     for (String service : tables.servicesWithRollout()) {
       ServiceRollout rollout = tables.rollout(service).orElseThrow();
-      if (isRunning(rollout)) {
+      if (rollout.runs()) {
         all.add(statusOf(service, rollout, trialOf(service, rollout)));
       }
     }
@@ -313,7 +313,7 @@
     next = now.plus(INTERVAL);
     for (String service : tables.servicesWithRollout()) {
       ServiceRollout rollout = tables.rollout(service).orElseThrow();
-      if (isRunning(rollout)) {
+      if (rollout.runs()) {
         RolloutTrial trial = trialOf(service, rollout);
         if (hasDuty(service)) {
           direct(service, rollout, trial);
@@ -385,15 +385,10 @@
     }
   }
 
-  private static boolean isRunning(ServiceRollout rollout) {
-    Optional<State> state = rollout.state();
-    return state.isEmpty() || state.get() == State.RUNNING;
-  }
-
   private Optional<RolloutTrial> runningTrial(String service) {
     return tables
         .rollout(service)
-        .filter(RolloutDirector::isRunning)
+        .filter(ServiceRollout::runs)
         .map(rollout -> trialOf(service, rollout));
   }
 
--- a/org.oatlug/src/org/oatlug/internal/gateway/UpstreamSelection.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/UpstreamSelection.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 import org.oatlug.api.RefusalReason;
 import org.oatlug.gateway.Generation;
@@ -91,6 +92,10 @@
       Optional<Generation> generation,
       int bodyBytes,
       Set<String> excluded) {
+    private boolean isMetBy(UpstreamRecord upstream) {
+      return version.map(wish -> wish.isMetBy(upstream.version())).orElse(true);
+    }
+
     /** Returns the same for another model. */
     Wanted of(String other) {
       return new Wanted(service, version, Optional.of(other), generation, bodyBytes, excluded);
@@ -123,10 +128,7 @@
 
   /** Returns the upstreams that can be chosen, with their costs, in no order. */
   List<Chosen> costs(Wanted wanted, Instant now) {
-    List<Candidate> candidates = candidates(wanted, true, now);
-    if (candidates.isEmpty() && !wanted.version().map(VersionRule.Wish::strict).orElse(true)) {
-      candidates = candidates(wanted, false, now);
-    }
+    List<Candidate> candidates = candidates(wanted, now);
     String home = homeOf(wanted, candidates);
     Optional<Prompt> prompt =
         wanted.generation().map(text -> Prompt.of(wanted.model().orElse(""), text));
@@ -186,7 +188,21 @@
         cutOff || candidate.row().ejected(now));
   }
 
-  private List<Candidate> candidates(Wanted wanted, boolean asWished, Instant now) {
+  /**
+   * Returns the upstreams that can be chosen: of the versions that are wished and ordered, else of
+   * those that are wished, else of any unless the wish is strict.
+   */
+  private List<Candidate> candidates(Wanted wanted, Instant now) {
+    List<Candidate> wished =
+        candidates(wanted, one -> wanted.isMetBy(one) && !tables.isUnordered(one), now);
+    if (wished.isEmpty()) {
+      wished = candidates(wanted, wanted::isMetBy, now);
+    }
+    boolean strict = wanted.version().map(VersionRule.Wish::strict).orElse(true);
+    return wished.isEmpty() && !strict ? candidates(wanted, unused -> true, now) : wished;
+  }
+
+  private List<Candidate> candidates(Wanted wanted, Predicate<UpstreamRecord> fits, Instant now) {
     List<Candidate> candidates = new ArrayList<>();
     int most = mostConnections(wanted.service());
     for (String name : tables.upstreamsOf(wanted.service())) {
@@ -194,10 +210,8 @@
       UpstreamRow row = tables.row(name);
       boolean stays = !upstream.leaving() && !row.leaving();
       boolean usable = stays && !tables.isEmptied(upstream) && !wanted.excluded().contains(name);
-      boolean fits =
-          !asWished || wanted.version().map(w -> w.isMetBy(upstream.version())).orElse(true);
       boolean free = row.expectedLoad() < most && cold.isOpen(name, upstream, now);
-      if (usable && fits && free) {
+      if (usable && free && fits.test(upstream)) {
         candidates.add(new Candidate(name, upstream, row));
       }
     }
--- a/org.oatlug/src/org/oatlug/internal/peer/PeerMessage.java
+++ b/org.oatlug/src/org/oatlug/internal/peer/PeerMessage.java
@@ -61,8 +61,11 @@
   /** The answer to a probe, with news of members. */
   record Ack(List<Member> news) implements PeerMessage {}
 
-  /** The digest over all objects, and the age of the last platform contact, -1 if there is none. */
-  record Digest(long digest, long contactAge) implements PeerMessage {}
+  /**
+   * The digest over all objects, the age of the last platform contact, -1 if there is none, and
+   * whether the sender has read all kinds.
+   */
+  record Digest(long digest, long contactAge, boolean readAll) implements PeerMessage {}
 
   /** The digests of the buckets; the answer carries the objects of those that differ. */
   record BucketDigests(long[] digests, long contactAge) implements PeerMessage {}
