--- a/org.oatlug.test/tst/org/oatlug/internal/gateway/RolloutDecisionTest.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/gateway/RolloutDecisionTest.java
@@ -15,6 +15,7 @@
 import java.util.Random;
 import org.oatlug.gateway.Route;
 import org.oatlug.internal.rollout.ComparedPairs;
+import org.oatlug.internal.rollout.OrderAge;
 import org.oatlug.internal.rollout.RolloutGuard;
 import org.oatlug.internal.rollout.VersionEvidence;
 import org.testng.annotations.Test;
@@ -55,9 +56,9 @@
   @Test
   public void testBadVersionIsRefutedSoonAndGoodOneIsNot() {
     Route route = GatewayDecisionTest.route("a", "/x/");
-    RolloutTrial good = RolloutTrial.of("v2", 1, now);
-    RolloutTrial bad = RolloutTrial.of("v2", 1, now);
-    RolloutTrial slow = RolloutTrial.of("v2", 1, now);
+    RolloutTrial good = RolloutTrial.of("v2", 1, OrderAge.learned(now, true));
+    RolloutTrial bad = RolloutTrial.of("v2", 1, OrderAge.learned(now, true));
+    RolloutTrial slow = RolloutTrial.of("v2", 1, OrderAge.learned(now, true));
     Random random = new Random(20261202);
     for (int answer = 0; answer < 60; answer++) {
       for (String version : List.of("v1", "v2")) {
@@ -81,8 +82,8 @@
    */
   @Test
   public void testGoodVersionOnColdEnginesIsNotRefutedAndSlowOneIs() {
-    RolloutTrial good = RolloutTrial.of("v2", 1, now);
-    RolloutTrial slowUnderLoad = RolloutTrial.of("v2", 1, now);
+    RolloutTrial good = RolloutTrial.of("v2", 1, OrderAge.learned(now, true));
+    RolloutTrial slowUnderLoad = RolloutTrial.of("v2", 1, OrderAge.learned(now, true));
     Random random = new Random(20261202);
     for (int answer = 0; answer < 100; answer++) {
       for (RolloutTrial trial : List.of(good, slowUnderLoad)) {
@@ -101,7 +102,7 @@
     for (int other = 1; other < instances; other++) {
       others = others.plus(good.ownSeen());
     }
-    good.heard(new VersionEvidence("pool", "v2", 1, others, 400L * (instances - 1), false));
+    good.heard(new VersionEvidence("pool", "v2", 1, others, 400L * (instances - 1), false, 0), now);
     assertFalse(RolloutGuard.refutesTogether(good.allEvidence()), "evidence " + good.allEvidence());
     int seen = 0;
     while (!slowUnderLoad.isRefuted() && seen < 60) {
@@ -124,8 +125,8 @@
 
   @Test
   public void testVersionWhoseEventsComeSlowlyIsRefutedSoon() {
-    RolloutTrial slow = RolloutTrial.of("v2", 1, now);
-    RolloutTrial good = RolloutTrial.of("v2", 1, now);
+    RolloutTrial slow = RolloutTrial.of("v2", 1, OrderAge.learned(now, true));
+    RolloutTrial good = RolloutTrial.of("v2", 1, OrderAge.learned(now, true));
     Random random = new Random(20261202);
     int streams = 0;
     while (!slow.isRefuted() && streams < 100) {
--- a/org.oatlug.test/tst/org/oatlug/internal/gather/AccountsTest.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/gather/AccountsTest.java
@@ -29,7 +29,7 @@
   private static Account account(long orderedAt, long worse, int open) {
     PairCounts failures = new PairCounts(worse, worse / 2);
     ComparedPairs pairs = new ComparedPairs(failures, PairCounts.NONE, PairCounts.NONE);
-    VersionEvidence one = new VersionEvidence("pool", "v2", orderedAt, pairs, 2 * worse, false);
+    VersionEvidence one = new VersionEvidence("pool", "v2", orderedAt, pairs, 2 * worse, false, 0);
     return new Account(Map.of("i-1", open), List.of(one), Map.of());
   }
 
--- a/org.oatlug.test/tst/org/oatlug/internal/gather/GatherFleet.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/gather/GatherFleet.java
@@ -108,7 +108,7 @@
     public Account own() {
       PairCounts failures = new PairCounts(worse, 0);
       ComparedPairs pairs = new ComparedPairs(failures, PairCounts.NONE, PairCounts.NONE);
-      VersionEvidence evidence = new VersionEvidence(SERVICE, VERSION, 1, pairs, worse, refuted);
+      VersionEvidence evidence = new VersionEvidence(SERVICE, VERSION, 1, pairs, worse, refuted, 0);
       List<VersionEvidence> seen = worse > 0 || refuted ? List.of(evidence) : List.of();
       return new Account(Map.copyOf(open), seen, Map.of());
     }
--- a/org.oatlug.test/tst/org/oatlug/internal/gather/GatherSystemTest.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/gather/GatherSystemTest.java
@@ -188,7 +188,7 @@
     PairCounts failures = new PairCounts(worse, 0);
     ComparedPairs pairs = new ComparedPairs(failures, PairCounts.NONE, PairCounts.NONE);
     VersionEvidence one =
-        new VersionEvidence(GatherFleet.SERVICE, GatherFleet.VERSION, 1, pairs, 10, false);
+        new VersionEvidence(GatherFleet.SERVICE, GatherFleet.VERSION, 1, pairs, 10, false, 0);
     return new Account(Map.of(), List.of(one), Map.of());
   }
 
--- a/org.oatlug.test/tst/org/oatlug/test/RolloutFleet.java
+++ b/org.oatlug.test/tst/org/oatlug/test/RolloutFleet.java
@@ -27,6 +27,7 @@
 import org.oatlug.gateway.ServiceRollout;
 import org.oatlug.internal.gateway.GatewayTables;
 import org.oatlug.internal.gateway.RolloutDirector;
+import org.oatlug.internal.gateway.StartGate;
 import org.oatlug.internal.gateway.VersionRule;
 import org.oatlug.internal.gather.Account;
 import org.oatlug.internal.gather.GatherSystem;
@@ -133,6 +134,7 @@
     private final GatewayTables tables;
     private final RolloutDirector director;
     private final GatherSystem gathering;
+    private final StartGate gate;
 
     private Instance(Member self, Duration clockError) {
       InstantSource clock = () -> time.instant().plus(clockError);
@@ -142,6 +144,12 @@
       director = RolloutDirector.create(tables, platform, membership, clock, meters, BOUNDS);
       gathering = GatherSystem.create(membership, this::ask, clock, meters, this);
       director.onRefuted(gathering::tellNow);
+      gate =
+          StartGate.create(
+              clock,
+              () -> true,
+              () -> true,
+              () -> !tables.isBringingIn() || gathering.isInformed());
     }
 
     String name() {
@@ -162,6 +170,7 @@
       if (isUp()) {
         director.tick();
         gathering.tick();
+        gate.opens();
         time.after(TICK, this::tick);
       }
     }
@@ -316,7 +325,7 @@
     List<Instance> serving = new ArrayList<>();
     for (Instance instance : instances.values()) {
       boolean stays = instance.membership.self().state() == Member.State.ALIVE;
-      if (instance.isUp() && stays) {
+      if (instance.isUp() && stays && instance.gate.isOpen()) {
         serving.add(instance);
       }
     }
--- a/org.oatlug.test/tst/org/oatlug/test/RovingSessions.java
+++ b/org.oatlug.test/tst/org/oatlug/test/RovingSessions.java
@@ -21,6 +21,9 @@
   /** One request in so many ends its session; another one begins in its place. */
   private static final int ENDS_IN = 12;
 
+  /** When a caller comes again that nobody served. */
+  private static final Duration RETRY = Duration.ofMillis(100);
+
   private final RolloutFleet fleet;
   private final Random random;
   private final List<String> moves = new ArrayList<>();
@@ -48,6 +51,10 @@
 
   private void next(String session, String before, Instant endedBefore) {
     List<RolloutFleet.Instance> serving = fleet.serving();
+    if (serving.isEmpty()) {
+      fleet.time().after(RETRY, () -> next(session, before, endedBefore));
+      return;
+    }
     RolloutFleet.Instance instance = serving.get(random.nextInt(serving.size()));
     String version = instance.send(session);
     Instant now = fleet.time().instant();
--- a/org.oatlug/src/org/oatlug/gateway/ServiceRollout.java
+++ b/org.oatlug/src/org/oatlug/gateway/ServiceRollout.java
@@ -5,6 +5,7 @@
 
 import com.fasterxml.jackson.annotation.JsonProperty;
 import java.util.Optional;
+import java.util.OptionalLong;
 
 /**
  * An order to move the traffic of a service to a version, and how far it came. Immutable.
@@ -49,6 +50,14 @@
         .map(Progress::state);
   }
 
+  /** Returns the time of day, in milliseconds since 1970, at which the present order was begun. */
+  public OptionalLong begunAtMillis() {
+    return state()
+        .flatMap(unused -> progress)
+        .map(known -> OptionalLong.of(known.startedAtMillis()))
+        .orElse(OptionalLong.empty());
+  }
+
   /** Returns whether the order is not carried out yet, and not taken back. */
   public boolean runs() {
     return state().map(known -> known == State.RUNNING).orElse(true);
--- a/org.oatlug/src/org/oatlug/internal/gateway/RolloutDirector.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/RolloutDirector.java
@@ -26,6 +26,7 @@
 import org.oatlug.internal.gather.SeenSession;
 import org.oatlug.internal.membership.Membership;
 import org.oatlug.internal.metrics.Meters;
+import org.oatlug.internal.rollout.OrderAge;
 import org.oatlug.internal.rollout.RolloutGuard;
 import org.oatlug.internal.rollout.VersionEvidence;
 import org.oatlug.internal.util.Hashes;
@@ -116,7 +117,8 @@
     VersionBasis basis = basisOf(service, rollout.get(), trial, head);
     boolean failedThere = lastFailed.equals(Optional.of(target));
     boolean away = failedThere && trial.allEvidence() > SUSPICIOUS;
-    boolean wanted = !away && wantsTarget(target, basis, head);
+    boolean settling = schedule.isSettling(ageOf(rollout.get(), trial));
+    boolean wanted = !away && wantsTarget(target, basis, head, settling);
     return Optional.of(new Wish(target, wanted, false, Optional.of(basis)));
   }
 
@@ -138,11 +140,13 @@
     return new VersionBasis(session, knowledge, seen.get().version(), age, part, share);
   }
 
-  private boolean wantsTarget(String target, VersionBasis basis, RequestHead head) {
+  private boolean wantsTarget(
+      String target, VersionBasis basis, RequestHead head, boolean settling) {
     long number = basis.session().orElse(Hashes.hash64(head.id()));
     boolean chosen = positionOf(number) < basis.share();
     return switch (basis.knowledge()) {
-      case NO_SESSION, UNKNOWN -> chosen;
+      case NO_SESSION -> chosen;
+      case UNKNOWN -> chosen && !settling;
       case SEEN_HERE, TOLD ->
           basis.before().equals(target) || chosen && schedule.sessionsMayMove(basis.part());
     };
@@ -154,13 +158,12 @@
 
   /** Returns which part of its duration the roll-out has used; above 1 when it is late. */
   private double partOf(ServiceRollout rollout, RolloutTrial trial) {
-    Instant now = clock.instant();
-    long since = Duration.between(trial.learnedAt(), now).toMillis();
-    long started = rollout.progress().map(ServiceRollout.Progress::startedAtMillis).orElse(0L);
-    if (started > 0 && rollout.state().isPresent()) {
-      since = Math.max(since, now.toEpochMilli() - started);
-    }
-    return (double) since / Math.max(1, rollout.durationMillis());
+    long age = ageOf(rollout, trial).toMillis();
+    return (double) age / Math.max(1, rollout.durationMillis());
+  }
+
+  private Duration ageOf(ServiceRollout rollout, RolloutTrial trial) {
+    return trial.age().at(clock.instant(), rollout.begunAtMillis());
   }
 
   @Override
@@ -250,14 +253,15 @@
     return seen;
   }
 
-  private static VersionEvidence evidenceOf(String service, RolloutTrial trial) {
+  private VersionEvidence evidenceOf(String service, RolloutTrial trial) {
     return new VersionEvidence(
         service,
         trial.version(),
         trial.orderedAt(),
         trial.ownSeen(),
         trial.ownAnswers(),
-        trial.isRefuted());
+        trial.isRefuted(),
+        trial.age().told(clock.instant()));
   }
 
   /** Takes in what all other instances have seen. */
@@ -268,7 +272,7 @@
   }
 
   private void heard(RolloutTrial trial, VersionEvidence others) {
-    trial.heard(others);
+    trial.heard(others, clock.instant());
     if (trial.isRefuted()) {
       return;
     }
@@ -347,12 +351,7 @@
       return;
     }
     writing = true;
-    long started =
-        rollout
-            .state()
-            .flatMap(unused -> rollout.progress())
-            .map(ServiceRollout.Progress::startedAtMillis)
-            .orElse(trial.learnedAt().toEpochMilli());
+    long started = rollout.begunAtMillis().orElse(trial.age().orderedAt().toEpochMilli());
     ServiceRollout.Progress progress =
         new ServiceRollout.Progress(state, rollout.targetVersion(), started);
     JsonNode value = Json.STRICT.valueToTree(rollout.withProgress(progress));
@@ -395,7 +394,8 @@
   private RolloutTrial trialOf(String service, ServiceRollout rollout) {
     RolloutTrial known = trials.get(service);
     if (known == null || !known.isOf(rollout.targetVersion(), rollout.orderedAt())) {
-      known = RolloutTrial.of(rollout.targetVersion(), rollout.orderedAt(), clock.instant());
+      OrderAge age = OrderAge.learned(clock.instant(), rollout.state().isEmpty());
+      known = RolloutTrial.of(rollout.targetVersion(), rollout.orderedAt(), age);
       trials.put(service, known);
     }
     return known;
--- a/org.oatlug/src/org/oatlug/internal/gateway/RolloutSchedule.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/RolloutSchedule.java
@@ -3,6 +3,8 @@
 
 package org.oatlug.internal.gateway;
 
+import java.time.Duration;
+
 /**
  * Which share of the sessions a version under roll-out gets as time goes on.
  *
@@ -29,6 +31,12 @@
   /** What the version gets during the comparison, as a share of the bound. */
   private static final double COMPARE_SHARE_OF_BOUND = 0.6;
 
+  /**
+   * How long after an order sessions of which nothing is known stay on the old version: longer than
+   * what another instance saw takes to come here, which is up to a second in zones of 30.
+   */
+  private static final Duration SETTLING = Duration.ofMillis(1500);
+
   private final double exposureShare;
 
   private RolloutSchedule(double exposureShare) {
@@ -49,6 +57,14 @@
     return Math.min(1, exposureShare + (1 - exposureShare) * grown);
   }
 
+  /**
+   * Returns whether it may still be unknown here that a session goes on: what was seen shortly
+   * before the order is on its way.
+   */
+  boolean isSettling(Duration age) {
+    return age.compareTo(SETTLING) < 0;
+  }
+
   /** Returns whether sessions may move to the version at this part of the duration. */
   boolean sessionsMayMove(double part) {
     return part >= COMPARE_UNTIL;
--- a/org.oatlug/src/org/oatlug/internal/gateway/RolloutTrial.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/RolloutTrial.java
@@ -7,6 +7,7 @@
 import java.time.Instant;
 import org.oatlug.gateway.Route;
 import org.oatlug.internal.rollout.ComparedPairs;
+import org.oatlug.internal.rollout.OrderAge;
 import org.oatlug.internal.rollout.RolloutGuard;
 import org.oatlug.internal.rollout.SequentialTest;
 import org.oatlug.internal.rollout.VersionEvidence;
@@ -49,7 +50,7 @@
 
   private final String version;
   private final long orderedAt;
-  private final Instant learnedAt;
+  private final OrderAge age;
   private final SequentialTest failures = SequentialTest.create();
   private final SequentialTest lateness = SequentialTest.create();
   private final SequentialTest slowness = SequentialTest.create();
@@ -61,15 +62,15 @@
   private long answersOfOthers;
   private boolean refuted;
 
-  private RolloutTrial(String version, long orderedAt, Instant learnedAt) {
+  private RolloutTrial(String version, long orderedAt, OrderAge age) {
     this.version = version;
     this.orderedAt = orderedAt;
-    this.learnedAt = learnedAt;
+    this.age = age;
   }
 
   /** Returns a trial of the version without evidence, for the order made at the revision. */
-  static RolloutTrial of(String version, long orderedAt, Instant now) {
-    return new RolloutTrial(version, orderedAt, now);
+  static RolloutTrial of(String version, long orderedAt, OrderAge age) {
+    return new RolloutTrial(version, orderedAt, age);
   }
 
   /**
@@ -88,9 +89,9 @@
     return version;
   }
 
-  /** Returns when this instance learned of the roll-out. */
-  Instant learnedAt() {
-    return learnedAt;
+  /** Returns how long ago the order was made. */
+  OrderAge age() {
+    return age;
   }
 
   /** Takes in an answer seen here. */
@@ -136,7 +137,8 @@
   }
 
   /** Takes in what all other instances have seen, or a part of it; counts never shrink. */
-  void heard(VersionEvidence others) {
+  void heard(VersionEvidence others, Instant now) {
+    age.heard(others.ageMillis(), now);
     seenByOthers = seenByOthers.join(others.pairs());
     answersOfOthers = Math.max(answersOfOthers, others.answers());
   }
--- a/org.oatlug/src/org/oatlug/internal/gather/Account.java
+++ b/org.oatlug/src/org/oatlug/internal/gather/Account.java
@@ -3,6 +3,7 @@
 
 package org.oatlug.internal.gather;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -67,6 +68,26 @@
     return new Account(openMillis, joined, lines);
   }
 
+  /** Returns this account some time later. */
+  Account aged(Duration passed) {
+    if (evidence.isEmpty()) {
+      return this;
+    }
+    return new Account(
+        openMillis, evidence.stream().map(one -> one.after(passed)).toList(), speeds);
+  }
+
+  /** Returns whether anything but the time that has passed differs. */
+  boolean saysTheSameAs(Account other) {
+    return openMillis.equals(other.openMillis)
+        && speeds.equals(other.speeds)
+        && ageless(evidence).equals(ageless(other.evidence));
+  }
+
+  private static List<VersionEvidence> ageless(List<VersionEvidence> evidence) {
+    return evidence.stream().map(VersionEvidence::ageless).toList();
+  }
+
   /** Returns this account without the prompts that wait. */
   Account withoutOpen() {
     return new Account(Map.of(), evidence, speeds);
--- a/org.oatlug/src/org/oatlug/internal/gather/Accounts.java
+++ b/org.oatlug/src/org/oatlug/internal/gather/Accounts.java
@@ -42,7 +42,8 @@
       if (now.isAfter(at.plus(EVIDENCE_VALID))) {
         return Account.EMPTY;
       }
-      return now.isAfter(at.plus(OpenReading.VALID)) ? account.withoutOpen() : account;
+      Account aged = account.aged(Duration.between(at, now));
+      return now.isAfter(at.plus(OpenReading.VALID)) ? aged.withoutOpen() : aged;
     }
   }
 
--- a/org.oatlug/src/org/oatlug/internal/gather/GatherSystem.java
+++ b/org.oatlug/src/org/oatlug/internal/gather/GatherSystem.java
@@ -130,7 +130,7 @@
       return true;
     }
     Duration pause = PAUSE_PER_INSTANCE.multipliedBy(membership.zonePeers().size() + 1L);
-    boolean changed = !untold.isEmpty() || !own.equals(told);
+    boolean changed = !untold.isEmpty() || !own.saysTheSameAs(told);
     return changed && since.compareTo(LEAST_PAUSE) >= 0 && since.compareTo(pause) >= 0;
   }
 
--- a/org.oatlug/src/org/oatlug/internal/gather/ToldZones.java
+++ b/org.oatlug/src/org/oatlug/internal/gather/ToldZones.java
@@ -66,7 +66,7 @@
   Optional<News> newsFor(Member collector, Account own, Instant now) {
     Told before = toldTo(collector);
     SessionLog.Part part = sessions.ofOwnZoneAfter(before.sessionsUpTo(), now);
-    boolean isNew = !part.sessions().isEmpty() || !own.equals(before.account());
+    boolean isNew = !part.sessions().isEmpty() || !own.saysTheSameAs(before.account());
     if (!isUrgent(before, own) && !isDue(before, own, isNew, now)) {
       return Optional.empty();
     }
--- a/org.oatlug/src/org/oatlug/internal/rollout/VersionEvidence.java
+++ b/org.oatlug/src/org/oatlug/internal/rollout/VersionEvidence.java
@@ -3,6 +3,7 @@
 
 package org.oatlug.internal.rollout;
 
+import java.time.Duration;
 import java.util.Optional;
 
 /**
@@ -15,6 +16,8 @@
  * @param pairs the pairs of answers in which just one version was bad
  * @param answers how many answers the version gave
  * @param refuted whether it is known to be bad
+ * @param ageMillis how long ago it was ordered, in milliseconds, counted by whoever saw the order
+ *     appear; 0 if nobody did
  */
 public record VersionEvidence(
     String service,
@@ -22,9 +25,13 @@
     long orderedAt,
     ComparedPairs pairs,
     long answers,
-    boolean refuted) {
+    boolean refuted,
+    long ageMillis) {
   private static final long MOST_ANSWERS = 1_000_000_000L;
 
+  /** Longer than any version is brought in: thirty days, in milliseconds. */
+  private static final long MOST_AGE_MILLIS = 2_592_000_000L;
+
   /** Returns whether both are about the same order. */
   public boolean isOfSameOrder(VersionEvidence other) {
     return service.equals(other.service)
@@ -40,7 +47,8 @@
         orderedAt,
         pairs.plus(other.pairs),
         answers + other.answers,
-        refuted || other.refuted);
+        refuted || other.refuted,
+        Math.max(ageMillis, other.ageMillis));
   }
 
   /**
@@ -54,7 +62,22 @@
         orderedAt,
         pairs.join(other.pairs),
         Math.max(answers, other.answers),
-        refuted || other.refuted);
+        refuted || other.refuted,
+        Math.max(ageMillis, other.ageMillis));
+  }
+
+  /** Returns the same some time later. */
+  public VersionEvidence after(Duration passed) {
+    return ageMillis == 0 ? this : withAge(ageMillis + passed.toMillis());
+  }
+
+  /** Returns the same without the time that has passed, to tell whether anything else changed. */
+  public VersionEvidence ageless() {
+    return withAge(0);
+  }
+
+  private VersionEvidence withAge(long millis) {
+    return new VersionEvidence(service, version, orderedAt, pairs, answers, refuted, millis);
   }
 
   /** Returns what is wrong with evidence that a peer sent, empty if it can be taken in. */
@@ -62,7 +85,8 @@
     if (service == null || version == null || pairs == null) {
       return Optional.of("evidence lacks a field");
     }
-    if (answers < 0 || answers > MOST_ANSWERS || !pairs.isSound()) {
+    boolean soundAge = ageMillis >= 0 && ageMillis <= MOST_AGE_MILLIS;
+    if (answers < 0 || answers > MOST_ANSWERS || !pairs.isSound() || !soundAge) {
       return Optional.of("evidence has a number that no count can have");
     }
     return Optional.empty();
