Tell a collector that starts what all zones know, and wait for it at a start

Cause: a collector that started with its whole zone was told only what the other zones had seen themselves; what its zone had seen before came back from nobody. It also answered others that started as if it knew.

Change: the first messages to another process hold the sessions of all zones; answers say whether the collector knows all; an instance that starts while a version is brought in serves once it knows sessions and the order's age, 600 ms after its first tick at the latest.

--- a/org.oatlug.entry/src/org/oatlug/entry/GatewayInstance.java
+++ b/org.oatlug.entry/src/org/oatlug/entry/GatewayInstance.java
@@ -178,7 +178,10 @@
             clock,
             () -> tables.configuration().isPresent(),
             configuration::hasReadAll,
-            () -> !tables.isBringingIn() || gathering.isInformed());
+            () ->
+                !tables.isBringingIn()
+                    || gathering.hasMet()
+                    || gathering.isInformed() && rollouts.knowsAges());
     front = CallerFront.create(parts, random, gate::isOpen);
     systems =
         List.of(configuration, membership::tick, rollouts, gathering, senders, this::openWhenKnown);
--- a/org.oatlug/src/org/oatlug/internal/gateway/RolloutDirector.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/RolloutDirector.java
@@ -220,6 +220,13 @@
     onRefuted = action;
   }
 
+  /** Returns whether it is known how long ago the versions were ordered that are brought in. */
+  public boolean knowsAges() {
+    return tables.servicesWithRollout().stream()
+        .flatMap(service -> runningTrial(service).stream())
+        .allMatch(trial -> trial.age().isKnown());
+  }
+
   @Override
   public List<RolloutStatus> status() {
     List<RolloutStatus> all = new ArrayList<>();
--- a/org.oatlug/src/org/oatlug/internal/gather/GatherSystem.java
+++ b/org.oatlug/src/org/oatlug/internal/gather/GatherSystem.java
@@ -42,7 +42,9 @@
   /** How long a peer may take to answer: many times the way between zones. */
   private static final Duration PATIENCE = Duration.ofMillis(400);
 
-  /** How long a collector that has just started waits for what the others have seen. */
+  /**
+   * In this time the collectors of all zones have told one that has just started what they know.
+   */
   private static final Duration MEETING = Duration.ofMillis(600);
 
   /** At most a line each so many seconds tells of accounts that were refused. */
@@ -60,7 +62,7 @@
   private final ToldZones zones = ToldZones.create(sessions);
   private Account told = Account.EMPTY;
   private Instant toldAt = Instant.EPOCH;
-  private Optional<Instant> collectsSince = Optional.empty();
+  private Optional<Instant> startedAt = Optional.empty();
   private boolean informed;
   private boolean asking;
   private String collector = "";
@@ -94,6 +96,7 @@
   @Override
   public void tick() {
     Instant now = clock.instant();
+    startedAt = startedAt.or(() -> Optional.of(now));
     untold.add(participant.newlySeen(), now);
     Account own = participant.own();
     Optional<Member> other = collectors.ofOwnZone();
@@ -112,12 +115,15 @@
 
   /**
    * Returns whether this instance has learned what the others know of sessions: it has the answer
-   * of a collector, or has collected for long enough that all could tell it.
+   * of a collector that knows, or has run for long enough that all could tell it.
    */
   public boolean isInformed() {
-    boolean met =
-        collectsSince.map(since -> clock.instant().isAfter(since.plus(MEETING))).orElse(false);
-    return informed || met;
+    return informed || hasMet();
+  }
+
+  /** Returns whether this instance has run for long enough that all others could tell it. */
+  public boolean hasMet() {
+    return startedAt.map(since -> clock.instant().isAfter(since.plus(MEETING))).orElse(false);
   }
 
   private boolean isDue(Account own, Instant now) {
@@ -165,7 +171,7 @@
     untold.told(sent);
     if (answer instanceof PeerMessage.FleetAccount fleet && isSound(peer, fleet.others())) {
       readUpTo = fleet.sessionsUpTo();
-      informed = true;
+      informed |= fleet.informed();
       participant.heard(fleet.others());
       participant.heardSessions(soundOf(fleet.seen()));
     }
@@ -192,7 +198,6 @@
   private void collect(Account own, Instant now) {
     String self = membership.self().process();
     tellAnew(self, now);
-    collectsSince = collectsSince.or(() -> Optional.of(now));
     accounts.told(self, own, now);
     UntoldSessions.Sent added = untold.sent(now);
     sessions.add(added.sessions(), true, now);
@@ -238,7 +243,7 @@
       for (Member peer : membership.zonePeers()) {
         Account others = accounts.ofOthers(peer.process(), now);
         network
-            .ask(peer, new PeerMessage.FleetAccount(others, List.of(), 0), PATIENCE)
+            .ask(peer, new PeerMessage.FleetAccount(others, List.of(), 0, isInformed()), PATIENCE)
             .subscribe()
             .with(answer -> {}, failure -> lost(peer, failure));
       }
@@ -275,7 +280,7 @@
     }
     SessionLog.Part part = sessions.after(instance.sessionsUpTo(), now);
     Account others = accounts.ofOthers(from.process(), now);
-    return new PeerMessage.FleetAccount(others, part.sessions(), part.upTo());
+    return new PeerMessage.FleetAccount(others, part.sessions(), part.upTo(), isInformed());
   }
 
   private PeerMessage take(Member from, PeerMessage.ZoneAccount zone) {
--- a/org.oatlug/src/org/oatlug/internal/gather/SessionLog.java
+++ b/org.oatlug/src/org/oatlug/internal/gather/SessionLog.java
@@ -86,6 +86,11 @@
     }
   }
 
+  /** Returns the number of the session that was told last. */
+  long last() {
+    return last;
+  }
+
   /** Returns the sessions after a number. */
   Part after(long number, Instant now) {
     return read(number, false, now);
--- a/org.oatlug/src/org/oatlug/internal/gather/ToldZones.java
+++ b/org.oatlug/src/org/oatlug/internal/gather/ToldZones.java
@@ -35,13 +35,24 @@
    * @param process the collector that was told; another one begins with all sessions
    * @param account the account
    * @param at when it was told
+   * @param allUpTo up to which number it is told of the sessions of all zones: what its own zone
+   *     had seen may be known nowhere else after a restart of that zone
    * @param sessionsUpTo up to which number it has been told of sessions
    * @param sessionsBefore up to which number it had been told of sessions before that
    */
   private record Told(
-      String process, Account account, Instant at, long sessionsUpTo, long sessionsBefore) {
-    static Told nothing(String process) {
-      return new Told(process, Account.EMPTY, Instant.EPOCH, 0, 0);
+      String process,
+      Account account,
+      Instant at,
+      long allUpTo,
+      long sessionsUpTo,
+      long sessionsBefore) {
+    Told next(Account own, Instant now, long upTo) {
+      return new Told(process, own, now, allUpTo, upTo, sessionsUpTo);
+    }
+
+    Told lost(Instant now) {
+      return new Told(process, Account.EMPTY, now, allUpTo, sessionsBefore, sessionsBefore);
     }
   }
 
@@ -65,21 +76,28 @@
   /** Returns what the zone is to be told now, and counts it as told; empty if nothing is due. */
   Optional<News> newsFor(Member collector, Account own, Instant now) {
     Told before = toldTo(collector);
-    SessionLog.Part part = sessions.ofOwnZoneAfter(before.sessionsUpTo(), now);
+    SessionLog.Part part = unreadBy(before, now);
     boolean isNew = !part.sessions().isEmpty() || !own.saysTheSameAs(before.account());
     if (!isUrgent(before, own) && !isDue(before, own, isNew, now)) {
       return Optional.empty();
     }
-    byZone.put(
-        collector.zone(),
-        new Told(collector.process(), own, now, part.upTo(), before.sessionsUpTo()));
+    byZone.put(collector.zone(), before.next(own, now, part.upTo()));
     return Optional.of(new News(own, part.sessions()));
   }
 
   private Told toldTo(Member collector) {
     return Optional.ofNullable(byZone.get(collector.zone()))
         .filter(told -> told.process().equals(collector.process()))
-        .orElse(Told.nothing(collector.process()));
+        .orElseGet(() -> nothingTo(collector));
+  }
+
+  private Told nothingTo(Member collector) {
+    return new Told(collector.process(), Account.EMPTY, Instant.EPOCH, sessions.last(), 0, 0);
+  }
+
+  private SessionLog.Part unreadBy(Told before, Instant now) {
+    long from = before.sessionsUpTo();
+    return from < before.allUpTo() ? sessions.after(from, now) : sessions.ofOwnZoneAfter(from, now);
   }
 
   private static boolean isUrgent(Told before, Account own) {
@@ -95,7 +113,6 @@
 
   /** Notes that the zone did not get its last message; the next one tells it again. */
   void lost(Member collector, Instant now) {
-    long known = toldTo(collector).sessionsBefore();
-    byZone.put(collector.zone(), new Told(collector.process(), Account.EMPTY, now, known, known));
+    byZone.put(collector.zone(), toldTo(collector).lost(now));
   }
 }
--- a/org.oatlug/src/org/oatlug/internal/peer/PeerMessage.java
+++ b/org.oatlug/src/org/oatlug/internal/peer/PeerMessage.java
@@ -113,8 +113,11 @@
     }
   }
 
-  /** What a collector answers: the account of all others, and the sessions after that number. */
-  record FleetAccount(Account others, List<SeenSession> seen, long sessionsUpTo)
+  /**
+   * What a collector answers: the account of all others, the sessions after that number, and
+   * whether it knows all that count, as it does not shortly after its start.
+   */
+  record FleetAccount(Account others, List<SeenSession> seen, long sessionsUpTo, boolean informed)
       implements PeerMessage {
     /** Takes a missing list for an empty one. */
     public FleetAccount {
--- a/org.oatlug/src/org/oatlug/internal/rollout/OrderAge.java
+++ b/org.oatlug/src/org/oatlug/internal/rollout/OrderAge.java
@@ -68,6 +68,11 @@
     return byTimeOfDay.compareTo(since) > 0 ? byTimeOfDay : since;
   }
 
+  /** Returns whether this instance saw the order appear, or heard of its age. */
+  public boolean isKnown() {
+    return known;
+  }
+
   /** Returns what others are told, in milliseconds; 0 if this instance does not know. */
   public long told(Instant now) {
     return known ? Math.max(0, Duration.between(orderedAt, now).toMillis()) : 0;
