Keep a session at its version when an attempt fails or finds no upstream

Cause: a wish for a version gave way to any other as soon as no upstream of it could be chosen, and a failed request left the new version from evidence 1 on, which a good version reaches in up to one of three roll-outs.

Change: a session that goes on keeps its version (Firmness.KEPT): another one answers only once none of its version is left; evidence sends only sessions away that begin with this request. Which is worse for a caller was weighed: a refusal as not run ends with the caller's next try, at the latest when the session has paused, and another version in the middle cannot be undone.

--- a/org.oatlug.test/tst/org/oatlug/internal/gateway/GatewayDecisionTest.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/gateway/GatewayDecisionTest.java
@@ -251,12 +251,27 @@
   @Test
   public void testStrictWishIsKeptAndOtherWishesGiveWay() {
     upstream("i-1", "here", "v1", false);
-    VersionRule.Wish soft = new VersionRule.Wish("v2", true, false, Optional.empty());
+    VersionRule.Wish soft =
+        new VersionRule.Wish("v2", true, VersionRule.Firmness.PREFERRED, Optional.empty());
     assertEquals(choose(Optional.of(soft), Set.of()), Optional.of("i-1"));
-    VersionRule.Wish notOld = new VersionRule.Wish("v1", false, true, Optional.empty());
+    VersionRule.Wish notOld =
+        new VersionRule.Wish("v1", false, VersionRule.Firmness.REQUIRED, Optional.empty());
     assertEquals(choose(Optional.of(notOld), Set.of()), Optional.empty());
   }
 
+  /** A session that is at a version is refused rather than moved, while that version lives. */
+  @Test
+  public void testKeptWishGivesWayOnceNoneOfTheVersionIsLeft() {
+    upstream("i-1", "here", "v1", false);
+    upstream("i-2", "here", "v2", false);
+    VersionRule.Wish kept =
+        new VersionRule.Wish("v2", true, VersionRule.Firmness.KEPT, Optional.empty());
+    assertEquals(choose(Optional.of(kept), Set.of()), Optional.of("i-2"));
+    assertEquals(choose(Optional.of(kept), Set.of("i-2")), Optional.empty());
+    upstream("i-2", "here", "v2", true);
+    assertEquals(choose(Optional.of(kept), Set.of()), Optional.of("i-1"));
+  }
+
   @Test
   public void testPromptIsReadAgainWhereItWasRead() {
     upstream("i-1", "here", "v1", false);
--- a/org.oatlug.test/tst/org/oatlug/internal/gateway/HeldUpFront.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/gateway/HeldUpFront.java
@@ -143,7 +143,7 @@
   /** No roll-out runs. */
   private static final class AnyVersion implements VersionRule {
     @Override
-    public Optional<Wish> wishFor(String service, RequestHead head, Optional<String> lastFailed) {
+    public Optional<Wish> wishFor(String service, RequestHead head, Tried tried) {
       return Optional.empty();
     }
 
--- /dev/null
+++ b/org.oatlug.test/tst/org/oatlug/test/KeptVersionTest.java
@@ -0,0 +1,161 @@
+// Copyright (c) 2026, the oatlug authors
+// SPDX-License-Identifier: BSD-3-Clause
+
+package org.oatlug.test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import com.codahale.metrics.MetricRegistry;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Random;
+import org.oatlug.api.ObjectKey;
+import org.oatlug.gateway.GatewayKinds;
+import org.oatlug.gateway.GatewaySettings;
+import org.oatlug.gateway.RequestHead;
+import org.oatlug.gateway.Route;
+import org.oatlug.gateway.RouteKind;
+import org.oatlug.gateway.ServiceRollout;
+import org.oatlug.internal.gateway.GatewayTables;
+import org.oatlug.internal.gateway.RolloutDirector;
+import org.oatlug.internal.gateway.VersionRule;
+import org.oatlug.internal.gateway.VersionRule.Firmness;
+import org.oatlug.internal.gateway.VersionRule.Tried;
+import org.oatlug.internal.gateway.VersionRule.Wish;
+import org.oatlug.internal.membership.Membership;
+import org.oatlug.internal.metrics.Meters;
+import org.oatlug.internal.peer.Member;
+import org.oatlug.internal.util.Json;
+import org.oatlug.platform.StoredObject;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/**
+ * What becomes of a session's request that failed on a version, or finds no upstream of it.
+ *
+ * <p>A wish for a version was no rule: a request that failed on the new version went to the old one
+ * from evidence 1 on, which a good version reaches in up to one of three roll-outs, and one whose
+ * version had no free upstream went to any. Its session had then changed version.
+ */
+public class KeptVersionTest {
+  private static final String SERVICE = "pool";
+  private static final String OLD = "v1";
+  private static final String NEW = "v2";
+  private static final Duration ORDERED = Duration.ofSeconds(24);
+  private static final GatewaySettings.Bounds BOUNDS =
+      new GatewaySettings.Bounds(
+          Duration.ofSeconds(8), 0.9, 52, 0.15, Duration.ofSeconds(5), 1.5, 5);
+  private static final Route ROUTE =
+      new Route(
+          "r",
+          "h",
+          "/",
+          RouteKind.REPEATABLE,
+          2000,
+          300,
+          2,
+          1,
+          true,
+          false,
+          false,
+          0,
+          List.of(),
+          List.of(new Route.WeightedTarget(SERVICE, 1)));
+
+  private final FakeClock clock = new FakeClock();
+  private RolloutDirector director;
+
+  @BeforeMethod
+  void order() {
+    GatewayTables tables = GatewayTables.create(clock);
+    Member self = new Member("i-1", "z", "i-1", "127.0.0.1", 1, 1, 0, Member.State.ALIVE);
+    director =
+        RolloutDirector.create(
+            tables,
+            FakePlatform.create(),
+            Membership.create(self, clock, new Random(1)),
+            clock,
+            Meters.of(new MetricRegistry()),
+            BOUNDS);
+    ServiceRollout rollout =
+        new ServiceRollout(SERVICE, NEW, 1, ORDERED.toMillis(), Optional.empty());
+    ObjectKey key = ObjectKey.valueOf(GatewayKinds.ROLLOUT, SERVICE);
+    tables.mergeAll(List.of(new StoredObject(key, 1, Json.STRICT.valueToTree(rollout))));
+    assertEquals(director.evidence().size(), 1);
+  }
+
+  private static RequestHead requestOf(String session) {
+    return new RequestHead(
+        "id",
+        "h",
+        "/",
+        Optional.empty(),
+        Optional.empty(),
+        Optional.of(session),
+        OptionalLong.empty(),
+        Optional.empty());
+  }
+
+  private Wish wishFor(String session, Tried tried) {
+    return director.wishFor(SERVICE, requestOf(session), tried).orElseThrow();
+  }
+
+  private static Tried failedAt(String version, Wish first) {
+    return new Tried(Optional.of(version), first.basis());
+  }
+
+  /** Lets so many answers of the new version fail, which makes it suspicious but not refuted. */
+  private void suspect() {
+    for (int answer = 0; answer < 6; answer++) {
+      director.answered(
+          new VersionRule.Answer(SERVICE, OLD, ROUTE, "", false, Duration.ofMillis(50)));
+      director.answered(
+          new VersionRule.Answer(SERVICE, NEW, ROUTE, "", true, Duration.ofMillis(50)));
+    }
+    double evidence = director.status().get(0).evidence();
+    assertTrue(evidence > 1 && evidence < 5, "evidence " + evidence);
+  }
+
+  @Test
+  public void testSessionThatGoesOnAtTheNewVersionStaysThereAfterOneFailure() {
+    director.sent(SERVICE, NEW, requestOf("s"));
+    suspect();
+    clock.advance(Duration.ofSeconds(1));
+    Wish first = wishFor("s", Tried.NOTHING);
+    assertTrue(first.isMetBy(NEW));
+    assertEquals(first.firmness(), Firmness.KEPT);
+    director.sent(SERVICE, NEW, requestOf("s"));
+    Wish second = wishFor("s", failedAt(NEW, first));
+    assertTrue(second.isMetBy(NEW));
+    assertEquals(second.firmness(), Firmness.KEPT);
+  }
+
+  @Test
+  public void testSessionThatBeginsMayGoElsewhereAfterItsFirstFailure() {
+    clock.advance(ORDERED.multipliedBy(8).dividedBy(10));
+    suspect();
+    Wish first = wishFor("s", Tried.NOTHING);
+    assertTrue(first.isMetBy(NEW));
+    assertEquals(first.firmness(), Firmness.PREFERRED);
+    director.sent(SERVICE, NEW, requestOf("s"));
+    Wish second = wishFor("s", failedAt(NEW, first));
+    assertFalse(second.isMetBy(NEW));
+  }
+
+  @Test
+  public void testSessionOfTheOldVersionIsKeptInTheFirstHalfAndMayMoveLater() {
+    director.sent(SERVICE, OLD, requestOf("s"));
+    clock.advance(ORDERED.multipliedBy(4).dividedBy(10));
+    Wish early = wishFor("s", Tried.NOTHING);
+    assertFalse(early.isMetBy(NEW));
+    assertEquals(early.firmness(), Firmness.KEPT);
+    clock.advance(ORDERED.multipliedBy(4).dividedBy(10));
+    Wish late = wishFor("s", Tried.NOTHING);
+    assertTrue(late.isMetBy(NEW));
+    assertEquals(late.firmness(), Firmness.PREFERRED);
+  }
+}
--- a/org.oatlug.test/tst/org/oatlug/test/RolloutFleet.java
+++ b/org.oatlug.test/tst/org/oatlug/test/RolloutFleet.java
@@ -207,7 +207,7 @@
               Optional.of(session),
               OptionalLong.empty(),
               Optional.empty());
-      Optional<VersionRule.Wish> wish = director.wishFor(SERVICE, head, Optional.empty());
+      Optional<VersionRule.Wish> wish = director.wishFor(SERVICE, head, VersionRule.Tried.NOTHING);
       boolean wantsNew = wish.map(one -> one.version().equals(NEW) == one.wanted()).orElse(false);
       String version = wantsNew ? NEW : OLD;
       director.sent(SERVICE, version, head);
--- a/org.oatlug.test/tst/org/oatlug/test/RolloutRaceTest.java
+++ b/org.oatlug.test/tst/org/oatlug/test/RolloutRaceTest.java
@@ -201,6 +201,6 @@
             Optional.empty(),
             OptionalLong.empty(),
             Optional.empty());
-    return instance.director.wishFor(SERVICE, head, Optional.empty()).orElseThrow();
+    return instance.director.wishFor(SERVICE, head, VersionRule.Tried.NOTHING).orElseThrow();
   }
 }
--- a/org.oatlug/src/org/oatlug/internal/gateway/Exchange.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/Exchange.java
@@ -52,6 +52,7 @@
   private boolean mayHaveRun;
   private Optional<String> lastFailed = Optional.empty();
   private Optional<VersionRule.Wish> wish = Optional.empty();
+  private Optional<VersionBasis> firstBasis = Optional.empty();
   private ExchangeAttempt current;
 
   private Exchange(GatewayParts parts, CallerAnswer answer, Incoming incoming) {
@@ -148,7 +149,9 @@
   }
 
   private Optional<UpstreamSelection.Chosen> choose(Optional<String> model) {
-    wish = parts.versions().wishFor(incoming.service(), incoming.head(), lastFailed);
+    VersionRule.Tried before = new VersionRule.Tried(lastFailed, firstBasis);
+    wish = parts.versions().wishFor(incoming.service(), incoming.head(), before);
+    firstBasis = firstBasis.or(() -> wish.flatMap(VersionRule.Wish::basis));
     Optional<UpstreamSelection.Chosen> untried = chooseBut(model, tried);
     if (untried.isPresent() || current == null || !route.isRepeatable()) {
       return untried;
--- a/org.oatlug/src/org/oatlug/internal/gateway/RolloutDirector.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/RolloutDirector.java
@@ -100,7 +100,7 @@
   }
 
   @Override
-  public Optional<Wish> wishFor(String service, RequestHead head, Optional<String> lastFailed) {
+  public Optional<Wish> wishFor(String service, RequestHead head, Tried tried) {
     Optional<ServiceRollout> rollout = tables.rollout(service);
     if (rollout.isEmpty()) {
       return Optional.empty();
@@ -108,18 +108,34 @@
     String target = rollout.get().targetVersion();
     Optional<State> state = rollout.get().state();
     if (state.equals(Optional.of(State.SUCCEEDED))) {
-      return Optional.of(new Wish(target, true, false, Optional.empty()));
+      return Optional.of(new Wish(target, true, Firmness.PREFERRED, Optional.empty()));
     }
     RolloutTrial trial = trialOf(service, rollout.get());
     if (state.equals(Optional.of(State.ROLLED_BACK)) || trial.isRefuted()) {
-      return Optional.of(new Wish(target, false, true, Optional.empty()));
+      return Optional.of(new Wish(target, false, Firmness.REQUIRED, Optional.empty()));
     }
-    VersionBasis basis = basisOf(service, rollout.get(), trial, head);
-    boolean failedThere = lastFailed.equals(Optional.of(target));
-    boolean away = failedThere && trial.allEvidence() > SUSPICIOUS;
-    boolean settling = schedule.isSettling(ageOf(rollout.get(), trial));
-    boolean wanted = !away && wantsTarget(target, basis, head, settling);
-    return Optional.of(new Wish(target, wanted, false, Optional.of(basis)));
+    return Optional.of(wishWhileRunning(service, rollout.get(), trial, head, tried));
+  }
+
+  private Wish wishWhileRunning(
+      String service, ServiceRollout rollout, RolloutTrial trial, RequestHead head, Tried tried) {
+    VersionBasis now = basisOf(service, rollout, trial, head);
+    // An attempt of the request itself makes its session known, but not one that goes on.
+    VersionBasis basis = tried.basis().map(now::knownAsIn).orElse(now);
+    String target = rollout.targetVersion();
+    boolean failedThere = tried.failedVersion().equals(Optional.of(target));
+    boolean suspicious = failedThere && trial.allEvidence() > SUSPICIOUS;
+    boolean settling = schedule.isSettling(ageOf(rollout, trial));
+    long number = basis.session().orElse(Hashes.hash64(head.id()));
+    boolean chosen = positionOf(number) < basis.share();
+    if (basis.isUnknown()) {
+      boolean wanted = chosen && !suspicious && !(basis.session().isPresent() && settling);
+      return new Wish(target, wanted, Firmness.PREFERRED, Optional.of(basis));
+    }
+    boolean isThere = basis.before().equals(target);
+    boolean moves = !isThere && chosen && !suspicious && schedule.sessionsMayMove(basis.part());
+    Firmness firmness = moves ? Firmness.PREFERRED : Firmness.KEPT;
+    return new Wish(target, isThere || moves, firmness, Optional.of(basis));
   }
 
   private VersionBasis basisOf(
@@ -140,18 +156,6 @@
     return new VersionBasis(session, knowledge, seen.get().version(), age, part, share);
   }
 
-  private boolean wantsTarget(
-      String target, VersionBasis basis, RequestHead head, boolean settling) {
-    long number = basis.session().orElse(Hashes.hash64(head.id()));
-    boolean chosen = positionOf(number) < basis.share();
-    return switch (basis.knowledge()) {
-      case NO_SESSION -> chosen;
-      case UNKNOWN -> chosen && !settling;
-      case SEEN_HERE, TOLD ->
-          basis.before().equals(target) || chosen && schedule.sessionsMayMove(basis.part());
-    };
-  }
-
   private static double positionOf(long number) {
     return (Hashes.combine(number, 0) & Long.MAX_VALUE) / HASH_RANGE;
   }
--- a/org.oatlug/src/org/oatlug/internal/gateway/RouteExplanation.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/RouteExplanation.java
@@ -112,7 +112,8 @@
   private static Target explain(
       GatewayParts parts, Route route, Route.WeightedTarget target, RequestHead head) {
     String service = target.service();
-    Optional<VersionRule.Wish> wish = parts.versions().wishFor(service, head, Optional.empty());
+    Optional<VersionRule.Wish> wish =
+        parts.versions().wishFor(service, head, VersionRule.Tried.NOTHING);
     Optional<String> firstModel =
         route.isCascade()
             ? Optional.of(route.models().get(parts.stages().first(route)))
--- a/org.oatlug/src/org/oatlug/internal/gateway/UpstreamSelection.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/UpstreamSelection.java
@@ -190,19 +190,35 @@
 
   /**
    * Returns the upstreams that can be chosen: of the versions that are wished and ordered, else of
-   * those that are wished, else of any unless the wish is strict.
+   * those that are wished, else of any if the wish gives way.
    */
   private List<Candidate> candidates(Wanted wanted, Instant now) {
     List<Candidate> wished =
-        candidates(wanted, one -> wanted.isMetBy(one) && !tables.isUnordered(one), now);
+        usable(wanted, one -> wanted.isMetBy(one) && !tables.isUnordered(one), now);
     if (wished.isEmpty()) {
-      wished = candidates(wanted, wanted::isMetBy, now);
+      wished = usable(wanted, wanted::isMetBy, now);
     }
-    boolean strict = wanted.version().map(VersionRule.Wish::strict).orElse(true);
-    return wished.isEmpty() && !strict ? candidates(wanted, unused -> true, now) : wished;
+    return wished.isEmpty() && givesWay(wanted) ? usable(wanted, unused -> true, now) : wished;
   }
 
-  private List<Candidate> candidates(Wanted wanted, Predicate<UpstreamRecord> fits, Instant now) {
+  private boolean givesWay(Wanted wanted) {
+    VersionRule.Firmness firmness =
+        wanted.version().map(VersionRule.Wish::firmness).orElse(VersionRule.Firmness.REQUIRED);
+    return switch (firmness) {
+      case PREFERRED -> true;
+      case KEPT ->
+          tables.upstreamsOf(wanted.service()).stream().noneMatch(one -> keeps(wanted, one));
+      case REQUIRED -> false;
+    };
+  }
+
+  /** Returns whether the upstream is of a wished version and stays, if others were tried or not. */
+  private boolean keeps(Wanted wanted, String name) {
+    UpstreamRecord upstream = tables.upstream(name).orElseThrow();
+    return wanted.isMetBy(upstream) && !tables.isLeaving(name) && !tables.isEmptied(upstream);
+  }
+
+  private List<Candidate> usable(Wanted wanted, Predicate<UpstreamRecord> fits, Instant now) {
     List<Candidate> candidates = new ArrayList<>();
     int most = mostConnections(wanted.service());
     for (String name : tables.upstreamsOf(wanted.service())) {
--- a/org.oatlug/src/org/oatlug/internal/gateway/VersionBasis.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/VersionBasis.java
@@ -37,6 +37,16 @@
     NO_SESSION
   }
 
+  /** Returns whether nothing is known of a session to which the request belongs. */
+  boolean isUnknown() {
+    return knowledge == Knowledge.UNKNOWN || knowledge == Knowledge.NO_SESSION;
+  }
+
+  /** Returns this with what another basis knew of the session. */
+  VersionBasis knownAsIn(VersionBasis other) {
+    return new VersionBasis(session, other.knowledge, other.before, other.ageMillis, part, share);
+  }
+
   /** Returns the fields of a log line. */
   @Override
   public String toString() {
--- a/org.oatlug/src/org/oatlug/internal/gateway/VersionRule.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/VersionRule.java
@@ -12,20 +12,45 @@
 /** Which versions of a service may answer a request while a roll-out runs. */
 public interface VersionRule {
 
+  /** What becomes of a wish that no upstream meets now. */
+  enum Firmness {
+    /** Any version answers. */
+    PREFERRED,
+    /**
+     * Another version answers only once none of this one is left: a session keeps its version, and
+     * a refusal now costs it less than another version in the middle.
+     */
+    KEPT,
+    /** No other version answers. */
+    REQUIRED
+  }
+
   /**
    * A wish for versions.
    *
    * @param version the version that is spoken of
    * @param wanted whether it has to answer, or any other one
-   * @param strict whether the wish holds even if no upstream meets it
+   * @param firmness what becomes of it if no upstream meets it
    * @param basis what it rests on, empty once the roll-out has ended
    */
-  record Wish(String version, boolean wanted, boolean strict, Optional<VersionBasis> basis) {
-    boolean isMetBy(String other) {
+  record Wish(String version, boolean wanted, Firmness firmness, Optional<VersionBasis> basis) {
+    /** Returns whether the version may answer. */
+    public boolean isMetBy(String other) {
       return version.equals(other) == wanted;
     }
   }
 
+  /**
+   * What a request has been through.
+   *
+   * @param failedVersion the version that failed it just before, empty for none
+   * @param basis what its first wish rested on, empty for none
+   */
+  record Tried(Optional<String> failedVersion, Optional<VersionBasis> basis) {
+    /** Nothing yet. */
+    public static final Tried NOTHING = new Tried(Optional.empty(), Optional.empty());
+  }
+
   /**
    * An answer of a version.
    *
@@ -42,9 +67,9 @@
   /**
    * Returns the wish for a request, empty if any version may answer.
    *
-   * @param lastFailed the version that failed the request just before, empty for none
+   * @param tried what the request has been through
    */
-  Optional<Wish> wishFor(String service, RequestHead head, Optional<String> lastFailed);
+  Optional<Wish> wishFor(String service, RequestHead head, Tried tried);
 
   /** Takes in that a request was sent to a version. */
   void sent(String service, String version, RequestHead head);
