Take the choice of a version and the writes of progress out of the director

VersionChoice is pure and names its load pattern; RolloutWriter holds the one open write. No change of behaviour meant.

--- a/org.oatlug/src/org/oatlug/internal/gateway/RolloutDirector.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/RolloutDirector.java
@@ -3,7 +3,6 @@
 
 package org.oatlug.internal.gateway;
 
-import com.fasterxml.jackson.databind.JsonNode;
 import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
 import java.time.Instant;
@@ -15,9 +14,6 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.function.Consumer;
-import org.oatlug.api.ObjectKey;
-import org.oatlug.errors.ConflictException;
-import org.oatlug.gateway.GatewayKinds;
 import org.oatlug.gateway.GatewaySettings;
 import org.oatlug.gateway.RequestHead;
 import org.oatlug.gateway.ServiceRollout;
@@ -30,10 +26,8 @@
 import org.oatlug.internal.rollout.RolloutGuard;
 import org.oatlug.internal.rollout.VersionEvidence;
 import org.oatlug.internal.util.Hashes;
-import org.oatlug.internal.util.Json;
 import org.oatlug.internal.util.TickSystem;
 import org.oatlug.platform.Platform;
-import org.oatlug.platform.StoredObject;
 
 /**
  * Moves the traffic of services to new versions, and back if they are bad.
@@ -61,7 +55,7 @@
   private static final double HASH_RANGE = Math.pow(2, 63);
 
   private final GatewayTables tables;
-  private final Platform platform;
+  private final RolloutWriter writer;
   private final Membership membership;
   private final InstantSource clock;
   private final Meters meters;
@@ -69,7 +63,6 @@
   private final KeptSessions sessions;
   private final Map<String, RolloutTrial> trials = new HashMap<>();
   private Runnable onRefuted = () -> {};
-  private boolean writing;
   private Instant next = Instant.EPOCH;
 
   private RolloutDirector(
@@ -80,7 +73,7 @@
       Meters meters,
       GatewaySettings.Bounds bounds) {
     this.tables = tables;
-    this.platform = platform;
+    this.writer = RolloutWriter.create(tables, platform, meters);
     this.membership = membership;
     this.clock = clock;
     this.meters = meters;
@@ -124,18 +117,14 @@
     VersionBasis basis = tried.basis().map(now::knownAsIn).orElse(now);
     String target = rollout.targetVersion();
     boolean failedThere = tried.failedVersion().equals(Optional.of(target));
-    boolean suspicious = failedThere && trial.allEvidence() > SUSPICIOUS;
-    boolean settling = schedule.isSettling(ageOf(rollout, trial));
-    long number = basis.session().orElse(Hashes.hash64(head.id()));
-    boolean chosen = positionOf(number) < basis.share();
-    if (basis.isUnknown()) {
-      boolean wanted = chosen && !suspicious && !(basis.session().isPresent() && settling);
-      return new Wish(target, wanted, Firmness.PREFERRED, Optional.of(basis));
-    }
-    boolean isThere = basis.before().equals(target);
-    boolean moves = !isThere && chosen && !suspicious && schedule.sessionsMayMove(basis.part());
-    Firmness firmness = moves ? Firmness.PREFERRED : Firmness.KEPT;
-    return new Wish(target, isThere || moves, firmness, Optional.of(basis));
+    return new VersionChoice(
+            target,
+            basis,
+            positionOf(basis.session().orElse(Hashes.hash64(head.id()))) < basis.share(),
+            failedThere && trial.allEvidence() > SUSPICIOUS,
+            schedule.isSettling(ageOf(rollout, trial)),
+            schedule.sessionsMayMove(basis.part()))
+        .wish();
   }
 
   private VersionBasis basisOf(
@@ -356,42 +345,20 @@
   }
 
   private void write(String service, ServiceRollout rollout, RolloutTrial trial, State state) {
-    ObjectKey key = ObjectKey.valueOf(GatewayKinds.ROLLOUT, service);
-    Optional<StoredObject> known = tables.join().get(key);
-    if (writing || known.isEmpty()) {
-      return;
-    }
-    writing = true;
     long started = rollout.begunAtMillis().orElse(trial.age().orderedAt().toEpochMilli());
     ServiceRollout.Progress progress =
         new ServiceRollout.Progress(state, rollout.targetVersion(), started);
-    JsonNode value = Json.STRICT.valueToTree(rollout.withProgress(progress));
-    logger.atInfo().log(
-        "roll-out of %s to %s: %s, evidence=%.1f answers=%d part=%.2f revision=%d",
-        service,
-        rollout.targetVersion(),
-        state,
-        trial.allEvidence(),
-        trial.allAnswers(),
-        partOf(rollout, trial),
-        known.get().version());
-    platform
-        .put(key, known.get().version(), value)
-        .subscribe()
-        .with(
-            version -> {
-              writing = false;
-              tables.mergeAll(List.of(new StoredObject(key, version, value)));
-            },
-            this::writeFailed);
-  }
-
-  private void writeFailed(Throwable failure) {
-    writing = false;
-    meters.count("retry.rollout-write");
-    logger.atWarning().log("roll-out not written: %s", failure.getMessage());
-    if (failure instanceof ConflictException conflict) {
-      conflict.current().ifPresent(current -> tables.mergeAll(List.of(current)));
+    OptionalLong replaced = writer.write(service, rollout.withProgress(progress));
+    if (replaced.isPresent()) {
+      logger.atInfo().log(
+          "roll-out of %s to %s: %s, evidence=%.1f answers=%d part=%.2f revision=%d",
+          service,
+          rollout.targetVersion(),
+          state,
+          trial.allEvidence(),
+          trial.allAnswers(),
+          partOf(rollout, trial),
+          replaced.getAsLong());
     }
   }
 
