--- a/org.oatlug.entry/src/org/oatlug/entry/GatewayInstance.java
+++ b/org.oatlug.entry/src/org/oatlug/entry/GatewayInstance.java
@@ -201,7 +201,8 @@
             random,
             meters,
             List.of(
-                // Small ones first: 0.6 s sooner to serve at 0.12 cores than with upstreams second.
+                // Small ones first, so that a start waits for the orders no longer than for
+                // upstreams.
                 List.of(GatewayKinds.ROUTING),
                 List.of(GatewayKinds.ROLLOUT),
                 List.of(GatewayKinds.EVACUATION),
--- a/org.oatlug.test/tst/org/oatlug/test/KeptVersionTest.java
+++ b/org.oatlug.test/tst/org/oatlug/test/KeptVersionTest.java
@@ -3,6 +3,11 @@
 
 package org.oatlug.test;
 
+import static org.oatlug.test.RolloutSample.BOUNDS;
+import static org.oatlug.test.RolloutSample.NEW;
+import static org.oatlug.test.RolloutSample.OLD;
+import static org.oatlug.test.RolloutSample.ROUTE;
+import static org.oatlug.test.RolloutSample.SERVICE;
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
@@ -15,10 +20,7 @@
 import java.util.Random;
 import org.oatlug.api.ObjectKey;
 import org.oatlug.gateway.GatewayKinds;
-import org.oatlug.gateway.GatewaySettings;
 import org.oatlug.gateway.RequestHead;
-import org.oatlug.gateway.Route;
-import org.oatlug.gateway.RouteKind;
 import org.oatlug.gateway.ServiceRollout;
 import org.oatlug.internal.gateway.GatewayTables;
 import org.oatlug.internal.gateway.RolloutDirector;
@@ -42,29 +44,7 @@
  * version had no free upstream went to any. Its session had then changed version.
  */
 public class KeptVersionTest {
-  private static final String SERVICE = "pool";
-  private static final String OLD = "v1";
-  private static final String NEW = "v2";
   private static final Duration ORDERED = Duration.ofSeconds(24);
-  private static final GatewaySettings.Bounds BOUNDS =
-      new GatewaySettings.Bounds(
-          Duration.ofSeconds(8), 0.9, 52, 0.15, Duration.ofSeconds(5), 1.5, 5);
-  private static final Route ROUTE =
-      new Route(
-          "r",
-          "h",
-          "/",
-          RouteKind.REPEATABLE,
-          2000,
-          300,
-          2,
-          1,
-          true,
-          false,
-          false,
-          0,
-          List.of(),
-          List.of(new Route.WeightedTarget(SERVICE, 1)));
 
   private final FakeClock clock = new FakeClock();
   private RolloutDirector director;
--- a/org.oatlug.test/tst/org/oatlug/test/RolloutFleet.java
+++ b/org.oatlug.test/tst/org/oatlug/test/RolloutFleet.java
@@ -3,6 +3,12 @@
 
 package org.oatlug.test;
 
+import static org.oatlug.test.RolloutSample.BOUNDS;
+import static org.oatlug.test.RolloutSample.NEW;
+import static org.oatlug.test.RolloutSample.OLD;
+import static org.oatlug.test.RolloutSample.ROUTE;
+import static org.oatlug.test.RolloutSample.SERVICE;
+
 import com.codahale.metrics.MetricRegistry;
 import io.smallrye.mutiny.Uni;
 import java.time.Duration;
@@ -20,10 +26,7 @@
 import org.oatlug.api.ObjectKey;
 import org.oatlug.errors.PeerUnavailableException;
 import org.oatlug.gateway.GatewayKinds;
-import org.oatlug.gateway.GatewaySettings;
 import org.oatlug.gateway.RequestHead;
-import org.oatlug.gateway.Route;
-import org.oatlug.gateway.RouteKind;
 import org.oatlug.gateway.ServiceRollout;
 import org.oatlug.internal.gateway.GatewayTables;
 import org.oatlug.internal.gateway.RolloutDirector;
@@ -49,11 +52,6 @@
  * off. Used from one thread.
  */
 final class RolloutFleet {
-  static final String SERVICE = "pool";
-  static final String OLD = "v1";
-  static final String NEW = "v2";
-  static final Duration SESSION_PAUSE = Duration.ofSeconds(5);
-  private static final double SHARE = 0.15;
   private static final ObjectKey KEY = ObjectKey.valueOf(GatewayKinds.ROLLOUT, SERVICE);
   private static final Duration TICK = Duration.ofMillis(100);
 
@@ -70,24 +68,6 @@
   private static final Duration DEAD_AFTER = Duration.ofMillis(2800);
 
   private static final int MOST_DELAY_MILLIS = 6;
-  private static final GatewaySettings.Bounds BOUNDS =
-      new GatewaySettings.Bounds(Duration.ofSeconds(8), 0.9, 52, SHARE, SESSION_PAUSE, 1.5, 5);
-  private static final Route ROUTE =
-      new Route(
-          "r",
-          "h",
-          "/",
-          RouteKind.REPEATABLE,
-          2000,
-          300,
-          2,
-          1,
-          true,
-          false,
-          false,
-          0,
-          List.of(),
-          List.of(new Route.WeightedTarget(SERVICE, 1)));
 
   private final VirtualTime time = new VirtualTime();
   private final Random random;
--- a/org.oatlug.test/tst/org/oatlug/test/RolloutRaceTest.java
+++ b/org.oatlug.test/tst/org/oatlug/test/RolloutRaceTest.java
@@ -3,6 +3,11 @@
 
 package org.oatlug.test;
 
+import static org.oatlug.test.RolloutSample.BOUNDS;
+import static org.oatlug.test.RolloutSample.NEW;
+import static org.oatlug.test.RolloutSample.OLD;
+import static org.oatlug.test.RolloutSample.ROUTE;
+import static org.oatlug.test.RolloutSample.SERVICE;
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
@@ -21,10 +26,7 @@
 import net.jqwik.api.constraints.Size;
 import org.oatlug.api.ObjectKey;
 import org.oatlug.gateway.GatewayKinds;
-import org.oatlug.gateway.GatewaySettings;
 import org.oatlug.gateway.RequestHead;
-import org.oatlug.gateway.Route;
-import org.oatlug.gateway.RouteKind;
 import org.oatlug.gateway.ServiceRollout;
 import org.oatlug.gateway.ServiceRollout.State;
 import org.oatlug.internal.gateway.GatewayTables;
@@ -43,31 +45,9 @@
  */
 class RolloutRaceTest {
   private static final String SEED = "20261202";
-  private static final String SERVICE = "pool";
-  private static final String OLD = "v1";
-  private static final String NEW = "v2";
   private static final ObjectKey KEY = ObjectKey.valueOf(GatewayKinds.ROLLOUT, SERVICE);
   private static final int INSTANCES = 3;
   private static final Duration STEP = Duration.ofMillis(300);
-  private static final GatewaySettings.Bounds BOUNDS =
-      new GatewaySettings.Bounds(
-          Duration.ofSeconds(8), 0.9, 52, 0.15, Duration.ofSeconds(5), 1.5, 5);
-  private static final Route ROUTE =
-      new Route(
-          "r",
-          "h",
-          "/",
-          RouteKind.REPEATABLE,
-          2000,
-          300,
-          2,
-          1,
-          true,
-          false,
-          false,
-          0,
-          List.of(),
-          List.of(new Route.WeightedTarget(SERVICE, 1)));
 
   /** One instance; it knows of no other one, so that each believes to have the duty. */
   private static final class Instance {
--- a/org.oatlug.test/tst/org/oatlug/test/RovingSessions.java
+++ b/org.oatlug.test/tst/org/oatlug/test/RovingSessions.java
@@ -59,7 +59,7 @@
     String version = instance.send(session);
     Instant now = fleet.time().instant();
     Duration since = Duration.between(endedBefore, now);
-    if (!before.isEmpty() && since.compareTo(RolloutFleet.SESSION_PAUSE) < 0) {
+    if (!before.isEmpty() && since.compareTo(RolloutSample.SESSION_PAUSE) < 0) {
       continued++;
       note(session, before, version, instance);
     }
@@ -72,8 +72,8 @@
 
   private void note(String session, String before, String version, RolloutFleet.Instance instance) {
     boolean early =
-        version.equals(RolloutFleet.NEW) && before.equals(RolloutFleet.OLD) && fleet.part() < 0.5;
-    boolean back = version.equals(RolloutFleet.OLD) && before.equals(RolloutFleet.NEW);
+        version.equals(RolloutSample.NEW) && before.equals(RolloutSample.OLD) && fleet.part() < 0.5;
+    boolean back = version.equals(RolloutSample.OLD) && before.equals(RolloutSample.NEW);
     if (early || back) {
       moves.add(
           String.format(
--- a/org.oatlug/src/org/oatlug/internal/gather/SessionLog.java
+++ b/org.oatlug/src/org/oatlug/internal/gather/SessionLog.java
@@ -6,9 +6,12 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
-import java.util.LinkedHashMap;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.NavigableMap;
+import java.util.Optional;
+import java.util.TreeMap;
 
 /**
  * The sessions that a collector was told of, in the order in which it learned of them.
@@ -28,12 +31,17 @@
   /** A session that goes on is told anew long before this. */
   private static final Duration VALID = Duration.ofSeconds(30);
 
-  private final LinkedHashMap<Key, Entry> entries = new LinkedHashMap<>();
+  private final NavigableMap<Long, Entry> entries = new TreeMap<>();
+  private final Map<Key, Long> numbers = new HashMap<>();
   private long last;
 
   private record Key(String service, long session) {}
 
-  private record Entry(long number, String version, Instant seenAt, boolean ofOwnZone) {}
+  private record Entry(Key key, String version, Instant seenAt, boolean ofOwnZone) {
+    SeenSession asOf(Instant now) {
+      return SeenSession.at(key.service(), key.session(), version, seenAt, now);
+    }
+  }
 
   /**
    * What was read.
@@ -62,27 +70,25 @@
 
   private void add(SeenSession session, boolean ofOwnZone, Instant now) {
     Key key = new Key(session.service(), session.session());
-    Instant seenAt = session.seenAt(now);
-    Entry known = entries.get(key);
-    if (known != null && known.seenAt().isAfter(seenAt)) {
+    Entry told = new Entry(key, session.version(), session.seenAt(now), ofOwnZone);
+    Optional<Long> known = Optional.ofNullable(numbers.get(key));
+    if (known.map(entries::get).filter(one -> one.seenAt().isAfter(told.seenAt())).isPresent()) {
       return;
     }
-    entries.remove(key);
-    entries.put(key, new Entry(++last, session.version(), seenAt, ofOwnZone));
+    known.ifPresent(entries::remove);
+    entries.put(++last, told);
+    numbers.put(key, last);
   }
 
   private void dropOld(Instant now) {
     Instant least = now.minus(VALID);
-    var oldest = entries.values().iterator();
-    while (oldest.hasNext()) {
-      boolean tooMany = entries.size() > MOST;
-      if (!tooMany && !oldest.next().seenAt().isBefore(least)) {
+    while (!entries.isEmpty()) {
+      Entry oldest = entries.firstEntry().getValue();
+      if (entries.size() <= MOST && !oldest.seenAt().isBefore(least)) {
         return;
       }
-      if (tooMany) {
-        oldest.next();
-      }
-      oldest.remove();
+      entries.pollFirstEntry();
+      numbers.remove(oldest.key());
     }
   }
 
@@ -104,22 +110,15 @@
   private Part read(long number, boolean ofOwnZoneOnly, Instant now) {
     List<SeenSession> found = new ArrayList<>();
     long upTo = Math.min(number, last);
-    for (Map.Entry<Key, Entry> one : entries.entrySet()) {
+    for (Map.Entry<Long, Entry> one : entries.tailMap(number, false).entrySet()) {
       if (found.size() >= MOST_READ) {
         break;
       }
-      Entry entry = one.getValue();
-      if (entry.number() > number) {
-        upTo = entry.number();
-        if (entry.ofOwnZone() || !ofOwnZoneOnly) {
-          found.add(sessionOf(one.getKey(), entry, now));
-        }
+      upTo = one.getKey();
+      if (one.getValue().ofOwnZone() || !ofOwnZoneOnly) {
+        found.add(one.getValue().asOf(now));
       }
     }
     return new Part(found, upTo);
   }
-
-  private static SeenSession sessionOf(Key key, Entry entry, Instant now) {
-    return SeenSession.at(key.service(), key.session(), entry.version(), entry.seenAt(), now);
-  }
 }
