Let the test of emptied zones wait for what it needs

Cause, by the log of that run: "zone hall-a is emptied revision=5" was known while the second upstream's move to another zone, revision 4, was not; its wait passed at the first answered request. It now waits until each instance shows the second upstream in the other zone; what it asserts is as before.

--- a/org.oatlug.test/tst/org/oatlug/test/EvacuationProcessTest.java
+++ b/org.oatlug.test/tst/org/oatlug/test/EvacuationProcessTest.java
@@ -6,6 +6,7 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
 import java.io.ByteArrayOutputStream;
@@ -14,7 +15,6 @@
 import java.nio.charset.StandardCharsets;
 import org.oatlug.adapter.standin.SampleObjects;
 import org.oatlug.adapter.standin.StoreStandin;
-import org.oatlug.adapter.standin.UpstreamStandin;
 import org.oatlug.pgm.ExitCode;
 import org.oatlug.pgm.Oatlug;
 import org.testng.annotations.AfterMethod;
@@ -39,9 +39,20 @@
   private void start(int entries) throws IOException {
     cluster = GatewayCluster.start(entries, 2);
     register("i-2", OTHER_ZONE);
-    UpstreamStandin second = cluster.upstreams.get("i-2");
-    Await.until(
-        "the second is known elsewhere", () -> !second.arrivals().isEmpty() || send() == 200);
+    for (int entry = 0; entry < entries; entry++) {
+      int port = cluster.metricsPort(entry);
+      Await.until("the second is known elsewhere", () -> zoneOfSecond(port).equals(OTHER_ZONE));
+    }
+  }
+
+  /** Returns the zone in which an instance believes the second upstream. */
+  private static String zoneOfSecond(int metricsPort) throws IOException {
+    for (JsonNode upstream : Http.get(metricsPort, "/status").json().path("upstreams")) {
+      if (upstream.path("name").asText().equals("i-2")) {
+        return upstream.path("zone").asText();
+      }
+    }
+    return "";
   }
 
   private void register(String name, String zone) {
