Tell another collector what was seen here, not all that is known

Each instance of a zone told a new collector the sessions of all; in a zone of 23 that is 23 times the same, just when a choked collector is passed over. The collector that begins adds all that it knows itself, and other zones tell it theirs.

--- a/org.oatlug.test/tst/org/oatlug/internal/gateway/KeptSessionsTest.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/gateway/KeptSessionsTest.java
@@ -84,8 +84,11 @@
     assertEquals(kept.toTell(start).size(), 1);
     Instant later = start.plusMillis(20);
     assertEquals(
-        Set.copyOf(kept.all(later)),
+        Set.copyOf(kept.all(later, seen -> true)),
         Set.of(new SeenSession(SERVICE, 1, "v1", 20), new SeenSession(SERVICE, 2, "v2", 20)));
-    assertEquals(kept.all(start.plus(PAUSE.multipliedBy(10))), List.of());
+    assertEquals(
+        kept.all(later, SessionVersions.Seen::here),
+        List.of(new SeenSession(SERVICE, 1, "v1", 20)));
+    assertEquals(kept.all(start.plus(PAUSE.multipliedBy(10)), seen -> true), List.of());
   }
 }
--- a/org.oatlug.test/tst/org/oatlug/internal/gather/GatherFleet.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/gather/GatherFleet.java
@@ -121,6 +121,11 @@
       return taken;
     }
 
+    @Override
+    public List<SeenSession> seenHere() {
+      return List.copyOf(seen);
+    }
+
     @Override
     public List<SeenSession> allSeen() {
       return List.copyOf(seen);
--- a/org.oatlug.test/tst/org/oatlug/test/RolloutFleet.java
+++ b/org.oatlug.test/tst/org/oatlug/test/RolloutFleet.java
@@ -206,6 +206,11 @@
       return director.newlySeen();
     }
 
+    @Override
+    public List<SeenSession> seenHere() {
+      return director.seenHere();
+    }
+
     @Override
     public List<SeenSession> allSeen() {
       return director.allSeen();
--- a/org.oatlug/src/org/oatlug/internal/gateway/GatheredKnowledge.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/GatheredKnowledge.java
@@ -50,6 +50,11 @@
     return rollouts.newlySeen();
   }
 
+  @Override
+  public List<SeenSession> seenHere() {
+    return rollouts.seenHere();
+  }
+
   @Override
   public List<SeenSession> allSeen() {
     return rollouts.allSeen();
--- a/org.oatlug/src/org/oatlug/internal/gateway/KeptSessions.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/KeptSessions.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.LongPredicate;
+import java.util.function.Predicate;
 import org.oatlug.internal.gather.SeenSession;
 import org.oatlug.internal.util.BoundedMap;
 
@@ -85,15 +86,19 @@
     return found;
   }
 
-  /** Returns all sessions that others have to know of, those that others told of included. */
-  List<SeenSession> all(Instant now) {
+  /**
+   * Returns all sessions that others have to know of.
+   *
+   * @param which which of them, by where they were seen
+   */
+  List<SeenSession> all(Instant now, Predicate<SessionVersions.Seen> which) {
     List<SeenSession> found = new ArrayList<>();
     byService.forEach(
         (service, sessions) ->
             sessions.forEachKnown(
                 now,
                 (session, seen) -> {
-                  if (movesAtOnce.test(session)) {
+                  if (movesAtOnce.test(session) && which.test(seen)) {
                     found.add(SeenSession.at(service, session, seen.version(), seen.at(), now));
                   }
                 }));
--- a/org.oatlug/src/org/oatlug/internal/gateway/RolloutDirector.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/RolloutDirector.java
@@ -294,9 +294,14 @@
     return sessions.toTell(clock.instant());
   }
 
+  /** Returns all such sessions seen here that count still. */
+  public List<SeenSession> seenHere() {
+    return sessions.all(clock.instant(), SessionVersions.Seen::here);
+  }
+
   /** Returns all such sessions that count still, those that others told of included. */
   public List<SeenSession> allSeen() {
-    return sessions.all(clock.instant());
+    return sessions.all(clock.instant(), seen -> true);
   }
 
   private boolean movesAtOnce(long session) {
--- a/org.oatlug/src/org/oatlug/internal/gather/GatherSystem.java
+++ b/org.oatlug/src/org/oatlug/internal/gather/GatherSystem.java
@@ -141,7 +141,10 @@
   }
 
   private void ask(Member peer, Account own, Instant now) {
-    tellAnew(peer.process(), now);
+    if (isAnother(peer.process())) {
+      // What the one before was told may be lost with it; what others saw is told by them.
+      untold.add(participant.seenHere(), now);
+    }
     asking = true;
     told = own;
     toldAt = now;
@@ -153,16 +156,14 @@
         .with(answer -> answered(peer, sent, answer), failure -> notAnswered(peer, failure));
   }
 
-  /**
-   * Begins anew with another collector: what the one before was told may be lost with it, and then
-   * each instance that starts moved the sessions that it had not heard of.
-   */
-  private void tellAnew(String process, Instant now) {
-    if (!process.equals(collector)) {
-      collector = process;
-      readUpTo = 0;
-      untold.add(participant.allSeen(), now);
+  /** Returns whether another process collects than before; its log is read from its beginning. */
+  private boolean isAnother(String process) {
+    if (process.equals(collector)) {
+      return false;
     }
+    collector = process;
+    readUpTo = 0;
+    return true;
   }
 
   private void answered(Member peer, UntoldSessions.Sent sent, PeerMessage answer) {
@@ -197,7 +198,10 @@
   /** Adds up the zone, this instance included, and tells the others. */
   private void collect(Account own, Instant now) {
     String self = membership.self().process();
-    tellAnew(self, now);
+    if (isAnother(self)) {
+      // Those that start later learn from here what the collector before had been told.
+      untold.add(participant.allSeen(), now);
+    }
     accounts.told(self, own, now);
     UntoldSessions.Sent added = untold.sent(now);
     sessions.add(added.sessions(), true, now);
--- a/org.oatlug/src/org/oatlug/internal/gather/Participant.java
+++ b/org.oatlug/src/org/oatlug/internal/gather/Participant.java
@@ -14,6 +14,9 @@
   /** Returns sessions that others have to know of, those seen here since the last call. */
   List<SeenSession> newlySeen();
 
+  /** Returns all such sessions seen here that count still. */
+  List<SeenSession> seenHere();
+
   /** Returns all such sessions that count still, those that others told of included. */
   List<SeenSession> allSeen();
 
