Test a request that ends each upstream which runs it

The stand-in of an upstream can crash now: the run and all other open requests break off, connections are refused for a while, and it comes back as another start.

--- a/org.oatlug.test/tst/org/oatlug/test/GatewayCluster.java
+++ b/org.oatlug.test/tst/org/oatlug/test/GatewayCluster.java
@@ -15,6 +15,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
 import org.oatlug.adapter.standin.SampleObjects;
 import org.oatlug.adapter.standin.StoreStandin;
 import org.oatlug.adapter.standin.UpstreamStandin;
@@ -116,6 +117,26 @@
     return upstream;
   }
 
+  /**
+   * Lets an upstream crash under each request whose body has a text; it comes back as another start
+   * with a name of its own.
+   */
+  void crashUnder(String name, String text, long downMillis) {
+    UpstreamStandin upstream = upstreams.get(name);
+    upstream.crashUnder(text, downMillis);
+    AtomicReference<String> registered = new AtomicReference<>(name);
+    upstream.onRestart(
+        () -> {
+          store.delete("servers", registered.getAndSet(upstream.name()));
+          store.put("servers", upstream.name(), entryOf(name));
+        });
+  }
+
+  /** Returns how often upstreams crashed. */
+  int crashes() {
+    return upstreams.values().stream().mapToInt(UpstreamStandin::crashes).sum();
+  }
+
   /** Registers a name at the address of an upstream, which may have another name. */
   void register(String name, String atUpstream, String version) {
     store.put("servers", name, entryOf(atUpstream).put("version", version));
