Say in the line of a failed attempt which request it was of

The id changes with each try of a caller, so logs could not tell whether the tries under which upstreams end are of one request. The fingerprint (host, path with query, workspace, body) is the same for all.

--- a/org.oatlug/src/org/oatlug/internal/gateway/ExchangeAttempt.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/ExchangeAttempt.java
@@ -369,7 +369,7 @@
   public void failed(Progress progress, String problem) {
     release();
     feedback.failed();
-    describe("failed " + progress + " " + problem);
+    describe("failed " + progress + " " + problem + " request=" + incoming.fingerprint());
     if (progress == Progress.NOT_SENT) {
       feedback.notReached();
       exchange.notSent("retry.upstream-not-reached");
--- a/org.oatlug/src/org/oatlug/internal/gateway/Incoming.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/Incoming.java
@@ -11,6 +11,7 @@
 import org.oatlug.gateway.RequestHead;
 import org.oatlug.gateway.Route;
 import org.oatlug.gateway.WorkspaceKeys;
+import org.oatlug.internal.crash.RequestFingerprint;
 
 /**
  * A request that was admitted, with its whole body. Immutable.
@@ -38,4 +39,22 @@
     Buffer body,
     boolean hasBody,
     Instant arrived,
-    Instant deadline) {}
+    Instant deadline) {
+  /** The longest subject, in characters. */
+  private static final int MOST_SUBJECT_LENGTH = 160;
+
+  /** Returns what this request has in common with those that its caller sends again. */
+  String fingerprint() {
+    return RequestFingerprint.of(head.host(), uri, workspaceName(), body.getBytes());
+  }
+
+  /** Returns whose request it is and where it goes, for operators. */
+  String subject() {
+    String text = workspaceName() + " " + head.host() + head.path();
+    return text.substring(0, Math.min(text.length(), MOST_SUBJECT_LENGTH));
+  }
+
+  private String workspaceName() {
+    return workspace.map(WorkspaceKeys::name).orElse("");
+  }
+}
