Count the time for which the machine was suspended

After a suspension an instance took everything it knew for as young as before: the contact with the store, cold and kept-out upstreams, sessions, the age of an order; deadlines of open requests ended late by its length, and a request was handed on with more time than its caller waits.

Cause: the clock was the time of day once and the steady clock from then on, which does not count a suspension; the watch over pauses compared it with itself, and routed services had none.

An instance that stood still sets the deadlines of its open requests anew, and looks at the time that is left once more before it writes.

--- a/org.oatlug.entry/src/org/oatlug/entry/GatewayInstance.java
+++ b/org.oatlug.entry/src/org/oatlug/entry/GatewayInstance.java
@@ -41,6 +41,7 @@
 import org.oatlug.internal.platform.CountedPlatform;
 import org.oatlug.internal.table.Freshness;
 import org.oatlug.internal.util.MonotonicClock;
+import org.oatlug.internal.util.PauseWatch;
 import org.oatlug.internal.util.TickSystem;
 import org.oatlug.platform.Platform;
 import org.oatlug.platform.StoredObject;
@@ -188,8 +189,16 @@
                     || gathering.hasMet()
                     || gathering.isInformed() && rollouts.knowsAges());
     front = CallerFront.create(parts, random, gate::isOpen);
+    PauseWatch pause = PauseWatch.create(clock, parts::stoodStill);
     systems =
-        List.of(configuration, membership::tick, rollouts, gathering, senders, this::openWhenKnown);
+        List.of(
+            pause::check,
+            configuration,
+            membership::tick,
+            rollouts,
+            gathering,
+            senders,
+            this::openWhenKnown);
     return parts;
   }
 
--- a/org.oatlug.test/tst/org/oatlug/internal/gateway/HeldUpFront.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/gateway/HeldUpFront.java
@@ -8,6 +8,7 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
 import java.util.Optional;
@@ -41,16 +42,35 @@
 final class HeldUpFront implements AutoCloseable {
   static final String HOST = "127.0.0.1";
 
-  private final GatewayTables tables = GatewayTables.create(Instant::now);
+  /** Longer than a test waits. */
+  private static final int TIMEOUT_MILLIS = 120_000;
+
+  private volatile Duration suspended = Duration.ZERO;
+  private final GatewayTables tables = GatewayTables.create(this::now);
   private final Vertx vertx = Vertx.vertx();
   private volatile Runnable afterChoice = () -> {};
   private long revision;
+  private GatewayParts parts;
 
   /** Runs an action on the event loop each time that a choice has its candidates. */
   void afterChoice(Runnable action) {
     afterChoice = action;
   }
 
+  private Instant now() {
+    return Instant.now().plus(suspended);
+  }
+
+  /** Lets the clock go on by a time that no timer counts, as when the machine is suspended. */
+  void suspend(Duration time) {
+    suspended = suspended.plus(time);
+  }
+
+  /** Lets the instance notice that it stood still. */
+  void notice() {
+    vertx.runOnContext(unused -> parts.stoodStill());
+  }
+
   private void put(String kind, String name, Object value) {
     StoredObject object =
         new StoredObject(ObjectKey.valueOf(kind, name), ++revision, Json.STRICT.valueToTree(value));
@@ -85,7 +105,7 @@
             HOST,
             SampleObjects.ONCE,
             RouteKind.AT_MOST_ONCE,
-            5000,
+            TIMEOUT_MILLIS,
             500,
             1,
             1,
@@ -116,11 +136,11 @@
           afterChoice.run();
           return 0;
         };
-    GatewayParts parts =
+    parts =
         GatewayParts.create(
             vertx,
             settings,
-            Instant::now,
+            this::now,
             new PlatformAdapter(),
             tables,
             new AnyVersion(),
--- /dev/null
+++ b/org.oatlug.test/tst/org/oatlug/internal/gateway/SuspendedRequestTest.java
@@ -0,0 +1,89 @@
+// Copyright (c) 2026, the oatlug authors
+// SPDX-License-Identifier: BSD-3-Clause
+
+package org.oatlug.internal.gateway;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.oatlug.adapter.standin.SampleObjects;
+import org.oatlug.adapter.standin.UpstreamStandin;
+import org.oatlug.adapter.standin.UpstreamStandin.Behaviour;
+import org.oatlug.test.Await;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/**
+ * A machine is suspended while it has requests open. Timers do not count the time: a request whose
+ * deadline passed meanwhile would have had its answer late by the whole suspension, and one whose
+ * upstream was chosen before would have been sent on with more time than its caller still waits.
+ */
+public class SuspendedRequestTest {
+  private static final Duration DEADLINE = Duration.ofSeconds(60);
+  private static final Duration SUSPENDED = Duration.ofSeconds(40);
+
+  /** Far less than what a timer that does not count the suspension still waits. */
+  private static final long WAIT_SECONDS = 30;
+
+  private HeldUpFront front;
+  private UpstreamStandin upstream;
+  private int port;
+
+  @BeforeMethod
+  void begin() throws Exception {
+    front = new HeldUpFront();
+    upstream = front.addUpstream("near", "hall-a");
+    port = front.listen();
+  }
+
+  @AfterMethod
+  void end() {
+    front.close();
+  }
+
+  private CompletableFuture<HttpResponse<String>> send() {
+    URI uri = URI.create("http://" + HeldUpFront.HOST + ":" + port + SampleObjects.ONCE + "1");
+    HttpRequest request =
+        HttpRequest.newBuilder(uri)
+            .header("Attempt-Id", "request-1")
+            .header("Request-Deadline", Long.toString(DEADLINE.toMillis()))
+            .POST(HttpRequest.BodyPublishers.ofString("a body"))
+            .build();
+    return HttpClient.newHttpClient().sendAsync(request, HttpResponse.BodyHandlers.ofString());
+  }
+
+  @Test
+  public void testRequestIsHandedOnWithTheTimeThatIsLeft() throws Exception {
+    front.afterChoice(() -> front.suspend(SUSPENDED));
+    assertEquals(send().get(WAIT_SECONDS, TimeUnit.SECONDS).statusCode(), 200);
+    String left = upstream.arrivals().get(0).header("Request-Deadline").orElseThrow();
+    Duration most = DEADLINE.minus(SUSPENDED);
+    assertTrue(Long.parseLong(left) <= most.toMillis(), left + " ms were handed on");
+  }
+
+  @Test
+  public void testRequestWhoseTimeIsOverIsNotHandedOn() throws Exception {
+    front.afterChoice(() -> front.suspend(DEADLINE));
+    HttpResponse<String> answer = send().get(WAIT_SECONDS, TimeUnit.SECONDS);
+    assertEquals(answer.statusCode(), 503);
+    assertEquals(upstream.arrivals().size(), 0);
+  }
+
+  @Test
+  public void testRequestWhoseDeadlinePassedMeanwhileIsAnsweredAtOnce() throws Exception {
+    upstream.setBehaviour(Behaviour.HANGS);
+    final CompletableFuture<HttpResponse<String>> answer = send();
+    Await.until("it has arrived", () -> !upstream.arrivals().isEmpty());
+    front.suspend(DEADLINE);
+    front.notice();
+    assertEquals(answer.get(WAIT_SECONDS, TimeUnit.SECONDS).statusCode(), 504);
+  }
+}
--- a/org.oatlug.test/tst/org/oatlug/test/Await.java
+++ b/org.oatlug.test/tst/org/oatlug/test/Await.java
@@ -7,13 +7,14 @@
 import java.util.concurrent.Callable;
 
 /** Waits for a state, with a generous bound; tests never assert on how long it took. */
-final class Await {
+public final class Await {
   private static final Duration BOUND = Duration.ofSeconds(40);
   private static final long POLL_MILLIS = 20;
 
   private Await() {}
 
-  static void until(String what, Callable<Boolean> state) {
+  /** Returns once the state has come about. */
+  public static void until(String what, Callable<Boolean> state) {
     long limit = System.nanoTime() + BOUND.toNanos();
     Exception last = null;
     while (System.nanoTime() < limit) {
--- a/org.oatlug/src/org/oatlug/internal/gateway/Exchange.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/Exchange.java
@@ -76,8 +76,7 @@
     if (isRefusedAsCrashing()) {
       return;
     }
-    long left = Math.max(1, timeLeft().toMillis());
-    deadlineTimer = parts.vertx().setTimer(left, unused -> deadlinePassed());
+    deadlineTimer = parts.deadlines().at(incoming.deadline(), this::deadlinePassed);
     answer.onGone(this::callerGone);
     parts.budgets().of(incoming.service()).firstTry();
     stage = route.isCascade() ? parts.stages().first(route) : 0;
@@ -93,7 +92,7 @@
       parts.meters().count("request.withheld-caller-left");
       return false;
     }
-    if (timeLeft().compareTo(LEAST_TIME) < 0) {
+    if (!hasTime()) {
       deadlinePassed();
       return false;
     }
@@ -345,7 +344,7 @@
 
   /** Notes that the way ends, before its answer does. */
   void finish(String outcome) {
-    parts.vertx().cancelTimer(deadlineTimer);
+    parts.deadlines().cancel(deadlineTimer);
     Duration took = elapsed();
     parts.meters().time("request." + route.kind().name().toLowerCase(Locale.ROOT), took);
     log()
@@ -359,7 +358,13 @@
     return parts.logLimit().line(logger, incoming.head().id());
   }
 
-  private void deadlinePassed() {
+  /** Returns whether an attempt can still bring an answer. */
+  boolean hasTime() {
+    return timeLeft().compareTo(LEAST_TIME) >= 0;
+  }
+
+  /** Ends the request, whose time is over. */
+  void deadlinePassed() {
     if (answer.isEnded()) {
       return;
     }
--- a/org.oatlug/src/org/oatlug/internal/gateway/ExchangeAttempt.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/ExchangeAttempt.java
@@ -47,6 +47,7 @@
   private final PlainAnswer plain;
   private final SilenceWatch watch;
   private final StreamPace pace = new StreamPace();
+  private final MultiMap headers = MultiMap.caseInsensitiveMultiMap();
   private UpstreamAttempt link;
   private HttpClientResponse response;
   private boolean streaming;
@@ -84,10 +85,10 @@
     if (alone) {
       exchange.guarded().runsAlone(chosen.name());
     }
-    MultiMap headers = MultiMap.caseInsensitiveMultiMap().addAll(incoming.headers());
+    headers.addAll(incoming.headers());
     parts.adapter().upstreams().addTerms(headers, terms());
     logSent();
-    link = UpstreamAttempt.start(parts.client(), call(headers), this);
+    link = UpstreamAttempt.start(parts.client(), call(), this);
     if (route.isRepeatable() && !released) {
       watch.start();
     }
@@ -112,7 +113,7 @@
         forecast.timeToHead().toMillis());
   }
 
-  private UpstreamAttempt.Call call(MultiMap headers) {
+  private UpstreamAttempt.Call call() {
     SocketAddress address =
         SocketAddress.inetSocketAddress(chosen.upstream().port(), chosen.upstream().host());
     return new UpstreamAttempt.Call(
@@ -186,6 +187,12 @@
       parts.meters().count("request.withheld-caller-left");
       return false;
     }
+    if (!exchange.hasTime()) {
+      release();
+      describe("withheld, too little time is left");
+      exchange.deadlinePassed();
+      return false;
+    }
     if (exchange.guarded().verdict() == Verdict.REFUSED) {
       return withhold("upstreams end under it", "crashes-upstreams");
     }
@@ -198,6 +205,8 @@
     if (!feedback.mayWrite()) {
       return withhold("the upstream turned cold", "upstream-cold");
     }
+    // The machine may have been suspended while the connection was opened.
+    parts.adapter().upstreams().addTerms(headers, terms());
     return true;
   }
 
--- a/org.oatlug/src/org/oatlug/internal/gateway/GatewayParts.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/GatewayParts.java
@@ -36,6 +36,7 @@
  * @param stages chooses models of cascades
  * @param versions chooses versions while a roll-out runs
  * @param budgets the retry budgets
+ * @param deadlines the timers of the deadlines of open requests
  * @param turns the requests that wait until they begin
  * @param times how long answers usually take
  * @param held the bytes of bodies that requests hold
@@ -58,11 +59,18 @@
     StageRule stages,
     VersionRule versions,
     RetryBudgets budgets,
+    OpenDeadlines deadlines,
     TurnLine<Exchange> turns,
     AnswerTimes times,
     HeldBytes held,
     LogLimit logLimit,
     Meters meters) {
+  /** Takes in that the process stood still, maybe for longer than its timers know. */
+  public void stoodStill() {
+    meters.count("pause");
+    deadlines.setAnew();
+  }
+
   /** Returns which requests upstreams ended under, as all instances together have seen it. */
   public CrashLedger crashLedger() {
     return crashes.ledger();
@@ -102,6 +110,7 @@
         ExpectedWorth.create(tables, times),
         versions,
         RetryBudgets.within(settings.bounds()),
+        OpenDeadlines.create(vertx, clock),
         TurnLine.create(clock, task -> vertx.runOnContext(unused -> task.run()), Exchange::begin),
         times,
         HeldBytes.create(),
