Hear an answer that says its upstream leaves

Callers' requests went to an upstream that was about to end, 4.2 and 4.9 s after an answer of it, passed on by the same instance, had said so; the store was away and its entry still said ready.

Cause: nothing read the header. What an answer says was known to the attempt that got it and forgotten with it.

Who answered is marked, if the answer names it, since another upstream may have the address.

--- a/org.oatlug/src/org/oatlug/gateway/AnswerHead.java
+++ b/org.oatlug/src/org/oatlug/gateway/AnswerHead.java
@@ -16,6 +16,8 @@
  * @param load the upstream's load, if it tells
  * @param confidence the model's opinion of its answer, 0 to 100
  * @param coldMillis how much longer the upstream is cold, in milliseconds, if it tells
+ * @param answeredBy the upstream that answered, if it tells; another one may have the address
+ * @param leaving whether the upstream says that it is about to go
  */
 public record AnswerHead(
     int status,
@@ -23,7 +25,9 @@
     Verdict verdict,
     Optional<Load> load,
     OptionalInt confidence,
-    OptionalLong coldMillis) {
+    OptionalLong coldMillis,
+    Optional<String> answeredBy,
+    boolean leaving) {
 
   /** What an upstream says of the request. */
   public enum Verdict {
--- a/org.oatlug/src/org/oatlug/internal/gateway/AttemptFeedback.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/AttemptFeedback.java
@@ -3,12 +3,14 @@
 
 package org.oatlug.internal.gateway;
 
+import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.Optional;
 import org.oatlug.gateway.AnswerHead;
 import org.oatlug.internal.engine.HeadForecast;
 import org.oatlug.internal.limit.ColdLimit;
+import org.oatlug.internal.table.UpstreamRow;
 
 /**
  * Tells the tables, and what is learned of upstreams, models and versions, how one attempt goes.
@@ -19,6 +21,8 @@
  * name by then. Used from one event loop.
  */
 final class AttemptFeedback {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
   private final GatewayParts parts;
   private final Incoming incoming;
   private final UpstreamSelection.Chosen chosen;
@@ -92,6 +96,20 @@
             load ->
                 parts.tables().loads().report(chosen.row(), load.running(), load.waiting(), false));
     head.coldMillis().ifPresent(millis -> chosen.row().coldUntil(now().plusMillis(millis)));
+    if (head.leaving()) {
+      saidLeaving(head);
+    }
+  }
+
+  /** Marks who answered as leaving; another upstream may have the address by now. */
+  private void saidLeaving(AnswerHead head) {
+    String name = head.answeredBy().orElse(chosen.name());
+    UpstreamRow row = name.equals(chosen.name()) ? chosen.row() : parts.tables().row(name);
+    if (!row.leaving()) {
+      parts.meters().count("upstream.said-leaving");
+      logger.atInfo().log("upstream %s says in an answer that it leaves", name);
+      row.markLeaving();
+    }
   }
 
   private void endReading() {
