Give an upstream the rest that it asks for

Cause: as for upstreams that leave, the header was read nowhere, and a refusal was known to its attempt alone.

Why an upstream is out is one rule now (UpstreamStanding) for the choice, the refusal, status and explain.

--- a/org.oatlug.pgm/src/org/oatlug/pgm/ExplainCommand.java
+++ b/org.oatlug.pgm/src/org/oatlug/pgm/ExplainCommand.java
@@ -5,6 +5,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.List;
+import java.util.Locale;
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.Options;
 import org.oatlug.errors.OatlugException;
@@ -122,6 +123,12 @@
   private static String result(JsonNode upstream) {
     String load = ", load " + upstream.path("load").asInt();
     JsonNode cost = upstream.path("costMillis");
-    return (cost.isNumber() ? "costs " + cost.asLong() + " ms" : "out") + load;
+    return (cost.isNumber() ? "costs " + cost.asLong() + " ms" : out(upstream)) + load;
+  }
+
+  /** Returns why an upstream gets nothing. */
+  private static String out(JsonNode upstream) {
+    JsonNode reason = upstream.path("out");
+    return reason.isTextual() ? "out, " + reason.asText().toLowerCase(Locale.ROOT) : "out";
   }
 }
--- a/org.oatlug.pgm/src/org/oatlug/pgm/StatusCommand.java
+++ b/org.oatlug.pgm/src/org/oatlug/pgm/StatusCommand.java
@@ -58,6 +58,7 @@
       String marks =
           (one.path("leaving").asBoolean() ? ", leaving" : "")
               + (one.path("cold").asBoolean() ? ", cold" : "")
+              + (one.path("restsMillis").asLong() > 0 ? restState(one) : "")
               + (one.path("keptOut").asBoolean() ? ", kept out" : "");
       String state = "load " + one.path("expectedLoad").asText() + marks;
       table.add("upstream", one.path("name").asText(), state);
@@ -66,6 +67,11 @@
     return ExitCode.OK;
   }
 
+  private static String restState(JsonNode upstream) {
+    double seconds = upstream.path("restsMillis").asLong() / MILLIS_PER_SECOND;
+    return String.format(Locale.ROOT, ", rests for %.1f s", seconds);
+  }
+
   /** Returns why a request runs alone or not at all, and for how long. */
   private static String heldState(JsonNode held) {
     return String.format(
--- a/org.oatlug.test/tst/org/oatlug/internal/gateway/HeldUpFront.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/gateway/HeldUpFront.java
@@ -98,6 +98,11 @@
     }
   }
 
+  /** Takes in that the upstream wants nothing for a while. */
+  void rests(String name, Duration time) {
+    tables.row(name).restUntil(now().plus(time));
+  }
+
   private static RoutingConfiguration configuration() {
     Route route =
         new Route(
--- a/org.oatlug.test/tst/org/oatlug/internal/gateway/LeavingUpstreamTest.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/gateway/LeavingUpstreamTest.java
@@ -10,6 +10,7 @@
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.time.Duration;
 import org.oatlug.adapter.standin.SampleObjects;
 import org.oatlug.adapter.standin.UpstreamStandin;
 import org.testng.annotations.AfterMethod;
@@ -63,6 +64,18 @@
     assertEquals(far.arrivals().size(), 1, "at the other one");
   }
 
+  /** An upstream may ask another request for rest while the connection for this one is opened. */
+  @Test
+  public void testRequestGoesElsewhereWhenItsUpstreamWantsRestBeforeItIsWritten() throws Exception {
+    final UpstreamStandin near = front.addUpstream(NEAR, "hall-a");
+    final UpstreamStandin far = front.addUpstream(FAR, "hall-b");
+    int port = front.listen();
+    front.afterChoice(() -> front.rests(NEAR, Duration.ofMinutes(1)));
+    assertEquals(send(port).statusCode(), 200);
+    assertEquals(near.arrivals().size(), 0, "at the upstream that wants rest");
+    assertEquals(far.arrivals().size(), 1, "at the other one");
+  }
+
   @Test
   public void testRequestIsRefusedAsNotRunWhenNoOtherUpstreamIsLeft() throws Exception {
     final UpstreamStandin near = front.addUpstream(NEAR, "hall-a");
--- a/org.oatlug/src/org/oatlug/errors/ErrorText.java
+++ b/org.oatlug/src/org/oatlug/errors/ErrorText.java
@@ -43,6 +43,7 @@
   public String noUpstream;
   public String zonesEmptied;
   public String upstreamsCold;
+  public String upstreamsRest;
   public String crashesUpstreams;
   public String upstreamRefused;
   public String stillRunning;
--- a/org.oatlug/src/org/oatlug/gateway/AnswerHead.java
+++ b/org.oatlug/src/org/oatlug/gateway/AnswerHead.java
@@ -3,6 +3,7 @@
 
 package org.oatlug.gateway;
 
+import java.time.Duration;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
@@ -18,6 +19,8 @@
  * @param coldMillis how much longer the upstream is cold, in milliseconds, if it tells
  * @param answeredBy the upstream that answered, if it tells; another one may have the address
  * @param leaving whether the upstream says that it is about to go
+ * @param rest for how long the upstream that refused wants nothing from this instance; empty if it
+ *     does not ask
  */
 public record AnswerHead(
     int status,
@@ -27,7 +30,8 @@
     OptionalInt confidence,
     OptionalLong coldMillis,
     Optional<String> answeredBy,
-    boolean leaving) {
+    boolean leaving,
+    Optional<Duration> rest) {
 
   /** What an upstream says of the request. */
   public enum Verdict {
--- a/org.oatlug/src/org/oatlug/internal/gateway/AttemptFeedback.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/AttemptFeedback.java
@@ -96,11 +96,17 @@
             load ->
                 parts.tables().loads().report(chosen.row(), load.running(), load.waiting(), false));
     head.coldMillis().ifPresent(millis -> chosen.row().coldUntil(now().plusMillis(millis)));
+    head.rest().ifPresent(this::askedForRest);
     if (head.leaving()) {
       saidLeaving(head);
     }
   }
 
+  private void askedForRest(Duration rest) {
+    parts.meters().count("upstream.asked-for-rest");
+    chosen.row().restUntil(now().plus(rest));
+  }
+
   /** Marks who answered as leaving; another upstream may have the address by now. */
   private void saidLeaving(AnswerHead head) {
     String name = head.answeredBy().orElse(chosen.name());
--- a/org.oatlug/src/org/oatlug/internal/gateway/Exchange.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/Exchange.java
@@ -159,11 +159,13 @@
 
   private void giveUpWithoutUpstream() {
     String service = incoming.service();
-    RefusalReason reason = parts.selection().reasonOfNone(service, parts.clock().instant());
+    RefusalReason reason =
+        parts.selection().standing().reasonOfNone(service, parts.clock().instant());
     String pattern =
         switch (reason) {
           case ZONES_EMPTIED -> ErrorText.get().zonesEmptied;
           case UPSTREAMS_COLD -> ErrorText.get().upstreamsCold;
+          case UPSTREAMS_REST -> ErrorText.get().upstreamsRest;
           default -> ErrorText.get().noUpstream;
         };
     giveUp(reason, ErrorText.format(pattern, service));
@@ -325,7 +327,7 @@
 
   /** Refuses the request; says "not run" only while no upstream may have run it. */
   void giveUp(RefusalReason reason, String text) {
-    giveUp(reason, text, COME_BACK);
+    giveUp(reason, text, rested().orElse(COME_BACK));
   }
 
   private void giveUp(RefusalReason reason, String text, Duration comeBack) {
@@ -336,6 +338,27 @@
     refuse(refusal);
   }
 
+  /** Gives the request up after its last upstream refused it. */
+  void giveUpAsRefused() {
+    if (rested().isPresent()) {
+      giveUpWithoutUpstream();
+    } else {
+      giveUp(RefusalReason.UPSTREAM_REFUSED, ErrorText.get().upstreamRefused);
+    }
+  }
+
+  /**
+   * Returns when callers may come back while all upstreams want rest: from the soonest end on,
+   * spread, so that they do not all return at that moment and are refused anew.
+   */
+  private Optional<Duration> rested() {
+    return parts
+        .selection()
+        .standing()
+        .soonestRested(incoming.service(), parts.clock().instant())
+        .map(parts.spread()::after);
+  }
+
   private void refuse(Refusal refusal) {
     finish("refused " + refusal.reason().text() + ": " + refusal.detail());
     parts.meters().refused(refusal.reason());
--- a/org.oatlug/src/org/oatlug/internal/gateway/ExchangeAttempt.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/ExchangeAttempt.java
@@ -199,6 +199,9 @@
     if (parts.tables().isLeaving(chosen.name())) {
       return withhold("the upstream leaves", "upstream-leaves");
     }
+    if (chosen.row().isResting(parts.clock().instant())) {
+      return withhold("the upstream wants rest", "upstream-rests");
+    }
     if (parts.tables().isEmptied(chosen.name())) {
       return withhold("its zone is emptied", "zone-emptied");
     }
@@ -261,11 +264,14 @@
     if (moved) {
       chosen.row().markLeaving();
     }
-    describe("refused by upstream status=" + head.status());
+    describe(
+        "refused by upstream status="
+            + head.status()
+            + head.rest().map(rest -> " rest=" + rest.toMillis()).orElse(""));
     if (exchange.mayTryAgain(moved ? "upstream-moved" : "upstream-refused")) {
       exchange.next();
     } else {
-      exchange.giveUp(RefusalReason.UPSTREAM_REFUSED, ErrorText.get().upstreamRefused);
+      exchange.giveUpAsRefused();
     }
   }
 
--- a/org.oatlug/src/org/oatlug/internal/gateway/GatewayParts.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/GatewayParts.java
@@ -38,6 +38,7 @@
  * @param budgets the retry budgets
  * @param deadlines the timers of the deadlines of open requests
  * @param turns the requests that wait until they begin
+ * @param spread spreads the moments at which refused callers may come back
  * @param times how long answers usually take
  * @param held the bytes of bodies that requests hold
  * @param logLimit bounds the lines about requests
@@ -61,6 +62,7 @@
     RetryBudgets budgets,
     OpenDeadlines deadlines,
     TurnLine<Exchange> turns,
+    ReturnSpread spread,
     AnswerTimes times,
     HeldBytes held,
     LogLimit logLimit,
@@ -112,6 +114,7 @@
         RetryBudgets.within(settings.bounds()),
         OpenDeadlines.create(vertx, clock),
         TurnLine.create(clock, task -> vertx.runOnContext(unused -> task.run()), Exchange::begin),
+        new ReturnSpread(random),
         times,
         HeldBytes.create(),
         LogLimit.create(clock, meters),
--- a/org.oatlug/src/org/oatlug/internal/gateway/InstanceStatus.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/InstanceStatus.java
@@ -34,6 +34,7 @@
    * @param zone its availability zone
    * @param leaving whether it is about to go
    * @param cold whether it bears few requests now
+   * @param restsMillis for how much longer it wants nothing, in milliseconds
    * @param keptOut whether it is kept out after failures
    * @param expectedLoad the requests that it is believed to have
    */
@@ -43,6 +44,7 @@
       String zone,
       boolean leaving,
       boolean cold,
+      long restsMillis,
       boolean keptOut,
       int expectedLoad) {}
 
@@ -70,6 +72,7 @@
         record.zone(),
         parts.tables().isLeaving(name),
         row.isCold(now),
+        row.restLeft(now).toMillis(),
         row.ejected(now),
         row.expectedLoad());
   }
--- a/org.oatlug/src/org/oatlug/internal/gateway/RouteExplanation.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/RouteExplanation.java
@@ -68,11 +68,16 @@
    * @param zone its availability zone
    * @param version its version
    * @param load the requests that it is believed to have
-   * @param costMillis what it costs to choose it, the lowest is taken; empty if it is out: leaving,
-   *     of a version that may not answer, or without a connection left
+   * @param costMillis what it costs to choose it, the lowest is taken; empty if it is out
+   * @param out why it gets nothing now, empty if it may, or only its version may not answer
    */
   public record Candidate(
-      String name, String zone, String version, int load, Optional<Long> costMillis) {}
+      String name,
+      String zone,
+      String version,
+      int load,
+      Optional<Long> costMillis,
+      Optional<String> out) {}
 
   /**
    * Explains a request that has just come and names no session; empty if no route takes it.
@@ -174,7 +179,9 @@
               .map(one -> Math.round(one.costMillis()))
               .findFirst();
       int load = parts.tables().row(name).expectedLoad();
-      candidates.add(new Candidate(name, upstream.zone(), upstream.version(), load, cost));
+      Optional<String> out =
+          parts.selection().standing().outOf(name, parts.clock().instant()).map(Enum::name);
+      candidates.add(new Candidate(name, upstream.zone(), upstream.version(), load, cost, out));
     }
     candidates.sort(Comparator.comparingLong(one -> one.costMillis().orElse(Long.MAX_VALUE)));
     return candidates;
--- a/org.oatlug/src/org/oatlug/internal/gateway/UpstreamSelection.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/UpstreamSelection.java
@@ -11,10 +11,8 @@
 import java.util.Set;
 import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
-import org.oatlug.api.RefusalReason;
 import org.oatlug.gateway.Generation;
 import org.oatlug.gateway.PromptPart;
-import org.oatlug.gateway.ServiceDefinition;
 import org.oatlug.gateway.UpstreamRecord;
 import org.oatlug.internal.engine.EngineSpeeds;
 import org.oatlug.internal.engine.HeadForecast;
@@ -43,7 +41,7 @@
   private final EngineSpeeds speeds;
   private final OpenReading reading;
   private final ZoneReach zones;
-  private final ColdGate cold;
+  private final UpstreamStanding standing;
   private final Predicate<String> setApart;
   private final RandomGenerator random;
 
@@ -61,7 +59,7 @@
     this.speeds = speeds;
     this.reading = reading;
     this.zones = zones;
-    this.cold = cold;
+    this.standing = new UpstreamStanding(tables, cold);
     this.setApart = setApart;
     this.random = random;
   }
@@ -167,26 +165,9 @@
     return costs;
   }
 
-  /**
-   * Returns why a service has no upstream to choose, for the caller and the operator.
-   *
-   * @param service the service
-   */
-  RefusalReason reasonOfNone(String service, Instant now) {
-    boolean emptied = false;
-    boolean limited = false;
-    for (String name : tables.upstreamsOf(service)) {
-      UpstreamRecord upstream = tables.upstream(name).orElseThrow();
-      if (upstream.leaving() || tables.row(name).leaving()) {
-        continue;
-      }
-      emptied |= tables.isEmptied(upstream);
-      limited |= !tables.isEmptied(upstream) && !cold.isOpen(name, upstream, now);
-    }
-    if (limited) {
-      return RefusalReason.UPSTREAMS_COLD;
-    }
-    return emptied ? RefusalReason.ZONES_EMPTIED : RefusalReason.NO_UPSTREAM;
+  /** Returns whether upstreams may get requests. */
+  UpstreamStanding standing() {
+    return standing;
   }
 
   private HeadForecast forecast(Candidate candidate, Prompt prompt, String home, Instant now) {
@@ -242,26 +223,18 @@
 
   private List<Candidate> usable(Wanted wanted, Predicate<UpstreamRecord> fits, Instant now) {
     List<Candidate> candidates = new ArrayList<>();
-    int most = mostConnections(wanted.service());
+    int most = standing.mostConnections(wanted.service());
     for (String name : tables.upstreamsOf(wanted.service())) {
       UpstreamRecord upstream = tables.upstream(name).orElseThrow();
       UpstreamRow row = tables.row(name);
-      boolean stays = !upstream.leaving() && !row.leaving();
-      boolean usable = stays && !tables.isEmptied(upstream) && !wanted.excluded().contains(name);
-      boolean free = row.expectedLoad() < most && cold.isOpen(name, upstream, now);
-      if (usable && free && fits.test(upstream)) {
+      boolean fitting = !wanted.excluded().contains(name) && fits.test(upstream);
+      if (fitting && standing.outOf(name, upstream, row, most, now).isEmpty()) {
         candidates.add(new Candidate(name, upstream, row));
       }
     }
     return candidates;
   }
 
-  /** Returns how many connections an upstream takes; each open request has its own. */
-  private int mostConnections(String service) {
-    int most = tables.service(service).map(ServiceDefinition::maximumConnections).orElse(0);
-    return most > 0 ? most : Integer.MAX_VALUE;
-  }
-
   /**
    * Returns the upstream that keeps the shared part of the prompt: one for all zones if reading the
    * part again takes longer than the way into another zone costs, else one of the own zone.
--- a/org.oatlug/src/org/oatlug/internal/table/UpstreamRow.java
+++ b/org.oatlug/src/org/oatlug/internal/table/UpstreamRow.java
@@ -36,6 +36,7 @@
   private OptionalLong startedAtMillis = OptionalLong.empty();
   private String process;
   private Instant coldUntil = Instant.EPOCH;
+  private Instant restUntil = Instant.EPOCH;
   private final Map<Long, Boolean> prefixes = BoundedMap.ofMost(REMEMBERED_PREFIXES);
   private int inFlight;
   private int reportedRunning;
@@ -75,6 +76,21 @@
     coldUntil = moment.isAfter(coldUntil) ? moment : coldUntil;
   }
 
+  /** Takes in that the upstream wants nothing up to a moment; a later one counts. */
+  public void restUntil(Instant moment) {
+    restUntil = moment.isAfter(restUntil) ? moment : restUntil;
+  }
+
+  /** Returns for how much longer the upstream wants nothing, zero if it takes requests. */
+  public Duration restLeft(Instant now) {
+    return now.isBefore(restUntil) ? Duration.between(now, restUntil) : Duration.ZERO;
+  }
+
+  /** Returns whether the upstream wants nothing now. */
+  public boolean isResting(Instant now) {
+    return now.isBefore(restUntil);
+  }
+
   /** Returns whether the upstream bears few requests now, because it is cold. */
   public boolean isCold(Instant now) {
     return now.isBefore(coldUntil);
