--- a/org.oatlug.entry/src/org/oatlug/entry/GatewayInstance.java
+++ b/org.oatlug.entry/src/org/oatlug/entry/GatewayInstance.java
@@ -164,7 +164,16 @@
             settings.name(), membership::live, membership::knowsOfOthers, clock);
     GatewayParts parts =
         GatewayParts.create(
-            vertx, settings, clock, adapter, tables, rollouts, senders, random, meters);
+            vertx,
+            settings,
+            clock,
+            adapter,
+            tables,
+            rollouts,
+            senders,
+            () -> membership.live().size(),
+            random,
+            meters);
     GatherSystem gathering =
         GatherSystem.create(
             membership,
--- a/org.oatlug.test/tst/org/oatlug/internal/gateway/GatewayDecisionTest.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/gateway/GatewayDecisionTest.java
@@ -434,7 +434,7 @@
     int instances = 7;
     int firstTries = 100;
     for (int instance = 0; instance < instances; instance++) {
-      RetryBudgets budgets = RetryBudgets.within(bounds);
+      RetryBudgets budgets = RetryBudgets.within(bounds, () -> 7);
       for (int request = 0; request < firstTries; request++) {
         budgets.of("pool").firstTry();
         for (int attempt = 0; attempt < 3; attempt++) {
--- a/org.oatlug.test/tst/org/oatlug/internal/gateway/HeldUpFront.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/gateway/HeldUpFront.java
@@ -150,6 +150,7 @@
             tables,
             new AnyVersion(),
             ColdSenders.ALL,
+            () -> 1,
             choosing,
             Meters.of(new MetricRegistry()));
     CallerFront.create(parts, new Random(1), () -> true)
--- a/org.oatlug/src/org/oatlug/internal/gateway/GatewayParts.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/GatewayParts.java
@@ -6,6 +6,7 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpClient;
 import java.time.InstantSource;
+import java.util.function.IntSupplier;
 import java.util.random.RandomGenerator;
 import org.oatlug.gateway.DeploymentAdapter;
 import org.oatlug.gateway.GatewaySettings;
@@ -78,7 +79,11 @@
     return crashes.ledger();
   }
 
-  /** Returns the parts of an instance, made from what they are about. */
+  /**
+   * Returns the parts of an instance, made from what they are about.
+   *
+   * @param instances how many instances are believed to live, this one included
+   */
   public static GatewayParts create(
       Vertx vertx,
       GatewaySettings settings,
@@ -87,6 +92,7 @@
       GatewayTables tables,
       VersionRule versions,
       ColdSenders coldSenders,
+      IntSupplier instances,
       RandomGenerator random,
       Meters meters) {
     AnswerTimes times = AnswerTimes.create(clock);
@@ -111,7 +117,7 @@
             settings.zone(), tables, speeds, reading, zones, cold, crashes::isSetApart, random),
         ExpectedWorth.create(tables, times),
         versions,
-        RetryBudgets.within(settings.bounds()),
+        RetryBudgets.within(settings.bounds(), instances),
         OpenDeadlines.create(vertx, clock),
         TurnLine.create(clock, task -> vertx.runOnContext(unused -> task.run()), Exchange::begin),
         new ReturnSpread(random),
--- a/org.oatlug/src/org/oatlug/internal/gateway/RetryBudgets.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/RetryBudgets.java
@@ -5,6 +5,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.function.IntSupplier;
 import org.oatlug.gateway.GatewaySettings;
 import org.oatlug.internal.limit.RetryBudget;
 
@@ -31,8 +32,12 @@
     this.reserve = reserve;
   }
 
-  /** Returns budgets within the bounds of the deployment. */
-  static RetryBudgets within(GatewaySettings.Bounds bounds) {
+  /**
+   * Returns budgets within the bounds of the deployment.
+   *
+   * @param instances how many instances share the reserve
+   */
+  static RetryBudgets within(GatewaySettings.Bounds bounds, IntSupplier instances) {
     double reserve = Math.max(1, bounds.retryReserve() / RESERVE_SPLIT);
     return new RetryBudgets(bounds.retryShare() * SHARE_USED, reserve);
   }
