Split the reserve of retries by the instances there are

All upstreams of a service failed and callers' requests were repeated beyond what all instances together are allowed: 2,950 times for 2,000 requests with 95 instances, where 2,030 are.

Cause: the reserve of all was split by a fixed 14, so each further instance brought a fourteenth of it, and each restart brought it anew. A limit of all that each holds by a fixed number is wrong at every other size.

The reserve is split by the instances that membership believes to live, which include those of zones that are cut off, so the parts of a cut fleet do not grow; an instance that starts brings one try and earns the rest.

--- a/org.oatlug/src/org/oatlug/internal/limit/RetryBudget.java
+++ b/org.oatlug/src/org/oatlug/internal/limit/RetryBudget.java
@@ -3,6 +3,8 @@
 
 package org.oatlug.internal.limit;
 
+import java.util.function.DoubleSupplier;
+
 /**
  * Allows retries as a share of first tries.
  *
@@ -14,37 +16,38 @@
   private static final double RESERVE = 10;
 
   private final double share;
-  private final double reserve;
+  private final DoubleSupplier reserve;
   private double balance;
 
-  private RetryBudget(double share, double reserve) {
+  private RetryBudget(double share, DoubleSupplier reserve, double balance) {
     this.share = share;
     this.reserve = reserve;
-    this.balance = reserve;
+    this.balance = balance;
   }
 
   /** Returns a budget with its reserve. */
   public static RetryBudget create() {
-    return new RetryBudget(SHARE, RESERVE);
+    return new RetryBudget(SHARE, () -> RESERVE, RESERVE);
   }
 
   /**
-   * Returns a budget with its reserve.
+   * Returns a budget that begins with one retry; the rest of its reserve is earned by first tries.
    *
    * @param share the retries that each first try adds
-   * @param reserve the most retries that are kept for later
+   * @param reserve the most retries that are kept for later, asked for anew each time
    */
-  public static RetryBudget of(double share, double reserve) {
-    return new RetryBudget(share, reserve);
+  public static RetryBudget earned(double share, DoubleSupplier reserve) {
+    return new RetryBudget(share, reserve, 1);
   }
 
   /** Counts a first try. */
   public void firstTry() {
-    balance = Math.min(reserve, balance + share);
+    balance = Math.min(reserve.getAsDouble(), balance + share);
   }
 
   /** Takes a retry out of the budget, if it allows one. */
   public boolean takeRetry() {
+    balance = Math.min(reserve.getAsDouble(), balance);
     if (balance < 1) {
       return false;
     }
