Give engines of the chat interface the rest that they ask for

The chat interface asked an engine on that had refused a request with a time to come back, and counted the refusal as a failure, which ejected the engine after three: the same cause as for routed services, found by reading.

What the header means is one rule for both interfaces now (AskedRest). The engine's row keeps the end of the rest; the router passes it over with a reason of its own, and the look before writing asks it, too. A refusal that asks for rest is no failure.

The tests came with it, since they ask for what was not there: the refusal tells the rest (UpstreamCallerTest), and a resting engine gets nothing from any of the router's random deployments (RouterTest).

--- a/org.oatlug.test/tst/org/oatlug/internal/engine/UpstreamCallerTest.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/engine/UpstreamCallerTest.java
@@ -15,6 +15,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.oatlug.config.Upstream;
@@ -63,6 +64,34 @@
     vertx.close().toCompletionStage().toCompletableFuture().join();
   }
 
+  /** The rest that an engine asks for when it refuses was read nowhere. */
+  @Test
+  public void testRefusalTellsForHowLongTheUpstreamWantsRest() throws IOException {
+    Vertx vertx = Vertx.vertx();
+    int port = Ports.free();
+    vertx
+        .createHttpServer()
+        .requestHandler(
+            request -> request.response().setStatusCode(503).putHeader("Retry-After", "2.5").end())
+        .listen(port, "127.0.0.1")
+        .toCompletionStage()
+        .toCompletableFuture()
+        .join();
+    Upstream upstream =
+        new Upstream(
+            Upstream.Kind.ENGINE, "127.0.0.1", port, "hall-a", List.of("v1"), 1, false, false);
+    UpstreamCaller.Call call =
+        new UpstreamCaller.Call(
+            HttpMethod.POST, "/", Map.of(), Buffer.buffer("a"), true, Duration.ofSeconds(5));
+    UpstreamCaller.Attempt attempt = UpstreamCaller.Attempt.whileRight(() -> true);
+    Throwable failure =
+        failureOf(UpstreamCaller.create(vertx).send("engine", upstream, call, attempt));
+    UpstreamFailedException refused = (UpstreamFailedException) failure;
+    assertEquals(refused.progress(), UpstreamFailedException.Progress.REFUSED);
+    assertEquals(refused.rest(), Optional.of(Duration.ofMillis(2500)));
+    vertx.close().toCompletionStage().toCompletableFuture().join();
+  }
+
   private static Throwable failureOf(Future<?> answer) {
     try {
       answer.toCompletionStage().toCompletableFuture().join();
--- a/org.oatlug.test/tst/org/oatlug/adapter/AskedRestTest.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/limit/AskedRestTest.java
@@ -1,7 +1,7 @@
 // Copyright (c) 2026, the oatlug authors
 // SPDX-License-Identifier: BSD-3-Clause
 
-package org.oatlug.adapter;
+package org.oatlug.internal.limit;
 
 import static org.testng.Assert.assertEquals;
 
@@ -29,6 +29,6 @@
 
   @Test(dataProvider = "rests")
   public void testRestIsBounded(String text, Duration expected) {
-    assertEquals(WireUpstreams.restOf(text), expected);
+    assertEquals(AskedRest.of(text), expected);
   }
 }
--- a/org.oatlug.test/tst/org/oatlug/test/RouterTest.java
+++ b/org.oatlug.test/tst/org/oatlug/test/RouterTest.java
@@ -33,6 +33,7 @@
 import org.oatlug.internal.session.SessionToken;
 import org.oatlug.internal.table.Freshness;
 import org.oatlug.internal.table.Tables;
+import org.oatlug.internal.table.UpstreamRow;
 import org.oatlug.internal.util.Json;
 import org.oatlug.platform.StoredObject;
 
@@ -206,6 +207,18 @@
     assertFalse(decision.passedOver().isEmpty());
   }
 
+  /** An upstream that asked for rest gets nothing until then, whoever would choose it. */
+  @Property(seed = SEED)
+  void testUpstreamThatRestsGetsNothingUntilItHasRested(@ForAll Random random) {
+    offerRandom(random);
+    UpstreamRow row = tables.upstreams().row("engine");
+    row.restUntil(clock.instant().plusSeconds(3));
+    assertTrue(decide("both", Map.of(), random).route().isEmpty());
+    clock.advance(Duration.ofSeconds(2));
+    assertTrue(decide("both", Map.of(), random).route().isEmpty());
+    assertFalse(row.ejected(clock.instant()), "it has not failed");
+  }
+
   /** A session token verifies with an old key, for its own workspace, and not when changed. */
   @Example
   void testSessionTokenVerifiesWithOldKeyOnly() throws SessionTokenInvalidException {
--- a/org.oatlug/src/org/oatlug/errors/UpstreamFailedException.java
+++ b/org.oatlug/src/org/oatlug/errors/UpstreamFailedException.java
@@ -3,6 +3,9 @@
 
 package org.oatlug.errors;
 
+import java.time.Duration;
+import java.util.Optional;
+
 /** An upstream that could not be reached, refused or broke off. Immutable. */
 public final class UpstreamFailedException extends OatlugException {
   private static final long serialVersionUID = 1L;
@@ -21,6 +24,7 @@
 
   private final String upstream;
   private final Progress progress;
+  private final transient Optional<Duration> rest;
 
   /**
    * Creates the failure.
@@ -30,9 +34,26 @@
    * @param problem what happened
    */
   public UpstreamFailedException(String upstream, Progress progress, String problem) {
+    this(upstream, progress, problem, Optional.empty());
+  }
+
+  private UpstreamFailedException(
+      String upstream, Progress progress, String problem, Optional<Duration> rest) {
     super(ErrorText.format(ErrorText.get().upstreamFailed, upstream, problem));
     this.upstream = upstream;
     this.progress = progress;
+    this.rest = rest;
+  }
+
+  /** Returns the failure of an attempt that the upstream refused, and may want rest after. */
+  public static UpstreamFailedException refused(
+      String upstream, String problem, Optional<Duration> rest) {
+    return new UpstreamFailedException(upstream, Progress.REFUSED, problem, rest);
+  }
+
+  /** Returns for how long the upstream that refused wants nothing, empty if it does not ask. */
+  public Optional<Duration> rest() {
+    return rest;
   }
 
   /** Returns the name of the upstream. */
--- a/org.oatlug/src/org/oatlug/internal/engine/UpstreamCaller.java
+++ b/org.oatlug/src/org/oatlug/internal/engine/UpstreamCaller.java
@@ -16,10 +16,12 @@
 import io.vertx.core.http.RequestOptions;
 import java.time.Duration;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.BooleanSupplier;
 import org.oatlug.config.Upstream;
 import org.oatlug.errors.UpstreamFailedException;
 import org.oatlug.errors.UpstreamFailedException.Progress;
+import org.oatlug.internal.limit.AskedRest;
 
 /**
  * Sends one attempt to one upstream over HTTP.
@@ -33,6 +35,7 @@
   private static final int POOL_SIZE = 512;
   private static final int OK = 200;
   private static final int TOO_MANY_REQUESTS = 429;
+  private static final String RETRY_AFTER = "Retry-After";
   private static final int UNAVAILABLE = 503;
   private static final int FIRST_SERVER_ERROR = 500;
 
@@ -162,7 +165,9 @@
     int status = response.statusCode();
     if (status == UNAVAILABLE || status == TOO_MANY_REQUESTS) {
       response.resume();
-      return failed(name, Progress.REFUSED, "status " + status);
+      Optional<Duration> rest =
+          Optional.ofNullable(response.getHeader(RETRY_AFTER)).map(AskedRest::of);
+      return Future.failedFuture(UpstreamFailedException.refused(name, "status " + status, rest));
     }
     if (status >= FIRST_SERVER_ERROR && call.repeatable()) {
       response.resume();
--- a/org.oatlug/src/org/oatlug/internal/http/Forwarding.java
+++ b/org.oatlug/src/org/oatlug/internal/http/Forwarding.java
@@ -193,7 +193,11 @@
   private boolean isStillRight(Route route, UpstreamRow row) {
     Optional<Upstream> upstream = services.tables().catalogue().upstream(route.upstream());
     boolean gone = upstream.isEmpty() || upstream.get().leaving() || row.leaving();
-    return !gone && services.tables().freshness().isConfirmed() && plan.stillAllowed(route);
+    boolean rests = row.isResting(services.clock().instant());
+    return !gone
+        && !rests
+        && services.tables().freshness().isConfirmed()
+        && plan.stillAllowed(route);
   }
 
   private void routeChanged(UpstreamRow row) {
@@ -280,7 +284,7 @@
       unanswered();
       return;
     }
-    row.failed(services.clock().instant());
+    noteFailure(row, known);
     failed.add(route.upstream());
     if (known.progress() == Progress.SENT) {
       plan.attemptFailed(route);
@@ -296,6 +300,12 @@
         known.getMessage());
   }
 
+  /** One that sheds load and asks for rest has not failed, and gets the rest. */
+  private void noteFailure(UpstreamRow row, UpstreamFailedException failure) {
+    Instant now = services.clock().instant();
+    failure.rest().ifPresentOrElse(rest -> row.restUntil(now.plus(rest)), () -> row.failed(now));
+  }
+
   private boolean mayRetry(String cause) {
     boolean inTime = services.clock().instant().isBefore(request.deadline());
     if (!inTime || !services.retries().takeRetry()) {
--- a/org.oatlug/src/org/oatlug/internal/routing/Router.java
+++ b/org.oatlug/src/org/oatlug/internal/routing/Router.java
@@ -303,6 +303,9 @@
     if (request.excluded().contains(row.name())) {
       return Optional.of(Reason.UPSTREAM_FAILED_BEFORE);
     }
+    if (row.isResting(now)) {
+      return Optional.of(Reason.UPSTREAM_RESTS);
+    }
     if (row.ejected(now)) {
       return Optional.of(Reason.UPSTREAM_EJECTED);
     }
