--- a/org.oatlug.entry/src/org/oatlug/entry/GatewayInstance.java
+++ b/org.oatlug.entry/src/org/oatlug/entry/GatewayInstance.java
@@ -57,8 +57,8 @@
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
   /**
-   * How often the systems look whether something is due: as long as the least of their intervals.
-   * With 20 ms an idle instance woke up 59 times a second.
+   * How often the systems look whether something is due: as long as the least of their intervals,
+   * so that an idle instance seldom wakes up.
    */
   private static final long TICK_MILLIS = 100;
 
--- a/org.oatlug/src/org/oatlug/internal/config/ObjectSpread.java
+++ b/org.oatlug/src/org/oatlug/internal/config/ObjectSpread.java
@@ -105,8 +105,8 @@
   /** Passes on what another instance pushed to this one. */
   void pushed(Member from, List<StoredObject> changes) {
     if (!from.zone().equals(membership.self().zone())) {
-      // The root has to hear of it, too. With the own children alone, half of a zone whose readers
-      // the store turned away knew up to 540 ms late and the last instance 3 s late (virtual time).
+      // The root has to hear of it, too: the own children alone are only a part of the zone, and
+      // the rest would wait for digests.
       brought(changes);
       return;
     }
@@ -153,8 +153,7 @@
    */
   private void pushTo(
       SpreadTrees over, String name, Optional<Member> peer, List<StoredObject> changes) {
-    // Those below a silent instance would wait for digests: with 3 silent ones among 23, 1 in 10
-    // waited 535 ms and the last one 3.3 s (virtual time).
+    // Those below a silent instance would wait for digests.
     Runnable passOver = () -> push(over, changes, change -> over.childrenOf(change, name));
     if (peer.isEmpty()) {
       passOver.run();
--- a/org.oatlug/src/org/oatlug/internal/config/ReaderRole.java
+++ b/org.oatlug/src/org/oatlug/internal/config/ReaderRole.java
@@ -22,7 +22,7 @@
  *
  * <p>The first instances by rank do. One of them that the platform fails asks another instance of
  * the zone, and then the next ones, to read in its place: without that a zone that was cut off from
- * the others learned nothing while both its readers were turned away, though 21 of 23 instances
+ * the others learned nothing while both its readers were turned away, though the other instances
  * reached the store. An instance that has just started reads everything once for itself and meets
  * the others before it may be a reader. Invariant: who reads in another's place reached the
  * platform when it took that over, and ends it by itself unless it is asked again. Owned by one
@@ -46,9 +46,8 @@
 
   /**
    * How long an instance that starts meets the others of its zone before it may be a reader. When
-   * all of 95 instances started at once, each watched the store like a reader meanwhile: 1,802
-   * calls, and fewer than 380 with this (virtual time, 42 upstreams registered during the start).
-   * Less than the time for which leaving upstreams serve on, as nothing new is read meanwhile.
+   * all start at once, each would watch the store like a reader meanwhile. Less than the time for
+   * which leaving upstreams serve on, as nothing new is read meanwhile.
    */
   private static final Duration MEETING = Duration.ofMillis(1200);
 
--- a/org.oatlug/src/org/oatlug/internal/gateway/AnswerTimes.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/AnswerTimes.java
@@ -27,7 +27,7 @@
 
   /**
    * The least patience for the head of an answer, as a share of the route's goal. Less than the
-   * whole goal asks sound upstreams twice: half of it cost 0.048 of the worth of a quiet day.
+   * whole goal asks sound upstreams twice.
    */
   private static final double LEAST_SHARE_OF_GOAL = 1.25;
 
--- a/org.oatlug/src/org/oatlug/internal/gateway/ExchangeAttempt.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/ExchangeAttempt.java
@@ -175,9 +175,9 @@
 
   /**
    * Looks at the caller and at the entry of the upstream once more. The caller of a busy instance
-   * may have left unnoticed: after a loss of power on 0.12 cores, 52 of 2,300 requests were sent on
-   * up to 2.6 s later. The upstream may have begun to leave while the connection was opened, which
-   * takes up to 400 ms and longer in a process that stood still.
+   * may have left unnoticed, and its request would be sent on for nobody. The upstream may have
+   * begun to leave or asked for rest while the connection was opened, which takes long in a process
+   * that stood still.
    */
   @Override
   public boolean maySend() {
--- a/org.oatlug/src/org/oatlug/internal/gateway/ExpectedWorth.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/ExpectedWorth.java
@@ -21,13 +21,10 @@
  * not thread-safe.
  */
 final class ExpectedWorth implements StageRule {
-  /**
-   * The confidence at which an answer is as often good as not, a choice between 38 and 47: on one
-   * deployment these gave the same mean worth over five days with faults (0.582, one run a day).
-   */
+  /** The confidence at which an answer is as often good as not. */
   private static final double EVEN_CONFIDENCE = 43;
 
-  /** How much confidence makes an answer surer, as the scale of a logistic; best of the trials. */
+  /** How much confidence makes an answer surer, as the scale of a logistic. */
   private static final double CONFIDENCE_SCALE = 8;
 
   /** What a late answer is worth, as a share of one in time; from the deployments' sheets. */
@@ -53,8 +50,7 @@
 
   /**
    * What reading for as long as the goal of the request costs others, as a share of its worth: they
-   * wait behind it. With 1.5 the mean worth of five days with faults on slow engines was 0.573,
-   * with none 0.519, one run a day; from 1.5 to 3 it hardly moved (0.582).
+   * wait behind it.
    */
   private static final double READING_LOSS = 2.0;
 
--- a/org.oatlug/src/org/oatlug/internal/gateway/StartGate.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/StartGate.java
@@ -13,7 +13,7 @@
  * Whether an instance that starts knows enough to serve: the configuration, the orders for
  * versions, and, while a version is brought in, the sessions that the others have seen.
  *
- * <p>One that served as soon as it had a configuration sent 20 of 20 sessions to the new version
+ * <p>One that served as soon as it had a configuration would send sessions to the new version
  * before it knew of the order for it. Invariants: it never closes once it is open; it opens {@link
  * #PATIENCE} after the configuration at the latest, so that a fleet that cannot read the orders
  * serves all the same. Owned by one event loop, not thread-safe.
--- a/org.oatlug/src/org/oatlug/internal/gather/ToldZones.java
+++ b/org.oatlug/src/org/oatlug/internal/gather/ToldZones.java
@@ -20,10 +20,7 @@
  * loop, not thread-safe.
  */
 final class ToldZones {
-  /**
-   * The pause between two messages to a zone: 0.003 to 0.007 of the worth of a day with this pause
-   * and all instances telling each other, three days, one run each.
-   */
+  /** The pause between two messages to a zone, because bytes between zones have a price. */
   private static final Duration PAUSE = Duration.ofMillis(300);
 
   private final SessionLog sessions;
--- a/org.oatlug/src/org/oatlug/internal/limit/TurnLine.java
+++ b/org.oatlug/src/org/oatlug/internal/limit/TurnLine.java
@@ -16,12 +16,11 @@
  *
  * <p>Load pattern: an instance that has just started after a loss of all gets what its callers sent
  * meanwhile, and works on each request in several steps of its event loop. When all begin at once,
- * each step of each waits for a step of all others: connections that were asked for at 50.05 s were
- * open at 52.17 s, when 12 of 13 callers had left, and no answer came in time for 14 s. With one
- * begun in a turn of the loop it goes through its steps without the others; with the newest first
- * once the oldest waits for long, those that still can be in time are, and those that cannot do not
- * delay them. Turns and not open connections are counted, because a way that is cut keeps
- * connections opening for as long as that lasts.
+ * each step of each waits for a step of all others, and most callers have left before the first
+ * answer. With one begun in a turn of the loop it goes through its steps without the others; with
+ * the newest first once the oldest waits for long, those that still can be in time are, and those
+ * that cannot do not delay them. Turns and not open connections are counted, because a way that is
+ * cut keeps connections opening for as long as that lasts.
  *
  * <p>Invariants: one request at most begins in a turn of the event loop, which takes less than a
  * millisecond where nothing is choked; one that can no longer be served takes no turn. Owned by one
--- a/org.oatlug/src/org/oatlug/internal/membership/MemberView.java
+++ b/org.oatlug/src/org/oatlug/internal/membership/MemberView.java
@@ -12,8 +12,8 @@
  * The live instances as one instance sees them, sorted out by availability zone. Immutable,
  * thread-safe.
  *
- * <p>Drawn once for each change of the members: asked for on each tick, the rank alone took 160
- * hashes of names in a zone of 19 instances.
+ * <p>Drawn once for each change of the members, because each tick asks for it and a rank takes
+ * several hashes of names.
  *
  * @param live all that are believed to live, the own one included
  * @param zonePeers the others of the own zone
--- a/org.oatlug/src/org/oatlug/internal/routing/PlacementCost.java
+++ b/org.oatlug/src/org/oatlug/internal/routing/PlacementCost.java
@@ -21,8 +21,7 @@
 
   /**
    * What a kilobyte of a prompt costs on its way into another zone, in milliseconds: bytes between
-   * zones have a price, a long wait costs most of what an answer is worth. Between 24 and 100 the
-   * worth of a calm day hardly moved (0.663 and 0.680, one run each).
+   * zones have a price, a long wait costs most of what an answer is worth.
    */
   private static final double OTHER_ZONE_MILLIS_PER_KILOBYTE = 50;
 
@@ -39,7 +38,7 @@
 
   /**
    * What an upstream costs more that fails every request, in milliseconds: a failure takes an
-   * attempt, its time and a part of the retry budget. Measured on days with failing upstreams.
+   * attempt, its time and a part of the retry budget.
    */
   private static final double FAILING_MILLIS = 800;
 
@@ -49,10 +48,7 @@
    */
   private static final double COLD_MILLIS = FULL_LOAD_MILLIS;
 
-  /**
-   * How often the reading of a prompt counts: for the request itself and for those behind it. The
-   * mean worth of five days with faults was 0.528 with two, 0.518 with one and 0.513 with four.
-   */
+  /** How often the reading of a prompt counts: for the request itself and for those behind it. */
   private static final double READING_WEIGHT = 2;
 
   private PlacementCost() {}
