Drop what is held against requests once it is too old

A ledger that held anything stayed non-empty for good, because what was too old fell out only when somebody asked for that very request; each request was then hashed and looked up. It is looked through each ten seconds now, and one that has nothing new answers so at once. Found by reading; the test failed before.

--- a/org.oatlug.test/tst/org/oatlug/internal/crash/CrashLedgerTest.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/crash/CrashLedgerTest.java
@@ -128,6 +128,15 @@
     assertTrue(ledger.isEmpty());
   }
 
+  @Test
+  public void testNothingIsLeftOfWhatIsTooOldThoughNobodyAsksForIt() {
+    endsUnder(GUILTY, 3);
+    endsUnder(ledger, fingerprint("another"), "i-7");
+    assertFalse(ledger.isEmpty());
+    time.run(CrashLedger.VALID.plusMillis(1));
+    assertTrue(ledger.isEmpty());
+  }
+
   @Test
   public void testOperatorLetsItRunAgainEverywhere() {
     endsUnder(GUILTY, 3);
--- a/org.oatlug/src/org/oatlug/internal/crash/CrashLedger.java
+++ b/org.oatlug/src/org/oatlug/internal/crash/CrashLedger.java
@@ -50,12 +50,16 @@
   /** Requests that ended well while something was held against others. */
   private static final int MOST_HARMLESS = 4096;
 
+  /** How often requests are looked through that may have become too old to count. */
+  private static final Duration PURGE_PAUSE = Duration.ofSeconds(10);
+
   /** At most a line each so many milliseconds tells of suspects. */
   private static final int LINES_MILLIS = 20;
 
   private final InstantSource clock;
   private final Map<String, EndedRuns> requests = new HashMap<>();
   private final Map<String, Instant> harmless = BoundedMap.ofMost(MOST_HARMLESS);
+  private Instant nextPurge = Instant.EPOCH;
   private long revision;
   private long suspectsRevision;
 
@@ -90,11 +94,21 @@
     return new CrashLedger(clock);
   }
 
-  /** Returns whether nothing is held against any request. */
+  /** Returns whether nothing is held against any request; asked for each, so it is quick. */
   public boolean isEmpty() {
+    if (!requests.isEmpty() && !clock.instant().isBefore(nextPurge)) {
+      purge();
+    }
     return requests.isEmpty();
   }
 
+  /** Drops what is too old to count. */
+  private void purge() {
+    Instant now = clock.instant();
+    nextPurge = now.plus(PURGE_PAUSE);
+    requests.values().removeIf(runs -> runs.forgetBefore(now.minus(VALID)));
+  }
+
   /** Returns what is held of a request now. */
   public Verdict verdict(String fingerprint) {
     return find(fingerprint).map(CrashLedger::verdictOf).orElse(Verdict.CLEAR);
@@ -181,8 +195,7 @@
   }
 
   private void makeRoom() {
-    Instant least = clock.instant().minus(VALID);
-    requests.values().removeIf(runs -> runs.forgetBefore(least));
+    purge();
     if (requests.size() < MOST_REQUESTS) {
       return;
     }
@@ -218,6 +231,9 @@
 
   /** Returns the records that changed after a revision, the earliest first. */
   public CrashNews after(long read) {
+    if (read >= revision) {
+      return new CrashNews(List.of(), revision);
+    }
     Instant now = clock.instant();
     List<Map.Entry<String, EndedRuns>> fresh =
         requests.entrySet().stream()
--- a/org.oatlug/src/org/oatlug/internal/gather/ToldCrashes.java
+++ b/org.oatlug/src/org/oatlug/internal/gather/ToldCrashes.java
@@ -3,7 +3,6 @@
 
 package org.oatlug.internal.gather;
 
-import java.util.List;
 import java.util.Map;
 import org.oatlug.internal.crash.CrashLedger;
 import org.oatlug.internal.crash.CrashNews;
@@ -41,9 +40,7 @@
 
   /** Returns what the process has not been told. */
   CrashNews newsFor(Member peer) {
-    return isBehind(peer)
-        ? ledger.after(told.getOrDefault(peer.process(), 0L))
-        : new CrashNews(List.of(), ledger.revision());
+    return ledger.after(told.getOrDefault(peer.process(), 0L));
   }
 
   /** Notes that the process confirmed what it was told. */
