Keep no row for a name that only an answer knows

An answer may come from another upstream than the one that was asked, and names it; only those that are registered are marked as leaving, so that answers cannot make rows without end. Found by reading. Two tests of the caller share how they send.

--- a/org.oatlug.test/tst/org/oatlug/internal/engine/UpstreamCallerTest.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/engine/UpstreamCallerTest.java
@@ -18,6 +18,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.BooleanSupplier;
 import org.oatlug.config.Upstream;
 import org.oatlug.errors.UpstreamFailedException;
 import org.oatlug.test.Ports;
@@ -47,16 +48,7 @@
         .toCompletionStage()
         .toCompletableFuture()
         .join();
-    Upstream upstream =
-        new Upstream(
-            Upstream.Kind.ENGINE, "127.0.0.1", port, "hall-a", List.of("v1"), 1, false, false);
-    UpstreamCaller.Call call =
-        new UpstreamCaller.Call(
-            HttpMethod.POST, "/", Map.of(), Buffer.buffer("a"), true, Duration.ofSeconds(5));
-    UpstreamCaller.Attempt attempt = UpstreamCaller.Attempt.whileRight(() -> false);
-    Future<HttpClientResponse> answer =
-        UpstreamCaller.create(vertx).send("engine", upstream, call, attempt);
-    Throwable failure = failureOf(answer);
+    Throwable failure = failureOf(send(vertx, port, () -> false));
     assertTrue(failure instanceof UpstreamFailedException, String.valueOf(failure));
     assertEquals(
         ((UpstreamFailedException) failure).progress(), UpstreamFailedException.Progress.NOT_SENT);
@@ -77,19 +69,22 @@
         .toCompletionStage()
         .toCompletableFuture()
         .join();
+    Throwable failure = failureOf(send(vertx, port, () -> true));
+    UpstreamFailedException refused = (UpstreamFailedException) failure;
+    assertEquals(refused.progress(), UpstreamFailedException.Progress.REFUSED);
+    assertEquals(refused.rest(), Optional.of(Duration.ofMillis(2500)));
+    vertx.close().toCompletionStage().toCompletableFuture().join();
+  }
+
+  private static Future<HttpClientResponse> send(Vertx vertx, int port, BooleanSupplier right) {
     Upstream upstream =
         new Upstream(
             Upstream.Kind.ENGINE, "127.0.0.1", port, "hall-a", List.of("v1"), 1, false, false);
     UpstreamCaller.Call call =
         new UpstreamCaller.Call(
             HttpMethod.POST, "/", Map.of(), Buffer.buffer("a"), true, Duration.ofSeconds(5));
-    UpstreamCaller.Attempt attempt = UpstreamCaller.Attempt.whileRight(() -> true);
-    Throwable failure =
-        failureOf(UpstreamCaller.create(vertx).send("engine", upstream, call, attempt));
-    UpstreamFailedException refused = (UpstreamFailedException) failure;
-    assertEquals(refused.progress(), UpstreamFailedException.Progress.REFUSED);
-    assertEquals(refused.rest(), Optional.of(Duration.ofMillis(2500)));
-    vertx.close().toCompletionStage().toCompletableFuture().join();
+    UpstreamCaller.Attempt attempt = UpstreamCaller.Attempt.whileRight(right);
+    return UpstreamCaller.create(vertx).send("engine", upstream, call, attempt);
   }
 
   private static Throwable failureOf(Future<?> answer) {
--- a/org.oatlug/src/org/oatlug/internal/gateway/AttemptFeedback.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/AttemptFeedback.java
@@ -107,10 +107,17 @@
     chosen.row().restUntil(now().plus(rest));
   }
 
-  /** Marks who answered as leaving; another upstream may have the address by now. */
+  /**
+   * Marks who answered as leaving; another upstream may have the address by now. A name that nobody
+   * registered is not kept.
+   */
   private void saidLeaving(AnswerHead head) {
     String name = head.answeredBy().orElse(chosen.name());
-    UpstreamRow row = name.equals(chosen.name()) ? chosen.row() : parts.tables().row(name);
+    boolean isChosen = name.equals(chosen.name());
+    if (!isChosen && parts.tables().upstream(name).isEmpty()) {
+      return;
+    }
+    UpstreamRow row = isChosen ? chosen.row() : parts.tables().row(name);
     if (!row.leaving()) {
       parts.meters().count("upstream.said-leaving");
       logger.atInfo().log("upstream %s says in an answer that it leaves", name);
