Let the test of rests wait until the upstream is asked again

Traced: the look for "asked again" asserted inside the wait, which only passes over exceptions, so its first 60 requests decided. An upstream that has refused is asked less for some seconds since refusals count in the placement, and 60 requests pass sooner than that. It waits for the state now, with the same bound as all tests, and checks the same.

--- a/org.oatlug.test/tst/org/oatlug/test/UpstreamSaysProcessTest.java
+++ b/org.oatlug.test/tst/org/oatlug/test/UpstreamSaysProcessTest.java
@@ -51,11 +51,15 @@
 
   /** Sends until an upstream has been asked once more than before. */
   private void sendUntilAsked(UpstreamStandin upstream) throws IOException {
+    assertTrue(isAsked(upstream), upstream.name() + " was never asked");
+  }
+
+  private boolean isAsked(UpstreamStandin upstream) throws IOException {
     int before = upstream.arrivals().size();
     for (int round = 0; round < ROUNDS && upstream.arrivals().size() == before; round++) {
       send(SampleObjects.REPEATABLE + round);
     }
-    assertTrue(upstream.arrivals().size() > before, upstream.name() + " was never asked");
+    return upstream.arrivals().size() > before;
   }
 
   private int arrivalsOf(UpstreamStandin upstream, String path) throws IOException {
@@ -117,23 +121,13 @@
     first.setBehaviour(Behaviour.REFUSES);
     first.setRest("0.05");
     sendUntilAsked(first);
-    Await.until(
-        "asked again",
-        () -> {
-          sendUntilAsked(first);
-          return true;
-        });
+    Await.until("asked again", () -> isAsked(first));
     first.setRest("600");
-    sendUntilAsked(first);
+    Await.until("it asks for a long rest", () -> isAsked(first));
     first.setBehaviour(Behaviour.SOUND);
     cluster.store.put("servers", "i-1", cluster.entryOf("i-1").put("born", 5));
     cluster.store.put("servers", "i-1", cluster.entryOf("i-1").put("born", 7));
-    Await.until(
-        "the other start is asked",
-        () -> {
-          sendUntilAsked(first);
-          return true;
-        });
+    Await.until("the other start is asked", () -> isAsked(first));
   }
 
   @Test
