--- a/org.oatlug.test/tst/org/oatlug/test/CrashingRequestProcessTest.java
+++ b/org.oatlug.test/tst/org/oatlug/test/CrashingRequestProcessTest.java
@@ -8,13 +8,18 @@
 import static org.testng.Assert.assertTrue;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.io.PrintStream;
 import java.net.http.HttpRequest;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import org.oatlug.adapter.standin.SampleObjects;
 import org.oatlug.adapter.standin.UpstreamStandin.Behaviour;
+import org.oatlug.pgm.ExitCode;
+import org.oatlug.pgm.Oatlug;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -115,6 +120,16 @@
     }
   }
 
+  /** Calls the command line for the first instance and returns what it prints. */
+  private String command(String... words) {
+    List<String> all = new ArrayList<>(List.of(words));
+    all.addAll(List.of("--instance", "127.0.0.1:" + cluster.metricsPort(0)));
+    ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+    PrintStream out = new PrintStream(bytes, true, StandardCharsets.UTF_8);
+    assertEquals(Oatlug.run(all.toArray(new String[0]), out, out), ExitCode.OK);
+    return bytes.toString(StandardCharsets.UTF_8);
+  }
+
   @Test
   public void testOperatorSeesWhatIsRefusedAndLetsItRunAgain() throws IOException {
     awaitRefusalAt(0);
@@ -122,9 +137,11 @@
     assertTrue(shown.contains("REFUSED"), shown);
     JsonNode listed = Http.get(cluster.metricsPort(0), "/status").json().path("heldRequests");
     String fingerprint = listed.path(0).path("fingerprint").asText();
+    assertTrue(command("status").contains("refused of desk"), command("status"));
+    assertTrue(command("let-run", fingerprint).contains("runs again"));
+    assertTrue(command("let-run", fingerprint).contains("is not held"));
     String path = "/let-run?request=" + fingerprint;
-    assertEquals(Http.put(cluster.metricsPort(0), path, "").status(), 200);
-    assertEquals(Http.put(cluster.metricsPort(0), path, "").status(), 404);
+    assertEquals(Http.get(cluster.metricsPort(0), path).status(), 404, "looking does nothing");
     int crashed = cluster.crashes();
     sendGuilty(0);
     assertTrue(cluster.crashes() > crashed, "it does not run again");
