Let the look before writing ask the same rule as the choice

What an upstream may have become while a connection was opened stood twice, once for the choice and once before the write. It is asked of UpstreamStanding now, which also names the reason for the log and the cause for the counter. Behaviour stays: the own place and the own permit of the request are its already, so full and cold upstreams are not asked there.

--- a/org.oatlug/src/org/oatlug/internal/gateway/ExchangeAttempt.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/ExchangeAttempt.java
@@ -20,6 +20,7 @@
 import org.oatlug.gateway.WorkspaceKeys;
 import org.oatlug.internal.crash.CrashLedger.Verdict;
 import org.oatlug.internal.engine.HeadForecast;
+import org.oatlug.internal.gateway.UpstreamStanding.Out;
 import org.oatlug.internal.routing.Urgency;
 
 /**
@@ -196,17 +197,13 @@
     if (exchange.guarded().verdict() == Verdict.REFUSED) {
       return withhold("upstreams end under it", "crashes-upstreams");
     }
-    if (parts.tables().isLeaving(chosen.name())) {
-      return withhold("the upstream leaves", "upstream-leaves");
+    Optional<Out> out =
+        parts.selection().standing().turnedOut(chosen.name(), parts.clock().instant());
+    if (out.isEmpty() && !feedback.mayWrite()) {
+      out = Optional.of(Out.COLD);
     }
-    if (chosen.row().isResting(parts.clock().instant())) {
-      return withhold("the upstream wants rest", "upstream-rests");
-    }
-    if (parts.tables().isEmptied(chosen.name())) {
-      return withhold("its zone is emptied", "zone-emptied");
-    }
-    if (!feedback.mayWrite()) {
-      return withhold("the upstream turned cold", "upstream-cold");
+    if (out.isPresent()) {
+      return withhold(out.get().reason(), out.get().cause());
     }
     // The machine may have been suspended while the connection was opened.
     parts.adapter().upstreams().addTerms(headers, terms());
--- a/org.oatlug/src/org/oatlug/internal/gateway/UpstreamStanding.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/UpstreamStanding.java
@@ -38,15 +38,41 @@
   /** Why an upstream gets nothing. */
   enum Out {
     /** It said that it leaves, in its entry or in an answer, or is gone. */
-    LEAVES,
+    LEAVES("the upstream leaves", "upstream-leaves"),
     /** Its availability zone is being emptied. */
-    ZONE_EMPTIED,
+    ZONE_EMPTIED("its zone is emptied", "zone-emptied"),
     /** It refused a request and asked for rest. */
-    RESTS,
-    /** It has just started and its allowance is used. */
-    COLD,
+    RESTS("the upstream wants rest", "upstream-rests"),
     /** All its connections are in use. */
-    FULL
+    FULL("the upstream is full", "upstream-full"),
+    /** It has just started and its allowance is used. */
+    COLD("the upstream turned cold", "upstream-cold");
+
+    private final String reason;
+    private final String cause;
+
+    Out(String reason, String cause) {
+      this.reason = reason;
+      this.cause = cause;
+    }
+
+    /** Returns the reason in words, for the log. */
+    String reason() {
+      return reason;
+    }
+
+    /** Returns the cause under which a request that goes elsewhere is counted. */
+    String cause() {
+      return cause;
+    }
+  }
+
+  /**
+   * Returns why a request that was about to be written goes elsewhere: the upstream may have gone
+   * out while the connection to it was opened. The request's own place and permit are its already.
+   */
+  Optional<Out> turnedOut(String name, Instant now) {
+    return outOf(name, now).filter(out -> out != Out.FULL && out != Out.COLD);
   }
 
   /** Returns why the upstream gets nothing now, empty if it may be sent to. */
