Write a line when a request is no longer held

A line tells each change of what a request is held for now, also back to clear. A method of a message that nobody called went out with it, which the codec had put on the wire as a field. Found by reading.

--- a/org.oatlug/src/org/oatlug/internal/crash/CrashLedger.java
+++ b/org.oatlug/src/org/oatlug/internal/crash/CrashLedger.java
@@ -208,12 +208,13 @@
 
   private void changed(String fingerprint, EndedRuns runs, String reason) {
     Optional.ofNullable(harmless.get(fingerprint)).ifPresent(runs::clear);
-    runs.changedAt(++revision);
     Verdict verdict = verdictOf(runs);
-    if (verdict == Verdict.CLEAR) {
+    Verdict before = runs.judge(verdict, ++revision);
+    if (verdict != Verdict.CLEAR) {
+      suspectsRevision = revision;
+    } else if (before == Verdict.CLEAR) {
       return;
     }
-    suspectsRevision = revision;
     logger.atInfo().atMostEvery(LINES_MILLIS, TimeUnit.MILLISECONDS).log(
         "request %s of %s is held %s: upstreams that ended under it %s, in turn %d; %s",
         fingerprint, runs.subject(), verdict, runs.processes(), runs.endsInTurn(), reason);
--- a/org.oatlug/src/org/oatlug/internal/crash/CrashNews.java
+++ b/org.oatlug/src/org/oatlug/internal/crash/CrashNews.java
@@ -19,9 +19,4 @@
   public CrashNews {
     records = records == null ? List.of() : records;
   }
-
-  /** Returns whether there is nothing new. */
-  public boolean isEmpty() {
-    return records.isEmpty();
-  }
 }
--- a/org.oatlug/src/org/oatlug/internal/crash/EndedRuns.java
+++ b/org.oatlug/src/org/oatlug/internal/crash/EndedRuns.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import org.oatlug.internal.crash.CrashLedger.Verdict;
 
 /**
  * The runs of one request under which upstreams ended, and when it was last known to be harmless.
@@ -23,6 +24,7 @@
   private final Map<String, Run> runs = new TreeMap<>();
   private Optional<Instant> cleared = Optional.empty();
   private long revision;
+  private Verdict judged = Verdict.CLEAR;
 
   private record Run(Instant began, Instant ended) {}
 
@@ -38,8 +40,12 @@
     return revision;
   }
 
-  void changedAt(long newRevision) {
+  /** Takes in what the runs amount to after a change; returns what they did before. */
+  Verdict judge(Verdict verdict, long newRevision) {
+    Verdict before = judged;
+    judged = verdict;
     revision = newRevision;
+    return before;
   }
 
   /** Adds a run, the oldest give way; returns whether its upstream's end is kept and is new. */
