Say host where the platform's word for instances stood

The whole tests failed on: PlatformWordsTest found ten lines with a word of the platform outside the adapter, all in comments and log lines of the mend of suspensions, which had been tested by chosen tests only. They say host.

--- a/org.oatlug/src/org/oatlug/internal/gateway/ExchangeAttempt.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/ExchangeAttempt.java
@@ -205,7 +205,7 @@
     if (out.isPresent()) {
       return withhold(out.get().reason(), out.get().cause());
     }
-    // The machine may have been suspended while the connection was opened.
+    // The host may have been suspended while the connection was opened.
     parts.adapter().upstreams().addTerms(headers, terms());
     return true;
   }
--- a/org.oatlug/src/org/oatlug/internal/gateway/GatewayParts.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/GatewayParts.java
@@ -120,7 +120,7 @@
         RetryBudgets.within(settings.bounds(), instances),
         OpenDeadlines.create(vertx, clock),
         TurnLine.create(clock, task -> vertx.runOnContext(unused -> task.run()), Exchange::begin),
-        new ReturnSpread(random),
+        ReturnSpread.by(random),
         times,
         HeldBytes.create(),
         LogLimit.create(clock, meters),
--- a/org.oatlug/src/org/oatlug/internal/gateway/OpenDeadlines.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/OpenDeadlines.java
@@ -14,9 +14,9 @@
 /**
  * The timers of the deadlines of open requests.
  *
- * <p>Timers go by the steady clock, which a suspended machine does not count: after a suspension
- * they would end late by its length. Invariant: what is due is done once, unless it is cancelled
- * before. Used from one event loop.
+ * <p>Timers go by the steady clock, which a suspended host does not count: after a suspension they
+ * would end late by its length. Invariant: what is due is done once, unless it is cancelled before.
+ * Used from one event loop.
  */
 final class OpenDeadlines {
   private final Vertx vertx;
--- a/org.oatlug/src/org/oatlug/internal/gateway/ReturnSpread.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/ReturnSpread.java
@@ -22,10 +22,15 @@
 
   private final RandomGenerator random;
 
-  ReturnSpread(RandomGenerator random) {
+  private ReturnSpread(RandomGenerator random) {
     this.random = random;
   }
 
+  /** Returns a spread that draws from the source of chance. */
+  static ReturnSpread by(RandomGenerator random) {
+    return new ReturnSpread(random);
+  }
+
   /** Returns a moment at or after the end of the wait. */
   Duration after(Duration wait) {
     long share = (long) (wait.toMillis() * SPREAD_SHARE);
--- a/org.oatlug/src/org/oatlug/internal/gateway/UpstreamSelection.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/UpstreamSelection.java
@@ -59,7 +59,7 @@
     this.speeds = speeds;
     this.reading = reading;
     this.zones = zones;
-    this.standing = new UpstreamStanding(tables, cold);
+    this.standing = UpstreamStanding.of(tables, cold);
     this.setApart = setApart;
     this.random = random;
   }
--- a/org.oatlug/src/org/oatlug/internal/gateway/UpstreamStanding.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/UpstreamStanding.java
@@ -30,11 +30,16 @@
   private final GatewayTables tables;
   private final ColdGate cold;
 
-  UpstreamStanding(GatewayTables tables, ColdGate cold) {
+  private UpstreamStanding(GatewayTables tables, ColdGate cold) {
     this.tables = tables;
     this.cold = cold;
   }
 
+  /** Returns the standing of the upstreams in the tables. */
+  static UpstreamStanding of(GatewayTables tables, ColdGate cold) {
+    return new UpstreamStanding(tables, cold);
+  }
+
   /** Why an upstream gets nothing. */
   enum Out {
     /** It said that it leaves, in its entry or in an answer, or is gone. */
--- a/org.oatlug/src/org/oatlug/internal/util/MonotonicClock.java
+++ b/org.oatlug/src/org/oatlug/internal/util/MonotonicClock.java
@@ -13,11 +13,11 @@
 
 /**
  * A clock that starts at the system's time, never runs back, and jumps only over the time for which
- * the machine was suspended.
+ * the host was suspended.
  *
  * <p>The steady clock does not count a suspension; what was known before would seem as young after
  * it. So it is compared with the time of day, and when the two part, with the time since boot: the
- * machine was suspended if both say so alike, and else the time of day was set. Invariant: it never
+ * host was suspended if both say so alike, and else the time of day was set. Invariant: it never
  * runs back. Thread-safe.
  */
 public final class MonotonicClock implements InstantSource {
@@ -59,9 +59,9 @@
   /**
    * Returns a clock over other ones.
    *
-   * @param steadyNanos the steady clock, in nanoseconds, which a suspended machine does not count
+   * @param steadyNanos the steady clock, in nanoseconds, which a suspended host does not count
    * @param timeOfDay the time of day, which may be set
-   * @param sinceBoot the time since the machine was started, suspensions included, if it is known
+   * @param sinceBoot the time since the host was started, suspensions included, if it is known
    */
   public static MonotonicClock of(
       LongSupplier steadyNanos, InstantSource timeOfDay, Supplier<Optional<Duration>> sinceBoot) {
@@ -99,7 +99,7 @@
         bootAhead.flatMap(boot -> bootBefore.map(boot::minus)).filter(one -> isAlike(one, jump));
     if (suspended.isPresent()) {
       suspendedNanos += suspended.get().toNanos();
-      logger.atWarning().log("the machine was suspended for %d millis", suspended.get().toMillis());
+      logger.atWarning().log("the host was suspended for %d millis", suspended.get().toMillis());
     } else {
       logger.atWarning().log("the time of day was set by %d millis", jump.toMillis());
     }
--- a/org.oatlug/src/org/oatlug/internal/util/Uptime.java
+++ b/org.oatlug/src/org/oatlug/internal/util/Uptime.java
@@ -11,7 +11,7 @@
 import java.time.Duration;
 import java.util.Optional;
 
-/** Reads for how long the machine has run, suspensions included. Stateless, thread-safe. */
+/** Reads for how long the host has run, suspensions included. Stateless, thread-safe. */
 final class Uptime {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final Path FILE = Path.of("/proc/uptime");
@@ -21,12 +21,12 @@
 
   private Uptime() {}
 
-  /** Returns the time since the machine was started, empty if the system does not tell. */
+  /** Returns the time since the host was started, empty if the system does not tell. */
   static Optional<Duration> read() {
     try {
       return Optional.of(parse(Files.readString(FILE)));
     } catch (IOException | NumberFormatException e) {
-      logger.atWarning().log("the time since the machine started cannot be read: %s", e);
+      logger.atWarning().log("the time since the host started cannot be read: %s", e);
       return Optional.empty();
     }
   }
