--- a/org.oatlug/src/org/oatlug/gateway/AnswerHead.java
+++ b/org.oatlug/src/org/oatlug/gateway/AnswerHead.java
@@ -5,6 +5,7 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 
@@ -21,6 +22,8 @@
  * @param leaving whether the upstream says that it is about to go
  * @param rest for how long the upstream that refused wants nothing from this instance; empty if it
  *     does not ask
+ * @param limitPerSecond the requests a second that the upstream takes from all instances together;
+ *     empty if it names no limit
  */
 public record AnswerHead(
     int status,
@@ -31,7 +34,8 @@
     OptionalLong coldMillis,
     Optional<String> answeredBy,
     boolean leaving,
-    Optional<Duration> rest) {
+    Optional<Duration> rest,
+    OptionalDouble limitPerSecond) {
 
   /** What an upstream says of the request. */
   public enum Verdict {
--- a/org.oatlug/src/org/oatlug/internal/gateway/AttemptFeedback.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/AttemptFeedback.java
@@ -97,6 +97,7 @@
                 parts.tables().loads().report(chosen.row(), load.running(), load.waiting(), false));
     head.coldMillis().ifPresent(millis -> chosen.row().coldUntil(now().plusMillis(millis)));
     head.rest().ifPresent(this::askedForRest);
+    head.limitPerSecond().ifPresent(limit -> namedLimit(limit, head));
     if (head.leaving()) {
       saidLeaving(head);
     }
@@ -107,6 +108,16 @@
     chosen.row().restUntil(now().plus(rest));
   }
 
+  private void namedLimit(double limit, AnswerHead head) {
+    parts.meters().count("upstream.named-limit");
+    parts
+        .logLimit()
+        .line(logger, incoming.head().id())
+        .log(
+            "upstream %s names a limit of %s requests a second",
+            head.answeredBy().orElse(process), limit);
+  }
+
   /**
    * Marks who answered as leaving; another upstream may have the address by now. A name that nobody
    * registered is not kept.
