Keep all instances together to the limit that an upstream advertises

Cause: the header was read nowhere. At one instance alone 28 of 60 requests went to the upstream in 0.4 s, as before it named the limit. An instance that kept the limit for itself would not have been enough: it holds for all together.

- AdvertisedLimits keeps what the answers of each start of an upstream say, and the accounts that instances exchange anyway carry what each observed itself.
An upstream with a limit has a sender for every two requests a second, by rank among the live instances of its zone, or of all zones if it has none; the others skip it.
Each sender sends its part in bursts of two.
A set of senders so sends at most 5 L in 4 s, and two sets 6 L, of the 6 L + 5 that are allowed.
- It is asked for at the choice, with a reservation, and again before writing.
- A limit below one request in two seconds is probed at that rate, because only an answer tells that it has ended; senders without requests are replaced in turn.
- If all upstreams are limited, callers are refused at once and told to return one after the other, at the rate that is accepted.

--- a/org.oatlug.entry/src/org/oatlug/entry/GatewayInstance.java
+++ b/org.oatlug.entry/src/org/oatlug/entry/GatewayInstance.java
@@ -31,7 +31,7 @@
 import org.oatlug.internal.gateway.RolloutDirector;
 import org.oatlug.internal.gateway.StartGate;
 import org.oatlug.internal.gather.GatherSystem;
-import org.oatlug.internal.limit.RankedColdSenders;
+import org.oatlug.internal.limit.RankedSenders;
 import org.oatlug.internal.membership.Membership;
 import org.oatlug.internal.metrics.Meters;
 import org.oatlug.internal.peer.CountedPeers;
@@ -159,9 +159,8 @@
     ConfigurationSystem configuration = configurationSystem(platform, network, meters);
     RolloutDirector rollouts =
         RolloutDirector.create(tables, platform, membership, clock, meters, settings.bounds());
-    RankedColdSenders senders =
-        RankedColdSenders.create(
-            settings.name(), membership::live, membership::knowsOfOthers, clock);
+    RankedSenders senders =
+        RankedSenders.create(settings.name(), membership::live, membership::knowsOfOthers, clock);
     GatewayParts parts =
         GatewayParts.create(
             vertx,
@@ -170,7 +169,7 @@
             adapter,
             tables,
             rollouts,
-            senders,
+            senders.senders(),
             () -> membership.live().size(),
             random,
             meters);
--- a/org.oatlug.test/tst/org/oatlug/internal/gateway/GatewayDecisionTest.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/gateway/GatewayDecisionTest.java
@@ -36,8 +36,8 @@
 import org.oatlug.internal.engine.HeadForecast;
 import org.oatlug.internal.engine.OpenReading;
 import org.oatlug.internal.engine.ReadingLine;
-import org.oatlug.internal.limit.ColdLimit;
-import org.oatlug.internal.limit.ColdSenders;
+import org.oatlug.internal.limit.AdvertisedLimits;
+import org.oatlug.internal.limit.RateSenders;
 import org.oatlug.internal.routing.ZoneReach;
 import org.oatlug.internal.util.Json;
 import org.oatlug.platform.StoredObject;
@@ -122,11 +122,12 @@
         "pool", wish, Optional.empty(), Optional.empty(), 0, excluded, false);
   }
 
-  private ColdGate openGate() {
+  private RateGate openGate() {
     GatewaySettings.Bounds bounds =
         new GatewaySettings.Bounds(
             Duration.ofSeconds(8), 0.9, 52, 0.15, Duration.ofSeconds(5), 1.5, 5);
-    return ColdGate.create(tables, bounds, ColdLimit.create(ColdSenders.ALL));
+    AdvertisedLimits limits = AdvertisedLimits.create(clock);
+    return RateGate.create(tables, bounds, limits, RateSenders.alone());
   }
 
   private UpstreamSelection selection() {
--- a/org.oatlug.test/tst/org/oatlug/internal/gateway/HeldUpFront.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/gateway/HeldUpFront.java
@@ -29,7 +29,7 @@
 import org.oatlug.gateway.RoutingConfiguration;
 import org.oatlug.gateway.ServiceDefinition;
 import org.oatlug.gateway.UpstreamRecord;
-import org.oatlug.internal.limit.ColdSenders;
+import org.oatlug.internal.limit.RateSenders;
 import org.oatlug.internal.metrics.Meters;
 import org.oatlug.internal.util.Json;
 import org.oatlug.platform.StoredObject;
@@ -149,7 +149,7 @@
             new PlatformAdapter(),
             tables,
             new AnyVersion(),
-            ColdSenders.ALL,
+            RateSenders.alone(),
             () -> 1,
             choosing,
             Meters.of(new MetricRegistry()));
--- a/org.oatlug.test/tst/org/oatlug/internal/gather/AccountsTest.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/gather/AccountsTest.java
@@ -30,7 +30,7 @@
     PairCounts failures = new PairCounts(worse, worse / 2);
     ComparedPairs pairs = new ComparedPairs(failures, PairCounts.NONE, PairCounts.NONE);
     VersionEvidence one = new VersionEvidence("pool", "v2", orderedAt, pairs, 2 * worse, false, 0);
-    return new Account(Map.of("i-1", open), List.of(one), Map.of());
+    return new Account(Map.of("i-1", open), List.of(one), Map.of(), Map.of());
   }
 
   /** What a process told, as one of its states, numbered in the order of its growth. */
--- a/org.oatlug.test/tst/org/oatlug/internal/gather/GatherFleet.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/gather/GatherFleet.java
@@ -16,6 +16,7 @@
 import java.util.TreeMap;
 import org.oatlug.errors.PeerUnavailableException;
 import org.oatlug.internal.crash.CrashLedger;
+import org.oatlug.internal.limit.AdvertisedLimits;
 import org.oatlug.internal.membership.Membership;
 import org.oatlug.internal.metrics.Meters;
 import org.oatlug.internal.peer.Member;
@@ -54,6 +55,7 @@
     final Membership membership;
     final GatherSystem system;
     final CrashLedger ledger = CrashLedger.create(time);
+    final AdvertisedLimits limits = AdvertisedLimits.create(time);
     final Map<String, Integer> open = new TreeMap<>();
     final List<SeenSession> kept = new ArrayList<>();
     private final List<SeenSession> seen = new ArrayList<>();
@@ -114,7 +116,7 @@
       ComparedPairs pairs = new ComparedPairs(failures, PairCounts.NONE, PairCounts.NONE);
       VersionEvidence evidence = new VersionEvidence(SERVICE, VERSION, 1, pairs, worse, refuted, 0);
       List<VersionEvidence> seen = worse > 0 || refuted ? List.of(evidence) : List.of();
-      return new Account(Map.copyOf(open), seen, Map.of());
+      return new Account(Map.copyOf(open), seen, Map.of(), limits.observed());
     }
 
     @Override
@@ -138,6 +140,7 @@
     @Override
     public void heard(Account account) {
       others = account;
+      limits.applyReported(account.limits());
       refuted |= account.refuted() > 0;
     }
 
--- a/org.oatlug.test/tst/org/oatlug/internal/gather/GatherSystemTest.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/gather/GatherSystemTest.java
@@ -190,7 +190,7 @@
     ComparedPairs pairs = new ComparedPairs(failures, PairCounts.NONE, PairCounts.NONE);
     VersionEvidence one =
         new VersionEvidence(GatherFleet.SERVICE, GatherFleet.VERSION, 1, pairs, 10, false, 0);
-    return new Account(Map.of(), List.of(one), Map.of());
+    return new Account(Map.of(), List.of(one), Map.of(), Map.of());
   }
 
   @DataProvider
@@ -199,10 +199,10 @@
     return new Object[][] {
       {evidence(-1)},
       {evidence(Long.MAX_VALUE)},
-      {new Account(Map.of("i-1", -5), List.of(), Map.of())},
-      {new Account(Map.of("i-1", Integer.MAX_VALUE), List.of(), Map.of())},
-      {new Account(Map.of(), List.of(), Map.of("large", noLine))},
-      {new Account(null, List.of(), Map.of())},
+      {new Account(Map.of("i-1", -5), List.of(), Map.of(), Map.of())},
+      {new Account(Map.of("i-1", Integer.MAX_VALUE), List.of(), Map.of(), Map.of())},
+      {new Account(Map.of(), List.of(), Map.of("large", noLine), Map.of())},
+      {new Account(null, List.of(), Map.of(), Map.of())},
       {null},
     };
   }
--- /dev/null
+++ b/org.oatlug.test/tst/org/oatlug/internal/limit/AdvertisedLimitsTest.java
@@ -0,0 +1,84 @@
+// Copyright (c) 2026, the oatlug authors
+// SPDX-License-Identifier: BSD-3-Clause
+
+package org.oatlug.internal.limit;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.time.Duration;
+import java.util.Map;
+import java.util.OptionalDouble;
+import org.oatlug.test.VirtualTime;
+import org.testng.annotations.Test;
+
+/** Which of two observations of an upstream's limit is valid. */
+public class AdvertisedLimitsTest {
+  private static final String UPSTREAM = "i-1@1000";
+  private static final Duration SECOND = Duration.ofSeconds(1);
+
+  private final VirtualTime time = new VirtualTime();
+  private final AdvertisedLimits limits = AdvertisedLimits.create(time);
+
+  @Test
+  public void testLateAnswerToAnEarlierRequestDoesNotEndTheLimit() {
+    var written = time.instant();
+    time.run(SECOND);
+    limits.advertised("late", 2);
+    limits.notAdvertised("late", written);
+    assertEquals(limits.of("late"), OptionalDouble.of(2));
+    limits.notAdvertised("late", time.instant().plusMillis(1));
+    assertEquals(limits.of("late"), OptionalDouble.empty());
+  }
+
+  @Test
+  public void testOlderReportDoesNotBringBackAnEndedLimit() {
+    limits.advertised(UPSTREAM, 2);
+    time.run(SECOND);
+    limits.notAdvertised(UPSTREAM, time.instant());
+    limits.applyReported(Map.of(UPSTREAM, new AdvertisedLimit(2, 900)));
+    assertEquals(limits.of(UPSTREAM), OptionalDouble.empty());
+  }
+
+  @Test
+  public void testOfTwoReportsAtOneMomentTheStricterIsValid() {
+    limits.advertised("tie", 2);
+    limits.applyReported(Map.of("tie", new AdvertisedLimit(1, 0)));
+    assertEquals(limits.of("tie"), OptionalDouble.of(1));
+    limits.applyReported(Map.of("tie", new AdvertisedLimit(3, 0)));
+    limits.applyReported(Map.of("tie", new AdvertisedLimit(AdvertisedLimit.NONE, 0)));
+    assertEquals(limits.of("tie"), OptionalDouble.of(1));
+  }
+
+  @Test
+  public void testWhatOthersReportedIsNotReportedAgain() {
+    limits.applyReported(Map.of("reported", new AdvertisedLimit(1, 0)));
+    assertTrue(!limits.observed().containsKey("reported"));
+  }
+
+  @Test
+  public void testLimitOutlastsItsReports() {
+    limits.advertised("quiet", 2);
+    time.run(AdvertisedLimits.REPORTED_FOR.plus(SECOND));
+    assertEquals(limits.of("quiet"), OptionalDouble.of(2));
+    assertTrue(!limits.observed().containsKey("quiet"));
+  }
+
+  @Test
+  public void testAnswersOfUpstreamsWithoutLimitsLeaveNothingBehind() {
+    limits.notAdvertised("usual", time.instant());
+    assertTrue(!limits.observed().containsKey("usual"));
+  }
+
+  @Test
+  public void testEndedLimitIsConfirmedOnlyForSomeTime() {
+    limits.advertised("ended", 2);
+    time.run(SECOND);
+    limits.notAdvertised("ended", time.instant());
+    for (int second = 0; second < 120; second++) {
+      time.run(SECOND);
+      limits.notAdvertised("ended", time.instant());
+    }
+    assertTrue(!limits.observed().containsKey("ended"));
+  }
+}
--- a/org.oatlug.test/tst/org/oatlug/test/NamedLimitProcessTest.java
+++ b/org.oatlug.test/tst/org/oatlug/test/NamedLimitProcessTest.java
@@ -8,9 +8,12 @@
 
 import java.io.IOException;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 import org.oatlug.adapter.standin.SampleObjects;
 import org.oatlug.adapter.standin.UpstreamStandin;
+import org.oatlug.adapter.standin.UpstreamStandin.Behaviour;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -90,4 +93,99 @@
     assertKept(SampleObjects.REPEATABLE);
     assertKept(SampleObjects.ONCE);
   }
+
+  @DataProvider
+  Object[][] answers() {
+    return new Object[][] {
+      {Behaviour.REFUSES}, {Behaviour.FAILS}, {Behaviour.CUTS}, {Behaviour.ANSWERS_ANOTHER}
+    };
+  }
+
+  @Test(dataProvider = "answers")
+  public void testLimitIsReadFromEachAnswer(Behaviour behaviour) throws IOException {
+    start(1);
+    first.setBehaviour(behaviour);
+    nameLimit(LIMIT_PER_SECOND);
+    int before = first.arrivals().size();
+    for (int round = 0; round < ROUNDS; round++) {
+      send(0, SampleObjects.REPEATABLE + round);
+    }
+    assertTrue(first.arrivals().size() - before <= allowedIn(WINDOW));
+  }
+
+  @Test
+  public void testUpstreamGetsRequestsWithinItsLimitAndAllOnceItHasEnded() throws IOException {
+    start(3);
+    nameLimit(0);
+    int before = first.arrivals().size();
+    Await.until("a sender asks", () -> isAskedByAny(before));
+    first.setLimit(Optional.empty());
+    Await.until("all ask", this::isAskedByEach);
+  }
+
+  private boolean isAskedByEach() throws IOException {
+    boolean each = true;
+    for (int entry = 0; entry < instances; entry++) {
+      each &= isAsked(entry);
+    }
+    return each;
+  }
+
+  private boolean isAskedByAny(int before) throws IOException {
+    for (int entry = 0; entry < instances; entry++) {
+      send(entry, SampleObjects.REPEATABLE + "any");
+    }
+    return first.arrivals().size() > before;
+  }
+
+  @Test
+  public void testAnotherStartHasNoLimit() throws IOException {
+    start(1);
+    cluster.store.put("servers", "i-1", cluster.entryOf("i-1").put("born", 5));
+    nameLimit(0);
+    first.setLimit(Optional.empty());
+    cluster.store.put("servers", "i-1", cluster.entryOf("i-1").put("born", 7));
+    Await.until("the other start is asked", () -> isAsked(0));
+  }
+
+  @Test
+  public void testAllLimitedAreNotOverrunAndCallersReturnOneAfterTheOther() throws IOException {
+    start(1);
+    for (UpstreamStandin upstream : cluster.upstreams.values()) {
+      upstream.setLimit(Optional.of("2"));
+    }
+    List<Double> waits = new ArrayList<>();
+    int before = cluster.arrivals();
+    for (int round = 0; round < ROUNDS; round++) {
+      Http.Answer answer = Http.send(cluster.request(0, SampleObjects.ONCE + round));
+      if (answer.status() == 503) {
+        assertEquals(answer.notRun(), "yes");
+        assertEquals(answer.reason(), "upstreams-limited");
+        waits.add(Double.parseDouble(answer.header("Retry-After")));
+      }
+    }
+    assertTrue(cluster.arrivals() - before < ROUNDS / 2, "got " + (cluster.arrivals() - before));
+    assertTrue(waits.size() > ROUNDS / 2, "refused " + waits.size());
+    long moments = waits.stream().distinct().count();
+    assertTrue(moments > 10, "all return at " + moments + " moments");
+  }
+
+  @DataProvider
+  Object[][] malformedLimits() {
+    return new Object[][] {
+      {"-5"}, {"0.000001"}, {"1000000"}, {"1e400"}, {"NaN"}, {"some"}, {""}, {"9".repeat(400)}
+    };
+  }
+
+  @Test(dataProvider = "malformedLimits")
+  public void testMalformedLimitsHarmNobody(String limit) throws IOException {
+    start(1);
+    first.setLimit(Optional.of(limit));
+    assertTrue(isAsked(0));
+    for (int round = 0; round < ROUNDS / 4; round++) {
+      assertEquals(send(0, SampleObjects.REPEATABLE + round), 200);
+    }
+    String shown = Http.get(cluster.metricsPort(0), "/status").body();
+    assertTrue(shown.contains("requestsPerSecond"), shown);
+  }
 }
--- a/org.oatlug.test/tst/org/oatlug/test/RolloutFleet.java
+++ b/org.oatlug.test/tst/org/oatlug/test/RolloutFleet.java
@@ -201,7 +201,7 @@
 
     @Override
     public Account own() {
-      return new Account(Map.of(), director.evidence(), Map.of());
+      return new Account(Map.of(), director.evidence(), Map.of(), Map.of());
     }
 
     @Override
--- a/org.oatlug/src/org/oatlug/errors/ErrorText.java
+++ b/org.oatlug/src/org/oatlug/errors/ErrorText.java
@@ -44,6 +44,7 @@
   public String zonesEmptied;
   public String upstreamsCold;
   public String upstreamsRest;
+  public String upstreamsLimited;
   public String crashesUpstreams;
   public String upstreamRefused;
   public String stillRunning;
--- a/org.oatlug/src/org/oatlug/internal/gateway/AttemptFeedback.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/AttemptFeedback.java
@@ -9,7 +9,6 @@
 import java.util.Optional;
 import org.oatlug.gateway.AnswerHead;
 import org.oatlug.internal.engine.HeadForecast;
-import org.oatlug.internal.limit.ColdLimit;
 import org.oatlug.internal.table.UpstreamRow;
 
 /**
@@ -29,7 +28,8 @@
   private final String model;
   private final String process;
   private final Instant started;
-  private Optional<ColdLimit.Permit> permit = Optional.empty();
+  private Optional<RateGate.Reservation> reservation = Optional.empty();
+  private Optional<Instant> written = Optional.empty();
   private boolean reading;
 
   AttemptFeedback(
@@ -62,7 +62,7 @@
   /** Notes that the attempt begins. */
   void begin() {
     chosen.row().reserve();
-    permit = parts.cold().enter(chosen.name(), chosen.upstream(), started);
+    reservation = Optional.of(parts.rates().reserve(chosen.name(), chosen.upstream(), started));
     reading = true;
     parts.reading().begin(process, chosen.forecast().readingMillis());
     parts.versions().sent(incoming.service(), chosen.upstream().version(), incoming.head());
@@ -73,18 +73,17 @@
   }
 
   /**
-   * Takes leave to write the request, as far as the upstream is cold by now.
+   * Records that the request is written now, if the rate limits of the upstream leave room for it.
    *
-   * @return whether it may be written
+   * @return why it may not be written, empty if it may
    */
-  boolean mayWrite() {
+  Optional<UpstreamStanding.Out> write() {
     Instant now = now();
-    if (permit.isEmpty() && !parts.cold().isOpen(chosen.name(), chosen.upstream(), now)) {
-      return false;
+    Optional<UpstreamStanding.Out> refused = reservation.flatMap(one -> one.write(now));
+    if (refused.isEmpty()) {
+      written = Optional.of(now);
     }
-    permit = permit.or(() -> parts.cold().enter(chosen.name(), chosen.upstream(), now));
-    permit.ifPresent(one -> one.written(now));
-    return true;
+    return refused;
   }
 
   /** Notes that the answer begins, whatever it is. */
@@ -97,7 +96,7 @@
                 parts.tables().loads().report(chosen.row(), load.running(), load.waiting(), false));
     head.coldMillis().ifPresent(millis -> chosen.row().coldUntil(now().plusMillis(millis)));
     head.rest().ifPresent(this::askedForRest);
-    head.limitPerSecond().ifPresent(limit -> namedLimit(limit, head));
+    noteLimit(head);
     if (head.leaving()) {
       saidLeaving(head);
     }
@@ -108,14 +107,34 @@
     chosen.row().restUntil(now().plus(rest));
   }
 
-  private void namedLimit(double limit, AnswerHead head) {
-    parts.meters().count("upstream.named-limit");
-    parts
-        .logLimit()
-        .line(logger, incoming.head().id())
-        .log(
-            "upstream %s names a limit of %s requests a second",
-            head.answeredBy().orElse(process), limit);
+  /** Applies the limit that who answered advertises, or that it advertises none. */
+  private void noteLimit(AnswerHead head) {
+    rowOfAnswer(head)
+        .ifPresent(
+            row -> {
+              head.limitPerSecond()
+                  .ifPresentOrElse(
+                      limit -> limited(row, limit),
+                      () -> written.ifPresent(at -> notLimited(row, at)));
+            });
+  }
+
+  private void limited(UpstreamRow row, double requestsPerSecond) {
+    parts.meters().count("upstream.limit-advertised");
+    parts.limits().advertised(row.process(), requestsPerSecond);
+  }
+
+  private void notLimited(UpstreamRow row, Instant requestWritten) {
+    parts.limits().notAdvertised(row.process(), requestWritten);
+  }
+
+  /** Returns the row of who answered, empty if it is a name that nobody registered. */
+  private Optional<UpstreamRow> rowOfAnswer(AnswerHead head) {
+    String name = head.answeredBy().orElse(chosen.name());
+    if (name.equals(chosen.name())) {
+      return Optional.of(chosen.row());
+    }
+    return parts.tables().upstream(name).map(unused -> parts.tables().row(name));
   }
 
   /**
@@ -123,17 +142,14 @@
    * registered is not kept.
    */
   private void saidLeaving(AnswerHead head) {
-    String name = head.answeredBy().orElse(chosen.name());
-    boolean isChosen = name.equals(chosen.name());
-    if (!isChosen && parts.tables().upstream(name).isEmpty()) {
-      return;
-    }
-    UpstreamRow row = isChosen ? chosen.row() : parts.tables().row(name);
-    if (!row.leaving()) {
-      parts.meters().count("upstream.said-leaving");
-      logger.atInfo().log("upstream %s says in an answer that it leaves", name);
-      row.markLeaving();
-    }
+    rowOfAnswer(head)
+        .filter(row -> !row.leaving())
+        .ifPresent(
+            row -> {
+              parts.meters().count("upstream.said-leaving");
+              logger.atInfo().log("upstream %s says in an answer that it leaves", row.name());
+              row.markLeaving();
+            });
   }
 
   private void endReading() {
@@ -147,7 +163,7 @@
   void end() {
     endReading();
     chosen.row().release();
-    permit.ifPresent(ColdLimit.Permit::giveBack);
+    reservation.ifPresent(RateGate.Reservation::release);
   }
 
   /** Notes that the upstream did what it should. */
--- a/org.oatlug/src/org/oatlug/internal/gateway/Exchange.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/Exchange.java
@@ -166,9 +166,20 @@
           case ZONES_EMPTIED -> ErrorText.get().zonesEmptied;
           case UPSTREAMS_COLD -> ErrorText.get().upstreamsCold;
           case UPSTREAMS_REST -> ErrorText.get().upstreamsRest;
+          case UPSTREAMS_LIMITED -> ErrorText.get().upstreamsLimited;
           default -> ErrorText.get().noUpstream;
         };
-    giveUp(reason, ErrorText.format(pattern, service));
+    String text = ErrorText.format(pattern, service);
+    if (reason == RefusalReason.UPSTREAMS_LIMITED) {
+      giveUp(reason, text, paced(service));
+    } else {
+      giveUp(reason, text);
+    }
+  }
+
+  private Duration paced(String service) {
+    double accepted = parts.rates().advertisedOf(service);
+    return parts.spread().paced(service, accepted, parts.clock().instant());
   }
 
   private void attempt(UpstreamSelection.Chosen chosen) {
--- a/org.oatlug/src/org/oatlug/internal/gateway/ExchangeAttempt.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/ExchangeAttempt.java
@@ -199,8 +199,8 @@
     }
     Optional<Out> out =
         parts.selection().standing().turnedOut(chosen.name(), parts.clock().instant());
-    if (out.isEmpty() && !feedback.mayWrite()) {
-      out = Optional.of(Out.COLD);
+    if (out.isEmpty()) {
+      out = feedback.write();
     }
     if (out.isPresent()) {
       return withhold(out.get().reason(), out.get().cause());
--- a/org.oatlug/src/org/oatlug/internal/gateway/GatewayParts.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/GatewayParts.java
@@ -13,8 +13,8 @@
 import org.oatlug.internal.crash.CrashLedger;
 import org.oatlug.internal.engine.EngineSpeeds;
 import org.oatlug.internal.engine.OpenReading;
-import org.oatlug.internal.limit.ColdLimit;
-import org.oatlug.internal.limit.ColdSenders;
+import org.oatlug.internal.limit.AdvertisedLimits;
+import org.oatlug.internal.limit.RateSenders;
 import org.oatlug.internal.limit.TurnLine;
 import org.oatlug.internal.metrics.Meters;
 import org.oatlug.internal.routing.ZoneReach;
@@ -31,7 +31,8 @@
  * @param speeds how fast engines read
  * @param reading which prompts wait at upstreams
  * @param zones which availability zones are reached
- * @param cold the limit of upstreams that are cold
+ * @param limits the rate limits that upstreams advertise
+ * @param rates the rates of all instances together at upstreams that are cold or limited
  * @param crashes keeps requests under which upstreams end from ending more
  * @param selection chooses upstreams
  * @param stages chooses models of cascades
@@ -55,7 +56,8 @@
     EngineSpeeds speeds,
     OpenReading reading,
     ZoneReach zones,
-    ColdGate cold,
+    AdvertisedLimits limits,
+    RateGate rates,
     CrashGuard crashes,
     UpstreamSelection selection,
     StageRule stages,
@@ -91,7 +93,7 @@
       DeploymentAdapter adapter,
       GatewayTables tables,
       VersionRule versions,
-      ColdSenders coldSenders,
+      RateSenders senders,
       IntSupplier instances,
       RandomGenerator random,
       Meters meters) {
@@ -99,7 +101,8 @@
     EngineSpeeds speeds = EngineSpeeds.create();
     OpenReading reading = OpenReading.create();
     ZoneReach zones = ZoneReach.create();
-    ColdGate cold = ColdGate.create(tables, settings.bounds(), ColdLimit.create(coldSenders));
+    AdvertisedLimits limits = AdvertisedLimits.create(clock);
+    RateGate rates = RateGate.create(tables, settings.bounds(), limits, senders);
     CrashGuard crashes = CrashGuard.create(vertx, clock, meters);
     return new GatewayParts(
         vertx,
@@ -111,16 +114,17 @@
         speeds,
         reading,
         zones,
-        cold,
+        limits,
+        rates,
         crashes,
         UpstreamSelection.create(
-            settings.zone(), tables, speeds, reading, zones, cold, crashes::isSetApart, random),
+            settings.zone(), tables, speeds, reading, zones, rates, crashes::isSetApart, random),
         ExpectedWorth.create(tables, times),
         versions,
         RetryBudgets.within(settings.bounds(), instances),
         OpenDeadlines.create(vertx, clock),
         TurnLine.create(clock, task -> vertx.runOnContext(unused -> task.run()), Exchange::begin),
-        ReturnSpread.by(random),
+        ReturnSpread.by(random, instances),
         times,
         HeldBytes.create(),
         LogLimit.create(clock, meters),
--- a/org.oatlug/src/org/oatlug/internal/gateway/GatheredKnowledge.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/GatheredKnowledge.java
@@ -13,8 +13,9 @@
 import org.oatlug.internal.gather.SeenSession;
 
 /**
- * What the gateway tells the other instances and learns from them: open prompts, reading speeds and
- * versions that are brought in. Owned by one event loop, not thread-safe.
+ * What the gateway tells the other instances and learns from them: open prompts, reading speeds,
+ * versions that are brought in and rate limits of upstreams. Owned by one event loop, not
+ * thread-safe.
  */
 public final class GatheredKnowledge implements Participant {
   /** How often speeds are told: they change with each answer, and a second's age is no harm. */
@@ -42,7 +43,8 @@
       speeds = parts.speeds().measured();
       speedsAt = now;
     }
-    return new Account(parts.reading().own(), rollouts.evidence(), speeds);
+    return new Account(
+        parts.reading().own(), rollouts.evidence(), speeds, parts.limits().observed());
   }
 
   @Override
@@ -65,6 +67,7 @@
     parts.reading().heard(others.openMillis(), parts.clock().instant());
     others.speeds().forEach(parts.speeds()::heard);
     others.evidence().forEach(rollouts::heard);
+    parts.limits().applyReported(others.limits());
   }
 
   @Override
--- a/org.oatlug/src/org/oatlug/internal/gateway/InstanceStatus.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/InstanceStatus.java
@@ -5,8 +5,10 @@
 
 import java.time.Instant;
 import java.util.List;
+import java.util.Optional;
 import org.oatlug.gateway.UpstreamRecord;
 import org.oatlug.internal.crash.CrashLedger;
+import org.oatlug.internal.limit.AdvertisedLimit;
 import org.oatlug.internal.table.UpstreamRow;
 
 /**
@@ -34,6 +36,7 @@
    * @param zone its availability zone
    * @param leaving whether it is about to go
    * @param cold whether it bears few requests now
+   * @param limit what it advertises of its rate limit, empty if it advertises none
    * @param restsMillis for how much longer it wants nothing, in milliseconds
    * @param keptOut whether it is kept out after failures
    * @param expectedLoad the requests that it is believed to have
@@ -44,6 +47,7 @@
       String zone,
       boolean leaving,
       boolean cold,
+      Optional<AdvertisedLimit> limit,
       long restsMillis,
       boolean keptOut,
       int expectedLoad) {}
@@ -72,6 +76,7 @@
         record.zone(),
         parts.tables().isLeaving(name),
         row.isCold(now),
+        parts.limits().find(row.process()),
         row.restLeft(now).toMillis(),
         row.ejected(now),
         row.expectedLoad());
--- a/org.oatlug/src/org/oatlug/internal/gateway/UpstreamSelection.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/UpstreamSelection.java
@@ -28,9 +28,9 @@
  * <p>What is known of each upstream is put together here and weighed by {@link PlacementCost}. A
  * shared part of a prompt has a home, the same upstream for all instances, which is taken to keep
  * it; an upstream that this instance sent it to keeps it too. Invariant: an upstream that is
- * leaving, in an emptied zone, cold without room, tried or without a connection left is never
- * chosen; one that is kept out after failures only if there is no other. Owned by one event loop,
- * not thread-safe.
+ * leaving, in an emptied zone, without room in a rate limit, tried or without a connection left is
+ * never chosen; one that is kept out after failures only if there is no other. Owned by one event
+ * loop, not thread-safe.
  */
 final class UpstreamSelection {
   /** Spreads requests over upstreams of equal cost, in milliseconds. */
@@ -51,7 +51,7 @@
       EngineSpeeds speeds,
       OpenReading reading,
       ZoneReach zones,
-      ColdGate cold,
+      RateGate rates,
       Predicate<String> setApart,
       RandomGenerator random) {
     this.zone = zone;
@@ -59,7 +59,7 @@
     this.speeds = speeds;
     this.reading = reading;
     this.zones = zones;
-    this.standing = UpstreamStanding.of(tables, cold);
+    this.standing = UpstreamStanding.of(tables, rates);
     this.setApart = setApart;
     this.random = random;
   }
@@ -75,10 +75,10 @@
       EngineSpeeds speeds,
       OpenReading reading,
       ZoneReach zones,
-      ColdGate cold,
+      RateGate rates,
       Predicate<String> setApart,
       RandomGenerator random) {
-    return new UpstreamSelection(zone, tables, speeds, reading, zones, cold, setApart, random);
+    return new UpstreamSelection(zone, tables, speeds, reading, zones, rates, setApart, random);
   }
 
   /**
--- a/org.oatlug/src/org/oatlug/internal/gateway/UpstreamStanding.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/UpstreamStanding.java
@@ -3,6 +3,7 @@
 
 package org.oatlug.internal.gateway;
 
+import com.google.common.collect.Sets;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.Comparator;
@@ -25,19 +26,24 @@
   private static final Optional<Out> ZONE_EMPTIED = Optional.of(Out.ZONE_EMPTIED);
   private static final Optional<Out> RESTS = Optional.of(Out.RESTS);
   private static final Optional<Out> COLD = Optional.of(Out.COLD);
+  private static final Optional<Out> LIMITED = Optional.of(Out.LIMITED);
   private static final Optional<Out> FULL = Optional.of(Out.FULL);
 
+  /** What a request that was chosen for an upstream holds already. */
+  private static final Set<Out> HELD_BY_REQUEST =
+      Sets.immutableEnumSet(Out.FULL, Out.COLD, Out.LIMITED);
+
   private final GatewayTables tables;
-  private final ColdGate cold;
+  private final RateGate rates;
 
-  private UpstreamStanding(GatewayTables tables, ColdGate cold) {
+  private UpstreamStanding(GatewayTables tables, RateGate rates) {
     this.tables = tables;
-    this.cold = cold;
+    this.rates = rates;
   }
 
   /** Returns the standing of the upstreams in the tables. */
-  static UpstreamStanding of(GatewayTables tables, ColdGate cold) {
-    return new UpstreamStanding(tables, cold);
+  static UpstreamStanding of(GatewayTables tables, RateGate rates) {
+    return new UpstreamStanding(tables, rates);
   }
 
   /** Why an upstream gets nothing. */
@@ -51,7 +57,9 @@
     /** All its connections are in use. */
     FULL("the upstream is full", "upstream-full"),
     /** It has just started and its allowance is used. */
-    COLD("the upstream turned cold", "upstream-cold");
+    COLD("the upstream turned cold", "upstream-cold"),
+    /** Its advertised limit leaves nothing to this instance now. */
+    LIMITED("the upstream limits its rate", "upstream-limited");
 
     private final String reason;
     private final String cause;
@@ -74,10 +82,11 @@
 
   /**
    * Returns why a request that was about to be written goes elsewhere: the upstream may have gone
-   * out while the connection to it was opened. The request's own place and permit are its already.
+   * out while the connection to it was opened. The request's own place is its already; its permits
+   * are the matter of the {@link RateGate.Reservation}.
    */
   Optional<Out> turnedOut(String name, Instant now) {
-    return outOf(name, now).filter(out -> out != Out.FULL && out != Out.COLD);
+    return outOf(name, now).filter(out -> !HELD_BY_REQUEST.contains(out));
   }
 
   /** Returns why the upstream gets nothing now, empty if it may be sent to. */
@@ -107,7 +116,10 @@
     if (row.expectedLoad() >= most) {
       return FULL;
     }
-    return cold.isOpen(name, upstream, now) ? Optional.empty() : COLD;
+    if (!rates.allowsAsCold(name, upstream, now)) {
+      return COLD;
+    }
+    return rates.allowsAsAdvertised(name, upstream, now) ? Optional.empty() : LIMITED;
   }
 
   /** Returns how many connections an upstream takes; each open request has its own. */
@@ -126,6 +138,9 @@
     if (reasons.contains(Out.RESTS)) {
       return RefusalReason.UPSTREAMS_REST;
     }
+    if (reasons.contains(Out.LIMITED)) {
+      return RefusalReason.UPSTREAMS_LIMITED;
+    }
     return reasons.contains(Out.ZONE_EMPTIED)
         ? RefusalReason.ZONES_EMPTIED
         : RefusalReason.NO_UPSTREAM;
