--- a/org.oatlug.test/tst/org/oatlug/test/NamedLimitProcessTest.java
+++ b/org.oatlug.test/tst/org/oatlug/test/NamedLimitProcessTest.java
@@ -170,20 +170,17 @@
     assertTrue(moments > 10, "all return at " + moments + " moments");
   }
 
-  @DataProvider
-  Object[][] malformedLimits() {
-    return new Object[][] {
-      {"-5"}, {"0.000001"}, {"1000000"}, {"1e400"}, {"NaN"}, {"some"}, {""}, {"9".repeat(400)}
-    };
-  }
-
-  @Test(dataProvider = "malformedLimits")
-  public void testMalformedLimitsHarmNobody(String limit) throws IOException {
+  @Test
+  public void testMalformedLimitsHarmNobody() throws IOException {
     start(1);
-    first.setLimit(Optional.of(limit));
-    assertTrue(isAsked(0));
-    for (int round = 0; round < ROUNDS / 4; round++) {
-      assertEquals(send(0, SampleObjects.REPEATABLE + round), 200);
+    List<String> limits =
+        List.of("1000000", "0.000001", "1e400", "NaN", "some", "", "9".repeat(400), "-5");
+    for (String limit : limits) {
+      first.setLimit(Optional.of(limit));
+      Await.until("it is asked with limit " + limit, () -> isAsked(0));
+      for (int round = 0; round < ROUNDS / 4; round++) {
+        assertEquals(send(0, SampleObjects.REPEATABLE + round), 200);
+      }
     }
     String shown = Http.get(cluster.metricsPort(0), "/status").body();
     assertTrue(shown.contains("requestsPerSecond"), shown);
