Tell callers of full upstreams to come back soon, limited ones beside them

A service with one limited upstream and the others full told its callers the wait that the limit makes, up to 5 s, though places become free within 300 ms. Found by reading. testFullUpstreamsDoNotLookLimited failed before (found UPSTREAMS_LIMITED); the limit is the reason now only where no upstream is full.

--- a/org.oatlug.test/tst/org/oatlug/internal/gateway/GatewayDecisionTest.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/gateway/GatewayDecisionTest.java
@@ -20,6 +20,7 @@
 import java.util.Random;
 import java.util.Set;
 import org.oatlug.api.ObjectKey;
+import org.oatlug.api.RefusalReason;
 import org.oatlug.config.Kinds;
 import org.oatlug.gateway.CallerLimits;
 import org.oatlug.gateway.GatewayKinds;
@@ -38,6 +39,7 @@
 import org.oatlug.internal.engine.ReadingLine;
 import org.oatlug.internal.limit.AdvertisedLimits;
 import org.oatlug.internal.limit.RateSenders;
+import org.oatlug.internal.limit.SenderSelection;
 import org.oatlug.internal.routing.ZoneReach;
 import org.oatlug.internal.util.Json;
 import org.oatlug.platform.StoredObject;
@@ -123,11 +125,35 @@
   }
 
   private RateGate openGate() {
+    return gate(AdvertisedLimits.create(clock), RateSenders.alone());
+  }
+
+  private RateGate gate(AdvertisedLimits limits, RateSenders senders) {
     GatewaySettings.Bounds bounds =
         new GatewaySettings.Bounds(
             Duration.ofSeconds(8), 0.9, 52, 0.15, Duration.ofSeconds(5), 1.5, 5);
+    return RateGate.create(tables, bounds, limits, senders);
+  }
+
+  /** Callers of a service with free places soon were told the long wait of its limited upstream. */
+  @Test
+  public void testFullUpstreamsDoNotLookLimited() {
+    configuration(1, "key");
+    upstream("i-1", "here", "v1", false);
+    upstream("i-2", "here", "v1", false);
     AdvertisedLimits limits = AdvertisedLimits.create(clock);
-    return RateGate.create(tables, bounds, limits, RateSenders.alone());
+    limits.advertised(tables.row("i-1").process(), 1);
+    RateSenders others = new RateSenders(SenderSelection.ALONE, (upstream, zone, most, turn) -> 0);
+    UpstreamStanding standing = UpstreamStanding.of(tables, gate(limits, others));
+    for (int connection = 0; connection < 100; connection++) {
+      tables.row("i-2").reserve();
+    }
+    assertEquals(standing.reasonOfNone("pool", now), RefusalReason.NO_UPSTREAM);
+    limits.advertised(tables.row("i-2").process(), 1);
+    for (int connection = 0; connection < 100; connection++) {
+      tables.row("i-2").release();
+    }
+    assertEquals(standing.reasonOfNone("pool", now), RefusalReason.UPSTREAMS_LIMITED);
   }
 
   private UpstreamSelection selection() {
--- a/org.oatlug/src/org/oatlug/internal/gateway/UpstreamStanding.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/UpstreamStanding.java
@@ -138,7 +138,8 @@
     if (reasons.contains(Out.RESTS)) {
       return RefusalReason.UPSTREAMS_REST;
     }
-    if (reasons.contains(Out.LIMITED)) {
+    // A place at a full upstream becomes free sooner than a limit leaves room.
+    if (reasons.contains(Out.LIMITED) && !reasons.contains(Out.FULL)) {
       return RefusalReason.UPSTREAMS_LIMITED;
     }
     return reasons.contains(Out.ZONE_EMPTIED)
