--- a/org.oatlug.test/tst/org/oatlug/internal/gather/GatherSystemTest.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/gather/GatherSystemTest.java
@@ -12,6 +12,7 @@
 import org.oatlug.internal.crash.CrashNews;
 import org.oatlug.internal.engine.ReadingLine;
 import org.oatlug.internal.gather.GatherFleet.Instance;
+import org.oatlug.internal.limit.AdvertisedLimit;
 import org.oatlug.internal.peer.PeerMessage;
 import org.oatlug.internal.rollout.ComparedPairs;
 import org.oatlug.internal.rollout.PairCounts;
@@ -193,6 +194,10 @@
     return new Account(Map.of(), List.of(one), Map.of(), Map.of());
   }
 
+  private static Account accountOf(AdvertisedLimit limit) {
+    return new Account(Map.of(), List.of(), Map.of(), Map.of("i-1@1", limit));
+  }
+
   @DataProvider
   Object[][] unsoundAccounts() {
     ReadingLine noLine = new ReadingLine(Double.NaN, -1);
@@ -203,6 +208,10 @@
       {new Account(Map.of("i-1", Integer.MAX_VALUE), List.of(), Map.of(), Map.of())},
       {new Account(Map.of(), List.of(), Map.of("large", noLine), Map.of())},
       {new Account(null, List.of(), Map.of(), Map.of())},
+      {accountOf(new AdvertisedLimit(Double.NaN, 0))},
+      {accountOf(new AdvertisedLimit(-2, 0))},
+      {accountOf(new AdvertisedLimit(1, -1))},
+      {accountOf(new AdvertisedLimit(1, Long.MAX_VALUE))},
       {null},
     };
   }
--- a/org.oatlug/src/org/oatlug/internal/limit/AdvertisedLimit.java
+++ b/org.oatlug/src/org/oatlug/internal/limit/AdvertisedLimit.java
@@ -19,10 +19,14 @@
   /** Stands for an upstream that advertises no limit. */
   public static final double NONE = -1;
 
+  /** Longer than any observation is reported; with it sums of ages stay exact. */
+  private static final long MOST_AGE_MILLIS = Duration.ofHours(1).toMillis();
+
   /** Returns whether it can be applied. */
   public boolean isSound() {
     boolean isRate = Double.isFinite(requestsPerSecond) && requestsPerSecond >= 0;
-    return (isRate || requestsPerSecond == NONE) && ageMillis >= 0;
+    boolean isAge = ageMillis >= 0 && ageMillis <= MOST_AGE_MILLIS;
+    return (isRate || requestsPerSecond == NONE) && isAge;
   }
 
   /** Returns the same some time later. */
