Show the limit of an upstream in oatlug status

docs/OPERATIONS.md said that the command shows limit and age; only the JSON of the operator port did. testOperatorSeesTheLimitAndItsAge failed before (load 0 and nothing else). The way in which tests run the command stood twice and was wanted a third time: GatewayCluster.command serves all three.

--- a/org.oatlug.pgm/src/org/oatlug/pgm/StatusCommand.java
+++ b/org.oatlug.pgm/src/org/oatlug/pgm/StatusCommand.java
@@ -58,6 +58,7 @@
       String marks =
           (one.path("leaving").asBoolean() ? ", leaving" : "")
               + (one.path("cold").asBoolean() ? ", cold" : "")
+              + (one.path("limit").isObject() ? limitState(one.path("limit")) : "")
               + (one.path("restsMillis").asLong() > 0 ? restState(one) : "")
               + (one.path("keptOut").asBoolean() ? ", kept out" : "");
       String state = "load " + one.path("expectedLoad").asText() + marks;
@@ -67,6 +68,14 @@
     return ExitCode.OK;
   }
 
+  private static String limitState(JsonNode limit) {
+    return String.format(
+        Locale.ROOT,
+        ", limit %.1f/s seen %.1f s ago",
+        limit.path("requestsPerSecond").asDouble(),
+        limit.path("ageMillis").asLong() / MILLIS_PER_SECOND);
+  }
+
   private static String restState(JsonNode upstream) {
     double seconds = upstream.path("restsMillis").asLong() / MILLIS_PER_SECOND;
     return String.format(Locale.ROOT, ", rests for %.1f s", seconds);
--- a/org.oatlug.test/tst/org/oatlug/test/CrashingRequestProcessTest.java
+++ b/org.oatlug.test/tst/org/oatlug/test/CrashingRequestProcessTest.java
@@ -8,18 +8,13 @@
 import static org.testng.Assert.assertTrue;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
-import java.io.PrintStream;
 import java.net.http.HttpRequest;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import org.oatlug.adapter.standin.SampleObjects;
 import org.oatlug.adapter.standin.UpstreamStandin.Behaviour;
-import org.oatlug.pgm.ExitCode;
-import org.oatlug.pgm.Oatlug;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -122,12 +117,7 @@
 
   /** Calls the command line for the first instance and returns what it prints. */
   private String command(String... words) {
-    List<String> all = new ArrayList<>(List.of(words));
-    all.addAll(List.of("--instance", "127.0.0.1:" + cluster.metricsPort(0)));
-    ByteArrayOutputStream bytes = new ByteArrayOutputStream();
-    PrintStream out = new PrintStream(bytes, true, StandardCharsets.UTF_8);
-    assertEquals(Oatlug.run(all.toArray(new String[0]), out, out), ExitCode.OK);
-    return bytes.toString(StandardCharsets.UTF_8);
+    return cluster.command(0, words);
   }
 
   @Test
--- a/org.oatlug.test/tst/org/oatlug/test/EvacuationProcessTest.java
+++ b/org.oatlug.test/tst/org/oatlug/test/EvacuationProcessTest.java
@@ -9,14 +9,9 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
-import java.io.PrintStream;
-import java.nio.charset.StandardCharsets;
 import org.oatlug.adapter.standin.SampleObjects;
 import org.oatlug.adapter.standin.StoreStandin;
-import org.oatlug.pgm.ExitCode;
-import org.oatlug.pgm.Oatlug;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.Test;
 
@@ -61,11 +56,7 @@
 
   /** Returns what the command line shows of the first instance. */
   private String status() {
-    ByteArrayOutputStream output = new ByteArrayOutputStream();
-    PrintStream out = new PrintStream(output, true, StandardCharsets.UTF_8);
-    String[] arguments = {"status", "--instance", "127.0.0.1:" + cluster.metricsPort(0)};
-    assertEquals(Oatlug.run(arguments, out, out), ExitCode.OK);
-    return output.toString(StandardCharsets.UTF_8);
+    return cluster.command(0, "status");
   }
 
   private int send() throws IOException {
--- a/org.oatlug.test/tst/org/oatlug/test/GatewayCluster.java
+++ b/org.oatlug.test/tst/org/oatlug/test/GatewayCluster.java
@@ -3,11 +3,16 @@
 
 package org.oatlug.test;
 
+import static org.testng.Assert.assertEquals;
+
 import io.vertx.core.Vertx;
 import io.vertx.core.json.JsonObject;
+import java.io.ByteArrayOutputStream;
 import java.io.File;
 import java.io.IOException;
+import java.io.PrintStream;
 import java.net.http.HttpRequest;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -19,6 +24,8 @@
 import org.oatlug.adapter.standin.SampleObjects;
 import org.oatlug.adapter.standin.StoreStandin;
 import org.oatlug.adapter.standin.UpstreamStandin;
+import org.oatlug.pgm.ExitCode;
+import org.oatlug.pgm.Oatlug;
 
 /**
  * A store and upstreams in this process, and entry instances that serve routed services as separate
@@ -195,6 +202,16 @@
         .header("Prefix-Hash", "a1:60," + own + ":40");
   }
 
+  /** Returns what the command line prints when an operator asks an instance. */
+  String command(int entry, String... words) {
+    List<String> all = new ArrayList<>(List.of(words));
+    all.addAll(List.of("--instance", HOST + ":" + metricsPort(entry)));
+    ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+    PrintStream out = new PrintStream(bytes, true, StandardCharsets.UTF_8);
+    assertEquals(Oatlug.run(all.toArray(new String[0]), out, out), ExitCode.OK);
+    return bytes.toString(StandardCharsets.UTF_8);
+  }
+
   /** Returns the id of the request that was made last. */
   String lastId() {
     return "request-" + requests;
--- a/org.oatlug.test/tst/org/oatlug/test/NamedLimitProcessTest.java
+++ b/org.oatlug.test/tst/org/oatlug/test/NamedLimitProcessTest.java
@@ -185,4 +185,15 @@
     String shown = Http.get(cluster.metricsPort(0), "/status").body();
     assertTrue(shown.contains("requestsPerSecond"), shown);
   }
+
+  /** The command showed nothing of a limit. */
+  @Test
+  public void testOperatorSeesTheLimitAndItsAge() throws IOException {
+    start(1);
+    nameLimit(2.5);
+    String shown = cluster.command(0, "status");
+    assertTrue(
+        shown.matches("(?s).*i-1 .*load \\d+, limit 2\\.5/s seen \\d+\\.\\d s ago.*"), shown);
+    assertTrue(!shown.matches("(?s).*i-2 [^\n]*limit.*"), shown);
+  }
 }
