--- a/org.oatlug/src/org/oatlug/internal/config/ConfigurationSystem.java
+++ b/org.oatlug/src/org/oatlug/internal/config/ConfigurationSystem.java
@@ -10,6 +10,7 @@
 import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 import org.oatlug.internal.membership.Membership;
@@ -39,6 +40,9 @@
   /** At most a line each so many seconds tells of comparisons that failed. */
   private static final int FAILED_DIGEST_LINES_SECONDS = 1;
 
+  /** At most a line each so many seconds says that an object of the store was ignored. */
+  private static final int IGNORED_LINES_SECONDS = 1;
+
   private static final int WATCHES_PER_BOUND = 3;
 
   private final ObjectSink objects;
@@ -216,6 +220,7 @@
   private void take(List<StoredObject> received, long revision, Origin origin) {
     freshness.learn(Duration.ZERO, clock.instant());
     List<StoredObject> fresh = objects.mergeAll(received, origin);
+    received.forEach(object -> noteIfIgnored(object, origin));
     if (!fresh.isEmpty()) {
       logger.atInfo().log(
           "%d objects came into force at revision %d %s", fresh.size(), revision, origin);
@@ -225,6 +230,18 @@
     }
   }
 
+  /** Writes a line if the store shows other content than what is in force here. */
+  private void noteIfIgnored(StoredObject read, Origin origin) {
+    Optional<StoredObject> known = objects.join().get(read.key());
+    if (known.isEmpty() || known.get().value().equals(read.value())) {
+      return;
+    }
+    meters.count("store.ignored." + read.key().kind());
+    logger.atInfo().atMostEvery(IGNORED_LINES_SECONDS, TimeUnit.SECONDS).log(
+        "%s revision=%s is ignored, revision=%s is in force %s",
+        read.key(), read.version(), known.get().version(), origin);
+  }
+
   private void exchange(Instant now) {
     if (now.isBefore(nextExchange)) {
       return;
--- a/org.oatlug/src/org/oatlug/internal/config/StoreWatch.java
+++ b/org.oatlug/src/org/oatlug/internal/config/StoreWatch.java
@@ -221,7 +221,9 @@
 
   private void failed(Throwable failure) {
     if (failuresInRow == 0) {
-      logger.atWarning().log("the platform fails for %s: %s", kinds, failure.getMessage());
+      logger.atWarning().log(
+          "the platform fails for %s at revision %d: %s, cause: %s",
+          kinds, revision, failure.getMessage(), failure.getCause());
     }
     meters.count("retry.platform-watch");
     probe.failed();
