Let an instance that starts take over what the others know before it serves

An instance that started while the store still showed the copy answered 404 on a route that the others served. Cause: it read the store once and was ready, though the others knew more.

An instance that starts asks a few others whether they are established, and takes over what one of them knows as soon as it has read the store itself; digests are equal as a rule, so that costs one question. Who refuses is not there; if nobody is established, the store is all there is, which a line says. Tried first: waiting 600 ms for members to be found; a cold process had found nobody after that (RestoredStoreProcessTest failed: established at 1,154 ms, first member at 1,260 ms).

--- a/org.oatlug.benchmarks/src/org/oatlug/benchmarks/CapacitySlopes.java
+++ b/org.oatlug.benchmarks/src/org/oatlug/benchmarks/CapacitySlopes.java
@@ -239,7 +239,7 @@
       news.add(member(number));
     }
     print("ping with most news", new PeerMessage.Ping(news));
-    print("digest", new PeerMessage.Digest(Long.MAX_VALUE, 1000, true));
+    print("digest", new PeerMessage.Digest(Long.MAX_VALUE, 1000, true, true));
     print("bucket digests", new PeerMessage.BucketDigests(new long[64], 1000));
     print("one object", new PeerMessage.Objects(List.of(object(1)), 1000, true));
     print("hold a bill", new PeerMessage.HoldBill(bill(1)));
--- a/org.oatlug.test/tst/org/oatlug/internal/config/RestoredStoreFleetTest.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/config/RestoredStoreFleetTest.java
@@ -8,6 +8,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Random;
 import org.oatlug.gateway.GatewayKinds;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -159,6 +160,34 @@
     }
   }
 
+  @Test
+  public void testInstanceThatStartsOnTheCopyKnowsWhatOthersKnowBeforeItServes() {
+    for (int seed = 1; seed <= SEEDS; seed++) {
+      VirtualFleet fleet = begin(3, 4, seed);
+      final VirtualFleet.Copy copy = copyAndGoOn(fleet);
+      fleet.restore(copy);
+      String name = fleet.namesIn("zone-1").get(seed % 4);
+      fleet.restart(name);
+      while (!fleet.serves(name)) {
+        fleet.run(Duration.ofMillis(10));
+      }
+      assertEquals(fleet.versions().get(name), Long.valueOf(7), "seed " + seed);
+    }
+  }
+
+  @Test
+  public void testAllThatStartWithoutAnybodyLeftServeTheCopySoon() {
+    VirtualFleet fleet = begin(3, 4, 1);
+    final VirtualFleet.Copy copy = copyAndGoOn(fleet);
+    fleet.restore(copy);
+    fleet.names().forEach(fleet::restart);
+    fleet.run(Duration.ofSeconds(1));
+    for (String name : fleet.names()) {
+      assertTrue(fleet.serves(name), name);
+    }
+    assertInForce(fleet, 5, "the copy is all there is");
+  }
+
   @Test
   public void testUpstreamThatSaidItLeavesStaysExcludedOnTheCopy() {
     for (int seed = 1; seed <= SEEDS; seed++) {
@@ -216,4 +245,40 @@
     assertEquals(fleet.whoKeepsEmpty("zone-0"), fleet.names());
     assertEquals(fleet.whoKeepsEmpty("zone-1"), List.of());
   }
+
+  /** Any order of writes, copies, restores, cuts, refusals and starts ends at what stands. */
+  @Test
+  public void testAnyOrderOfEventsEndsAtWhatTheStoreHolds() {
+    for (int seed = 1; seed <= 5 * SEEDS; seed++) {
+      Random random = new Random(seed);
+      VirtualFleet fleet = begin(3, 3, seed);
+      VirtualFleet.Copy copy = fleet.copy();
+      long version = 5;
+      for (int step = 0; step < 30; step++) {
+        switch (random.nextInt(9)) {
+          case 0, 1, 2 -> fleet.configure(++version);
+          case 3 -> fleet.register("i-" + random.nextInt(4), random.nextBoolean());
+          case 4 -> copy = fleet.copy();
+          case 5 -> {
+            fleet.restore(copy);
+            fleet.run(fleet.within(Duration.ofMillis(300)));
+            fleet.configure(version);
+          }
+          case 6 -> fleet.cutOff("zone-" + random.nextInt(3));
+          case 7 -> fleet.turnAway(fleet.readersOf("zone-" + random.nextInt(3)));
+          default -> fleet.restart(fleet.names().get(random.nextInt(9)));
+        }
+        fleet.run(fleet.within(REST));
+        if (random.nextInt(3) == 0) {
+          fleet.heal();
+          fleet.takeBack();
+        }
+      }
+      fleet.heal();
+      fleet.takeBack();
+      fleet.run(SETTLED);
+      assertInForce(fleet, version, "seed " + seed);
+      assertEquals(fleet.digests(), 1, "seed " + seed);
+    }
+  }
 }
--- a/org.oatlug.test/tst/org/oatlug/internal/config/VirtualFleet.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/config/VirtualFleet.java
@@ -431,6 +431,28 @@
         .count();
   }
 
+  /** Starts an instance anew, which knows nothing but addresses of others. */
+  void restart(String name) {
+    Instance before = instances.get(name);
+    before.stopped = true;
+    Member self = before.membership.self();
+    Instance after = new Instance(self.withEpoch(time.instant().toEpochMilli()));
+    after.membership.seeds(
+        byPort.values().stream()
+            .map(instance -> instance.membership.self())
+            .map(member -> new Settings.Address(member.host(), member.peerPort()))
+            .toList());
+    instances.put(name, after);
+    byPort.put(self.peerPort(), after);
+    after.tick();
+  }
+
+  /** Returns whether an instance would serve. */
+  boolean serves(String name) {
+    ConfigurationSystem configuration = instances.get(name).configuration;
+    return configuration.hasReadAll() && configuration.isEstablished();
+  }
+
   /** Lets the zones reach each other again. */
   void heal() {
     cutZones.clear();
--- a/org.oatlug/src/org/oatlug/internal/config/ConfigurationSystem.java
+++ b/org.oatlug/src/org/oatlug/internal/config/ConfigurationSystem.java
@@ -38,6 +38,12 @@
   private static final Duration INSTANCES_INTERVAL = Duration.ofSeconds(3);
   private static final Duration PATIENCE = Duration.ofMillis(800);
 
+  /**
+   * How long others may take to say whether they are established: a process that has just started
+   * is slow, and so are its first connections. Who is not there at all refuses at once.
+   */
+  private static final Duration MEETING_PATIENCE = Duration.ofMillis(1500);
+
   /** At most a line each so many seconds tells of comparisons that failed. */
   private static final int FAILED_DIGEST_LINES_SECONDS = 1;
 
@@ -55,6 +61,7 @@
   private final RandomGenerator random;
   private final Meters meters;
   private final ObjectSpread spread;
+  private final FirstMeeting meeting;
   private final ReaderRole role;
   private final OutageProbe probe = OutageProbe.create();
   private final List<StoreWatch> watches;
@@ -78,6 +85,7 @@
     this.random = support.random();
     this.meters = support.meters();
     this.spread = ObjectSpread.create(membership, network, random, meters, this::age);
+    this.meeting = FirstMeeting.create(membership, random, new MeetingPeers());
     this.role = ReaderRole.create(membership, network, clock, meters, this::checkPlatform);
     this.watches = support.watchGroups().stream().map(this::watchOf).toList();
   }
@@ -107,6 +115,7 @@
   @Override
   public void tick() {
     Instant now = clock.instant();
+    meeting.tick();
     role.tick();
     readInstances(now);
     watches.forEach(watch -> watch.tick(now));
@@ -146,6 +155,14 @@
     return learnedAll || watches.stream().allMatch(StoreWatch::hasRead);
   }
 
+  /**
+   * Returns whether this instance knows what those know that started before it, or found none: what
+   * it has read may be a copy of the store that is behind them.
+   */
+  public boolean isEstablished() {
+    return meeting.isEstablished();
+  }
+
   /** Confirms the configuration with the platform or a peer; goes on when neither answers. */
   public Uni<Void> confirm() {
     Uni<Void> withPeer = exchangeWithAny();
@@ -219,6 +236,25 @@
     }
   }
 
+  private final class MeetingPeers implements FirstMeeting.Peers {
+    @Override
+    public boolean hasReadAll() {
+      return ConfigurationSystem.this.hasReadAll();
+    }
+
+    @Override
+    public Uni<Boolean> isEstablished(Member peer) {
+      return network
+          .ask(peer, ownDigest(), MEETING_PATIENCE)
+          .map(answer -> ((PeerMessage.Digest) answer).established());
+    }
+
+    @Override
+    public Uni<Void> takeOver(Member peer) {
+      return exchangeWith(peer);
+    }
+  }
+
   private void take(List<StoredObject> received, StoreRevision revision, Origin origin) {
     freshness.learn(Duration.ZERO, clock.instant());
     List<StoredObject> fresh = objects.mergeAll(received, origin);
@@ -333,7 +369,7 @@
   }
 
   private PeerMessage.Digest ownDigest() {
-    return new PeerMessage.Digest(objects.join().digest(), age(), hasReadAll());
+    return new PeerMessage.Digest(objects.join().digest(), age(), hasReadAll(), isEstablished());
   }
 
   private long age() {
--- a/org.oatlug/src/org/oatlug/internal/membership/Membership.java
+++ b/org.oatlug/src/org/oatlug/internal/membership/Membership.java
@@ -130,6 +130,27 @@
     return live().size() > 1 || seeds.stream().anyMatch(seed -> !isOwn(seed));
   }
 
+  /** Returns the other instances that can be asked: live ones, and those known by address alone. */
+  public List<Member> addressedPeers() {
+    List<Member> peers = new ArrayList<>(live());
+    peers.removeIf(this::isSelf);
+    for (Settings.Address seed : seeds) {
+      boolean isKnown =
+          peers.stream()
+              .anyMatch(peer -> peer.host().equals(seed.host()) && peer.peerPort() == seed.port());
+      if (!isOwn(seed) && !isKnown) {
+        peers.add(seedAt(seed));
+      }
+    }
+    return peers;
+  }
+
+  /** Returns a record of an instance whose name is not known before it answers. */
+  private static Member seedAt(Settings.Address address) {
+    return new Member(
+        address.toString(), "", "", address.host(), address.port(), 0, 0, Member.State.ALIVE);
+  }
+
   private boolean isOwn(Settings.Address address) {
     return address.host().equals(self.host()) && address.port() == self.peerPort();
   }
@@ -307,9 +328,7 @@
     if (isOwn(address)) {
       return;
     }
-    Member seed =
-        new Member(
-            address.toString(), "", "", address.host(), address.port(), 0, 0, Member.State.ALIVE);
+    Member seed = seedAt(address);
     network
         .ask(seed, new PeerMessage.Ping(takeNews()), PROBE_PATIENCE)
         .subscribe()
--- a/org.oatlug/src/org/oatlug/internal/peer/PeerMessage.java
+++ b/org.oatlug/src/org/oatlug/internal/peer/PeerMessage.java
@@ -65,10 +65,11 @@
   record Ack(List<Member> news) implements PeerMessage {}
 
   /**
-   * The digest over all objects, the age of the last platform contact, -1 if there is none, and
-   * whether the sender has read all kinds.
+   * The digest over all objects, the age of the last platform contact, -1 if there is none, whether
+   * the sender has read all kinds, and whether it knows what those know that started before it.
    */
-  record Digest(long digest, long contactAge, boolean readAll) implements PeerMessage {}
+  record Digest(long digest, long contactAge, boolean readAll, boolean established)
+      implements PeerMessage {}
 
   /** The digests of the buckets; the answer carries the objects of those that differ. */
   record BucketDigests(long[] digests, long contactAge) implements PeerMessage {}
