Show operators the store's epoch and what counts although the store shows otherwise

oatlug status: the epoch, for how long it is known, the objects whose content is retained, and how many the store has not shown since; counter store.discarded for answers from before a restore. Process tests of what must hold on the copy: a revoked key stays refused, also at an instance that starts; a version that was rolled back gets nothing and its status is written again; one that took over stays although the copy lacks its order.

--- a/org.oatlug.pgm/src/org/oatlug/pgm/StatusCommand.java
+++ b/org.oatlug.pgm/src/org/oatlug/pgm/StatusCommand.java
@@ -4,6 +4,7 @@
 package org.oatlug.pgm;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
 import org.apache.commons.cli.CommandLine;
@@ -26,7 +27,7 @@
 
   @Override
   public String summary() {
-    return "show an instance, its peers, emptied zones, roll-outs, held requests and upstreams";
+    return "show an instance, its peers, the store, zones, roll-outs, held requests and upstreams";
   }
 
   @Override
@@ -45,6 +46,9 @@
       String state = one.path("state").asText() + " in " + one.path("zone").asText();
       table.add("instance", one.path("name").asText(), state);
     }
+    if (status.path("store").path("epoch").asLong() > 0) {
+      table.add("store", "epoch " + status.path("store").path("epoch"), storeState(status));
+    }
     for (JsonNode zone : status.path("emptiedZones")) {
       table.add("zone", zone.asText(), "emptied, its upstreams get nothing");
     }
@@ -68,6 +72,19 @@
     return ExitCode.OK;
   }
 
+  /** Returns since when the store's epoch is known, and what counts although it shows otherwise. */
+  private static String storeState(JsonNode status) {
+    JsonNode store = status.path("store");
+    List<String> retained = new ArrayList<>();
+    store.path("retained").forEach(one -> retained.add(one.asText()));
+    return String.format(
+        Locale.ROOT,
+        "known for %.1f s, retained: %s, awaited: %d",
+        store.path("sinceMillis").asLong() / MILLIS_PER_SECOND,
+        retained.isEmpty() ? "nothing" : String.join(" ", retained),
+        store.path("awaited").asLong());
+  }
+
   private static String limitState(JsonNode limit) {
     return String.format(
         Locale.ROOT,
--- a/org.oatlug.test/tst/org/oatlug/test/RestoredStoreProcessTest.java
+++ b/org.oatlug.test/tst/org/oatlug/test/RestoredStoreProcessTest.java
@@ -4,12 +4,15 @@
 package org.oatlug.test;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
 
+import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
 import java.io.IOException;
 import java.util.List;
 import org.oatlug.adapter.standin.SampleObjects;
 import org.oatlug.adapter.standin.StoreStandin;
+import org.oatlug.adapter.standin.UpstreamStandin;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.Test;
 
@@ -94,9 +97,96 @@
     awaitAtAll(FIRST, 200);
   }
 
+  @Test
+  public void testRevokedKeyStaysRefusedOnTheCopy() throws Exception {
+    final StoreStandin.Copy copy = startAndCopy();
+    JsonObject revoked = configuration(8, FIRST);
+    revoked.getJsonArray("tenants").getJsonObject(0).put("api-keys", new JsonArray());
+    cluster.store.put("config", "main", revoked);
+    awaitAtAll(FIRST, 401);
+    cluster.store.restore(copy);
+    cluster.process(2).destroyForcibly().waitFor();
+    cluster.startEntry(2);
+    cluster.awaitReady(2);
+    for (int entry = 0; entry < INSTANCES; entry++) {
+      assertEquals(status(entry, FIRST), 401, "entry-" + entry);
+    }
+  }
+
+  private String rolloutState() {
+    return cluster.store.status("rollouts", SampleObjects.SERVICE).getString("state", "");
+  }
+
+  private void driveUntil(String state) {
+    int[] number = {0};
+    Await.until(
+        state,
+        () -> {
+          for (int round = 0; round < 8; round++) {
+            number[0]++;
+            Http.send(cluster.streamRequest(number[0] % INSTANCES, "s" + number[0]));
+          }
+          return rolloutState().equals(state);
+        });
+  }
+
+  private int arrivedAfterRounds(UpstreamStandin upstream) throws IOException {
+    int before = upstream.arrivals().size();
+    for (int round = 0; round < 20; round++) {
+      Http.send(cluster.streamRequest(round % INSTANCES, "z" + round));
+    }
+    return upstream.arrivals().size() - before;
+  }
+
+  @Test
+  public void testVersionThatWasRolledBackGetsNothingOnTheCopy() throws Exception {
+    cluster = GatewayCluster.start(INSTANCES, 2);
+    UpstreamStandin bad = cluster.addUpstream("n-1", "v2");
+    bad.setBehaviour(UpstreamStandin.Behaviour.FAILS);
+    cluster.store.put("rollouts", SampleObjects.SERVICE, SampleObjects.rollout("v2", 60));
+    Await.until("begun", () -> rolloutState().equals("running"));
+    final StoreStandin.Copy copy = cluster.store.copy();
+    driveUntil("rolled_back");
+    cluster.store.restore(copy);
+    cluster.store.put("rollouts", SampleObjects.SERVICE, SampleObjects.rollout("v2", 60));
+    assertEquals(arrivedAfterRounds(bad), 0);
+    Await.until("written again", () -> rolloutState().equals("rolled_back"));
+    assertEquals(arrivedAfterRounds(bad), 0);
+    cluster.process(2).destroyForcibly().waitFor();
+    cluster.startEntry(2);
+    cluster.awaitReady(2);
+    assertEquals(arrivedAfterRounds(bad), 0);
+  }
+
+  @Test
+  public void testVersionThatTookOverStaysOnTheCopyThatLacksItsOrder() throws Exception {
+    cluster = GatewayCluster.start(INSTANCES, 2);
+    cluster.addUpstream("n-1", "v2");
+    cluster.addUpstream("n-2", "v2");
+    final StoreStandin.Copy copy = cluster.store.copy();
+    cluster.store.put("rollouts", SampleObjects.SERVICE, SampleObjects.rollout("v2", 4));
+    driveUntil("succeeded");
+    cluster.store.restore(copy);
+    assertEquals(arrivedAfterRounds(cluster.upstreams.get("i-1")), 0);
+    cluster.store.put("rollouts", SampleObjects.SERVICE, SampleObjects.rollout("v2", 4));
+    Await.until("written again", () -> rolloutState().equals("succeeded"));
+    assertEquals(arrivedAfterRounds(cluster.upstreams.get("i-1")), 0);
+  }
+
+  @Test
+  public void testOperatorSeesTheEpochAndWhatIsRetained() throws IOException {
+    final StoreStandin.Copy copy = startAndCopy();
+    cluster.store.put("servers", "i-1", cluster.entryOf("i-1").put("sequence", 900));
+    Await.until("known", () -> status(0, FIRST) == 200);
+    cluster.store.restore(copy);
+    Await.until("shown", () -> cluster.command(0, "status").contains("epoch 2"));
+    String shown = cluster.command(0, "status");
+    assertTrue(shown.contains("retained: upstream/i-1"), shown);
+  }
+
   @Test
   public void testInstanceThatStartsOnTheCopyServesWhatOthersKnow() throws Exception {
-    StoreStandin.Copy copy = startAndCopy();
+    final StoreStandin.Copy copy = startAndCopy();
     cluster.store.restore(copy);
     for (int round = 0; round < 3; round++) {
       cluster.process(2).destroyForcibly().waitFor();
--- a/org.oatlug/src/org/oatlug/internal/gateway/GatewayTables.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/GatewayTables.java
@@ -5,6 +5,8 @@
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.google.common.flogger.FluentLogger;
+import java.time.Duration;
+import java.time.Instant;
 import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -29,6 +31,7 @@
 import org.oatlug.internal.table.UpstreamRow;
 import org.oatlug.internal.table.UpstreamTable;
 import org.oatlug.internal.util.Json;
+import org.oatlug.platform.StoreEpoch;
 import org.oatlug.platform.StoreRevision;
 import org.oatlug.platform.StoredObject;
 
@@ -46,6 +49,7 @@
   /** At most a line each so many seconds tells of entries that name no upstream to use. */
   private static final int UNUSABLE_LINES_SECONDS = 1;
 
+  private final InstantSource clock;
   private final ObjectJoin join = ObjectJoin.create(GatewayRules.create());
   private final KnownUpstreams upstreams;
   private final Map<String, ServiceRollout> rollouts = new TreeMap<>();
@@ -53,8 +57,12 @@
   private Optional<RoutingConfiguration> configuration = Optional.empty();
   private RouteIndex routes = RouteIndex.empty();
   private KeyIndex keys = KeyIndex.open();
+  private long epoch = StoreEpoch.UNNAMED;
+  private Instant epochSince;
 
   private GatewayTables(InstantSource clock) {
+    this.clock = clock;
+    this.epochSince = clock.instant();
     this.upstreams = KnownUpstreams.create(clock);
   }
 
@@ -72,6 +80,7 @@
   public List<StoredObject> mergeAll(List<StoredObject> objects, Origin origin) {
     List<StoredObject> fresh = new ArrayList<>();
     for (StoredObject object : objects) {
+      noteEpoch(object.revision().epoch());
       Optional<StoredObject> known = join.get(object.key());
       Optional<StoredObject> joined = join.merge(object);
       joined.ifPresent(fresh::add);
@@ -80,6 +89,29 @@
     return fresh;
   }
 
+  private void noteEpoch(long shown) {
+    if (shown > epoch) {
+      epoch = shown;
+      epochSince = clock.instant();
+    }
+  }
+
+  /** Returns what is known of the store's restores, for an operator. */
+  InstanceStatus.Store storeStatus() {
+    List<String> retained =
+        join.all().stream()
+            .filter(StoredObject::retained)
+            .map(object -> object.key().toString())
+            .toList();
+    long awaited = join.all().stream().filter(this::isAwaited).count();
+    long since = Duration.between(epochSince, clock.instant()).toMillis();
+    return new InstanceStatus.Store(epoch, since, retained, awaited);
+  }
+
+  private boolean isAwaited(StoredObject object) {
+    return object.revision().epoch() < epoch && !Kinds.isTombstone(object.value());
+  }
+
   /** Takes in an object, unless only its revision changed, as after a restore of the store. */
   private void takeIfChanged(Optional<StoredObject> known, StoredObject newer, Origin origin) {
     if (newer.retained()) {
--- a/org.oatlug/src/org/oatlug/internal/gateway/InstanceStatus.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/InstanceStatus.java
@@ -16,6 +16,7 @@
  *
  * @param name the name of the instance
  * @param ready whether it tells the balancer that it is ready
+ * @param store what is known of the store's restores
  * @param emptiedZones the availability zones whose upstreams get nothing
  * @param rollouts how far the roll-outs have come that run
  * @param heldRequests the requests that run alone or not at all, because upstreams ended under them
@@ -24,10 +25,21 @@
 public record InstanceStatus(
     String name,
     boolean ready,
+    Store store,
     List<String> emptiedZones,
     List<RolloutStatus> rollouts,
     List<CrashLedger.Listed> heldRequests,
     List<Upstream> upstreams) {
+  /**
+   * What is known of the store's restores.
+   *
+   * @param epoch the epoch that the newest object is of, 0 if the store names none
+   * @param sinceMillis for how long that epoch has been known, in milliseconds
+   * @param retained the objects whose content counts although the store shows an older one
+   * @param awaited how many objects are known of earlier epochs and were not shown since
+   */
+  public record Store(long epoch, long sinceMillis, List<String> retained, long awaited) {}
+
   /**
    * An upstream.
    *
@@ -60,6 +72,7 @@
     return new InstanceStatus(
         parts.settings().name(),
         ready,
+        tables.storeStatus(),
         List.copyOf(tables.emptiedZones()),
         parts.versions().status(),
         parts.crashLedger().listed(),
--- a/org.oatlug/src/org/oatlug/internal/platform/CountedPlatform.java
+++ b/org.oatlug/src/org/oatlug/internal/platform/CountedPlatform.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import org.oatlug.api.ObjectKey;
 import org.oatlug.config.Kinds;
+import org.oatlug.errors.EarlierEpochException;
 import org.oatlug.internal.metrics.Meters;
 import org.oatlug.platform.Platform;
 import org.oatlug.platform.StoreEpoch;
@@ -19,7 +20,8 @@
 /**
  * Counts the calls of a platform by operation and kind, and those that failed: {@code
  * store.OPERATION.KIND} and {@code store.failed.OPERATION.KIND}; and the entries that name nothing
- * to use, {@code store.unusable.KIND}. Used from one event loop.
+ * to use, {@code store.unusable.KIND}; and the answers from before a restore of the store, {@code
+ * store.discarded}. Used from one event loop.
  */
 public final class CountedPlatform implements Platform {
   private final Platform counted;
@@ -40,7 +42,14 @@
     return call.onSubscription()
         .invoke(() -> meters.count("store." + name))
         .onFailure()
-        .invoke(() -> meters.count("store.failed." + name));
+        .invoke(failure -> countFailure(name, failure));
+  }
+
+  private void countFailure(String name, Throwable failure) {
+    meters.count("store.failed." + name);
+    if (failure.getCause() instanceof EarlierEpochException) {
+      meters.count("store.discarded");
+    }
   }
 
   private void noteUnusable(Batch batch) {
