--- a/org.oatlug.test/tst/org/oatlug/internal/config/RestoredStoreFleetTest.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/config/RestoredStoreFleetTest.java
@@ -25,6 +25,9 @@
   /** The shortest bound that a deployment has for a configuration to be in force. */
   private static final Duration BOUND = Duration.ofSeconds(2);
 
+  /** Twice the two seconds in which upstreams that live write their entries again. */
+  private static final Duration REWRITTEN = Duration.ofSeconds(4);
+
   /** Longer than any content of an earlier epoch is kept for a copy that lacks it. */
   private static final Duration SETTLED = Duration.ofSeconds(40);
 
@@ -113,6 +116,35 @@
     }
   }
 
+  @Test
+  public void testWatchThatIsSilentSinceTheRestoreEndsWhenAnotherIsAnswered() {
+    for (int seed = 1; seed <= SEEDS; seed++) {
+      VirtualFleet fleet = begin(3, 4, seed);
+      final VirtualFleet.Copy copy = copyAndGoOn(fleet);
+      fleet.loseWatches(fleet.names(), GatewayKinds.ROUTING);
+      fleet.restoreKeepingWatches(copy);
+      fleet.configure(9);
+      fleet.run(BOUND);
+      assertInForce(fleet, 9, "seed " + seed);
+    }
+  }
+
+  @Test
+  public void testReaderWhoseWatchesAreSilentLearnsOfTheRestoreFromOthers() {
+    for (int seed = 1; seed <= SEEDS; seed++) {
+      VirtualFleet fleet = begin(3, 4, seed);
+      final VirtualFleet.Copy copy = copyAndGoOn(fleet);
+      List<String> readers = fleet.readersOf("zone-1");
+      WATCHES.forEach(kinds -> fleet.loseWatches(readers, kinds.get(0)));
+      fleet.restore(copy);
+      fleet.run(REST);
+      fleet.cutOff("zone-1");
+      fleet.configure(9);
+      fleet.run(BOUND);
+      assertInForce(fleet, 9, "seed " + seed);
+    }
+  }
+
   @Test
   public void testTwoRestoresInRowTakeNobodyBack() {
     for (int seed = 1; seed <= SEEDS; seed++) {
@@ -222,7 +254,7 @@
     fleet.run(REST);
     assertEquals(fleet.whoMisses("i-2"), List.of());
     fleet.register("i-2", false);
-    fleet.run(SETTLED);
+    fleet.run(REWRITTEN);
     assertEquals(fleet.whoMisses("i-2"), List.of());
     assertEquals(fleet.whoMisses("i-3"), fleet.names());
   }
--- a/org.oatlug.test/tst/org/oatlug/internal/config/VirtualFleet.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/config/VirtualFleet.java
@@ -70,7 +70,7 @@
   private final Map<Integer, Instance> byPort = new TreeMap<>();
   private final Map<ObjectKey, StoredObject> stored = new TreeMap<>();
   private final List<StoredObject> history = new ArrayList<>();
-  private final List<Runnable> watchers = new ArrayList<>();
+  private final List<Watcher> watchers = new ArrayList<>();
   private final Set<String> silent = new HashSet<>();
   private final Set<String> turnedAway = new HashSet<>();
   private final Set<String> cutZones = new HashSet<>();
@@ -87,6 +87,9 @@
     this.watchGroups = watchGroups;
   }
 
+  /** A watch that waits for a change. */
+  private record Watcher(String instance, List<String> kinds, Runnable answer) {}
+
   /** What the store held at some moment. */
   record Copy(Map<ObjectKey, StoredObject> stored, List<StoredObject> history, long revision) {}
 
@@ -245,7 +248,7 @@
         answer.run();
         return;
       }
-      watchers.add(() -> after(delay(), answer));
+      watchers.add(new Watcher(name(), kinds, () -> after(delay(), answer)));
       after(wait, answer);
     }
 
@@ -395,6 +398,12 @@
     answerWatchers();
   }
 
+  /** Lets the watches of a kind, of some instances, wait until they end, whatever changes. */
+  void loseWatches(List<String> names, String kind) {
+    watchers.removeIf(
+        watcher -> names.contains(watcher.instance()) && watcher.kinds().contains(kind));
+  }
+
   /** Writes a configuration. */
   void configure(long version) {
     RoutingConfiguration configuration =
@@ -471,9 +480,9 @@
   }
 
   private void answerWatchers() {
-    List<Runnable> waiting = List.copyOf(watchers);
+    List<Watcher> waiting = List.copyOf(watchers);
     watchers.clear();
-    waiting.forEach(Runnable::run);
+    waiting.forEach(watcher -> watcher.answer().run());
   }
 
   /** Writes the entry of an upstream. */
