--- a/org.oatlug.entry/src/org/oatlug/entry/GatewayInstance.java
+++ b/org.oatlug.entry/src/org/oatlug/entry/GatewayInstance.java
@@ -191,7 +191,7 @@
         StartGate.create(
             clock,
             () -> tables.configuration().isPresent(),
-            () -> configuration.hasReadAll() && configuration.isEstablished(),
+            () -> configuration.hasReadAll() && configuration.isInSync(),
             () ->
                 !tables.isBringingIn()
                     || gathering.hasMet()
--- a/org.oatlug.test/tst/org/oatlug/internal/config/RestoredStoreFleetTest.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/config/RestoredStoreFleetTest.java
@@ -37,13 +37,6 @@
   private static final int READERS_PER_ZONE = 2;
   private static final int WRITES = 60;
 
-  private static final List<List<String>> WATCHES =
-      List.of(
-          List.of(GatewayKinds.ROUTING),
-          List.of(GatewayKinds.UPSTREAM),
-          List.of(GatewayKinds.ROLLOUT),
-          List.of(GatewayKinds.EVACUATION));
-
   @DataProvider
   Object[][] sizes() {
     return new Object[][] {{1, 7}, {3, 2}, {3, 20}, {5, 19}};
@@ -51,15 +44,15 @@
 
   /** Starts a fleet that has learned of writes after the copy. */
   private static VirtualFleet begin(int zones, int instancesPerZone, int seed) {
-    VirtualFleet fleet = VirtualFleet.of(zones, instancesPerZone, seed, WATCHES);
+    VirtualFleet fleet = VirtualFleet.of(zones, instancesPerZone, seed, VirtualFleet.ALL_KINDS);
     fleet.register("i-1", false);
     fleet.configure(5);
     fleet.run(START);
     return fleet;
   }
 
-  private static VirtualFleet.Copy copyAndGoOn(VirtualFleet fleet) {
-    final VirtualFleet.Copy copy = fleet.copy();
+  private static VirtualStore.Copy copyAndGoOn(VirtualFleet fleet) {
+    final VirtualStore.Copy copy = fleet.store().copy();
     for (int write = 0; write < WRITES; write++) {
       fleet.register("i-1", false);
     }
@@ -80,8 +73,8 @@
   public void testConfigurationWrittenAfterRestoreIsInForceInTime(int zones, int perZone) {
     for (int seed = 1; seed <= SEEDS; seed++) {
       VirtualFleet fleet = begin(zones, perZone, seed);
-      final VirtualFleet.Copy copy = copyAndGoOn(fleet);
-      fleet.restore(copy);
+      final VirtualStore.Copy copy = copyAndGoOn(fleet);
+      fleet.store().restore(copy);
       fleet.run(fleet.within(REST));
       fleet.configure(9);
       fleet.run(BOUND);
@@ -92,9 +85,9 @@
   @Test(dataProvider = "sizes")
   public void testRestoreCostsFewCallsOfTheStore(int zones, int perZone) {
     VirtualFleet fleet = begin(zones, perZone, 1);
-    final VirtualFleet.Copy copy = copyAndGoOn(fleet);
+    final VirtualStore.Copy copy = copyAndGoOn(fleet);
     final int before = fleet.storeCalls();
-    fleet.restore(copy);
+    fleet.store().restore(copy);
     fleet.run(Duration.ofSeconds(3));
     int calls = fleet.storeCalls() - before;
     int most = zones * READERS_PER_ZONE * MOST_CALLS_OF_READER;
@@ -105,8 +98,8 @@
   public void testWatchWhoseRevisionExistsAgainMissesNothing() {
     for (int seed = 1; seed <= SEEDS; seed++) {
       VirtualFleet fleet = begin(3, 4, seed);
-      final VirtualFleet.Copy copy = copyAndGoOn(fleet);
-      fleet.restoreKeepingWatches(copy);
+      final VirtualStore.Copy copy = copyAndGoOn(fleet);
+      fleet.store().restoreKeepingWatches(copy);
       fleet.configure(9);
       for (int write = 0; write < 2 * WRITES; write++) {
         fleet.register("i-1", false);
@@ -120,9 +113,9 @@
   public void testWatchThatIsSilentSinceTheRestoreEndsWhenAnotherIsAnswered() {
     for (int seed = 1; seed <= SEEDS; seed++) {
       VirtualFleet fleet = begin(3, 4, seed);
-      final VirtualFleet.Copy copy = copyAndGoOn(fleet);
-      fleet.loseWatches(fleet.names(), GatewayKinds.ROUTING);
-      fleet.restoreKeepingWatches(copy);
+      final VirtualStore.Copy copy = copyAndGoOn(fleet);
+      fleet.store().loseWatches(fleet.names(), GatewayKinds.ROUTING);
+      fleet.store().restoreKeepingWatches(copy);
       fleet.configure(9);
       fleet.run(BOUND);
       assertInForce(fleet, 9, "seed " + seed);
@@ -133,10 +126,10 @@
   public void testReaderWhoseWatchesAreSilentLearnsOfTheRestoreFromOthers() {
     for (int seed = 1; seed <= SEEDS; seed++) {
       VirtualFleet fleet = begin(3, 4, seed);
-      final VirtualFleet.Copy copy = copyAndGoOn(fleet);
+      final VirtualStore.Copy copy = copyAndGoOn(fleet);
       List<String> readers = fleet.readersOf("zone-1");
-      WATCHES.forEach(kinds -> fleet.loseWatches(readers, kinds.get(0)));
-      fleet.restore(copy);
+      VirtualFleet.ALL_KINDS.forEach(kinds -> fleet.store().loseWatches(readers, kinds.get(0)));
+      fleet.store().restore(copy);
       fleet.run(REST);
       fleet.cutOff("zone-1");
       fleet.configure(9);
@@ -149,12 +142,12 @@
   public void testTwoRestoresInRowTakeNobodyBack() {
     for (int seed = 1; seed <= SEEDS; seed++) {
       VirtualFleet fleet = begin(3, 4, seed);
-      final VirtualFleet.Copy copy = copyAndGoOn(fleet);
-      fleet.restore(copy);
+      final VirtualStore.Copy copy = copyAndGoOn(fleet);
+      fleet.store().restore(copy);
       fleet.run(fleet.within(REST));
       fleet.configure(9);
       fleet.run(fleet.within(REST));
-      fleet.restore(copy);
+      fleet.store().restore(copy);
       fleet.configure(9);
       fleet.configure(11);
       fleet.run(BOUND);
@@ -166,9 +159,9 @@
   public void testZoneThatIsCutOffLearnsFromItsOwnReaders() {
     for (int seed = 1; seed <= SEEDS; seed++) {
       VirtualFleet fleet = begin(3, 4, seed);
-      final VirtualFleet.Copy copy = copyAndGoOn(fleet);
+      final VirtualStore.Copy copy = copyAndGoOn(fleet);
       fleet.cutOff("zone-1");
-      fleet.restore(copy);
+      fleet.store().restore(copy);
       fleet.configure(9);
       fleet.run(BOUND);
       assertInForce(fleet, 9, "seed " + seed);
@@ -183,9 +176,9 @@
   public void testInstancesThatReadersAreTurnedAwayOfLearnFromOthers() {
     for (int seed = 1; seed <= SEEDS; seed++) {
       VirtualFleet fleet = begin(3, 4, seed);
-      final VirtualFleet.Copy copy = copyAndGoOn(fleet);
+      final VirtualStore.Copy copy = copyAndGoOn(fleet);
       fleet.turnAway(fleet.readersOf("zone-1"));
-      fleet.restore(copy);
+      fleet.store().restore(copy);
       fleet.configure(9);
       fleet.run(BOUND);
       assertInForce(fleet, 9, "seed " + seed);
@@ -196,8 +189,8 @@
   public void testInstanceThatStartsOnTheCopyKnowsWhatOthersKnowBeforeItServes() {
     for (int seed = 1; seed <= SEEDS; seed++) {
       VirtualFleet fleet = begin(3, 4, seed);
-      final VirtualFleet.Copy copy = copyAndGoOn(fleet);
-      fleet.restore(copy);
+      final VirtualStore.Copy copy = copyAndGoOn(fleet);
+      fleet.store().restore(copy);
       String name = fleet.namesIn("zone-1").get(seed % 4);
       fleet.restart(name);
       while (!fleet.serves(name)) {
@@ -210,8 +203,8 @@
   @Test
   public void testAllThatStartWithoutAnybodyLeftServeTheCopySoon() {
     VirtualFleet fleet = begin(3, 4, 1);
-    final VirtualFleet.Copy copy = copyAndGoOn(fleet);
-    fleet.restore(copy);
+    final VirtualStore.Copy copy = copyAndGoOn(fleet);
+    fleet.store().restore(copy);
     fleet.names().forEach(fleet::restart);
     fleet.run(Duration.ofSeconds(1));
     for (String name : fleet.names()) {
@@ -227,11 +220,11 @@
       fleet.register("i-2", false);
       fleet.register("i-3", false);
       fleet.run(REST);
-      final VirtualFleet.Copy copy = copyAndGoOn(fleet);
+      final VirtualStore.Copy copy = copyAndGoOn(fleet);
       fleet.register("i-2", true);
       fleet.remove("i-3");
       fleet.run(REST);
-      fleet.restore(copy);
+      fleet.store().restore(copy);
       fleet.run(BOUND);
       for (String instance : fleet.names()) {
         assertTrue(fleet.knownOf("i-2").get(instance).orElseThrow().leaving(), instance);
@@ -246,11 +239,11 @@
   @Test
   public void testUpstreamThatTheCopyLacksIsUsedUntilItHadTimeToWriteAgain() {
     VirtualFleet fleet = begin(3, 4, 1);
-    final VirtualFleet.Copy copy = copyAndGoOn(fleet);
+    final VirtualStore.Copy copy = copyAndGoOn(fleet);
     fleet.register("i-2", false);
     fleet.register("i-3", false);
     fleet.run(REST);
-    fleet.restore(copy);
+    fleet.store().restore(copy);
     fleet.run(REST);
     assertEquals(fleet.whoMisses("i-2"), List.of());
     fleet.register("i-2", false);
@@ -264,11 +257,11 @@
     VirtualFleet fleet = begin(3, 4, 1);
     fleet.empty("zone-1");
     fleet.run(REST);
-    final VirtualFleet.Copy copy = copyAndGoOn(fleet);
+    final VirtualStore.Copy copy = copyAndGoOn(fleet);
     fleet.empty("zone-0");
     fleet.takeZoneBack("zone-1");
     fleet.run(REST);
-    fleet.restore(copy);
+    fleet.store().restore(copy);
     fleet.run(BOUND);
     assertEquals(fleet.whoKeepsEmpty("zone-0"), fleet.names());
     fleet.empty("zone-0");
@@ -284,15 +277,15 @@
     for (int seed = 1; seed <= 5 * SEEDS; seed++) {
       Random random = new Random(seed);
       VirtualFleet fleet = begin(3, 3, seed);
-      VirtualFleet.Copy copy = fleet.copy();
+      VirtualStore.Copy copy = fleet.store().copy();
       long version = 5;
       for (int step = 0; step < 30; step++) {
         switch (random.nextInt(9)) {
           case 0, 1, 2 -> fleet.configure(++version);
           case 3 -> fleet.register("i-" + random.nextInt(4), random.nextBoolean());
-          case 4 -> copy = fleet.copy();
+          case 4 -> copy = fleet.store().copy();
           case 5 -> {
-            fleet.restore(copy);
+            fleet.store().restore(copy);
             fleet.run(fleet.within(Duration.ofMillis(300)));
             fleet.configure(version);
           }
--- a/org.oatlug.test/tst/org/oatlug/internal/config/StoreOutageTest.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/config/StoreOutageTest.java
@@ -7,8 +7,6 @@
 import static org.testng.Assert.assertTrue;
 
 import java.time.Duration;
-import java.util.List;
-import org.oatlug.gateway.GatewayKinds;
 import org.testng.annotations.Test;
 
 /**
@@ -30,17 +28,10 @@
   /** Two readers a zone try twice a second, and those whom they ask to read instead once. */
   private static final int MOST_CALLS = 250;
 
-  private static final List<List<String>> WATCHES =
-      List.of(
-          List.of(GatewayKinds.ROUTING),
-          List.of(GatewayKinds.UPSTREAM),
-          List.of(GatewayKinds.ROLLOUT),
-          List.of(GatewayKinds.EVACUATION));
-
   @Test
   public void testOutageIsTriedByOneWatchForAll() {
     for (int seed = 1; seed <= SEEDS; seed++) {
-      VirtualFleet fleet = VirtualFleet.of(ZONES, INSTANCES_PER_ZONE, seed, WATCHES);
+      VirtualFleet fleet = VirtualFleet.of(ZONES, INSTANCES_PER_ZONE, seed, VirtualFleet.ALL_KINDS);
       fleet.run(START);
       fleet.turnAway(fleet.names());
       final int before = fleet.storeCalls();
@@ -53,7 +44,7 @@
   @Test
   public void testWhatChangedInAnOutageIsKnownSoonAfterIt() {
     for (int seed = 1; seed <= SEEDS; seed++) {
-      VirtualFleet fleet = VirtualFleet.of(ZONES, INSTANCES_PER_ZONE, seed, WATCHES);
+      VirtualFleet fleet = VirtualFleet.of(ZONES, INSTANCES_PER_ZONE, seed, VirtualFleet.ALL_KINDS);
       fleet.run(START);
       fleet.turnAway(fleet.names());
       fleet.run(OUTAGE);
--- a/org.oatlug.test/tst/org/oatlug/internal/config/VirtualFleet.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/config/VirtualFleet.java
@@ -10,7 +10,6 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -47,8 +46,7 @@
  *
  * <p>Runs the real membership and configuration systems; a message takes some milliseconds, drawn
  * from the seed. Instances may be silent (stopped without anybody knowing), turned away by the
- * store, and zones cut off from each other; the store may be restored from a copy. Used from one
- * thread.
+ * store, and zones cut off from each other; see {@link VirtualStore}. Used from one thread.
  */
 final class VirtualFleet {
   /** How often an instance looks whether something is due. */
@@ -63,21 +61,25 @@
 
   private static final List<List<String>> UPSTREAMS = List.of(List.of(GatewayKinds.UPSTREAM));
 
+  /** A watch for each kind that routed services read. */
+  static final List<List<String>> ALL_KINDS =
+      List.of(
+          List.of(GatewayKinds.ROUTING),
+          List.of(GatewayKinds.UPSTREAM),
+          List.of(GatewayKinds.ROLLOUT),
+          List.of(GatewayKinds.EVACUATION));
+
   private final Random random;
   private final List<List<String>> watchGroups;
   private final VirtualTime time = new VirtualTime();
   private final Map<String, Instance> instances = new TreeMap<>();
   private final Map<Integer, Instance> byPort = new TreeMap<>();
-  private final Map<ObjectKey, StoredObject> stored = new TreeMap<>();
-  private final List<StoredObject> history = new ArrayList<>();
-  private final List<Watcher> watchers = new ArrayList<>();
+  private final VirtualStore store = new VirtualStore();
   private final Set<String> silent = new HashSet<>();
   private final Set<String> turnedAway = new HashSet<>();
   private final Set<String> cutZones = new HashSet<>();
   private final Map<String, Instant> acknowledged = new TreeMap<>();
   private Duration refusalTime = LIST_TIME;
-  private long revision;
-  private long epoch = 1;
   private int storeCalls;
   private int reverts;
   private long sequence;
@@ -87,12 +89,6 @@
     this.watchGroups = watchGroups;
   }
 
-  /** A watch that waits for a change. */
-  private record Watcher(String instance, List<String> kinds, Runnable answer) {}
-
-  /** What the store held at some moment. */
-  record Copy(Map<ObjectKey, StoredObject> stored, List<StoredObject> history, long revision) {}
-
   /** One instance. */
   private final class Instance implements Platform, PeerNetwork {
     private final GatewayTables tables = GatewayTables.create(time);
@@ -211,7 +207,7 @@
                       if (turnedAway.contains(name())) {
                         emitter.fail(new PlatformUnavailableException("turned away", null));
                       } else {
-                        epochHeard.note(epoch);
+                        epochHeard.note(store.now().epoch());
                         answer.run();
                       }
                     });
@@ -220,8 +216,7 @@
 
     @Override
     public Uni<Batch> list(List<String> kinds) {
-      return call(
-          emitter -> () -> emitter.complete(new Batch(now(), shown(kinds, stored.values()))));
+      return call(emitter -> () -> emitter.complete(store.list(kinds)));
     }
 
     @Override
@@ -236,19 +231,19 @@
             if (turnedAway.contains(name())) {
               emitter.fail(new PlatformUnavailableException("turned away", null));
             } else {
-              epochHeard.note(epoch);
-              emitter.complete(new Batch(now(), shown(kinds, changesAfter(since))));
+              epochHeard.note(store.now().epoch());
+              emitter.complete(store.changesAfter(kinds, since));
             }
           };
-      if (since > revision) {
+      if (since > store.now().number()) {
         emitter.fail(new PlatformUnavailableException("no such revision", null));
         return;
       }
-      if (revision > since) {
+      if (store.now().number() > since) {
         answer.run();
         return;
       }
-      watchers.add(new Watcher(name(), kinds, () -> after(delay(), answer)));
+      store.hold(new VirtualStore.Watch(name(), kinds, () -> after(delay(), answer)));
       after(wait, answer);
     }
 
@@ -356,52 +351,8 @@
     time.run(duration);
   }
 
-  private StoreRevision now() {
-    return new StoreRevision(epoch, revision);
-  }
-
-  /** Returns objects of some kinds as the store shows them in its present epoch. */
-  private List<StoredObject> shown(List<String> kinds, Collection<StoredObject> objects) {
-    return objects.stream()
-        .filter(object -> kinds.contains(object.key().kind()))
-        .map(
-            object ->
-                StoredObject.of(
-                    object.key(),
-                    new StoreRevision(epoch, object.revision().number()),
-                    object.value()))
-        .toList();
-  }
-
-  private List<StoredObject> changesAfter(long since) {
-    return history.stream().filter(change -> change.revision().number() > since).toList();
-  }
-
-  /** Returns a copy of what the store holds. */
-  Copy copy() {
-    return new Copy(new TreeMap<>(stored), List.copyOf(history), revision);
-  }
-
-  /** Puts the store back to a copy; watches that wait go on in the new epoch. */
-  void restoreKeepingWatches(Copy copy) {
-    stored.clear();
-    stored.putAll(copy.stored());
-    history.clear();
-    history.addAll(copy.history());
-    revision = copy.revision();
-    epoch++;
-  }
-
-  /** Puts the store back to a copy; watches that wait are answered in the new epoch. */
-  void restore(Copy copy) {
-    restoreKeepingWatches(copy);
-    answerWatchers();
-  }
-
-  /** Lets the watches of a kind, of some instances, wait until they end, whatever changes. */
-  void loseWatches(List<String> names, String kind) {
-    watchers.removeIf(
-        watcher -> names.contains(watcher.instance()) && watcher.kinds().contains(kind));
+  VirtualStore store() {
+    return store;
   }
 
   /** Writes a configuration. */
@@ -410,7 +361,7 @@
         new RoutingConfiguration(
             version, List.of(), List.of(), CallerLimits.DEFAULT, Optional.empty());
     ObjectKey key = ObjectKey.valueOf(GatewayKinds.ROUTING, "main");
-    change(key, Json.STRICT.valueToTree(configuration));
+    store.change(key, Json.STRICT.valueToTree(configuration));
   }
 
   /** Returns by instance the version of the configuration that is in force. */
@@ -459,7 +410,7 @@
   /** Returns whether an instance would serve. */
   boolean serves(String name) {
     ConfigurationSystem configuration = instances.get(name).configuration;
-    return configuration.hasReadAll() && configuration.isEstablished();
+    return configuration.hasReadAll() && configuration.isInSync();
   }
 
   /** Lets the zones reach each other again. */
@@ -467,24 +418,6 @@
     cutZones.clear();
   }
 
-  private void change(ObjectKey key, JsonNode value) {
-    revision++;
-    StoredObject object = StoredObject.of(key, now(), value);
-    history.add(object);
-    if (Kinds.isTombstone(value)) {
-      stored.remove(key);
-    } else {
-      stored.put(key, object);
-    }
-    answerWatchers();
-  }
-
-  private void answerWatchers() {
-    List<Watcher> waiting = List.copyOf(watchers);
-    watchers.clear();
-    waiting.forEach(watcher -> watcher.answer().run());
-  }
-
   /** Writes the entry of an upstream. */
   void register(String upstream, boolean leaving) {
     sequence++;
@@ -494,18 +427,19 @@
     if (leaving) {
       acknowledged.put(upstream, time.instant());
     }
-    change(ObjectKey.valueOf(GatewayKinds.UPSTREAM, upstream), Json.STRICT.valueToTree(entry));
+    store.change(
+        ObjectKey.valueOf(GatewayKinds.UPSTREAM, upstream), Json.STRICT.valueToTree(entry));
   }
 
   /** Writes the order to empty a zone. */
   void empty(String zone) {
     acknowledged.put(zone, time.instant());
-    change(ObjectKey.valueOf(GatewayKinds.EVACUATION, zone), Json.STRICT.createObjectNode());
+    store.change(ObjectKey.valueOf(GatewayKinds.EVACUATION, zone), Json.STRICT.createObjectNode());
   }
 
   /** Takes the order to empty a zone back. */
   void takeZoneBack(String zone) {
-    change(ObjectKey.valueOf(GatewayKinds.EVACUATION, zone), Kinds.tombstone());
+    store.change(ObjectKey.valueOf(GatewayKinds.EVACUATION, zone), Kinds.tombstone());
   }
 
   /** Returns the instances that send nothing to the upstreams of a zone. */
@@ -524,7 +458,7 @@
 
   private void deleteEntry(String upstream) {
     ObjectKey key = ObjectKey.valueOf(GatewayKinds.UPSTREAM, upstream);
-    change(key, UpstreamRecord.tombstoneOf(stored.get(key).value()));
+    store.change(key, UpstreamRecord.tombstoneOf(store.get(key).value()));
   }
 
   /** Returns the names of the readers of a zone. */
@@ -544,7 +478,7 @@
   /** Lets the store turn instances away from now on; watches that wait are cut. */
   void turnAway(List<String> names) {
     turnedAway.addAll(names);
-    answerWatchers();
+    store.answerWatches();
   }
 
   /** Lets the store keep those whom it turns away waiting until they give up, for a second. */
--- a/org.oatlug.test/tst/org/oatlug/test/GatewayCluster.java
+++ b/org.oatlug.test/tst/org/oatlug/test/GatewayCluster.java
@@ -33,6 +33,7 @@
  */
 final class GatewayCluster implements AutoCloseable {
   private static final String HOST = "127.0.0.1";
+  private static final int STREAMS_BETWEEN_LOOKS = 8;
 
   private final Path directory = Files.createTempDirectory("oatlug-gateway");
   private final Vertx vertx = Vertx.vertx();
@@ -202,6 +203,25 @@
         .header("Prefix-Hash", "a1:60," + own + ":40");
   }
 
+  /** Returns the state that the instances wrote of the roll-out of the service, empty for none. */
+  String rolloutState() {
+    return store.status("rollouts", SampleObjects.SERVICE).getString("state", "");
+  }
+
+  /** Sends streams of ever new sessions to all instances until the roll-out is in the state. */
+  void streamUntilRolloutIs(String state) {
+    int[] number = {0};
+    Await.until(
+        state,
+        () -> {
+          for (int round = 0; round < STREAMS_BETWEEN_LOOKS; round++) {
+            number[0]++;
+            Http.send(streamRequest(number[0] % ports.size(), "s" + number[0]));
+          }
+          return rolloutState().equals(state);
+        });
+  }
+
   /** Returns what the command line prints when an operator asks an instance. */
   String command(int entry, String... words) {
     List<String> all = new ArrayList<>(List.of(words));
--- a/org.oatlug.test/tst/org/oatlug/test/GatewayStateProcessTest.java
+++ b/org.oatlug.test/tst/org/oatlug/test/GatewayStateProcessTest.java
@@ -145,11 +145,11 @@
     UpstreamStandin candidate = cluster.addUpstream("n-1", "v2");
     candidate.setBehaviour(Behaviour.FAILS);
     cluster.store.put("rollouts", SampleObjects.SERVICE, order(30));
-    driveUntil("rolled_back");
+    cluster.streamUntilRolloutIs("rolled_back");
     cluster.store.delete("rollouts", SampleObjects.SERVICE);
     candidate.setBehaviour(Behaviour.SOUND);
     cluster.store.put("rollouts", SampleObjects.SERVICE, order(10));
-    driveUntil("succeeded");
+    cluster.streamUntilRolloutIs("succeeded");
   }
 
   @Test
@@ -256,7 +256,7 @@
     cluster.addUpstream("n-1", "v2");
     cluster.addUpstream("n-2", "v2");
     cluster.store.put("rollouts", SampleObjects.SERVICE, order(4));
-    driveUntil("succeeded");
+    cluster.streamUntilRolloutIs("succeeded");
     int before = cluster.upstreams.get("i-1").arrivals().size();
     for (int round = 0; round < 5; round++) {
       assertEquals(status(round % 2), 200);
@@ -270,9 +270,9 @@
     cluster.addUpstream("n-1", "v2").setBehaviour(Behaviour.FAILS);
     cluster.addUpstream("n-2", "v2").setBehaviour(Behaviour.FAILS);
     cluster.store.put("rollouts", SampleObjects.SERVICE, order(30));
-    Await.until("begun", () -> state().equals("running"));
+    Await.until("begun", () -> cluster.rolloutState().equals("running"));
     cluster.store.loseWrites(1);
-    driveUntil("rolled_back");
+    cluster.streamUntilRolloutIs("rolled_back");
     int bad =
         cluster.upstreams.get("n-1").arrivals().size()
             + cluster.upstreams.get("n-2").arrivals().size();
@@ -292,21 +292,4 @@
         .put("target-version", "v2")
         .put("duration-s", seconds);
   }
-
-  private String state() {
-    return cluster.store.status("rollouts", SampleObjects.SERVICE).getString("state", "");
-  }
-
-  private void driveUntil(String state) {
-    int[] number = {0};
-    Await.until(
-        state,
-        () -> {
-          for (int round = 0; round < 8; round++) {
-            number[0]++;
-            Http.send(cluster.streamRequest(number[0] % 2, "s" + number[0]));
-          }
-          return state().equals(state);
-        });
-  }
 }
--- a/org.oatlug.test/tst/org/oatlug/test/RestoredStoreProcessTest.java
+++ b/org.oatlug.test/tst/org/oatlug/test/RestoredStoreProcessTest.java
@@ -4,7 +4,6 @@
 package org.oatlug.test;
 
 import static org.testng.Assert.assertEquals;
-import static org.testng.Assert.assertTrue;
 
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
@@ -113,23 +112,6 @@
     }
   }
 
-  private String rolloutState() {
-    return cluster.store.status("rollouts", SampleObjects.SERVICE).getString("state", "");
-  }
-
-  private void driveUntil(String state) {
-    int[] number = {0};
-    Await.until(
-        state,
-        () -> {
-          for (int round = 0; round < 8; round++) {
-            number[0]++;
-            Http.send(cluster.streamRequest(number[0] % INSTANCES, "s" + number[0]));
-          }
-          return rolloutState().equals(state);
-        });
-  }
-
   private int arrivedAfterRounds(UpstreamStandin upstream) throws IOException {
     int before = upstream.arrivals().size();
     for (int round = 0; round < 20; round++) {
@@ -144,13 +126,13 @@
     UpstreamStandin bad = cluster.addUpstream("n-1", "v2");
     bad.setBehaviour(UpstreamStandin.Behaviour.FAILS);
     cluster.store.put("rollouts", SampleObjects.SERVICE, SampleObjects.rollout("v2", 60));
-    Await.until("begun", () -> rolloutState().equals("running"));
+    Await.until("begun", () -> cluster.rolloutState().equals("running"));
     final StoreStandin.Copy copy = cluster.store.copy();
-    driveUntil("rolled_back");
+    cluster.streamUntilRolloutIs("rolled_back");
     cluster.store.restore(copy);
     cluster.store.put("rollouts", SampleObjects.SERVICE, SampleObjects.rollout("v2", 60));
     assertEquals(arrivedAfterRounds(bad), 0);
-    Await.until("written again", () -> rolloutState().equals("rolled_back"));
+    Await.until("written again", () -> cluster.rolloutState().equals("rolled_back"));
     assertEquals(arrivedAfterRounds(bad), 0);
     cluster.process(2).destroyForcibly().waitFor();
     cluster.startEntry(2);
@@ -165,11 +147,11 @@
     cluster.addUpstream("n-2", "v2");
     final StoreStandin.Copy copy = cluster.store.copy();
     cluster.store.put("rollouts", SampleObjects.SERVICE, SampleObjects.rollout("v2", 4));
-    driveUntil("succeeded");
+    cluster.streamUntilRolloutIs("succeeded");
     cluster.store.restore(copy);
     assertEquals(arrivedAfterRounds(cluster.upstreams.get("i-1")), 0);
     cluster.store.put("rollouts", SampleObjects.SERVICE, SampleObjects.rollout("v2", 4));
-    Await.until("written again", () -> rolloutState().equals("succeeded"));
+    Await.until("written again", () -> cluster.rolloutState().equals("succeeded"));
     assertEquals(arrivedAfterRounds(cluster.upstreams.get("i-1")), 0);
   }
 
@@ -179,9 +161,9 @@
     cluster.store.put("servers", "i-1", cluster.entryOf("i-1").put("sequence", 900));
     Await.until("known", () -> status(0, FIRST) == 200);
     cluster.store.restore(copy);
-    Await.until("shown", () -> cluster.command(0, "status").contains("epoch 2"));
-    String shown = cluster.command(0, "status");
-    assertTrue(shown.contains("retained: upstream/i-1"), shown);
+    Await.until("the epoch", () -> cluster.command(0, "status").contains("epoch 2"));
+    Await.until(
+        "what is retained", () -> cluster.command(0, "status").contains("retained: upstream/i-1"));
   }
 
   @Test
--- a/org.oatlug/src/org/oatlug/internal/config/Catalogue.java
+++ b/org.oatlug/src/org/oatlug/internal/config/Catalogue.java
@@ -61,11 +61,11 @@
     List<StoredObject> fresh = new ArrayList<>();
     Set<String> kinds = new TreeSet<>();
     for (StoredObject object : objects) {
-      for (StoredObject joined : join.merge(object).stream().toList()) {
-        fresh.add(joined);
-        kinds.add(joined.key().kind());
-        take(joined);
-      }
+      join.merge(object).ifPresent(fresh::add);
+    }
+    for (StoredObject object : fresh) {
+      kinds.add(object.key().kind());
+      take(object);
     }
     kinds.forEach(this::index);
     return fresh;
--- a/org.oatlug/src/org/oatlug/internal/config/ConfigurationSystem.java
+++ b/org.oatlug/src/org/oatlug/internal/config/ConfigurationSystem.java
@@ -39,10 +39,10 @@
   private static final Duration PATIENCE = Duration.ofMillis(800);
 
   /**
-   * How long others may take to say whether they are established: a process that has just started
-   * is slow, and so are its first connections. Who is not there at all refuses at once.
+   * How long others may take to say whether they are in sync: a process that has just started is
+   * slow, and so are its first connections. Where none listens, the connection is refused at once.
    */
-  private static final Duration MEETING_PATIENCE = Duration.ofMillis(1500);
+  private static final Duration SYNC_PATIENCE = Duration.ofMillis(1500);
 
   /** At most a line each so many seconds tells of comparisons that failed. */
   private static final int FAILED_DIGEST_LINES_SECONDS = 1;
@@ -61,7 +61,7 @@
   private final RandomGenerator random;
   private final Meters meters;
   private final ObjectSpread spread;
-  private final FirstMeeting meeting;
+  private final StartupSync startupSync;
   private final ReaderRole role;
   private final OutageProbe probe = OutageProbe.create();
   private final List<StoreWatch> watches;
@@ -85,7 +85,7 @@
     this.random = support.random();
     this.meters = support.meters();
     this.spread = ObjectSpread.create(membership, network, random, meters, this::age);
-    this.meeting = FirstMeeting.create(membership, random, new MeetingPeers());
+    this.startupSync = StartupSync.create(membership, random, new SyncPeers());
     this.role = ReaderRole.create(membership, network, clock, meters, this::checkPlatform);
     this.watches = support.watchGroups().stream().map(this::watchOf).toList();
   }
@@ -115,7 +115,7 @@
   @Override
   public void tick() {
     Instant now = clock.instant();
-    meeting.tick();
+    startupSync.tick();
     role.tick();
     readInstances(now);
     watches.forEach(watch -> watch.tick(now));
@@ -156,11 +156,11 @@
   }
 
   /**
-   * Returns whether this instance knows what those know that started before it, or found none: what
-   * it has read may be a copy of the store that is behind them.
+   * Returns whether this instance knows what the instances know that ran before it, or found none:
+   * what it has read may be an older copy of the store.
    */
-  public boolean isEstablished() {
-    return meeting.isEstablished();
+  public boolean isInSync() {
+    return startupSync.isInSync();
   }
 
   /** Confirms the configuration with the platform or a peer; goes on when neither answers. */
@@ -236,21 +236,21 @@
     }
   }
 
-  private final class MeetingPeers implements FirstMeeting.Peers {
+  private final class SyncPeers implements StartupSync.Peers {
     @Override
     public boolean hasReadAll() {
       return ConfigurationSystem.this.hasReadAll();
     }
 
     @Override
-    public Uni<Boolean> isEstablished(Member peer) {
+    public Uni<Boolean> isInSync(Member peer) {
       return network
-          .ask(peer, ownDigest(), MEETING_PATIENCE)
-          .map(answer -> ((PeerMessage.Digest) answer).established());
+          .ask(peer, ownDigest(), SYNC_PATIENCE)
+          .map(answer -> ((PeerMessage.Digest) answer).inSync());
     }
 
     @Override
-    public Uni<Void> takeOver(Member peer) {
+    public Uni<Void> fetch(Member peer) {
       return exchangeWith(peer);
     }
   }
@@ -369,7 +369,7 @@
   }
 
   private PeerMessage.Digest ownDigest() {
-    return new PeerMessage.Digest(objects.join().digest(), age(), hasReadAll(), isEstablished());
+    return new PeerMessage.Digest(objects.join().digest(), age(), hasReadAll(), isInSync());
   }
 
   private long age() {
--- a/org.oatlug/src/org/oatlug/internal/gateway/RolloutDirector.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/RolloutDirector.java
@@ -396,7 +396,7 @@
   private RolloutTrial trialOf(String service, ServiceRollout rollout) {
     TrialKey key = new TrialKey(service, rollout.targetVersion());
     RolloutTrial known = trials.get(key);
-    if (known == null || !known.goesOnWith(rollout.targetVersion(), rollout.orderedAt())) {
+    if (known == null || !known.continuesAs(rollout.targetVersion(), rollout.orderedAt())) {
       OrderAge age = OrderAge.learned(clock.instant(), rollout.state().isEmpty());
       known = RolloutTrial.of(rollout.targetVersion(), rollout.orderedAt(), age);
       trials.put(key, known);
--- a/org.oatlug/src/org/oatlug/internal/gateway/RolloutTrial.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/RolloutTrial.java
@@ -86,10 +86,10 @@
   }
 
   /**
-   * Goes on with an order that the store shows at another revision since it was restored; returns
-   * whether the trial belongs to the order then.
+   * Continues with an order that the store shows at another revision since it was restored; returns
+   * whether the trial belongs to the order.
    */
-  boolean goesOnWith(String otherVersion, StoreRevision otherOrderedAt) {
+  boolean continuesAs(String otherVersion, StoreRevision otherOrderedAt) {
     boolean restored = otherOrderedAt.epoch() > orderedAt.epoch();
     if (restored && version.equals(otherVersion)) {
       orderedBeforeRestore = orderedAt;
--- a/org.oatlug/src/org/oatlug/internal/peer/PeerMessage.java
+++ b/org.oatlug/src/org/oatlug/internal/peer/PeerMessage.java
@@ -66,9 +66,9 @@
 
   /**
    * The digest over all objects, the age of the last platform contact, -1 if there is none, whether
-   * the sender has read all kinds, and whether it knows what those know that started before it.
+   * the sender has read all kinds, and whether it is in sync with the instances that ran before it.
    */
-  record Digest(long digest, long contactAge, boolean readAll, boolean established)
+  record Digest(long digest, long contactAge, boolean readAll, boolean inSync)
       implements PeerMessage {}
 
   /** The digests of the buckets; the answer carries the objects of those that differ. */
