Keep the epochs of the store apart in writes of the chat interface, too

The same cause at the other interface: a write over a revision that was given out again could match another object (a shard of the ledger, a version). One rule for both clients, StoreCalls.isOutdated; an object may be made in any epoch.

--- a/org.oatlug/src/org/oatlug/internal/platform/HttpPlatform.java
+++ b/org.oatlug/src/org/oatlug/internal/platform/HttpPlatform.java
@@ -84,6 +84,9 @@
 
   @Override
   public Uni<StoreRevision> put(ObjectKey key, StoreRevision expected, JsonNode value) {
+    if (calls.isOutdated(expected)) {
+      return Uni.createFrom().failure(new ConflictException(key, expected, Optional.empty()));
+    }
     Buffer body = Buffer.buffer(value.toString());
     HttpRequest<Buffer> request =
         client
@@ -100,6 +103,9 @@
                 Optional<StoredObject> current = objectIn(key, answer);
                 return Uni.createFrom().failure(new ConflictException(key, expected, current));
               }
+              if (calls.isOutdated(expected)) {
+                return Uni.createFrom().failure(calls.outdated("put " + key, expected.epoch()));
+              }
               return Uni.createFrom().item(answer.revision(answer.body().path("version")));
             });
   }
--- a/org.oatlug/src/org/oatlug/internal/platform/StoreCalls.java
+++ b/org.oatlug/src/org/oatlug/internal/platform/StoreCalls.java
@@ -89,6 +89,16 @@
         .item(new Answer(response.statusCode(), PlatformCalls.tree(response), named));
   }
 
+  /**
+   * Returns whether a write was prepared before the store was restored. Its condition may match
+   * another object then, whose revision was given out again.
+   *
+   * @param expected the revision that the write expects
+   */
+  public boolean isOutdated(StoreRevision expected) {
+    return !expected.equals(StoreRevision.NONE) && expected.epoch() < epoch.newest();
+  }
+
   /** Returns the failure of a call that an earlier epoch answered, or was prepared in. */
   public PlatformUnavailableException outdated(String operation, long answered) {
     EarlierEpochException cause = new EarlierEpochException(operation, answered, epoch.newest());
