Use an upstream again that the store goes on to show after a restore

The deletion outlived the copy for ever, because an entry that is written again with nothing but another sequence gets no new revision.

--- a/org.oatlug.test/tst/org/oatlug/internal/config/RestoredStoreFleetTest.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/config/RestoredStoreFleetTest.java
@@ -236,6 +236,21 @@
     }
   }
 
+  @Test
+  public void testUpstreamThatTheStoreGoesOnToShowIsUsedAgain() {
+    VirtualFleet fleet = begin(3, 4, 1);
+    fleet.register("i-2", false);
+    fleet.run(REST);
+    final VirtualStore.Copy copy = copyAndGoOn(fleet);
+    fleet.lapse("i-2");
+    fleet.run(REST);
+    fleet.store().restore(copy);
+    fleet.run(BOUND);
+    assertEquals(fleet.whoMisses("i-2"), fleet.names());
+    fleet.run(SETTLED);
+    assertEquals(fleet.whoMisses("i-2"), List.of());
+  }
+
   @Test
   public void testUpstreamThatTheCopyLacksIsUsedUntilItHadTimeToWriteAgain() {
     VirtualFleet fleet = begin(3, 4, 1);
--- a/org.oatlug.test/tst/org/oatlug/internal/gateway/RestoredObjectsTest.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/gateway/RestoredObjectsTest.java
@@ -222,6 +222,23 @@
     assertEquals(inForce, history.version);
   }
 
+  @Property(tries = 1, seed = SEED)
+  void testEntryThatTheStoreGoesOnToShowCountsWhateverComesLate() {
+    UpstreamRecord entry = UpstreamRecord.of("pool", "127.0.0.1", 1, "hall-a", "v1", 8, false);
+    StoredObject copied =
+        StoredObject.of(
+            UPSTREAM, new StoreRevision(2, 3), Json.STRICT.valueToTree(entry.withSequence(5)));
+    JsonNode last = Json.STRICT.valueToTree(entry.withSequence(9));
+    StoredObject deleted =
+        StoredObject.of(UPSTREAM, new StoreRevision(1, 8), UpstreamRecord.tombstoneOf(last));
+    ObjectJoin join = joinOf(List.of(deleted, copied));
+    assertTrue(Kinds.isTombstone(join.get(UPSTREAM).orElseThrow().value()));
+    join.merge(copied.confirmed());
+    join.merge(deleted);
+    join.merge(copied);
+    assertEquals(join.get(UPSTREAM).orElseThrow(), copied.confirmed());
+  }
+
   private static StoredObject rollout(long epoch, long number, long created, State... state) {
     Optional<ServiceRollout.Progress> progress =
         List.of(state).stream().map(one -> progressOf(one, "v2")).findFirst();
--- a/org.oatlug/src/org/oatlug/internal/config/ObjectJoin.java
+++ b/org.oatlug/src/org/oatlug/internal/config/ObjectJoin.java
@@ -28,11 +28,11 @@
   /** The number of buckets over which the digests are spread. */
   public static final int BUCKETS = 64;
 
-  /** A tombstone goes before content of the same revision, retained content before the copy. */
+  /** A tombstone goes before content of the same revision and standing. */
   private static final Comparator<StoredObject> BY_REVISION =
       Comparator.comparing(StoredObject::revision)
-          .thenComparing(object -> Kinds.isTombstone(object.value()))
-          .thenComparing(StoredObject::retained);
+          .thenComparing(StoredObject::standing)
+          .thenComparing(object -> Kinds.isTombstone(object.value()));
 
   private final ObjectRules rules;
   private final Map<ObjectKey, StoredObject> objects = new TreeMap<>();
@@ -71,7 +71,8 @@
     StoredObject earlier = inOrder ? known : object;
     StoredObject later = inOrder ? object : known;
     boolean restored = earlier.revision().epoch() < later.revision().epoch();
-    if (!restored && !earlier.retained()) {
+    boolean mayOutlive = restored || earlier.retained();
+    if (!mayOutlive || later.standing() == StoredObject.Standing.CONFIRMED) {
       return later;
     }
     return rules.retained(earlier, later).map(later::retaining).orElse(later);
@@ -128,8 +129,8 @@
   private void mix(StoredObject object) {
     boolean gone = Kinds.isTombstone(object.value());
     String content = object.retained() ? object.value().toString() : "";
-    long hash =
-        Hashes.hash64(object.key().toString(), object.revision() + (gone ? "-" : "+"), content);
+    String state = object.revision() + (gone ? "-" : "+") + object.standing();
+    long hash = Hashes.hash64(object.key().toString(), state, content);
     digests[bucketOf(object.key())] ^= hash;
   }
 
--- a/org.oatlug/src/org/oatlug/internal/config/StoreWatch.java
+++ b/org.oatlug/src/org/oatlug/internal/config/StoreWatch.java
@@ -212,6 +212,7 @@
     } else {
       nextList = now.plus(LIST_INTERVAL);
       all.addAll(vanished(batch));
+      all.addAll(confirmed(batch));
     }
     owner.received(all, revision, Origin.LIST);
   }
@@ -240,6 +241,26 @@
     return gone;
   }
 
+  /**
+   * Returns the entries of upstreams of which something newer than a copy was known, and that the
+   * store still shows so long after the restore that whoever lives has written again. The store
+   * removes the others by itself, so these hold as they stand.
+   */
+  private List<StoredObject> confirmed(Platform.Batch batch) {
+    if (clock.instant().isBefore(epochSince.plus(REWRITE_GRACE))) {
+      return List.of();
+    }
+    return batch.objects().stream()
+        .filter(object -> object.key().kind().equals(Kinds.UPSTREAM))
+        .filter(this::isRetained)
+        .map(StoredObject::confirmed)
+        .toList();
+  }
+
+  private boolean isRetained(StoredObject object) {
+    return owner.known().get(object.key()).map(StoredObject::retained).orElse(false);
+  }
+
   /** Returns whether an object would stand in the list if the store still had it. */
   private boolean isCovered(StoredObject known, Platform.Batch list) {
     boolean lost = known.revision().epoch() < list.revision().epoch();
--- a/org.oatlug/src/org/oatlug/platform/StoredObject.java
+++ b/org.oatlug/src/org/oatlug/platform/StoredObject.java
@@ -12,19 +12,43 @@
  * @param key kind and name
  * @param revision the revision of the store at which it was written
  * @param value the content
- * @param retained whether the content was known before the store was restored, and the store shows
- *     an older one at the revision
+ * @param standing how the content relates to what the store shows at the revision
  */
 public record StoredObject(
-    ObjectKey key, StoreRevision revision, JsonNode value, boolean retained) {
+    ObjectKey key, StoreRevision revision, JsonNode value, Standing standing) {
+
+  /** How a content relates to what the store shows; the later constant goes before the earlier. */
+  public enum Standing {
+    /** The store shows it. */
+    SHOWN,
+    /** It was known before the store was restored, and is newer than what the store shows. */
+    RETAINED,
+    /** The store still shows it long after it was restored, so it counts whatever was known. */
+    CONFIRMED
+  }
+
+  /** Takes a missing standing, of an instance that knows none, for what the store shows. */
+  public StoredObject {
+    standing = standing == null ? Standing.SHOWN : standing;
+  }
 
   /** Returns an object with the content that the store shows. */
   public static StoredObject of(ObjectKey key, StoreRevision revision, JsonNode value) {
-    return new StoredObject(key, revision, value, false);
+    return new StoredObject(key, revision, value, Standing.SHOWN);
   }
 
   /** Returns the object with content that is known to be newer than what the store shows. */
   public StoredObject retaining(JsonNode newer) {
-    return new StoredObject(key, revision, newer, true);
+    return new StoredObject(key, revision, newer, Standing.RETAINED);
+  }
+
+  /** Returns the object as one that the store goes on to show. */
+  public StoredObject confirmed() {
+    return new StoredObject(key, revision, value, Standing.CONFIRMED);
+  }
+
+  /** Returns whether the store shows an older content than this. */
+  public boolean retained() {
+    return standing == Standing.RETAINED;
   }
 }
