--- a/org.oatlug.standin/src/org/oatlug/standin/TcpRelay.java
+++ b/org.oatlug.standin/src/org/oatlug/standin/TcpRelay.java
@@ -9,12 +9,15 @@
 import io.vertx.core.net.NetClient;
 import io.vertx.core.net.NetServer;
 import io.vertx.core.net.NetSocket;
-import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
 
 /**
  * TCP relay that simulates the network between two availability zones. It can close connections,
- * drop bytes and delay them. Used from one event loop.
+ * make them silent, drop bytes and delay them. Used from one event loop, except for {@link
+ * #silenceOpenConnections}.
  */
 public final class TcpRelay {
   /** Selects how the relay treats connections and bytes. */
@@ -31,7 +34,8 @@
   private final NetClient client;
   private final String host;
   private final int port;
-  private final List<NetSocket> sockets = new ArrayList<>();
+  private final List<NetSocket> sockets = new CopyOnWriteArrayList<>();
+  private final Set<NetSocket> silentSockets = ConcurrentHashMap.newKeySet();
   private Mode mode = Mode.PASS;
   private String blockedPrefix = "";
   private long delayMillis;
@@ -61,6 +65,11 @@
     }
   }
 
+  /** Discards the bytes of all open connections from now on, without a reset; new ones work. */
+  public void silenceOpenConnections() {
+    silentSockets.addAll(sockets);
+  }
+
   /** Rejects and closes connections from addresses with this prefix; an empty one blocks none. */
   public void blockSource(String prefix) {
     blockedPrefix = prefix;
@@ -100,16 +109,17 @@
   }
 
   private void forward(NetSocket from, NetSocket to) {
-    from.handler(bytes -> forwardBytes(bytes, to));
+    from.handler(bytes -> forwardBytes(from, bytes, to));
     from.closeHandler(
         unused -> {
           sockets.remove(from);
+          silentSockets.remove(from);
           to.close();
         });
   }
 
-  private void forwardBytes(Buffer bytes, NetSocket to) {
-    if (mode == Mode.DROP) {
+  private void forwardBytes(NetSocket from, Buffer bytes, NetSocket to) {
+    if (mode == Mode.DROP || silentSockets.contains(from)) {
       return;
     }
     if (delayMillis > 0) {
--- a/org.oatlug.test/tst/org/oatlug/internal/config/VirtualFleet.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/config/VirtualFleet.java
@@ -9,7 +9,10 @@
 import io.smallrye.mutiny.subscription.UniEmitter;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.Deque;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -46,8 +49,8 @@
  *
  * <p>Runs the real membership and configuration systems; the latency of a message is a few
  * milliseconds, drawn from the seed. Instances may be unresponsive (stopped without notice) or
- * refused by the store, and zones may be partitioned; see {@link VirtualStore}. Used from one
- * thread.
+ * refused by the store, zones may be partitioned, and open connections to the store may go silent;
+ * see {@link VirtualStore}. Used from one thread.
  */
 final class VirtualFleet {
   /** Interval at which an instance checks for due work. */
@@ -80,6 +83,8 @@
   private final Set<String> refused = new HashSet<>();
   private final Set<String> partitionedZones = new HashSet<>();
   private final Map<String, Instant> writtenAt = new TreeMap<>();
+  private final Map<Long, Instant> configuredAt = new TreeMap<>();
+  private final List<StoreConnection> openConnections = new ArrayList<>();
   private Duration refusalTime = STORE_LATENCY;
   private int storeCalls;
   private int reverts;
@@ -95,6 +100,8 @@
     private final GatewayTables tables = GatewayTables.create(time);
     private final Map<String, Instant> excludedAt = new TreeMap<>();
     private final StoreEpoch knownEpoch = StoreEpoch.create();
+    private final Deque<StoreConnection> idleConnections = new ArrayDeque<>();
+    private final TreeMap<Long, Instant> versionsAppliedAt = new TreeMap<>();
     private long version;
     private boolean stopped;
     private final Membership membership;
@@ -140,6 +147,7 @@
     private void recordVersion() {
       long applied = tables.configuration().map(RoutingConfiguration::version).orElse(0L);
       reverts += applied < version ? 1 : 0;
+      versionsAppliedAt.putIfAbsent(applied, time.instant());
       version = applied;
     }
 
@@ -201,34 +209,48 @@
               failure -> after(delay(), () -> emitter.fail(failure)));
     }
 
-    private <T> Uni<T> call(Function<UniEmitter<? super T>, Runnable> effect) {
+    /** Sends a call on an idle connection of the pool, or on a new one. */
+    private <T> Uni<T> call(Duration timeout, Function<UniEmitter<? super T>, Runnable> effect) {
       return Uni.createFrom()
           .emitter(
               emitter -> {
-                storeCalls++;
-                Runnable answer = effect.apply(emitter);
-                after(
-                    refused.contains(name()) ? refusalTime : STORE_LATENCY,
-                    () -> {
-                      if (refused.contains(name())) {
-                        emitter.fail(
-                            new PlatformUnavailableException("refused by the store", null));
-                      } else {
-                        knownEpoch.advanceTo(store.currentRevision().epoch());
-                        answer.run();
-                      }
-                    });
+                StoreConnection connection =
+                    idleConnections.isEmpty()
+                        ? StoreConnection.create(openConnections)
+                        : idleConnections.pop();
+                send(timeout, connection.guard(emitter, idleConnections), effect);
               });
     }
 
+    private <T> void send(
+        Duration timeout,
+        UniEmitter<? super T> emitter,
+        Function<UniEmitter<? super T>, Runnable> effect) {
+      storeCalls++;
+      after(timeout, () -> emitter.fail(new PlatformUnavailableException("no response", null)));
+      Runnable answer = effect.apply(emitter);
+      after(
+          refused.contains(name()) ? refusalTime : STORE_LATENCY,
+          () -> {
+            if (refused.contains(name())) {
+              emitter.fail(new PlatformUnavailableException("refused by the store", null));
+            } else {
+              knownEpoch.advanceTo(store.currentRevision().epoch());
+              answer.run();
+            }
+          });
+    }
+
     @Override
     public Uni<Batch> list(List<String> kinds) {
-      return call(emitter -> () -> emitter.complete(store.list(kinds)));
+      return call(CALL_TIMEOUT, emitter -> () -> emitter.complete(store.list(kinds)));
     }
 
     @Override
     public Uni<Batch> watch(List<String> kinds, StoreRevision since, Duration wait) {
-      return call(emitter -> () -> answerWatch(kinds, since.number(), wait, emitter));
+      return call(
+          wait.plus(CALL_TIMEOUT),
+          emitter -> () -> answerWatch(kinds, since.number(), wait, emitter));
     }
 
     private void answerWatch(
@@ -368,9 +390,28 @@
         new RoutingConfiguration(
             version, List.of(), List.of(), CallerLimits.DEFAULT, Optional.empty());
     ObjectKey key = ObjectKey.valueOf(GatewayKinds.ROUTING, "main");
+    configuredAt.put(version, time.instant());
     store.change(key, Json.STRICT.valueToTree(configuration));
   }
 
+  /**
+   * Returns the time from the write of each configuration up to the given one until an instance
+   * applied it or a later one, for each instance except the lost ones.
+   */
+  List<Duration> configurationDelays(List<String> lost, long last) {
+    List<Duration> delays = new ArrayList<>();
+    for (Instance instance : instances.values()) {
+      for (long version = 1; version <= last && !lost.contains(instance.name()); version++) {
+        Instant appliedAt =
+            instance.versionsAppliedAt.tailMap(version).values().stream()
+                .min(Comparator.naturalOrder())
+                .orElse(time.instant().plus(Duration.ofHours(1)));
+        delays.add(Duration.between(configuredAt.get(version), appliedAt));
+      }
+    }
+    return delays;
+  }
+
   /** Returns by instance the version of the applied configuration. */
   Map<String, Long> versions() {
     Map<String, Long> versions = new TreeMap<>();
@@ -475,6 +516,14 @@
         .toList();
   }
 
+  /** Returns the name of the first reader of a zone. */
+  String firstReaderOf(String zone) {
+    return namesIn(zone).stream()
+        .filter(name -> instances.get(name).membership.isFirstReader())
+        .findFirst()
+        .orElseThrow();
+  }
+
   /** Returns the names of the instances of a zone. */
   List<String> namesIn(String zone) {
     return instances.keySet().stream()
@@ -498,6 +547,12 @@
     refused.clear();
   }
 
+  /** Makes all open connections to the store silent for good; new ones work. */
+  void silenceStoreConnections() {
+    openConnections.forEach(StoreConnection::silence);
+    openConnections.clear();
+  }
+
   /** Removes the entry of a live upstream, as when it cannot renew the entry in time. */
   void expireEntry(String upstream) {
     deleteEntry(upstream);
--- a/org.oatlug.test/tst/org/oatlug/test/RolloutFleet.java
+++ b/org.oatlug.test/tst/org/oatlug/test/RolloutFleet.java
@@ -51,7 +51,8 @@
  *
  * <p>Objects of the store reach each instance some milliseconds after they are written, or after a
  * delay set by the test. Instances can be restarted gracefully, killed, and started with a clock
- * error. Not thread-safe.
+ * error; the new version may fail a part of its requests, and the links between instances may go
+ * silent. Not thread-safe.
  */
 final class RolloutFleet {
   private static final ObjectKey KEY = ObjectKey.valueOf(GatewayKinds.ROLLOUT, SERVICE);
@@ -81,6 +82,10 @@
   private Optional<Instant> rolloutWrittenAt = Optional.empty();
   private Duration duration = Duration.ZERO;
   private StoreRevision storeRevision = StoreRevision.NONE;
+  private double failingFraction;
+  private boolean linksSilent;
+  private int requestsDuringRollout;
+  private int requestsToNewDuringRollout;
 
   private RolloutFleet(long seed) {
     random = new Random(seed);
@@ -174,7 +179,7 @@
                     messageDelay(),
                     () -> {
                       Instance target = instances.get(peer.name());
-                      if (target.isUp()) {
+                      if (target.isUp() && !linksSilent) {
                         PeerMessage response = target.exchange.handle(membership.self(), message);
                         time.after(messageDelay(), () -> emitter.complete(response));
                       }
@@ -201,9 +206,11 @@
               .map(preferred -> preferred.version().equals(NEW) == preferred.wanted())
               .orElse(false);
       String version = selectsNew ? NEW : OLD;
+      countRequest(version);
       director.recordSent(SERVICE, version, head);
+      boolean failed = version.equals(NEW) && random.nextDouble() < failingFraction;
       director.recordResponse(
-          new VersionRule.Response(SERVICE, version, ROUTE, "", false, Duration.ofMillis(50)));
+          new VersionRule.Response(SERVICE, version, ROUTE, "", failed, Duration.ofMillis(50)));
       return version;
     }
 
@@ -238,6 +245,33 @@
     }
   }
 
+  private void countRequest(String version) {
+    if (isOrdered() && elapsedFraction() < 1) {
+      requestsDuringRollout++;
+      requestsToNewDuringRollout += version.equals(NEW) ? 1 : 0;
+    }
+  }
+
+  /** Makes the new version fail this fraction of its requests. */
+  void failNewVersion(double fraction) {
+    failingFraction = fraction;
+  }
+
+  /** Makes all links between instances silent for good. */
+  void silenceLinks() {
+    linksSilent = true;
+  }
+
+  /** Returns the number of requests between the order and the end of its duration. */
+  int requestsDuringRollout() {
+    return requestsDuringRollout;
+  }
+
+  /** Returns how many of them were sent to the new version. */
+  int requestsToNewDuringRollout() {
+    return requestsToNewDuringRollout;
+  }
+
   private Duration messageDelay() {
     return Duration.ofMillis(1 + random.nextInt(MAXIMUM_MESSAGE_DELAY_MILLIS));
   }
