Notice silent connections to the store within half the bound for changes

Callers: a change of the store took effect up to 5 s (where a second reader had to take over: 13 s) after the network had dropped the readers' connections without a reset; 2 s are allowed.

Cause: the liveness of a connection was inferred from a time-out that is longer than the bound that depends on it: a watch lasted 4 s (12 s at a second reader) and had 1 s more to respond. After it, the next call took another silent connection of the same pool.

Change: the bounds configurationMillis and drainMillis come from the settings; the watches of a reader are timed by the smaller one (WatchTiming): they end in turn, a quarter of the bound apart, and one without a response a quarter of the bound after its end is given up as silent (log line, counter store.watch-silent). All watches then restart on new connections (StoreConnections, Platform.renewConnections), and the one that was silent lists, so that an outage is still told from a silent connection. A second reader that becomes the first one watches anew.

--- a/org.oatlug.entry/src/org/oatlug/entry/EntryInstance.java
+++ b/org.oatlug.entry/src/org/oatlug/entry/EntryInstance.java
@@ -121,7 +121,8 @@
             platform,
             membership,
             network,
-            new ConfigurationSystem.Dependencies(clock, random, meters, List.of(Kinds.ALL)));
+            new ConfigurationSystem.Dependencies(
+                clock, random, meters, List.of(Kinds.ALL), freshness.bound()));
     final RolloutGuard guard =
         RolloutGuard.create(tables, platform, membership, network, clock, meters);
     deferredHandler.setDelegate(
--- a/org.oatlug.entry/src/org/oatlug/entry/GatewayInstance.java
+++ b/org.oatlug.entry/src/org/oatlug/entry/GatewayInstance.java
@@ -236,7 +236,8 @@
                 List.of(GatewayKinds.ROUTING),
                 List.of(GatewayKinds.ROLLOUT),
                 List.of(GatewayKinds.EVACUATION),
-                List.of(GatewayKinds.UPSTREAM))));
+                List.of(GatewayKinds.UPSTREAM)),
+            settings.bounds().propagation()));
   }
 
   /**
--- a/org.oatlug.test/tst/org/oatlug/internal/config/VirtualFleet.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/config/VirtualFleet.java
@@ -60,6 +60,9 @@
   private static final Duration CALL_TIMEOUT = Duration.ofSeconds(1);
   private static final int MAXIMUM_DELAY_MILLIS = 6;
 
+  /** Bound on the time until a change is in force, from which instances derive their watches. */
+  private static final Duration PROPAGATION_BOUND = Duration.ofSeconds(2);
+
   /** Number of seed instances known to a starting instance. */
   private static final int SEED_INSTANCES = 3;
 
@@ -100,7 +103,7 @@
     private final GatewayTables tables = GatewayTables.create(time);
     private final Map<String, Instant> excludedAt = new TreeMap<>();
     private final StoreEpoch knownEpoch = StoreEpoch.create();
-    private final Deque<StoreConnection> idleConnections = new ArrayDeque<>();
+    private Deque<StoreConnection> idleConnections = new ArrayDeque<>();
     private final TreeMap<Long, Instant> versionsAppliedAt = new TreeMap<>();
     private long version;
     private boolean stopped;
@@ -119,7 +122,8 @@
               this,
               membership,
               this,
-              new ConfigurationSystem.Dependencies(time, ownRandom, meters, watchGroups));
+              new ConfigurationSystem.Dependencies(
+                  time, ownRandom, meters, watchGroups, PROPAGATION_BOUND));
     }
 
     /** Records when the tables first exclude an upstream or evacuate a zone. */
@@ -241,6 +245,11 @@
           });
     }
 
+    @Override
+    public void renewConnections() {
+      idleConnections = new ArrayDeque<>();
+    }
+
     @Override
     public Uni<Batch> list(List<String> kinds) {
       return call(CALL_TIMEOUT, emitter -> () -> emitter.complete(store.list(kinds)));
--- a/org.oatlug.test/tst/org/oatlug/internal/gateway/GatewayDecisionTest.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/gateway/GatewayDecisionTest.java
@@ -136,7 +136,15 @@
   private UpstreamRateLimits rateLimits(AdvertisedLimits limits, RateSenders senders) {
     GatewaySettings.Bounds bounds =
         new GatewaySettings.Bounds(
-            Duration.ofSeconds(8), 0.9, 52, 0.15, Duration.ofSeconds(5), 1.5, 5);
+            Duration.ofSeconds(8),
+            0.9,
+            52,
+            0.15,
+            Duration.ofSeconds(5),
+            1.5,
+            5,
+            Duration.ofSeconds(2),
+            Duration.ofSeconds(2));
     return UpstreamRateLimits.create(tables, bounds, limits, senders);
   }
 
@@ -519,7 +527,15 @@
   public void testRetriesOfAllInstancesStayWithinTheAgreedShare() {
     GatewaySettings.Bounds bounds =
         new GatewaySettings.Bounds(
-            Duration.ofSeconds(8), 0.9, 52, 0.15, Duration.ofSeconds(5), 1.5, 5);
+            Duration.ofSeconds(8),
+            0.9,
+            52,
+            0.15,
+            Duration.ofSeconds(5),
+            1.5,
+            5,
+            Duration.ofSeconds(2),
+            Duration.ofSeconds(2));
     int retries = 0;
     int instances = 7;
     int requestsPerInstance = 100;
--- a/org.oatlug.test/tst/org/oatlug/internal/gateway/RetryBudgetFleetTest.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/gateway/RetryBudgetFleetTest.java
@@ -33,7 +33,15 @@
   private static RetryBudgets budgets(int reserve, AtomicInteger knownInstances) {
     GatewaySettings.Bounds bounds =
         new GatewaySettings.Bounds(
-            Duration.ofSeconds(8), RETRY_SHARE, reserve, 0.15, Duration.ofSeconds(5), 1.5, 5);
+            Duration.ofSeconds(8),
+            RETRY_SHARE,
+            reserve,
+            0.15,
+            Duration.ofSeconds(5),
+            1.5,
+            5,
+            Duration.ofSeconds(2),
+            Duration.ofSeconds(2));
     return RetryBudgets.within(bounds, knownInstances::get);
   }
 
--- a/org.oatlug.test/tst/org/oatlug/test/RolloutSample.java
+++ b/org.oatlug.test/tst/org/oatlug/test/RolloutSample.java
@@ -19,7 +19,16 @@
   static final Duration SESSION_PAUSE = Duration.ofSeconds(5);
 
   static final GatewaySettings.Bounds BOUNDS =
-      new GatewaySettings.Bounds(Duration.ofSeconds(8), 0.9, 52, 0.15, SESSION_PAUSE, 1.5, 5);
+      new GatewaySettings.Bounds(
+          Duration.ofSeconds(8),
+          0.9,
+          52,
+          0.15,
+          SESSION_PAUSE,
+          1.5,
+          5,
+          Duration.ofSeconds(2),
+          Duration.ofSeconds(2));
 
   static final Route ROUTE =
       new Route(
--- a/org.oatlug.test/tst/org/oatlug/test/SettingsTemplateTest.java
+++ b/org.oatlug.test/tst/org/oatlug/test/SettingsTemplateTest.java
@@ -46,6 +46,8 @@
           "sessionSeconds", "bounds.session-s",
           "coldShare", "bounds.cold-overage",
           "coldReserve", "bounds.cold-slack",
+          "configurationMillis", "bounds.config-ms",
+          "drainMillis", "bounds.drain-ms",
           "metrics", PORT);
 
   private static Map<String, String> values() {
--- a/org.oatlug/src/org/oatlug/config/GatewaySettingsReader.java
+++ b/org.oatlug/src/org/oatlug/config/GatewaySettingsReader.java
@@ -55,7 +55,9 @@
         number(tree, "exposureShare"),
         number(tree, "sessionSeconds"),
         number(tree, "coldShare"),
-        number(tree, "coldReserve"));
+        number(tree, "coldReserve"),
+        number(tree, "configurationMillis"),
+        number(tree, "drainMillis"));
   }
 
   private static JsonNode object(JsonNode tree, String field) {
--- a/org.oatlug/src/org/oatlug/gateway/GatewaySettings.java
+++ b/org.oatlug/src/org/oatlug/gateway/GatewaySettings.java
@@ -109,6 +109,10 @@
    * @param coldShare the maximum requests per second to a cold upstream from all instances
    *     together, as a multiple of the rate that it advertises
    * @param coldReserve the requests allowed beyond that rate
+   * @param configuration the maximum time from the acknowledgement of a configuration until it is
+   *     in force everywhere
+   * @param drain the maximum time from the announcement of an upstream that it is leaving until it
+   *     receives no requests
    */
   public record Bounds(
       Duration grace,
@@ -117,7 +121,9 @@
       double exposureShare,
       Duration session,
       double coldShare,
-      double coldReserve) {
+      double coldReserve,
+      Duration configuration,
+      Duration drain) {
     /** Default grace period: a planned shutdown ends soon. */
     private static final double DEFAULT_GRACE_SECONDS = 5;
 
@@ -137,6 +143,9 @@
 
     private static final double DEFAULT_COLD_RESERVE = 0;
 
+    /** Default bound on the time until a change of the store takes effect. */
+    private static final double DEFAULT_PROPAGATION_MILLIS = 2000;
+
     /** Maximum of each duration among the bounds: one hour. */
     private static final double MAXIMUM_SECONDS = 3600;
 
@@ -156,7 +165,9 @@
         Optional<Double> exposureShare,
         Optional<Double> sessionSeconds,
         Optional<Double> coldShare,
-        Optional<Double> coldReserve) {
+        Optional<Double> coldReserve,
+        Optional<Double> configurationMillis,
+        Optional<Double> drainMillis) {
       return new Bounds(
           seconds("graceSeconds", graceSeconds, DEFAULT_GRACE_SECONDS),
           checkRange(
@@ -170,7 +181,20 @@
               DEFAULT_COLD_SHARE,
               MAXIMUM_COUNT,
               "times the advertised rate"),
-          checkRange("coldReserve", coldReserve, DEFAULT_COLD_RESERVE, MAXIMUM_COUNT, "requests"));
+          checkRange("coldReserve", coldReserve, DEFAULT_COLD_RESERVE, MAXIMUM_COUNT, "requests"),
+          millis("configurationMillis", configurationMillis, DEFAULT_PROPAGATION_MILLIS),
+          millis("drainMillis", drainMillis, DEFAULT_PROPAGATION_MILLIS));
+    }
+
+    /** Returns the maximum time until any change of the store takes effect. */
+    public Duration propagation() {
+      return configuration.compareTo(drain) < 0 ? configuration : drain;
+    }
+
+    private static Duration millis(String field, Optional<Double> value, double defaultMillis) {
+      double maximum = MAXIMUM_SECONDS * MILLIS_PER_SECOND;
+      double millis = checkRange(field, value, defaultMillis, maximum, "milliseconds");
+      return Duration.ofMillis(Math.round(millis));
     }
 
     private static Duration seconds(String field, Optional<Double> value, double defaultSeconds) {
--- a/org.oatlug/src/org/oatlug/internal/config/ConfigurationSystem.java
+++ b/org.oatlug/src/org/oatlug/internal/config/ConfigurationSystem.java
@@ -51,8 +51,6 @@
   /** Minimum time between log lines about ignored objects of the store. */
   private static final int IGNORED_OBJECT_LOG_INTERVAL_SECONDS = 1;
 
-  private static final int WATCHES_PER_FRESHNESS_BOUND = 3;
-
   private final ObjectSink objects;
   private final Freshness freshness;
   private final Platform platform;
@@ -89,7 +87,7 @@
         ObjectBroadcaster.create(membership, network, random, meters, this::contactAgeMillis);
     this.startupSync = StartupSync.create(membership, random, new SyncPeers());
     this.role = ReaderRole.create(membership, network, clock, meters, this::probePlatform);
-    this.watches = dependencies.watchGroups().stream().map(this::createWatch).toList();
+    this.watches = createWatches(dependencies);
   }
 
   /**
@@ -99,9 +97,14 @@
    * @param random the source of randomness
    * @param meters the counters
    * @param watchGroups the kinds to read; the kinds of one group share a watch
+   * @param propagationBound the time within which a change of the store takes effect everywhere
    */
   public record Dependencies(
-      InstantSource clock, RandomGenerator random, Meters meters, List<List<String>> watchGroups) {}
+      InstantSource clock,
+      RandomGenerator random,
+      Meters meters,
+      List<List<String>> watchGroups,
+      Duration propagationBound) {}
 
   /** Returns a system that has not read any object yet. */
   public static ConfigurationSystem create(
@@ -206,10 +209,23 @@
     return all;
   }
 
-  private StoreWatch createWatch(List<String> kinds) {
-    Duration maximumWait = freshness.bound().dividedBy(WATCHES_PER_FRESHNESS_BOUND);
-    return StoreWatch.create(
-        kinds, maximumWait, platform, outageProbe, clock, meters, new WatchOwner());
+  private List<StoreWatch> createWatches(Dependencies dependencies) {
+    List<List<String>> groups = dependencies.watchGroups();
+    WatchTiming timing = WatchTiming.within(dependencies.propagationBound(), groups.size());
+    List<StoreWatch> created = new ArrayList<>();
+    for (List<String> kinds : groups) {
+      created.add(
+          StoreWatch.create(
+              kinds,
+              created.size(),
+              timing,
+              platform,
+              outageProbe,
+              clock,
+              meters,
+              new WatchOwner()));
+    }
+    return List.copyOf(created);
   }
 
   /** Connects the watches to this system. */
@@ -243,6 +259,12 @@
     public void onOutage() {
       role.requestSubstitute();
     }
+
+    @Override
+    public void onSilentConnection() {
+      platform.renewConnections();
+      watches.forEach(StoreWatch::restart);
+    }
   }
 
   private final class SyncPeers implements StartupSync.Peers {
--- a/org.oatlug/src/org/oatlug/internal/config/StoreWatch.java
+++ b/org.oatlug/src/org/oatlug/internal/config/StoreWatch.java
@@ -17,6 +17,7 @@
 import java.util.Set;
 import org.oatlug.api.ObjectKey;
 import org.oatlug.config.Kinds;
+import org.oatlug.errors.PlatformUnavailableException;
 import org.oatlug.internal.metrics.Meters;
 import org.oatlug.platform.Platform;
 import org.oatlug.platform.StoreEpoch;
@@ -62,7 +63,8 @@
   private static final Duration REWRITE_GRACE = LIST_INTERVAL;
 
   private final List<String> kinds;
-  private final Duration maximumWait;
+  private final int index;
+  private final WatchTiming timing;
   private final Platform platform;
   private final OutageProbe outageProbe;
   private final InstantSource clock;
@@ -77,17 +79,21 @@
   private Instant toleratesMissingUntil = Instant.EPOCH;
   private Instant nextList = Instant.EPOCH;
   private Instant nextCall = Instant.EPOCH;
+  private Optional<OpenWatch> openWatch = Optional.empty();
+  private int ticksPastDeadline;
 
   private StoreWatch(
       List<String> kinds,
-      Duration maximumWait,
+      int index,
+      WatchTiming timing,
       Platform platform,
       OutageProbe outageProbe,
       InstantSource clock,
       Meters meters,
       Owner owner) {
     this.kinds = kinds;
-    this.maximumWait = maximumWait;
+    this.index = index;
+    this.timing = timing;
     this.platform = platform;
     this.outageProbe = outageProbe;
     this.clock = clock;
@@ -95,6 +101,15 @@
     this.owner = owner;
   }
 
+  /**
+   * Watch without a response so far.
+   *
+   * @param startedAt when the call started
+   * @param deadline the time after which its connection counts as silent
+   * @param asFirstReader whether it started with the timing of the first reader
+   */
+  private record OpenWatch(Instant startedAt, Instant deadline, boolean asFirstReader) {}
+
   /** Receives the objects and supplies the role of this instance. */
   interface Owner {
     /** Returns whether this instance reads the platform. */
@@ -114,29 +129,35 @@
 
     /** Handles repeated failures of the platform. */
     void onOutage();
+
+    /** Handles a watch whose connection stopped responding, so that others may be silent too. */
+    void onSilentConnection();
   }
 
   /**
    * Returns a watch that has not read any object yet.
    *
    * @param kinds the kinds that are read with one call
-   * @param maximumWait the time for which a watch of the first reader waits for a change
+   * @param index the position of this watch among those of the instance, from 0
+   * @param timing the timing of the watches of the first reader
    * @param outageProbe shared by the watches of an instance
    */
   static StoreWatch create(
       List<String> kinds,
-      Duration maximumWait,
+      int index,
+      WatchTiming timing,
       Platform platform,
       OutageProbe outageProbe,
       InstantSource clock,
       Meters meters,
       Owner owner) {
-    return new StoreWatch(kinds, maximumWait, platform, outageProbe, clock, meters, owner);
+    return new StoreWatch(kinds, index, timing, platform, outageProbe, clock, meters, owner);
   }
 
   /** Starts the next call if none is open, it is due, and this instance reads. */
   void tick(Instant now) {
     checkEpoch();
+    checkOpenWatch(now);
     boolean shouldRead = owner.isReader() || owner.isStarting() && hasNoRevision();
     if (openCall.isPresent() || now.isBefore(nextCall) || !shouldRead || !mayCall(now)) {
       return;
@@ -150,6 +171,44 @@
     openCall = openCall.map(placeholder -> subscription);
   }
 
+  /** Ends the open watch if its connection is silent, or this instance became the first reader. */
+  private void checkOpenWatch(Instant now) {
+    if (openWatch.isEmpty()) {
+      return;
+    }
+    OpenWatch open = openWatch.get();
+    if (now.isAfter(open.deadline())) {
+      // A response that arrived during a pause of this process is handled before the next tick.
+      ticksPastDeadline++;
+      if (ticksPastDeadline > 1) {
+        giveUpSilentWatch(open, now);
+      }
+    } else if (owner.isFirstReader() && !open.asFirstReader()) {
+      restart();
+    }
+  }
+
+  /** Treats the open watch as failed; the other watches of this instance restart as well. */
+  private void giveUpSilentWatch(OpenWatch open, Instant now) {
+    logger.atWarning().log(
+        "the watch of %s is given up as silent, revision=%s open=%d millis",
+        kinds, revision, Duration.between(open.startedAt(), now).toMillis());
+    meters.count("store.watch-silent");
+    openCall.ifPresent(Cancellable::cancel);
+    handleFailure(new PlatformUnavailableException("watch " + kinds, null));
+    owner.onSilentConnection();
+  }
+
+  /** Ends an open watch; the next one continues at the same revision. */
+  void restart() {
+    if (openWatch.isPresent()) {
+      openCall.ifPresent(Cancellable::cancel);
+      openCall = Optional.empty();
+      openWatch = Optional.empty();
+      nextCall = clock.instant();
+    }
+  }
+
   /** Restarts with a list if the store was restored; an open call may never return changes. */
   private void checkEpoch() {
     long newest = platform.epoch().newest();
@@ -164,6 +223,7 @@
     if (!hasNoRevision() && revision.epoch() < newest) {
       openCall.ifPresent(Cancellable::cancel);
       openCall = Optional.empty();
+      openWatch = Optional.empty();
       restartWithList();
     }
   }
@@ -275,10 +335,15 @@
   }
 
   private Uni<Void> watchOnce() {
-    Duration untilList = Duration.between(clock.instant(), nextList);
-    Duration roleWait =
-        owner.isFirstReader() ? maximumWait : maximumWait.multipliedBy(SECONDARY_WAIT_FACTOR);
-    Duration wait = untilList.compareTo(roleWait) < 0 ? untilList : roleWait;
+    Instant now = clock.instant();
+    boolean first = owner.isFirstReader();
+    WatchTiming roleTiming = first ? timing : timing.multipliedBy(SECONDARY_WAIT_FACTOR);
+    Duration untilList = Duration.between(now, nextList);
+    Duration untilTurn = roleTiming.waitFrom(now, index);
+    Duration wait = untilList.compareTo(untilTurn) < 0 ? untilList : untilTurn;
+    Instant deadline = now.plus(wait).plus(timing.grace());
+    openWatch = Optional.of(new OpenWatch(now, deadline, first));
+    ticksPastDeadline = 0;
     return platform.watch(kinds, revision, wait).invoke(this::handleChanges).replaceWithVoid();
   }
 
@@ -305,6 +370,7 @@
     consecutiveFailures = 0;
     outageProbe.recordSuccess();
     openCall = Optional.empty();
+    openWatch = Optional.empty();
   }
 
   private void handleFailure(Throwable failure) {
@@ -316,6 +382,7 @@
     meters.count("retry.platform-watch");
     outageProbe.recordFailure();
     openCall = Optional.empty();
+    openWatch = Optional.empty();
     revision = StoreRevision.NONE;
     consecutiveFailures++;
     // Retry at once after the first failure; in an outage the watches share one probe, see
--- a/org.oatlug/src/org/oatlug/internal/platform/HttpPlatform.java
+++ b/org.oatlug/src/org/oatlug/internal/platform/HttpPlatform.java
@@ -5,16 +5,19 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import io.smallrye.mutiny.Uni;
+import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.PoolOptions;
 import io.vertx.ext.web.client.HttpRequest;
-import io.vertx.ext.web.client.WebClient;
+import io.vertx.ext.web.client.HttpResponse;
 import io.vertx.ext.web.client.WebClientOptions;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
 import org.oatlug.api.ObjectKey;
 import org.oatlug.config.Settings;
 import org.oatlug.errors.ConflictException;
@@ -41,10 +44,10 @@
   private static final String EPOCH_HEADER = "Store-Epoch";
 
   private final StoreCalls calls = StoreCalls.create(EPOCH_HEADER, Set.of(OK, NOT_FOUND, CONFLICT));
-  private final WebClient client;
+  private final StoreConnections connections;
 
-  private HttpPlatform(WebClient client) {
-    this.client = client;
+  private HttpPlatform(StoreConnections connections) {
+    this.connections = connections;
   }
 
   /** Returns the client of the platform at {@code address}. */
@@ -54,35 +57,52 @@
             .setDefaultHost(address.host())
             .setDefaultPort(address.port())
             .setConnectTimeout((int) CALL_TIMEOUT_MILLIS);
-    return new HttpPlatform(WebClient.create(vertx, options));
+    return new HttpPlatform(StoreConnections.create(vertx, options, new PoolOptions()));
   }
 
   @Override
   public Uni<Optional<StoredObject>> get(ObjectKey key) {
-    HttpRequest<Buffer> request = client.get(pathOf(key)).timeout(CALL_TIMEOUT_MILLIS);
-    return calls.call("get " + key, request::send).map(response -> objectOf(key, response));
+    return calls
+        .call("get " + key, () -> send(pathOf(key), CALL_TIMEOUT_MILLIS, request -> {}))
+        .map(response -> objectOf(key, response));
   }
 
   @Override
   public Uni<Batch> list(List<String> kinds) {
-    HttpRequest<Buffer> request =
-        client
-            .get("/objects")
-            .addQueryParam("kinds", String.join(",", kinds))
-            .timeout(LIST_TIMEOUT_MILLIS);
-    return calls.call("list", request::send).map(HttpPlatform::batchOf);
+    Consumer<HttpRequest<Buffer>> query =
+        request -> request.addQueryParam("kinds", String.join(",", kinds));
+    return calls
+        .call("list", () -> send("/objects", LIST_TIMEOUT_MILLIS, query))
+        .map(HttpPlatform::batchOf);
   }
 
   @Override
   public Uni<Batch> watch(List<String> kinds, StoreRevision revision, Duration wait) {
-    HttpRequest<Buffer> request =
-        client
-            .get("/watch")
-            .addQueryParam("kinds", String.join(",", kinds))
-            .addQueryParam("since", Long.toString(revision.number()))
-            .addQueryParam("wait", Long.toString(wait.toMillis()))
-            .timeout(wait.toMillis() + CALL_TIMEOUT_MILLIS);
-    return calls.call("watch", request::send).map(HttpPlatform::batchOf);
+    Consumer<HttpRequest<Buffer>> query =
+        request ->
+            request
+                .addQueryParam("kinds", String.join(",", kinds))
+                .addQueryParam("since", Long.toString(revision.number()))
+                .addQueryParam("wait", Long.toString(wait.toMillis()));
+    long timeoutMillis = wait.toMillis() + CALL_TIMEOUT_MILLIS;
+    return calls
+        .call("watch", () -> send("/watch", timeoutMillis, query))
+        .map(HttpPlatform::batchOf);
+  }
+
+  private Future<HttpResponse<Buffer>> send(
+      String path, long timeoutMillis, Consumer<HttpRequest<Buffer>> query) {
+    return connections.send(
+        client -> {
+          HttpRequest<Buffer> request = client.get(path).timeout(timeoutMillis);
+          query.accept(request);
+          return request.send();
+        });
+  }
+
+  @Override
+  public void renewConnections() {
+    connections.renew();
   }
 
   @Override
@@ -91,14 +111,8 @@
       return Uni.createFrom().failure(new ConflictException(key, expected, Optional.empty()));
     }
     Buffer body = Buffer.buffer(value.toString());
-    HttpRequest<Buffer> request =
-        client
-            .put(pathOf(key))
-            .putHeader("If-Match", Long.toString(expected.number()))
-            .putHeader("Content-Type", "application/json")
-            .timeout(CALL_TIMEOUT_MILLIS);
     return calls
-        .call("put " + key, () -> request.sendBuffer(body))
+        .call("put " + key, () -> sendWrite(key, expected, body))
         .onItem()
         .transformToUni(
             response -> {
@@ -114,11 +128,22 @@
             });
   }
 
+  private Future<HttpResponse<Buffer>> sendWrite(
+      ObjectKey key, StoreRevision expected, Buffer body) {
+    return connections.send(
+        client ->
+            client
+                .put(pathOf(key))
+                .putHeader("If-Match", Long.toString(expected.number()))
+                .putHeader("Content-Type", "application/json")
+                .timeout(CALL_TIMEOUT_MILLIS)
+                .sendBuffer(body));
+  }
+
   @Override
   public Uni<List<ListedInstance>> instances() {
-    HttpRequest<Buffer> request = client.get("/instances").timeout(CALL_TIMEOUT_MILLIS);
     return calls
-        .call("instances", request::send)
+        .call("instances", () -> send("/instances", CALL_TIMEOUT_MILLIS, request -> {}))
         .map(
             response -> {
               List<ListedInstance> listed = new ArrayList<>();
--- a/org.oatlug/src/org/oatlug/internal/platform/MeteredPlatform.java
+++ b/org.oatlug/src/org/oatlug/internal/platform/MeteredPlatform.java
@@ -83,6 +83,12 @@
         delegate.watch(kinds, revision, wait).invoke(this::countUnusable));
   }
 
+  @Override
+  public void renewConnections() {
+    meters.count("store.connections-renewed");
+    delegate.renewConnections();
+  }
+
   @Override
   public StoreEpoch epoch() {
     return delegate.epoch();
--- a/org.oatlug/src/org/oatlug/platform/Platform.java
+++ b/org.oatlug/src/org/oatlug/platform/Platform.java
@@ -48,6 +48,12 @@
    */
   Uni<Batch> watch(List<String> kinds, StoreRevision revision, Duration wait);
 
+  /**
+   * Makes later calls use new connections, as an open one has stopped responding; calls in progress
+   * are not affected. Has no effect where no connection is kept.
+   */
+  default void renewConnections() {}
+
   /** Returns the newest epoch of the store that is known; all calls of an instance share it. */
   StoreEpoch epoch();
 
