Bound the pushes of a burst of changes, and route them around lost instances

Callers: in a fleet of 61 instances of which 45 lost power amid a burst of configurations, zones whose readers were lost got only what reached one of two random instances by luck, and a lost instance in a tree cost 300 ms for each level below it and each change.

Cause: each change was pushed by itself to each receiver, whether or not earlier pushes to it were still unacknowledged; a failed push was not repeated, did not mark its receiver, and in another zone nobody else was tried.

While an instance does not acknowledge, changes go to all below it in the tree at once, and in another zone to further instances.

--- a/org.oatlug/src/org/oatlug/internal/config/BroadcastTrees.java
+++ b/org.oatlug/src/org/oatlug/internal/config/BroadcastTrees.java
@@ -54,6 +54,15 @@
     return order.subList(first, end);
   }
 
+  /** Returns all instances that the given one reaches through its children. */
+  List<String> descendantsOf(StoredObject change, String instance) {
+    List<String> descendants = new ArrayList<>(childrenOf(change, instance));
+    for (int index = 0; index < descendants.size(); index++) {
+      descendants.addAll(childrenOf(change, descendants.get(index)));
+    }
+    return descendants;
+  }
+
   private List<String> orderOf(StoredObject change) {
     long hash = Hashes.hash64(change.key().toString(), change.revision().toString());
     return orders.get(Math.floorMod(hash, TREE_COUNT));
--- a/org.oatlug/src/org/oatlug/internal/config/ConfigurationSystem.java
+++ b/org.oatlug/src/org/oatlug/internal/config/ConfigurationSystem.java
@@ -124,6 +124,7 @@
     role.tick();
     readInstances(now);
     watches.forEach(watch -> watch.tick(now));
+    broadcaster.tick();
     exchange(now);
   }
 
--- a/org.oatlug/src/org/oatlug/internal/config/ObjectBroadcaster.java
+++ b/org.oatlug/src/org/oatlug/internal/config/ObjectBroadcaster.java
@@ -4,6 +4,7 @@
 package org.oatlug.internal.config;
 
 import com.google.common.flogger.FluentLogger;
+import io.smallrye.mutiny.Uni;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -11,8 +12,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
@@ -30,7 +33,8 @@
  *
  * <p>Invariant: an instance relays each change once. The instance that brings a change into the
  * zone, through whichever channel, also sends it to the root of its tree. So pushes alone reach
- * every reachable instance. Owned by one event loop, not thread-safe.
+ * every reachable instance. To each of them, one push at a time is in flight, see {@link
+ * PushQueue}. Owned by one event loop, not thread-safe.
  */
 final class ObjectBroadcaster {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
@@ -54,6 +58,7 @@
   private final RandomGenerator random;
   private final Meters meters;
   private final LongSupplier contactAge;
+  private final Map<String, PushQueue> queues = new TreeMap<>();
   private List<String> instanceNames = List.of();
   private BroadcastTrees trees = BroadcastTrees.over(instanceNames);
 
@@ -87,8 +92,20 @@
   /** Pushes changes that this instance read from the platform to all zones. */
   void broadcast(List<StoredObject> changes) {
     pushToZone(changes);
-    PeerMessage.Objects message = messageOf(changes);
-    remoteReceivers().forEach(peer -> send(peer, message, () -> {}));
+    remotePeersByZone().keySet().forEach(zone -> pushToRemoteZone(zone, changes));
+  }
+
+  /** Pushes changes to instances of another zone; to others of them if these do not respond. */
+  private void pushToRemoteZone(String zone, List<StoredObject> changes) {
+    List<Member> peers = remotePeersByZone().getOrDefault(zone, List.of());
+    List<Member> responsive =
+        new ArrayList<>(peers.stream().filter(peer -> !isProbablyUnresponsive(peer)).toList());
+    if (responsive.isEmpty()) {
+      chooseReceivers(new ArrayList<>(peers)).forEach(peer -> send(peer, changes, failed -> {}));
+      return;
+    }
+    chooseReceivers(responsive)
+        .forEach(peer -> send(peer, changes, failed -> pushToRemoteZone(zone, failed)));
   }
 
   /** Pushes changes that this instance brought into its zone to the instances of the zone. */
@@ -151,44 +168,57 @@
   }
 
   /**
-   * Sends changes to an instance of this zone, and to its children in the tree if it has died,
-   * seems unresponsive or does not acknowledge them in time.
+   * Sends changes to an instance of this zone, and to all below it in the tree if it has died,
+   * seems unresponsive or does not acknowledge them in time. Its children may be lost as well, and
+   * to wait for each of them in turn would take too long.
    *
    * @param peer the instance of this name, empty if it died since the trees were built
    */
   private void pushTo(
       BroadcastTrees pushTrees, String name, Optional<Member> peer, List<StoredObject> changes) {
     // If the peer did not relay them, its subtree would get the changes only by comparing digests.
-    Runnable pushToSubtree =
-        () -> push(pushTrees, changes, change -> pushTrees.childrenOf(change, name));
+    Consumer<List<StoredObject>> pushToSubtree =
+        failed -> push(pushTrees, failed, change -> pushTrees.descendantsOf(change, name));
     if (peer.isEmpty()) {
-      pushToSubtree.run();
+      pushToSubtree.accept(changes);
     } else if (isProbablyUnresponsive(peer.get())) {
-      send(peer.get(), messageOf(changes), () -> {});
-      pushToSubtree.run();
+      send(peer.get(), changes, failed -> {});
+      pushToSubtree.accept(changes);
     } else {
-      send(peer.get(), messageOf(changes), pushToSubtree);
+      send(peer.get(), changes, pushToSubtree);
     }
   }
 
   private boolean isProbablyUnresponsive(Member peer) {
-    return peer.state() == Member.State.SUSPECT || !membership.isReachable(peer);
+    PushQueue queue = queues.get(peer.process());
+    boolean failing = queue != null && queue.isFailing();
+    return failing || peer.state() == Member.State.SUSPECT || !membership.isReachable(peer);
+  }
+
+  /** Sends the objects of failed pushes again; called once a tick. */
+  void tick() {
+    Set<String> live = membership.live().stream().map(Member::process).collect(Collectors.toSet());
+    queues.values().removeIf(PushQueue::isIdle);
+    queues.keySet().retainAll(live);
+    // A failure may add queues, for the children of the instance in the tree.
+    List.copyOf(queues.values()).forEach(PushQueue::tick);
   }
 
-  private PeerMessage.Objects messageOf(List<StoredObject> changes) {
-    return new PeerMessage.Objects(changes, contactAge.getAsLong(), true);
+  private void send(
+      Member peer, List<StoredObject> changes, Consumer<List<StoredObject>> onFirstFailure) {
+    queues
+        .computeIfAbsent(
+            peer.process(), unused -> PushQueue.create(objects -> sendMessage(peer, objects)))
+        .add(changes, onFirstFailure);
   }
 
-  private void send(Member peer, PeerMessage.Objects message, Runnable onFailure) {
-    network
+  private Uni<Void> sendMessage(Member peer, List<StoredObject> changes) {
+    PeerMessage.Objects message = new PeerMessage.Objects(changes, contactAge.getAsLong(), true);
+    return network
         .sendRequest(peer, message, PUSH_TIMEOUT)
-        .subscribe()
-        .with(
-            answer -> {},
-            failure -> {
-              recordFailedPush(peer, message, failure);
-              onFailure.run();
-            });
+        .onFailure()
+        .invoke(failure -> recordFailedPush(peer, message, failure))
+        .replaceWithVoid();
   }
 
   private void recordFailedPush(Member peer, PeerMessage.Objects message, Throwable failure) {
@@ -203,19 +233,13 @@
         message.objects().size(), newest, peer.name(), failure.getMessage());
   }
 
-  /** Returns a few random live instances of each other zone, preferring reachable ones. */
-  private List<Member> remoteReceivers() {
-    Map<String, List<Member>> byZone =
-        membership.remotePeers().stream()
-            .collect(Collectors.groupingBy(Member::zone, TreeMap::new, Collectors.toList()));
-    List<Member> receivers = new ArrayList<>();
-    byZone.values().forEach(zone -> receivers.addAll(chooseReceivers(zone)));
-    return receivers;
+  private Map<String, List<Member>> remotePeersByZone() {
+    return membership.remotePeers().stream()
+        .collect(Collectors.groupingBy(Member::zone, TreeMap::new, Collectors.toList()));
   }
 
-  private List<Member> chooseReceivers(List<Member> zone) {
-    List<Member> reachable = zone.stream().filter(membership::isReachable).toList();
-    List<Member> candidates = new ArrayList<>(reachable.isEmpty() ? zone : reachable);
+  /** Returns a few random instances. */
+  private List<Member> chooseReceivers(List<Member> candidates) {
     List<Member> chosen = new ArrayList<>();
     while (!candidates.isEmpty() && chosen.size() < REMOTE_RECEIVERS) {
       chosen.add(candidates.remove(random.nextInt(candidates.size())));
