Let the next instance by rank read the store once the readers are lost

Callers: a zone whose readers lost power together got no changes until they counted as dead, 2.9 s and more after the loss, when it could not hear other zones; 404 on added routes, requests to upstreams that left.

Cause: an instance read only if it was among the first two that were not known to be dead, and random probes with a time-out for suspicions find many dead instances late. The class: an instance relies on somebody else to notice the loss of what it depends on.

Change: each instance also probes its predecessor in the rank of the readers, and all predecessors once that one does not respond (PredecessorProbes); an instance reads if fewer than two before it respond. A wrong verdict costs additional reads for 3 s at most.

SilentStoreTest, StoreOutageTest, ChangePropagationTest, RestoredStoreFleetTest, FleetStartTest and EvacuationPropagationTest pass.

--- a/org.oatlug/src/org/oatlug/internal/membership/Membership.java
+++ b/org.oatlug/src/org/oatlug/internal/membership/Membership.java
@@ -78,6 +78,7 @@
   private final Map<String, Integer> remainingSends = new HashMap<>();
   private final List<String> probeOrder = new ArrayList<>();
   private final List<Settings.Address> seeds = new ArrayList<>();
+  private final PredecessorProbes predecessorProbes = PredecessorProbes.create(this::ping);
   private Member self;
   private Optional<MemberView> view = Optional.empty();
   private PeerNetwork network;
@@ -246,15 +247,31 @@
     return unresponsive != null && now.isAfter(unresponsive.plus(LOST_AFTER));
   }
 
-  /** Returns whether this instance is one of the readers of its availability zone. */
+  /**
+   * Returns whether this instance is one of the readers of its availability zone: one of the first
+   * by rank of those that respond. Instances that disagree on that read in addition.
+   */
   public boolean isReader() {
-    int rank = view().readerRank().indexOf(self.name());
-    return rank >= 0 && rank < READERS;
+    return view().readerRank().contains(self.name()) && responsivePredecessors() < READERS;
   }
 
   /** Returns whether this instance is the first reader; the other readers are its standbys. */
   public boolean isFirstReader() {
-    return view().readerRank().indexOf(self.name()) == 0;
+    return view().readerRank().contains(self.name()) && responsivePredecessors() == 0;
+  }
+
+  private long responsivePredecessors() {
+    return predecessors().stream()
+        .filter(member -> member.state() == Member.State.ALIVE)
+        .filter(this::isReachable)
+        .count();
+  }
+
+  /** Returns the instances before this one in the rank of the readers of its zone. */
+  private List<Member> predecessors() {
+    List<String> ranked = view().readerRank();
+    int rank = Math.max(0, ranked.indexOf(self.name()));
+    return ranked.subList(0, rank).stream().map(members::get).toList();
   }
 
   /**
@@ -265,6 +282,7 @@
     List<String> ranked = view().readerRank();
     List<Member> substitutes =
         new ArrayList<>(ranked.stream().skip(READERS).map(members::get).toList());
+    substitutes.removeIf(this::isSelf);
     if (substitutes.size() > 1) {
       Collections.rotate(substitutes, -(ranked.indexOf(self.name()) % substitutes.size()));
     }
@@ -333,6 +351,9 @@
     }
     nextProbe = now.plus(PROBE_INTERVAL);
     nextTarget().ifPresent(this::probe);
+    if (zonePeers().size() > 1) {
+      predecessorProbes.probe(predecessors());
+    }
     probeRemote();
     probeWatched(now);
   }
