Replace all silent connections between instances once one is found

Callers: after the network had dropped connections without a reset, the first push over each connection that was rarely used was lost, and the change waited for a comparison of digests, one or more seconds later.

Change: a connection on which a request timed out is probed, and closed if it receives nothing within 500 ms. Its process is reconnected at once; if it still runs, all other connections are probed, at most once a second. Closings are counted as peer.silent-connection.

Evidence: testConnectionsToOtherPeersAreReplacedWithTheFirstSilentOne failed before (the others were never replaced), passes now, as do the other two of SilentConnectionTest.

--- a/org.oatlug.entry/src/org/oatlug/entry/EntryInstance.java
+++ b/org.oatlug.entry/src/org/oatlug/entry/EntryInstance.java
@@ -108,6 +108,7 @@
     DeferredPeerHandler deferredHandler = new DeferredPeerHandler();
     TcpPeerNetwork network =
         TcpPeerNetwork.create(vertx, settings.peers(), membership::self, deferredHandler);
+    network.onSilentConnection(() -> meters.count("peer.silent-connection"));
     membership.connect(network);
     final Ledger ledger =
         Ledger.create(settings.ledger(), platform, clock, membership, network, meters.registry());
--- a/org.oatlug.entry/src/org/oatlug/entry/GatewayInstance.java
+++ b/org.oatlug.entry/src/org/oatlug/entry/GatewayInstance.java
@@ -163,6 +163,7 @@
     DeferredPeerHandler deferredHandler = new DeferredPeerHandler();
     peerListener = TcpPeerNetwork.create(vertx, peerSettings(), membership::self, deferredHandler);
     PeerNetwork network = MeteredPeerNetwork.of(peerListener, membership::self, meters);
+    peerListener.onSilentConnection(() -> meters.count("peer.silent-connection"));
     membership.connect(network);
     ConfigurationSystem configuration = configurationSystem(platform, network, meters);
     RolloutDirector rollouts =
--- a/org.oatlug.test/tst/org/oatlug/test/SilentConnectionTest.java
+++ b/org.oatlug.test/tst/org/oatlug/test/SilentConnectionTest.java
@@ -11,10 +11,10 @@
 import io.vertx.core.net.NetServer;
 import io.vertx.core.net.NetSocket;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import org.oatlug.config.Settings;
 import org.oatlug.internal.peer.Member;
@@ -29,7 +29,7 @@
   private static final Duration REQUEST_TIMEOUT = Duration.ofMillis(300);
   private static final long WAIT_SECONDS = 20;
 
-  private final List<Runnable> silencers = new ArrayList<>();
+  private final List<Runnable> silencers = new CopyOnWriteArrayList<>();
   private Vertx vertx;
   private TcpPeerNetwork callerNetwork;
   private Member relayedPeer;
@@ -118,11 +118,15 @@
   }
 
   private boolean isPingAnswered() throws Exception {
+    return isPingAnswered(relayedPeer);
+  }
+
+  private boolean isPingAnswered(Member peer) throws Exception {
     CompletableFuture<Boolean> answered = new CompletableFuture<>();
     vertx.runOnContext(
         unused ->
             callerNetwork
-                .sendRequest(relayedPeer, new PeerMessage.Ping(List.of()), REQUEST_TIMEOUT)
+                .sendRequest(peer, new PeerMessage.Ping(List.of()), REQUEST_TIMEOUT)
                 .subscribe()
                 .with(message -> answered.complete(true), failure -> answered.complete(false)));
     return answered.get(WAIT_SECONDS, TimeUnit.SECONDS);
@@ -135,4 +139,26 @@
     Await.until("a ping after the silence is answered", this::isPingAnswered);
     assertTrue(silencers.size() > 1, "no other connection was opened");
   }
+
+  private Member startRelayedPeer(String name) throws Exception {
+    int port = Ports.free();
+    int relayPort = Ports.free();
+    await(networkOf(member(name, port)).listen());
+    await(relay(port).listen(relayPort, "127.0.0.1"));
+    return member(name, relayPort);
+  }
+
+  /** Guards against pushes that are lost on connections which are silent and rarely used. */
+  @Test
+  public void testConnectionsToOtherPeersAreReplacedWithTheFirstSilentOne() throws Exception {
+    List<Member> rarelyUsed = List.of(startRelayedPeer("second"), startRelayedPeer("third"));
+    for (Member peer : rarelyUsed) {
+      Await.until("the ping is answered", () -> isPingAnswered(peer));
+    }
+    Await.until("the first ping is answered", this::isPingAnswered);
+    int connections = silencers.size();
+    List.copyOf(silencers).forEach(Runnable::run);
+    Await.until("a ping after the silence is answered", this::isPingAnswered);
+    Await.until("all are replaced", () -> silencers.size() >= 2 * connections);
+  }
 }
--- a/org.oatlug/src/org/oatlug/internal/peer/PeerConnection.java
+++ b/org.oatlug/src/org/oatlug/internal/peer/PeerConnection.java
@@ -10,6 +10,7 @@
 import io.vertx.core.net.NetSocket;
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
 import org.oatlug.errors.MalformedFrameException;
@@ -19,30 +20,44 @@
  * Exchanges requests and responses over a connection after the handshake.
  *
  * <p>Invariants: each request completes exactly once: with its response, a timeout, or the end of
- * the connection. A late response is dropped. A connection that receives nothing while requests
- * time out is closed, so that the next request opens a new one: the network may drop a connection
- * without a reset while new connections succeed. Used from one event loop.
+ * the connection. A late response is dropped. A connection on which a request timed out is probed,
+ * and closed as silent if it still receives nothing: the network may drop a connection without a
+ * reset while new connections succeed. Used from one event loop.
  */
 final class PeerConnection implements Frames.Receiver {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
-  /** The number of timeouts, with no frame received in between, that closes the connection. */
-  private static final int MAXIMUM_TIMEOUTS = 2;
+  /** The time within which a probed connection must receive any frame. */
+  private static final Duration PROBE_TIMEOUT = Duration.ofMillis(500);
 
   private final Vertx vertx;
   private final NetSocket socket;
   private final Member peer;
   private final PeerHandler handler;
   private final Map<Long, Consumer<PeerMessage>> pendingRequests = new HashMap<>();
+  private final Runnable onSilent;
   private long lastId;
-  private int timeouts;
+  private long receivedFrames;
+  private boolean probing;
   private boolean closed;
 
-  PeerConnection(Vertx vertx, NetSocket socket, Member peer, PeerHandler handler) {
+  /**
+   * Creates an established connection.
+   *
+   * @param onSilent runs when the connection is closed because it is silent
+   */
+  PeerConnection(
+      Vertx vertx, NetSocket socket, Member peer, PeerHandler handler, Runnable onSilent) {
     this.vertx = vertx;
     this.socket = socket;
     this.peer = peer;
     this.handler = handler;
+    this.onSilent = onSilent;
+  }
+
+  /** Returns the record of the peer at the time of the handshake. */
+  Member peer() {
+    return peer;
   }
 
   boolean isOpen() {
@@ -73,7 +88,8 @@
       return;
     }
     long id = ++lastId;
-    long timer = vertx.setTimer(timeout.toMillis(), unused -> timedOut(id));
+    long received = receivedFrames;
+    long timer = vertx.setTimer(timeout.toMillis(), unused -> timedOut(id, received));
     pendingRequests.put(
         id,
         response -> {
@@ -87,19 +103,40 @@
     socket.write(Frames.encode(new Frames.Envelope(id, false, message)));
   }
 
-  private void timedOut(long id) {
+  private void timedOut(long id, long receivedBefore) {
     complete(id, null);
-    timeouts++;
-    if (timeouts >= MAXIMUM_TIMEOUTS && !closed) {
-      logger.atInfo().log("closing the unresponsive connection to %s", peer.name());
+    if (receivedFrames == receivedBefore) {
+      probe();
+    }
+  }
+
+  /** Closes the connection if it receives nothing within the probe timeout. */
+  void probe() {
+    if (closed || probing) {
+      return;
+    }
+    probing = true;
+    long received = receivedFrames;
+    vertx.setTimer(PROBE_TIMEOUT.toMillis(), unused -> endProbe(received));
+    sendRequest(new PeerMessage.Ping(List.of()), PROBE_TIMEOUT.multipliedBy(2))
+        .subscribe()
+        .with(response -> {}, failure -> logger.atFine().log("probe of %s failed", peer.name()));
+  }
+
+  private void endProbe(long receivedBefore) {
+    probing = false;
+    if (receivedFrames == receivedBefore && !closed) {
+      logger.atInfo().log(
+          "closing the silent connection to %s, pending=%d", peer.name(), pendingRequests.size());
       closed();
       socket.close();
+      onSilent.run();
     }
   }
 
   @Override
   public void received(Frames.Envelope envelope) {
-    timeouts = 0;
+    receivedFrames++;
     if (envelope.answer()) {
       complete(envelope.id(), envelope.message());
       return;
--- a/org.oatlug/src/org/oatlug/internal/peer/TcpPeerNetwork.java
+++ b/org.oatlug/src/org/oatlug/internal/peer/TcpPeerNetwork.java
@@ -16,6 +16,7 @@
 import io.vertx.core.net.PemTrustOptions;
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.UUID;
@@ -32,13 +33,18 @@
  *
  * <p>Invariant: no message of a connection is handled before both sides have proved that they have
  * the shared key; a connection whose handshake times out is closed. There is one connection per
- * peer and direction, opened on first use. Used from one event loop.
+ * peer and direction, opened on first use. If a process responds on a new connection after an old
+ * one to it was closed as silent, the network has dropped connections without a reset, and all
+ * others are probed. Used from one event loop.
  */
 public final class TcpPeerNetwork implements PeerNetwork {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final int CONNECT_TIMEOUT_MILLIS = 1000;
   private static final long HANDSHAKE_TIMEOUT_MILLIS = 2000;
 
+  /** The minimum time between probes of all connections. */
+  private static final long PROBE_INTERVAL_MILLIS = 1000;
+
   private final Vertx vertx;
   private final Settings.Peers settings;
   private final Supplier<Member> self;
@@ -46,6 +52,8 @@
   private final PeerProof proof;
   private final NetClient client;
   private final Map<String, Future<PeerConnection>> connections = new HashMap<>();
+  private boolean probedRecently;
+  private Runnable onSilentConnection = () -> {};
 
   private TcpPeerNetwork(
       Vertx vertx, Settings.Peers settings, Supplier<Member> self, PeerHandler handler) {
@@ -68,6 +76,11 @@
     return new TcpPeerNetwork(vertx, settings, self, handler);
   }
 
+  /** Sets the action that runs when a connection is closed because it is silent. */
+  public void onSilentConnection(Runnable action) {
+    onSilentConnection = action;
+  }
+
   /** Starts to accept connections of peers. */
   public Future<NetServer> listen() {
     NetServerOptions options =
@@ -106,15 +119,46 @@
     Future<PeerConnection> opened =
         client
             .connect(peer.peerPort(), peer.host())
-            .compose(this::startHandshake)
+            .compose(socket -> startHandshake(socket, peer))
             .recover(failure -> Future.failedFuture(new PeerUnavailableException(peer.name())));
     connections.put(address, opened);
     return opened;
   }
 
-  private Future<PeerConnection> startHandshake(NetSocket socket) {
+  /** Reconnects to a process after its connection was silent, to learn whether it still runs. */
+  private void handleSilent(Member dialed, String process) {
+    onSilentConnection.run();
+    connection(dialed)
+        .onSuccess(
+            reconnected -> {
+              if (reconnected.peer().process().equals(process)) {
+                probeOthers(reconnected);
+              }
+            })
+        .onFailure(failure -> logger.atFine().log("cannot reconnect to %s", dialed.name()));
+  }
+
+  private void probeOthers(PeerConnection replacement) {
+    if (probedRecently) {
+      return;
+    }
+    probedRecently = true;
+    vertx.setTimer(PROBE_INTERVAL_MILLIS, unused -> probedRecently = false);
+    List<PeerConnection> others =
+        connections.values().stream()
+            .filter(Future::succeeded)
+            .map(Future::result)
+            .filter(connection -> connection.isOpen() && connection != replacement)
+            .toList();
+    logger.atInfo().log(
+        "a connection to %s was silent while it runs, probing %d others",
+        replacement.peer().name(), others.size());
+    others.forEach(PeerConnection::probe);
+  }
+
+  private Future<PeerConnection> startHandshake(NetSocket socket, Member dialed) {
     Promise<PeerConnection> promise = Promise.promise();
-    CallerHandshake handshake = new CallerHandshake(socket, promise);
+    CallerHandshake handshake = new CallerHandshake(socket, dialed, promise);
     limitHandshake(socket, promise.future());
     socket.closeHandler(unused -> handshake.closed());
     Frames.read(socket, handshake);
@@ -189,8 +233,8 @@
       socket.close();
     }
 
-    void established(Member peer) {
-      connection = new PeerConnection(vertx, socket, peer, handler);
+    void established(Member peer, Runnable onSilent) {
+      connection = new PeerConnection(vertx, socket, peer, handler, onSilent);
       promise.complete(connection);
     }
 
@@ -204,10 +248,12 @@
 
   /** The calling side. */
   private final class CallerHandshake extends Handshake {
+    private final Member dialed;
     private String acceptorNonce;
 
-    CallerHandshake(NetSocket socket, Promise<PeerConnection> promise) {
+    CallerHandshake(NetSocket socket, Member dialed, Promise<PeerConnection> promise) {
       super(socket, promise);
+      this.dialed = dialed;
     }
 
     @Override
@@ -222,7 +268,8 @@
         if (!PeerProof.matches(expected, welcome.proof())) {
           throw new MalformedFrameException("the proof of the shared key is invalid");
         }
-        established(welcome.member());
+        String process = welcome.member().process();
+        established(welcome.member(), () -> handleSilent(dialed, process));
       } else {
         throw new MalformedFrameException("unexpected message in the handshake");
       }
@@ -246,7 +293,8 @@
       }
       Member own = self.get();
       send(socket, new PeerMessage.Welcome(own, proof.ofAcceptor(nonce, hello.nonce(), own)));
-      established(hello.member());
+      // Requests go out on connections that this instance opened, so this one is never probed.
+      established(hello.member(), () -> {});
     }
   }
 }
