Raise the share of a new version only while the fleet's evidence is known

Callers: a bad version received more requests than its bound allows (EXPOSURE); in a fleet of 96 instances that could not hear each other, 3,678 of 10,630, allowed 1,624.

Cause: the share rose with time alone. The bound holds for all instances together, but each of them then waited for as much evidence of its own as all together need, and each spent its own allowance. The class: a decision that needs the knowledge of all is taken by the clock, whether or not that knowledge arrives.

Change: evidence tells of how many instances it is current (reporters, 2 s). The share rises only while that is most of the instances that lived during the roll-out, and while the evidence is below half of what halts it everywhere; it never falls because of that. An instance that is not informed decides at 0.97 of the duration instead of 0.92. Zones repeat their evidence each half second, as they did pending prompts. Log line and counters rollout.informed and rollout.uninformed.

Evidence: SilentRolloutTest failed in 1 of 8 cases before (96 instances, silent from the order on), passes now. MovedSessionsTest, RolloutDecisionTest, StateExchangeTest and GatewayDecisionTest pass.

--- a/org.oatlug.test/tst/org/oatlug/internal/gateway/RolloutDecisionTest.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/gateway/RolloutDecisionTest.java
@@ -108,7 +108,9 @@
       remote = remote.plus(good.localPairs());
     }
     good.addRemoteEvidence(
-        new VersionEvidence("pool", "v2", ORDER, remote, 400L * (instances - 1), false, 0), now);
+        new VersionEvidence(
+            "pool", "v2", ORDER, remote, 400L * (instances - 1), false, 0, instances - 1),
+        now);
     assertFalse(
         RolloutGuard.sufficesForGlobalHalt(good.totalEvidence()),
         "evidence " + good.totalEvidence());
--- a/org.oatlug.test/tst/org/oatlug/internal/gather/ReportAggregatorTest.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/gather/ReportAggregatorTest.java
@@ -32,7 +32,7 @@
     ComparedPairs pairs = new ComparedPairs(failures, PairCounts.NONE, PairCounts.NONE);
     VersionEvidence evidence =
         new VersionEvidence(
-            "pool", "v2", StoreRevision.ofNumber(orderedAt), pairs, 2 * worse, false, 0);
+            "pool", "v2", StoreRevision.ofNumber(orderedAt), pairs, 2 * worse, false, 0, 1);
     return new StateReport(Map.of("i-1", openMillis), List.of(evidence), Map.of(), Map.of());
   }
 
--- a/org.oatlug.test/tst/org/oatlug/internal/gather/StateExchangeFleet.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/gather/StateExchangeFleet.java
@@ -119,7 +119,7 @@
       ComparedPairs pairs = new ComparedPairs(failures, PairCounts.NONE, PairCounts.NONE);
       VersionEvidence evidence =
           new VersionEvidence(
-              SERVICE, VERSION, StoreRevision.ofNumber(1), pairs, worse, refuted, 0);
+              SERVICE, VERSION, StoreRevision.ofNumber(1), pairs, worse, refuted, 0, 1);
       List<VersionEvidence> entries = worse > 0 || refuted ? List.of(evidence) : List.of();
       return new StateReport(Map.copyOf(openMillis), entries, Map.of(), limits.observed());
     }
--- a/org.oatlug.test/tst/org/oatlug/internal/gather/StateExchangeTest.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/gather/StateExchangeTest.java
@@ -207,7 +207,8 @@
             pairs,
             10,
             false,
-            0);
+            0,
+            1);
     return new StateReport(Map.of(), List.of(evidence), Map.of(), Map.of());
   }
 
--- a/org.oatlug/src/org/oatlug/internal/gateway/RolloutDirector.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/RolloutDirector.java
@@ -37,8 +37,9 @@
  * version, and compares the answers of both versions; the evidence of all other instances is added.
  * The instance that owns a roll-out writes its progress by a conditional update; a final state that
  * was written is never changed. Invariants: a version that is known to be bad receives no more
- * requests from this instance; a session that was seen on the old version stays there during the
- * first half of the duration. Owned by one event loop, not thread-safe.
+ * requests from this instance; its share rises only while the evidence of most instances is known;
+ * a session that was seen on the old version stays there during the first half of the duration.
+ * Owned by one event loop, not thread-safe.
  */
 public final class RolloutDirector implements VersionRule, TickSystem {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
@@ -143,7 +144,7 @@
       String service, ServiceRollout rollout, RolloutTrial trial, RequestHead head) {
     OptionalLong session = SessionVersions.sessionHash(head);
     double elapsedFraction = elapsedFraction(rollout, trial);
-    double share = schedule.shareAt(elapsedFraction);
+    double share = shareAt(elapsedFraction, trial);
     if (session.isEmpty()) {
       return new VersionDecisionInputs(
           session, Knowledge.NO_SESSION, "", 0, elapsedFraction, share);
@@ -160,6 +161,25 @@
         session, knowledge, lastSeen.get().version(), age, elapsedFraction, share);
   }
 
+  /** Returns the share of sessions that the version under roll-out receives from this instance. */
+  private double shareAt(double elapsedFraction, RolloutTrial trial) {
+    boolean informed = isInformed(trial);
+    if (trial.recordInformed(informed)) {
+      meters.count(informed ? "rollout.informed" : "rollout.uninformed");
+      logger.atInfo().log(
+          "roll-out to %s: the evidence of most instances is %s, part=%.2f",
+          trial.version(),
+          informed ? "known" : "unknown, its share does not rise",
+          elapsedFraction);
+    }
+    boolean mayRise = informed && !RolloutGuard.isSuspicious(trial.totalEvidence());
+    return trial.updateShare(schedule.shareAt(0), schedule.shareAt(elapsedFraction), mayRise);
+  }
+
+  private boolean isInformed(RolloutTrial trial) {
+    return trial.isInformed(membership.live().size(), clock.instant());
+  }
+
   private static double hashFraction(long hash) {
     return (Hashes.combine(hash, 0) & Long.MAX_VALUE) / HASH_RANGE;
   }
@@ -257,7 +277,7 @@
         service,
         trial.version(),
         elapsedFraction,
-        schedule.shareAt(elapsedFraction),
+        shareAt(elapsedFraction, trial),
         trial.totalEvidence(),
         trial.totalAnswers(),
         trial.isRefuted());
@@ -280,7 +300,8 @@
         trial.localPairs(),
         trial.localAnswers(),
         trial.isRefuted(),
-        trial.age().reportedMillis(clock.instant()));
+        trial.age().reportedMillis(clock.instant()),
+        1);
   }
 
   /** Adds the evidence of all other instances. */
@@ -373,7 +394,7 @@
       write(service, rollout, trial, State.ROLLED_BACK);
       return;
     }
-    if (schedule.isDecisionDue(elapsedFraction(rollout, trial))) {
+    if (schedule.isDecisionDue(elapsedFraction(rollout, trial), isInformed(trial))) {
       boolean hasEnoughAnswers = trial.totalAnswers() >= MINIMUM_ANSWERS;
       write(service, rollout, trial, hasEnoughAnswers ? State.SUCCEEDED : State.ROLLED_BACK);
     } else if (rollout.state().isEmpty()) {
--- a/org.oatlug/src/org/oatlug/internal/gateway/RolloutSchedule.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/RolloutSchedule.java
@@ -14,7 +14,10 @@
  * detected early. It reaches all sessions before the end, because the old upstreams stop as soon as
  * the roll-out ends and have to be drained by then. When the share reaches 1, the version has
  * received less than 13 % of the requests of the whole duration, which leaves time to detect a
- * fault before the usual exposure bound of 15 % is used up, plus a margin. Immutable.
+ * fault before the usual exposure bound of 15 % is used up, plus a margin. The share does not rise
+ * where the evidence of the other instances is missing or speaks against the version: the bound
+ * holds for all instances together, and each of them would need as much evidence of its own as all
+ * together. Immutable.
  */
 final class RolloutSchedule {
   /** The fraction of the duration until which sessions keep their version. */
@@ -29,6 +32,9 @@
   /** The fraction at which the roll-out is decided, unless it was rolled back before. */
   private static final double DECISION_POINT = 0.92;
 
+  /** The fraction at which a roll-out is decided on what is known, however little that is. */
+  private static final double LAST_DECISION_POINT = 0.97;
+
   /** The share during the comparison, as a fraction of the exposure bound. */
   private static final double COMPARISON_SHARE_OF_BOUND = 0.6;
 
@@ -76,8 +82,12 @@
     return elapsedFraction >= COMPARISON_END;
   }
 
-  /** Returns whether the roll-out is to be decided at this fraction of the duration. */
-  boolean isDecisionDue(double elapsedFraction) {
-    return elapsedFraction >= DECISION_POINT;
+  /**
+   * Returns whether the roll-out is to be decided at this fraction of the duration.
+   *
+   * @param informed whether the evidence of all instances is known
+   */
+  boolean isDecisionDue(double elapsedFraction, boolean informed) {
+    return elapsedFraction >= (informed ? DECISION_POINT : LAST_DECISION_POINT);
   }
 }
--- a/org.oatlug/src/org/oatlug/internal/gateway/RolloutTrial.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/RolloutTrial.java
@@ -67,6 +67,11 @@
   private ComparedPairs remotePairs = ComparedPairs.NONE;
   private long localAnswers;
   private long remoteAnswers;
+  private int remoteReporters;
+  private Instant remoteReportedAt = Instant.EPOCH;
+  private int expectedReporters;
+  private double share;
+  private boolean informed;
   private boolean refuted;
 
   private RolloutTrial(String version, StoreRevision orderedAt, OrderAge age) {
@@ -168,6 +173,37 @@
     age.applyReported(remote.ageMillis(), now);
     remotePairs = remotePairs.join(remote.pairs());
     remoteAnswers = Math.max(remoteAnswers, remote.answers());
+    remoteReporters = remote.reporters();
+    remoteReportedAt = now;
+  }
+
+  /**
+   * Returns whether the evidence of most instances is known and current.
+   *
+   * @param liveInstances the number of live instances; instances that were lost since the order
+   *     remain expected, as an isolated instance considers all others lost
+   */
+  boolean isInformed(int liveInstances, Instant now) {
+    expectedReporters = Math.max(expectedReporters, liveInstances);
+    boolean current = !now.isAfter(remoteReportedAt.plus(VersionEvidence.CURRENT_FOR));
+    int reporters = 1 + (current ? remoteReporters : 0);
+    return 2 * reporters > expectedReporters;
+  }
+
+  /**
+   * Returns the share of sessions that the version receives from this instance, which remains at
+   * the value that it has reached while it must not rise.
+   */
+  double updateShare(double initialShare, double scheduledShare, boolean mayRise) {
+    share = mayRise ? scheduledShare : Math.max(share, initialShare);
+    return share;
+  }
+
+  /** Records whether this instance is informed; returns whether that changed. */
+  boolean recordInformed(boolean nowInformed) {
+    boolean changed = nowInformed != informed;
+    informed = nowInformed;
+    return changed;
   }
 
   /** Marks the version as bad, whichever instance detected it. */
--- a/org.oatlug/src/org/oatlug/internal/gather/ZoneReplication.java
+++ b/org.oatlug/src/org/oatlug/internal/gather/ZoneReplication.java
@@ -17,8 +17,8 @@
  * <p>Load pattern: the report of a zone changes with each request, and traffic between zones is
  * billed. Invariants: a zone receives at most one message per interval, except for evidence against
  * a version and crashes, which are sent at once; nothing is sent without a change, except that a
- * report with pending prompts is repeated before these expire; a session is sent to a collector
- * once, unless its message was lost. Owned by one event loop, not thread-safe.
+ * report with pending prompts or evidence is repeated before these expire; a session is sent to a
+ * collector once, unless its message was lost. Owned by one event loop, not thread-safe.
  */
 final class ZoneReplication {
   /** The minimum interval between messages to a zone, because traffic between zones is billed. */
@@ -113,7 +113,7 @@
   private static boolean isDue(Sent previous, StateReport own, boolean changed, Instant now) {
     Duration elapsed = Duration.between(previous.sentAt(), now);
     boolean expiresSoon =
-        !own.openMillis().isEmpty() && elapsed.compareTo(ReportAggregator.REFRESH_INTERVAL) >= 0;
+        !own.isIdle() && elapsed.compareTo(ReportAggregator.REFRESH_INTERVAL) >= 0;
     return elapsed.compareTo(INTERVAL) >= 0 && (changed || expiresSoon);
   }
 
--- a/org.oatlug/src/org/oatlug/internal/rollout/RolloutGuard.java
+++ b/org.oatlug/src/org/oatlug/internal/rollout/RolloutGuard.java
@@ -100,6 +100,11 @@
     return logEvidence >= -Math.log(MAXIMUM_FALSE_GLOBAL_HALT_PROBABILITY);
   }
 
+  /** Returns whether the evidence is half of what suffices to halt the roll-out everywhere. */
+  public static boolean isSuspicious(double logEvidence) {
+    return logEvidence >= -Math.log(MAXIMUM_FALSE_GLOBAL_HALT_PROBABILITY) / 2;
+  }
+
   /** Records an outcome of a version; outcomes outside a running roll-out are ignored. */
   public void recordOutcome(String model, String version, Measure measure, boolean failed) {
     Optional<Rollout> rollout = running(model);
--- a/org.oatlug/src/org/oatlug/internal/rollout/VersionEvidence.java
+++ b/org.oatlug/src/org/oatlug/internal/rollout/VersionEvidence.java
@@ -19,6 +19,7 @@
  * @param refuted whether the version is known to be worse
  * @param ageMillis the age of the order in milliseconds, measured by the instances that observed
  *     its creation; 0 if none did
+ * @param reporters the number of instances whose evidence is included and current
  */
 public record VersionEvidence(
     String service,
@@ -27,12 +28,18 @@
     ComparedPairs pairs,
     long answers,
     boolean refuted,
-    long ageMillis) {
+    long ageMillis,
+    int reporters) {
   private static final long MAXIMUM_ANSWERS = 1_000_000_000L;
 
   /** Thirty days, in milliseconds; exceeds the duration of any roll-out. */
   private static final long MAXIMUM_AGE_MILLIS = 2_592_000_000L;
 
+  /** The time without a report after which an instance no longer counts as a reporter. */
+  public static final Duration CURRENT_FOR = Duration.ofSeconds(2);
+
+  private static final int MAXIMUM_REPORTERS = 1_000_000;
+
   /** Returns whether both belong to the same roll-out order. */
   public boolean isOfSameOrder(VersionEvidence other) {
     return service.equals(other.service)
@@ -49,12 +56,14 @@
         pairs.plus(other.pairs),
         answers + other.answers,
         refuted || other.refuted,
-        Math.max(ageMillis, other.ageMillis));
+        Math.max(ageMillis, other.ageMillis),
+        reporters + other.reporters);
   }
 
   /**
    * Returns the later of two states of the evidence of the same instances. Counts never decrease,
-   * so the result depends neither on the order in which states arrive nor on duplicates.
+   * so these depend neither on the order in which states arrive nor on duplicates; the reporters
+   * are those of this state.
    */
   public VersionEvidence join(VersionEvidence other) {
     return new VersionEvidence(
@@ -64,21 +73,24 @@
         pairs.join(other.pairs),
         Math.max(answers, other.answers),
         refuted || other.refuted,
-        Math.max(ageMillis, other.ageMillis));
+        Math.max(ageMillis, other.ageMillis),
+        reporters);
   }
 
-  /** Returns the same evidence with the age of the order advanced; an unknown age stays unknown. */
+  /**
+   * Returns the same evidence some time after it was reported: with the age of the order advanced,
+   * where it is known, and without reporters once they are not current.
+   */
   public VersionEvidence after(Duration elapsed) {
-    return ageMillis == 0 ? this : withAge(ageMillis + elapsed.toMillis());
+    long age = ageMillis == 0 ? 0 : ageMillis + elapsed.toMillis();
+    boolean current = elapsed.compareTo(CURRENT_FOR) <= 0;
+    return new VersionEvidence(
+        service, version, orderedAt, pairs, answers, refuted, age, current ? reporters : 0);
   }
 
-  /** Returns the same evidence without an age, for comparing whether anything else changed. */
+  /** Returns the same evidence without age and reporters, for comparing whether it changed. */
   public VersionEvidence withoutAge() {
-    return withAge(0);
-  }
-
-  private VersionEvidence withAge(long millis) {
-    return new VersionEvidence(service, version, orderedAt, pairs, answers, refuted, millis);
+    return new VersionEvidence(service, version, orderedAt, pairs, answers, refuted, 0, 0);
   }
 
   /** Returns the first problem of evidence that a peer sent, empty if it is valid. */
@@ -87,7 +99,9 @@
       return Optional.of("evidence lacks a required field");
     }
     boolean validAge = ageMillis >= 0 && ageMillis <= MAXIMUM_AGE_MILLIS;
-    if (answers < 0 || answers > MAXIMUM_ANSWERS || !pairs.isSound() || !validAge) {
+    boolean validReporters = reporters >= 0 && reporters <= MAXIMUM_REPORTERS;
+    boolean validCounts = answers >= 0 && answers <= MAXIMUM_ANSWERS && pairs.isSound();
+    if (!validCounts || !validAge || !validReporters) {
       return Optional.of("evidence has a count or an age out of range");
     }
     return Optional.empty();
