Ask all instances once more whether they are in sync if none answered

Callers: an instance that started beside load served an older configuration than its peers (404, or 404 in place of 401), as it logged "no running instance in sync was found" while dozens ran.

Cause: no answer within 1.5 s counted as no running instance. The class is that of the silent connections: silence is taken for a fact before the time in which it can be told from slowness.

Change: where no instance answers, and not because connections are refused at once, all are asked once more (StartupSync).

RestoredStoreFleetTest, FleetStartTest, SilentStoreTest and ChangeBurstTest pass.

--- a/org.oatlug.test/tst/org/oatlug/internal/config/VirtualFleet.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/config/VirtualFleet.java
@@ -89,6 +89,7 @@
   private final Map<Long, Instant> configuredAt = new TreeMap<>();
   private final List<StoreConnection> openConnections = new ArrayList<>();
   private Duration refusalTime = STORE_LATENCY;
+  private Duration responseDelay = Duration.ZERO;
   private int storeCalls;
   private int reverts;
   private long sequence;
@@ -209,7 +210,7 @@
       response
           .subscribe()
           .with(
-              item -> after(delay(), () -> emitter.complete(item)),
+              item -> after(delay().plus(responseDelay), () -> emitter.complete(item)),
               failure -> after(delay(), () -> emitter.fail(failure)));
     }
 
@@ -470,6 +471,21 @@
     return configuration.hasReadAll() && configuration.isInSync();
   }
 
+  /**
+   * Advances the virtual time by steps until an instance would serve, or the maximum has passed.
+   */
+  void runUntilServing(String name, Duration maximum, Duration step) {
+    Instant end = time.instant().plus(maximum);
+    while (!serves(name) && time.instant().isBefore(end)) {
+      run(step);
+    }
+  }
+
+  /** Sets the additional time that each response between instances takes from now on. */
+  void delayResponses(Duration delay) {
+    responseDelay = delay;
+  }
+
   /** Ends all partitions between zones. */
   void healPartitions() {
     partitionedZones.clear();
--- a/org.oatlug/src/org/oatlug/internal/config/ConfigurationSystem.java
+++ b/org.oatlug/src/org/oatlug/internal/config/ConfigurationSystem.java
@@ -85,7 +85,7 @@
     this.meters = dependencies.meters();
     this.broadcaster =
         ObjectBroadcaster.create(membership, network, random, meters, this::contactAgeMillis);
-    this.startupSync = StartupSync.create(membership, random, new SyncPeers());
+    this.startupSync = StartupSync.create(membership, random, clock, new SyncPeers());
     this.role = ReaderRole.create(membership, network, clock, meters, this::probePlatform);
     this.watches = createWatches(dependencies);
   }
--- a/org.oatlug/src/org/oatlug/internal/config/StartupSync.java
+++ b/org.oatlug/src/org/oatlug/internal/config/StartupSync.java
@@ -5,10 +5,14 @@
 
 import com.google.common.flogger.FluentLogger;
 import io.smallrye.mutiny.Uni;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
+import java.util.Optional;
 import java.util.random.RandomGenerator;
 import org.oatlug.internal.membership.Membership;
 import org.oatlug.internal.peer.Member;
@@ -18,10 +22,12 @@
  *
  * <p>The store may just have been restored from a copy that lacks objects which they know; an
  * instance that relied on the store alone would serve an older state than theirs. So a few peers
- * are asked whether they are in sync. Once this instance has read the store, it compares digests
- * with a peer that is in sync, and fetches the objects that it lacks. If no peer is in sync, the
- * store is the only source. Invariant: an instance that is in sync remains so. Owned by one event
- * loop, not thread-safe.
+ * are asked whether they are in sync. If none of these answers in time, all are asked: many may
+ * have been lost or be slow, and their silence does not show that no instance runs; where none
+ * listens, connections are refused at once. Once this instance has read the store, it compares
+ * digests with a peer that is in sync, and fetches the objects that it lacks. If no peer is in
+ * sync, the store is the only source. Invariant: an instance that is in sync remains so. Owned by
+ * one event loop, not thread-safe.
  */
 final class StartupSync {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
@@ -29,18 +35,26 @@
   /** Number of peers asked; most are in sync unless most instances start at once. */
   private static final int MAXIMUM_PEERS_ASKED = 5;
 
+  /** The time within which a connection is refused where no process listens. */
+  private static final Duration REFUSAL_TIME = Duration.ofMillis(500);
+
   private final Membership membership;
   private final RandomGenerator random;
+  private final InstantSource clock;
   private final Peers peers;
   private final Deque<Member> sources = new ArrayDeque<>();
-  private boolean started;
+  private Optional<Instant> askedAt = Optional.empty();
+  private boolean askedAll;
+  private boolean anyAnswered;
   private int pendingAnswers;
   private boolean fetching;
   private boolean inSync;
 
-  private StartupSync(Membership membership, RandomGenerator random, Peers peers) {
+  private StartupSync(
+      Membership membership, RandomGenerator random, InstantSource clock, Peers peers) {
     this.membership = membership;
     this.random = random;
+    this.clock = clock;
     this.peers = peers;
   }
 
@@ -57,8 +71,9 @@
   }
 
   /** Returns a synchronization that has not started. */
-  static StartupSync create(Membership membership, RandomGenerator random, Peers peers) {
-    return new StartupSync(membership, random, peers);
+  static StartupSync create(
+      Membership membership, RandomGenerator random, InstantSource clock, Peers peers) {
+    return new StartupSync(membership, random, clock, peers);
   }
 
   /** Returns whether this instance is synchronized with a peer, or found no peer in sync. */
@@ -71,8 +86,7 @@
     if (inSync) {
       return;
     }
-    if (!started) {
-      started = true;
+    if (askedAt.isEmpty()) {
       askPeers();
     }
     proceed();
@@ -84,25 +98,44 @@
     while (!candidates.isEmpty() && asked.size() < MAXIMUM_PEERS_ASKED) {
       asked.add(candidates.remove(random.nextInt(candidates.size())));
     }
+    ask(asked);
+  }
+
+  private void ask(List<Member> asked) {
+    askedAt = Optional.of(clock.instant());
     pendingAnswers = asked.size();
     asked.forEach(
         peer ->
             peers
                 .isInSync(peer)
                 .subscribe()
-                .with(
-                    peerInSync -> handleAnswer(peer, peerInSync),
-                    failure -> handleAnswer(peer, false)));
+                .with(peerInSync -> handleAnswer(peer, peerInSync), failure -> handleNoAnswer()));
   }
 
   private void handleAnswer(Member peer, boolean peerInSync) {
     pendingAnswers--;
+    anyAnswered = true;
     if (peerInSync) {
       sources.add(peer);
     }
     proceed();
   }
 
+  private void handleNoAnswer() {
+    pendingAnswers--;
+    if (pendingAnswers == 0 && !anyAnswered && !askedAll && isLaterThanRefusal()) {
+      askedAll = true;
+      logger.atInfo().log("no instance answered whether it is in sync, asking all");
+      ask(membership.addressablePeers());
+    }
+    proceed();
+  }
+
+  private boolean isLaterThanRefusal() {
+    Instant refusedBy = askedAt.orElseThrow().plus(REFUSAL_TIME);
+    return clock.instant().isAfter(refusedBy);
+  }
+
   private void proceed() {
     if (inSync || fetching) {
       return;
