Count consecutive crashes by what had crashed before a run, not by ages alone

Cause: records of crashes travel as ages. Two that come in messages of different delay overlap at the receiver, which then counts two crashes in turn as one and holds SUSPECT where others hold REFUSED.

Change: a run names the processes that had crashed before it started, as known to the instance that observed it; the longest chain of consecutive crashes counts, by these names or by time.

Evidence: testCrashesInMessagesOfDifferentDelayAreConsecutive fails with the names left out (SUSPECT instead of REFUSED), passes with them. An instance that starts a run before it has heard of the crash still goes by time.

--- a/org.oatlug.test/tst/org/oatlug/internal/crash/CrashLedgerTest.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/crash/CrashLedgerTest.java
@@ -15,6 +15,7 @@
 import java.util.Collections;
 import java.util.List;
 import java.util.Random;
+import java.util.Set;
 import org.oatlug.internal.crash.CrashLedger.Verdict;
 import org.oatlug.test.VirtualTime;
 import org.testng.annotations.BeforeMethod;
@@ -24,6 +25,7 @@
 public class CrashLedgerTest {
   private static final String CRASHING = fingerprint("guilty");
   private static final Duration RUN = Duration.ofMillis(50);
+  private static final Duration MESSAGE_DELAY = Duration.ofMillis(10);
 
   private VirtualTime time;
   private CrashLedger ledger;
@@ -66,6 +68,23 @@
     assertEquals(ledger.crashedProcesses(CRASHING), List.of("i-0", "i-1", "i-2"));
   }
 
+  /** Guards against two crashes in turn that count as one where their messages were delayed. */
+  @Test
+  public void testCrashesInMessagesOfDifferentDelayAreConsecutive() {
+    CrashLedger receiver = CrashLedger.create(time);
+    for (int number = 0; number < 3; number++) {
+      Instant began = time.instant();
+      List<CrashRecord> delayed = ledger.after(0).records();
+      time.run(MESSAGE_DELAY);
+      receiver.merge(delayed, "another");
+      time.run(RUN.minus(MESSAGE_DELAY));
+      ledger.recordCrash(CRASHING, "", "i-" + number, began, time.instant());
+    }
+    replicate(ledger, receiver);
+    assertEquals(ledger.verdict(CRASHING), Verdict.REFUSED);
+    assertEquals(receiver.verdict(CRASHING), Verdict.REFUSED);
+  }
+
   /** Upstreams that crash together for another reason do not get a request refused. */
   @Test
   public void testSimultaneousCrashesAreNotConsecutive() {
@@ -201,7 +220,7 @@
   @Test
   public void testInvalidRecordsAreIgnored() {
     List<CrashRecord> invalid = new ArrayList<>();
-    CrashRecord.CrashedRun run = new CrashRecord.CrashedRun("i-1", 10, 5);
+    CrashRecord.CrashedRun run = new CrashRecord.CrashedRun("i-1", 10, 5, Set.of());
     invalid.add(null);
     invalid.add(new CrashRecord("short", "", List.of(run), -1));
     invalid.add(new CrashRecord(CRASHING, null, List.of(run), -1));
@@ -210,11 +229,17 @@
     invalid.add(new CrashRecord(CRASHING, "", Collections.nCopies(100, run), -1));
     invalid.add(new CrashRecord(CRASHING, "", List.of(run), -2));
     invalid.add(
-        new CrashRecord(CRASHING, "", List.of(new CrashRecord.CrashedRun(null, 10, 5)), -1));
-    invalid.add(new CrashRecord(CRASHING, "", List.of(new CrashRecord.CrashedRun("i", 5, 10)), -1));
+        new CrashRecord(
+            CRASHING, "", List.of(new CrashRecord.CrashedRun(null, 10, 5, Set.of())), -1));
+    invalid.add(
+        new CrashRecord(
+            CRASHING, "", List.of(new CrashRecord.CrashedRun("i", 5, 10, Set.of())), -1));
     invalid.add(
         new CrashRecord(
-            CRASHING, "", List.of(new CrashRecord.CrashedRun("i", Long.MAX_VALUE, 1)), 0));
+            CRASHING,
+            "",
+            List.of(new CrashRecord.CrashedRun("i", Long.MAX_VALUE, 1, Set.of())),
+            0));
     ledger.merge(invalid, "another");
     assertTrue(ledger.isEmpty());
   }
--- a/org.oatlug/src/org/oatlug/internal/crash/CrashLedger.java
+++ b/org.oatlug/src/org/oatlug/internal/crash/CrashLedger.java
@@ -164,7 +164,7 @@
   public void recordCrash(
       String fingerprint, String subject, String process, Instant startedAt, Instant crashedAt) {
     CrashedRuns runs = getOrCreate(fingerprint, subject);
-    if (runs.add(process, startedAt, crashedAt)) {
+    if (runs.add(process, startedAt, crashedAt, runs.processesCrashedBefore(startedAt))) {
       recordChange(fingerprint, runs, "observed by this instance");
     }
   }
@@ -270,7 +270,8 @@
     boolean isNew = false;
     for (CrashRecord.CrashedRun run : unexpired) {
       Instant startedAt = now.minusMillis(run.beganAgeMillis());
-      isNew |= runs.add(run.process(), startedAt, now.minusMillis(run.endedAgeMillis()));
+      Instant crashedAt = now.minusMillis(run.endedAgeMillis());
+      isNew |= runs.add(run.process(), startedAt, crashedAt, run.predecessors());
     }
     if (record.clearedAgeMillis() != CrashRecord.NEVER) {
       isNew |= runs.clear(now.minusMillis(record.clearedAgeMillis()));
--- a/org.oatlug/src/org/oatlug/internal/crash/CrashRecord.java
+++ b/org.oatlug/src/org/oatlug/internal/crash/CrashRecord.java
@@ -4,6 +4,7 @@
 package org.oatlug.internal.crash;
 
 import java.util.List;
+import java.util.Set;
 
 /**
  * The crash history of one request, as instances exchange it. Immutable.
@@ -32,15 +33,28 @@
    * @param process the upstream process: the name and start time of the upstream
    * @param beganAgeMillis how long ago the run started, in milliseconds
    * @param endedAgeMillis how long ago the upstream crashed, in milliseconds
+   * @param predecessors the processes that had crashed before the run started, as known to the
+   *     instance that observed it; ages cannot tell, because messages are delayed differently
    */
-  public record CrashedRun(String process, long beganAgeMillis, long endedAgeMillis) {
+  public record CrashedRun(
+      String process, long beganAgeMillis, long endedAgeMillis, Set<String> predecessors) {
+    /** Treats missing predecessors, as sent by an instance of an earlier version, as none. */
+    public CrashedRun {
+      predecessors = predecessors == null ? Set.of() : predecessors;
+    }
+
     private boolean isSound() {
-      return process != null
-          && process.length() <= MAXIMUM_NAME_LENGTH
+      return isValidName(process)
+          && predecessors.size() <= CrashLedger.MAXIMUM_RUNS
+          && predecessors.stream().allMatch(CrashedRun::isValidName)
           && endedAgeMillis >= 0
           && beganAgeMillis >= endedAgeMillis
           && beganAgeMillis <= 2 * CrashLedger.VALIDITY.toMillis();
     }
+
+    private static boolean isValidName(String name) {
+      return name != null && name.length() <= MAXIMUM_NAME_LENGTH;
+    }
   }
 
   /** Returns whether the record is valid and can be merged. */
--- a/org.oatlug/src/org/oatlug/internal/crash/CrashedRuns.java
+++ b/org.oatlug/src/org/oatlug/internal/crash/CrashedRuns.java
@@ -9,7 +9,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.stream.Collectors;
 import org.oatlug.internal.crash.CrashLedger.Verdict;
 
 /**
@@ -26,7 +29,12 @@
   private long revision;
   private Verdict verdict = Verdict.CLEAR;
 
-  private record Run(Instant startedAt, Instant crashedAt) {}
+  /**
+   * A run during which its upstream crashed.
+   *
+   * @param predecessors the processes that had crashed before the run started
+   */
+  private record Run(Instant startedAt, Instant crashedAt, Set<String> predecessors) {}
 
   CrashedRuns(String subject) {
     this.subject = subject;
@@ -48,12 +56,24 @@
     return previous;
   }
 
-  /** Adds a run and evicts the oldest if full; returns whether the run is new and kept. */
-  boolean add(String process, Instant startedAt, Instant crashedAt) {
-    if (runs.containsKey(process)) {
-      return false;
+  /** Returns the processes that crashed before a moment, according to this instance. */
+  Set<String> processesCrashedBefore(Instant moment) {
+    return runs.entrySet().stream()
+        .filter(entry -> !isAfter(entry.getValue(), moment))
+        .map(Map.Entry::getKey)
+        .collect(Collectors.toSet());
+  }
+
+  /**
+   * Adds a run and evicts the oldest if full; returns whether the run, or any of its predecessors,
+   * is new and kept.
+   */
+  boolean add(String process, Instant startedAt, Instant crashedAt, Set<String> predecessors) {
+    Run known = runs.get(process);
+    if (known != null) {
+      return addPredecessors(process, known, predecessors);
     }
-    runs.put(process, new Run(startedAt, crashedAt));
+    runs.put(process, new Run(startedAt, crashedAt, predecessors));
     if (runs.size() > CrashLedger.MAXIMUM_RUNS) {
       runs.entrySet().stream()
           .min(Comparator.comparing(entry -> entry.getValue().crashedAt()))
@@ -62,6 +82,15 @@
     return runs.containsKey(process);
   }
 
+  private boolean addPredecessors(String process, Run known, Set<String> predecessors) {
+    Set<String> joined = new TreeSet<>(known.predecessors());
+    if (!joined.addAll(predecessors)) {
+      return false;
+    }
+    runs.put(process, new Run(known.startedAt(), known.crashedAt(), joined));
+    return true;
+  }
+
   /** Clears all crashes up to a moment; returns whether any of them counted before. */
   boolean clear(Instant moment) {
     boolean clearsAny =
@@ -114,15 +143,29 @@
    * is open at several of them.
    */
   int consecutiveCrashes() {
-    int count = 0;
-    Instant lastCrash = Instant.MIN;
-    for (Run run : countedRuns()) {
-      if (!run.startedAt().isBefore(lastCrash)) {
-        count++;
-        lastCrash = run.crashedAt();
+    Map<String, Run> counted = new TreeMap<>(runs);
+    counted.values().removeIf(run -> !isCounted(run));
+    return counted.keySet().stream()
+        .mapToInt(process -> longestChainTo(process, counted))
+        .max()
+        .orElse(0);
+  }
+
+  /** Returns the length of the longest chain of consecutive crashes that ends with a process. */
+  private static int longestChainTo(String process, Map<String, Run> candidates) {
+    Map<String, Run> others = new TreeMap<>(candidates);
+    Run last = others.remove(process);
+    int longest = 0;
+    for (Map.Entry<String, Run> previous : Map.copyOf(others).entrySet()) {
+      if (isConsecutive(previous.getKey(), previous.getValue(), last)) {
+        longest = Math.max(longest, longestChainTo(previous.getKey(), others));
       }
     }
-    return count;
+    return longest + 1;
+  }
+
+  private static boolean isConsecutive(String process, Run run, Run next) {
+    return next.predecessors().contains(process) || !next.startedAt().isBefore(run.crashedAt());
   }
 
   /** Returns the time of the earliest crash that counts, empty if there is none. */
@@ -144,7 +187,8 @@
                     new CrashRecord.CrashedRun(
                         entry.getKey(),
                         age(entry.getValue().startedAt(), now),
-                        age(entry.getValue().crashedAt(), now)))
+                        age(entry.getValue().crashedAt(), now),
+                        entry.getValue().predecessors()))
             .toList();
     long clearedAge = clearedAt.map(moment -> age(moment, now)).orElse(CrashRecord.NEVER);
     return new CrashRecord(fingerprint, subject, reported, clearedAge);
