--- a/org.oatlug.entry/src/org/oatlug/entry/GatewayInstance.java
+++ b/org.oatlug.entry/src/org/oatlug/entry/GatewayInstance.java
@@ -159,7 +159,7 @@
 
   /** Creates the components of the instance and connects them. */
   private GatewayComponents wire(Meters meters) {
-    Platform platform = MeteredPlatform.of(adapter.platform(vertx, settings), meters);
+    final Platform platform = MeteredPlatform.of(adapter.platform(vertx, settings), meters);
     DeferredPeerHandler deferredHandler = new DeferredPeerHandler();
     peerListener = TcpPeerNetwork.create(vertx, peerSettings(), membership::self, deferredHandler);
     PeerNetwork network = MeteredPeerNetwork.of(peerListener, membership::self, meters);
--- a/org.oatlug.test/tst/org/oatlug/internal/crash/CrashLedgerTest.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/crash/CrashLedgerTest.java
@@ -73,7 +73,7 @@
   public void testCrashesInMessagesOfDifferentDelayAreConsecutive() {
     CrashLedger receiver = CrashLedger.create(time);
     for (int number = 0; number < 3; number++) {
-      Instant began = time.instant();
+      final Instant began = time.instant();
       List<CrashRecord> delayed = ledger.after(0).records();
       time.run(MESSAGE_DELAY);
       receiver.merge(delayed, "another");
--- a/org.oatlug/src/org/oatlug/internal/gateway/RolloutDirector.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/RolloutDirector.java
@@ -163,21 +163,21 @@
 
   /** Returns the share of sessions that the version under roll-out receives from this instance. */
   private double shareAt(double elapsedFraction, RolloutTrial trial) {
-    boolean informed = isInformed(trial);
-    if (trial.recordInformed(informed)) {
-      meters.count(informed ? "rollout.informed" : "rollout.uninformed");
-      logger.atInfo().log(
-          "roll-out to %s: the evidence of most instances is %s, part=%.2f",
-          trial.version(),
-          informed ? "known" : "unknown, its share does not rise",
-          elapsedFraction);
-    }
-    boolean mayRise = informed && !RolloutGuard.isSuspicious(trial.totalEvidence());
+    boolean mayRise = isInformed(trial) && !RolloutGuard.isSuspicious(trial.totalEvidence());
     return trial.updateShare(schedule.shareAt(0), schedule.shareAt(elapsedFraction), mayRise);
   }
 
+  /** Returns whether the evidence of most instances is known to this one. */
   private boolean isInformed(RolloutTrial trial) {
-    return trial.isInformed(membership.live().size(), clock.instant());
+    boolean wasInformed = trial.isInformed();
+    boolean informed = trial.updateInformed(membership.live().size(), clock.instant());
+    if (informed != wasInformed) {
+      meters.count(informed ? "rollout.informed" : "rollout.uninformed");
+      logger.atInfo().log(
+          "roll-out to %s: the evidence of most instances is %s",
+          trial.version(), informed ? "known" : "unknown, its share does not rise");
+    }
+    return informed;
   }
 
   private static double hashFraction(long hash) {
--- a/org.oatlug/src/org/oatlug/internal/gateway/RolloutTrial.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/RolloutTrial.java
@@ -178,16 +178,22 @@
   }
 
   /**
-   * Returns whether the evidence of most instances is known and current.
+   * Updates and returns whether the evidence of most instances is known and current.
    *
    * @param liveInstances the number of live instances; instances that were lost since the order
    *     remain expected, as an isolated instance considers all others lost
    */
-  boolean isInformed(int liveInstances, Instant now) {
+  boolean updateInformed(int liveInstances, Instant now) {
     expectedReporters = Math.max(expectedReporters, liveInstances);
     boolean current = !now.isAfter(remoteReportedAt.plus(VersionEvidence.CURRENT_FOR));
     int reporters = 1 + (current ? remoteReporters : 0);
-    return 2 * reporters > expectedReporters;
+    informed = 2 * reporters > expectedReporters;
+    return informed;
+  }
+
+  /** Returns whether the evidence of most instances was known at the last update. */
+  boolean isInformed() {
+    return informed;
   }
 
   /**
@@ -199,13 +205,6 @@
     return share;
   }
 
-  /** Records whether this instance is informed; returns whether that changed. */
-  boolean recordInformed(boolean nowInformed) {
-    boolean changed = nowInformed != informed;
-    informed = nowInformed;
-    return changed;
-  }
-
   /** Marks the version as bad, whichever instance detected it. */
   void refute() {
     refuted = true;
--- a/org.oatlug/src/org/oatlug/internal/membership/PredecessorProbes.java
+++ b/org.oatlug/src/org/oatlug/internal/membership/PredecessorProbes.java
@@ -3,6 +3,7 @@
 
 package org.oatlug.internal.membership;
 
+import com.google.common.flogger.FluentLogger;
 import io.smallrye.mutiny.Uni;
 import java.util.List;
 import java.util.function.Function;
@@ -12,11 +13,13 @@
  * Probes the instance that precedes this one in the rank by which an availability zone selects the
  * readers of the store, and all preceding ones once it does not respond.
  *
- * <p>Random probes name a lost reader only after seconds when many instances are lost at once, and
- * nobody reads for the zone until then. Each instance probes one predecessor, so the first one that
- * is left learns that all before it are lost, whichever these are. Used from one event loop.
+ * <p>Random probes find a lost reader only after seconds when many instances are lost at once, and
+ * the zone has no reader until then. Each instance probes one predecessor, so the first remaining
+ * one learns that all before it are lost, whichever these are. Used from one event loop.
  */
 final class PredecessorProbes {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
   /** Bounds the probes of one instance when many are lost; later ranks need not take over. */
   private static final int MAXIMUM_PROBED = 32;
 
@@ -52,6 +55,10 @@
   }
 
   private void probeOne(Member member) {
-    ping.apply(member).subscribe().with(response -> {}, failure -> {});
+    ping.apply(member)
+        .subscribe()
+        .with(
+            response -> {},
+            failure -> logger.atFine().log("predecessor %s does not respond", member.name()));
   }
 }
--- a/org.oatlug/src/org/oatlug/internal/platform/HttpPlatform.java
+++ b/org.oatlug/src/org/oatlug/internal/platform/HttpPlatform.java
@@ -63,7 +63,7 @@
   @Override
   public Uni<Optional<StoredObject>> get(ObjectKey key) {
     return calls
-        .call("get " + key, () -> send(pathOf(key), CALL_TIMEOUT_MILLIS, request -> {}))
+        .call("get " + key, () -> connections.get(pathOf(key), CALL_TIMEOUT_MILLIS, request -> {}))
         .map(response -> objectOf(key, response));
   }
 
@@ -72,7 +72,7 @@
     Consumer<HttpRequest<Buffer>> query =
         request -> request.addQueryParam("kinds", String.join(",", kinds));
     return calls
-        .call("list", () -> send("/objects", LIST_TIMEOUT_MILLIS, query))
+        .call("list", () -> connections.get("/objects", LIST_TIMEOUT_MILLIS, query))
         .map(HttpPlatform::batchOf);
   }
 
@@ -86,20 +86,10 @@
                 .addQueryParam("wait", Long.toString(wait.toMillis()));
     long timeoutMillis = wait.toMillis() + CALL_TIMEOUT_MILLIS;
     return calls
-        .call("watch", () -> send("/watch", timeoutMillis, query))
+        .call("watch", () -> connections.get("/watch", timeoutMillis, query))
         .map(HttpPlatform::batchOf);
   }
 
-  private Future<HttpResponse<Buffer>> send(
-      String path, long timeoutMillis, Consumer<HttpRequest<Buffer>> query) {
-    return connections.send(
-        client -> {
-          HttpRequest<Buffer> request = client.get(path).timeout(timeoutMillis);
-          query.accept(request);
-          return request.send();
-        });
-  }
-
   @Override
   public void renewConnections() {
     connections.renew();
@@ -143,7 +133,7 @@
   @Override
   public Uni<List<ListedInstance>> instances() {
     return calls
-        .call("instances", () -> send("/instances", CALL_TIMEOUT_MILLIS, request -> {}))
+        .call("instances", () -> connections.get("/instances", CALL_TIMEOUT_MILLIS, request -> {}))
         .map(
             response -> {
               List<ListedInstance> listed = new ArrayList<>();
--- a/org.oatlug/src/org/oatlug/internal/platform/StoreConnections.java
+++ b/org.oatlug/src/org/oatlug/internal/platform/StoreConnections.java
@@ -8,10 +8,12 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.PoolOptions;
+import io.vertx.ext.web.client.HttpRequest;
 import io.vertx.ext.web.client.HttpResponse;
 import io.vertx.ext.web.client.WebClient;
 import io.vertx.ext.web.client.WebClientOptions;
 import java.util.concurrent.TimeoutException;
+import java.util.function.Consumer;
 import java.util.function.Function;
 
 /**
@@ -59,6 +61,21 @@
     return new Pool(WebClient.create(vertx, options, poolOptions));
   }
 
+  /**
+   * Sends a GET call, see {@link #send}.
+   *
+   * @param query adds the query parameters
+   */
+  public Future<HttpResponse<Buffer>> get(
+      String path, long timeoutMillis, Consumer<HttpRequest<Buffer>> query) {
+    return send(
+        client -> {
+          HttpRequest<Buffer> request = client.get(path).timeout(timeoutMillis);
+          query.accept(request);
+          return request.send();
+        });
+  }
+
   /** Sends a call on a connection of the current pool; replaces the pool if the call times out. */
   public Future<HttpResponse<Buffer>> send(Function<WebClient, Future<HttpResponse<Buffer>>> call) {
     Pool pool = current;
