--- a/org.oatlug/src/org/oatlug/internal/config/ObjectBroadcaster.java
+++ b/org.oatlug/src/org/oatlug/internal/config/ObjectBroadcaster.java
@@ -197,6 +197,9 @@
 
   /** Sends the objects of failed pushes again; called once a tick. */
   void tick() {
+    if (queues.isEmpty()) {
+      return;
+    }
     Set<String> live = membership.live().stream().map(Member::process).collect(Collectors.toSet());
     queues.values().removeIf(PushQueue::isIdle);
     queues.keySet().retainAll(live);
