--- /dev/null
+++ b/org.oatlug.test/tst/org/oatlug/entry/PartitionedFleet.java
@@ -0,0 +1,175 @@
+// Copyright (c) 2026, the oatlug authors
+// SPDX-License-Identifier: BSD-3-Clause
+
+package org.oatlug.entry;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
+import io.vertx.core.json.JsonObject;
+import java.io.IOException;
+import java.net.http.HttpRequest;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import org.oatlug.adapter.PlatformAdapter;
+import org.oatlug.adapter.standin.SampleObjects;
+import org.oatlug.adapter.standin.StoreStandin;
+import org.oatlug.adapter.standin.UpstreamStandin;
+import org.oatlug.config.SettingsFile;
+import org.oatlug.entry.PartitionableTransport.Partition;
+import org.oatlug.errors.SettingsInvalidException;
+import org.oatlug.test.Await;
+import org.oatlug.test.Http;
+import org.oatlug.test.Ports;
+
+/**
+ * Runs a store, upstreams and entry instances in this process; each instance can be partitioned
+ * from the upstreams. Used from one thread; {@link #close} stops everything that was started.
+ */
+final class PartitionedFleet implements AutoCloseable {
+  private static final String HOST = "127.0.0.1";
+  private static final int TIMEOUT_MILLIS = 10_000;
+  private static final int PAUSE_GOAL_MILLIS = 400;
+
+  private final Vertx vertx = Vertx.vertx();
+  private final int storePort = Ports.free();
+  private final List<Instance> instances = new ArrayList<>();
+  private final Map<String, Integer> upstreamPorts = new HashMap<>();
+  private int requestCount;
+  final StoreStandin store = StoreStandin.create(vertx);
+  final Map<String, UpstreamStandin> upstreams = new TreeMap<>();
+
+  /** One instance with its ports, in the order of {@link SampleObjects#settings}. */
+  private record Instance(
+      List<Integer> ports, String zone, PartitionableTransport transport, Vertx vertx) {}
+
+  private PartitionedFleet() {}
+
+  /** Starts one instance in each of the given zones, and upstreams i-1, i-2, ... of zone hall-a. */
+  static PartitionedFleet start(List<String> zones, int upstreamCount)
+      throws IOException, SettingsInvalidException {
+    PartitionedFleet fleet = new PartitionedFleet();
+    await(fleet.store.listen(HOST, fleet.storePort));
+    fleet.store.put("config", "main", configuration());
+    for (int number = 1; number <= upstreamCount; number++) {
+      fleet.addUpstream("i-" + number);
+    }
+    zones.forEach(fleet::addInstance);
+    for (int index = 0; index < zones.size(); index++) {
+      fleet.startInstance(index);
+    }
+    for (int index = 0; index < zones.size(); index++) {
+      fleet.awaitReady(index);
+    }
+    return fleet;
+  }
+
+  /** Returns a configuration whose timeouts leave a stream the time to continue elsewhere. */
+  private static JsonObject configuration() {
+    JsonObject configuration = SampleObjects.configuration(1);
+    for (Object route : configuration.getJsonArray("routes")) {
+      ((JsonObject) route).put("timeout-ms", TIMEOUT_MILLIS);
+      ((JsonObject) route).put("gap-aim-ms", PAUSE_GOAL_MILLIS);
+    }
+    return configuration;
+  }
+
+  static <T> T await(Future<T> future) {
+    return future.toCompletionStage().toCompletableFuture().join();
+  }
+
+  private void addUpstream(String name) {
+    UpstreamStandin upstream = UpstreamStandin.create(vertx, name);
+    int port = Ports.free();
+    await(upstream.listen(HOST, port));
+    upstream.setConfidence("small", 90);
+    upstreams.put(name, upstream);
+    upstreamPorts.put(name, port);
+    store.put("servers", name, SampleObjects.upstream(SampleObjects.SERVICE, HOST, port, "v1"));
+  }
+
+  private void addInstance(String zone) {
+    PartitionableTransport transport = new PartitionableTransport();
+    VertxOptions options = new VertxOptions().setEventLoopPoolSize(1);
+    List<Integer> ports =
+        List.of(storePort, 0, Ports.free(), Ports.free(), Ports.free(), Ports.free());
+    instances.add(
+        new Instance(
+            ports,
+            zone,
+            transport,
+            Vertx.builder().with(options).withTransport(transport).build()));
+  }
+
+  private void startInstance(int index) throws IOException, SettingsInvalidException {
+    Instance instance = instances.get(index);
+    List<Integer> seeds = instances.stream().map(peer -> peer.ports().get(4)).toList();
+    JsonObject settings = SampleObjects.settings("entry-" + index, instance.ports(), seeds);
+    Path file = Files.createTempFile("oatlug-partitioned", ".json");
+    file.toFile().deleteOnExit();
+    Files.writeString(file, settings.put("zone", instance.zone()).encode());
+    GatewayInstance verticle =
+        new GatewayInstance(SettingsFile.readGateway(file), new PlatformAdapter());
+    await(instance.vertx().deployVerticle(verticle));
+  }
+
+  private void awaitReady(int index) {
+    int port = instances.get(index).ports().get(3);
+    Await.until("entry-" + index + " ready", () -> Http.get(port, "/ready").status() == 200);
+  }
+
+  /** Partitions an instance from all upstreams; {@link Partition#NONE} ends the partition. */
+  void partition(int index, Partition partition) {
+    instances.get(index).transport().partition(partition, Set.copyOf(upstreamPorts.values()));
+  }
+
+  /** Stops an instance without a shutdown, as a crash does. */
+  void kill(int index) {
+    await(instances.get(index).vertx().close());
+  }
+
+  /** Returns a request to an instance with the headers that every caller sends and a unique id. */
+  HttpRequest.Builder request(int index, String path) {
+    requestCount++;
+    return Http.to(instances.get(index).ports().get(2), path + requestCount)
+        .header("Attempt-Id", "request-" + requestCount)
+        .header("Request-Deadline", "10000")
+        .header("Authorization", "Bearer " + SampleObjects.KEY)
+        .POST(HttpRequest.BodyPublishers.ofString("a body"));
+  }
+
+  /** Returns a request for a stream. */
+  HttpRequest.Builder streamRequest(int index) {
+    return request(index, SampleObjects.STREAM)
+        .header("Model", "*")
+        .header("Token-Usage", "100,50")
+        .header("Prefix-Hash", "a1:60,b" + requestCount + ":40");
+  }
+
+  /** Returns the id of the latest request. */
+  String lastId() {
+    return "request-" + requestCount;
+  }
+
+  /** Returns the requests that all upstreams received. */
+  List<UpstreamStandin.Arrival> arrivals() {
+    return upstreams.values().stream().flatMap(each -> each.arrivals().stream()).toList();
+  }
+
+  /** Returns the text of an instance's counters. */
+  String metrics(int index) throws IOException {
+    return Http.get(instances.get(index).ports().get(5), "/metrics").body();
+  }
+
+  @Override
+  public void close() {
+    instances.forEach(instance -> await(instance.vertx().close()));
+    await(vertx.close());
+  }
+}
--- a/org.oatlug.test/tst/org/oatlug/test/Await.java
+++ b/org.oatlug.test/tst/org/oatlug/test/Await.java
@@ -35,7 +35,7 @@
   }
 
   /** Sleeps while other processes run. Prefer {@link #until} where a condition can be polled. */
-  static void pause(long millis) {
+  public static void pause(long millis) {
     try {
       Thread.sleep(millis);
     } catch (InterruptedException e) {
--- a/org.oatlug.test/tst/org/oatlug/test/Http.java
+++ b/org.oatlug.test/tst/org/oatlug/test/Http.java
@@ -19,7 +19,7 @@
  * HTTP client for tests. Its timeout uses the monotonic clock, so that a suspension of the host
  * does not abort requests. Thread-safe.
  */
-final class Http {
+public final class Http {
   private static final Duration TIMEOUT = Duration.ofSeconds(30);
   private static final HttpClient CLIENT =
       HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
@@ -27,8 +27,8 @@
   private Http() {}
 
   /** An HTTP response with its status and body. */
-  record Response(int status, String body, HttpResponse<String> response) {
-    JsonNode json() {
+  public record Response(int status, String body, HttpResponse<String> response) {
+    public JsonNode json() {
       try {
         return Json.STRICT.readTree(body);
       } catch (IOException e) {
@@ -36,32 +36,32 @@
       }
     }
 
-    String header(String name) {
+    public String header(String name) {
       return response.headers().firstValue(name).orElse("");
     }
 
-    String reason() {
+    public String reason() {
       return json().path("reason").asText();
     }
 
-    String notRun() {
+    public String notRun() {
       return json().path("notRun").asText();
     }
   }
 
-  static HttpRequest.Builder to(int port, String path) {
+  public static HttpRequest.Builder to(int port, String path) {
     return HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + port + path));
   }
 
-  static Response get(int port, String path) throws IOException {
+  public static Response get(int port, String path) throws IOException {
     return send(to(port, path).GET());
   }
 
-  static Response put(int port, String path, String body) throws IOException {
+  public static Response put(int port, String path, String body) throws IOException {
     return send(to(port, path).PUT(HttpRequest.BodyPublishers.ofString(body)));
   }
 
-  static Response send(HttpRequest.Builder request) throws IOException {
+  public static Response send(HttpRequest.Builder request) throws IOException {
     try {
       return sendAsync(request).get();
     } catch (ExecutionException e) {
@@ -72,7 +72,7 @@
     }
   }
 
-  static CompletableFuture<Response> sendAsync(HttpRequest.Builder request) {
+  public static CompletableFuture<Response> sendAsync(HttpRequest.Builder request) {
     return CLIENT
         .sendAsync(request.build(), HttpResponse.BodyHandlers.ofString())
         .thenApply(response -> new Response(response.statusCode(), response.body(), response))
