Log and count when an instance no longer reaches a service

A service counts as unreachable once connections to two of its upstreams (or its only one) fail with none opened in between; each change is logged with the time since it was last reached, and counted as path.lost and path.regained. Nothing depends on it yet.

--- a/org.oatlug/src/org/oatlug/internal/gateway/AttemptFeedback.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/AttemptFeedback.java
@@ -189,8 +189,14 @@
     chosen.row().recordRefusal(now());
   }
 
+  /** Records that the connection to the upstream has opened. */
+  void connected() {
+    components.paths().recordOpened(request.service());
+  }
+
   /** Records that no connection to the upstream could be opened. */
   void connectFailed() {
+    components.paths().recordFailure(request.service(), chosen.name(), started);
     components.zones().recordConnectFailure(chosen.upstream().zone(), chosen.name(), now());
   }
 
--- a/org.oatlug/src/org/oatlug/internal/gateway/ExchangeAttempt.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/ExchangeAttempt.java
@@ -188,6 +188,7 @@
    */
   @Override
   public boolean maySend() {
+    feedback.connected();
     if (callerResponse.isCallerDisconnected()) {
       release();
       logEvent("withheld, the caller disconnected");
--- a/org.oatlug/src/org/oatlug/internal/gateway/GatewayComponents.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/GatewayComponents.java
@@ -13,6 +13,7 @@
 import org.oatlug.internal.crash.CrashLedger;
 import org.oatlug.internal.engine.PrefillBacklog;
 import org.oatlug.internal.engine.PrefillEstimates;
+import org.oatlug.internal.forward.ServicePaths;
 import org.oatlug.internal.limit.AdvertisedLimits;
 import org.oatlug.internal.limit.DispatchQueue;
 import org.oatlug.internal.limit.RateSenders;
@@ -32,6 +33,7 @@
  * @param prefillEstimates the estimated prefill times of engines
  * @param prefillBacklog the prompts that wait for prefill at upstreams
  * @param zones the reachability of availability zones
+ * @param paths whether this instance reaches the upstreams of each service
  * @param limits the rate limits that upstreams advertise
  * @param rates limits the rate of all instances together to cold or rate-limited upstreams
  * @param crashes isolates requests that are suspected of crashing upstreams
@@ -57,6 +59,7 @@
     PrefillEstimates prefillEstimates,
     PrefillBacklog prefillBacklog,
     ZoneReachability zones,
+    ServicePaths paths,
     AdvertisedLimits limits,
     UpstreamRateLimits rates,
     CrashGuard crashes,
@@ -116,6 +119,7 @@
         prefillEstimates,
         prefillBacklog,
         zones,
+        ServicePaths.create(clock, meters, tables::remainingUpstreamsOf),
         limits,
         rates,
         crashes,
--- a/org.oatlug/src/org/oatlug/internal/gateway/GatewayTables.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/GatewayTables.java
@@ -306,6 +306,11 @@
     return upstreams.ofService(service);
   }
 
+  /** Returns the names of the upstreams of a service that have not announced that they leave. */
+  List<String> remainingUpstreamsOf(String service) {
+    return upstreamsOf(service).stream().filter(name -> !isLeaving(name)).toList();
+  }
+
   /** Returns the names of all upstreams. */
   public Collection<String> upstreamNames() {
     return upstreams.names();
