--- a/org.oatlug.entry/src/org/oatlug/entry/GatewayInstance.java
+++ b/org.oatlug.entry/src/org/oatlug/entry/GatewayInstance.java
@@ -14,6 +14,7 @@
 import java.time.InstantSource;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.random.RandomGenerator;
 import org.oatlug.config.Settings;
 import org.oatlug.gateway.DeploymentAdapter;
@@ -23,11 +24,15 @@
 import org.oatlug.internal.config.ObjectJoin;
 import org.oatlug.internal.config.ObjectSink;
 import org.oatlug.internal.config.Origin;
+import org.oatlug.internal.forward.ForwardingProtocol;
+import org.oatlug.internal.forward.PathProbes;
+import org.oatlug.internal.forward.Receivers;
 import org.oatlug.internal.gateway.GatewayComponents;
 import org.oatlug.internal.gateway.GatewayParticipant;
 import org.oatlug.internal.gateway.GatewayServer;
 import org.oatlug.internal.gateway.GatewayTables;
 import org.oatlug.internal.gateway.InspectionServer;
+import org.oatlug.internal.gateway.PeerForwarding;
 import org.oatlug.internal.gateway.ReadinessGate;
 import org.oatlug.internal.gateway.RolloutDirector;
 import org.oatlug.internal.gather.StateExchange;
@@ -36,6 +41,7 @@
 import org.oatlug.internal.metrics.Meters;
 import org.oatlug.internal.peer.Member;
 import org.oatlug.internal.peer.MeteredPeerNetwork;
+import org.oatlug.internal.peer.PeerMessage;
 import org.oatlug.internal.peer.PeerNetwork;
 import org.oatlug.internal.peer.TcpPeerNetwork;
 import org.oatlug.internal.platform.MeteredPlatform;
@@ -90,6 +96,7 @@
   private Optional<Instant> listeningAt = Optional.empty();
   private Optional<Instant> servingAt = Optional.empty();
   private ReadinessGate readinessGate;
+  private OptionalInt forwardingPort = OptionalInt.empty();
   private boolean stopping;
 
   GatewayInstance(GatewaySettings settings, DeploymentAdapter adapter) {
@@ -127,6 +134,13 @@
         .onFailure(
             failure ->
                 logger.atSevere().withCause(failure).log("failed to listen for other instances"));
+    server
+        .listenForInstances()
+        .onSuccess(listening -> forwardingPort = OptionalInt.of(listening.actualPort()))
+        .onFailure(
+            failure ->
+                logger.atSevere().withCause(failure).log(
+                    "failed to listen for forwarded requests"));
     systems.forEach(TickSystem::tick);
     vertx.setPeriodic(TICK_MILLIS, unused -> systems.forEach(TickSystem::tick));
     return callers
@@ -168,6 +182,10 @@
     ConfigurationSystem configuration = configurationSystem(platform, network, meters);
     RolloutDirector rollouts =
         RolloutDirector.create(tables, platform, membership, clock, meters, settings.bounds());
+    PeerForwarding forwarding =
+        new PeerForwarding(
+            Receivers.create(membership, network, clock, random, meters),
+            ForwardingProtocol.withKey(settings.peers().key()));
     RankedSenders senders =
         RankedSenders.create(settings.name(), membership::live, membership::hasKnownPeers, clock);
     GatewayComponents components =
@@ -178,6 +196,7 @@
             adapter,
             tables,
             rollouts,
+            forwarding,
             senders.senders(),
             () -> membership.live().size(),
             random,
@@ -195,7 +214,8 @@
         new SharedStateHandler(
             membership,
             configuration,
-            (from, message) -> Uni.createFrom().item(stateExchange.handle(from, message))));
+            (from, message) ->
+                Uni.createFrom().item(handle(message, from, stateExchange, components))));
     readinessGate =
         ReadinessGate.create(
             clock,
@@ -215,10 +235,29 @@
             rollouts,
             stateExchange,
             senders,
+            PathProbes.create(vertx, components.paths(), tables::addressesOf, clock, random),
             this::openGateWhenReady);
     return components;
   }
 
+  private PeerMessage handle(
+      PeerMessage message, Member from, StateExchange stateExchange, GatewayComponents components) {
+    return message instanceof PeerMessage.PathQuery query
+        ? pathAnswer(query.service(), components)
+        : stateExchange.handle(from, message);
+  }
+
+  /** Returns whether this instance takes forwarded requests for the service. */
+  private PeerMessage pathAnswer(String service, GatewayComponents components) {
+    boolean available =
+        isReady()
+            && forwardingPort.isPresent()
+            && !components.paths().isLost(service)
+            && !tables.upstreamsOf(service).isEmpty();
+    return new PeerMessage.PathAnswer(
+        available, components.paths().hasLatelyReached(service), forwardingPort.orElse(0));
+  }
+
   private ConfigurationSystem configurationSystem(
       Platform platform, PeerNetwork network, Meters meters) {
     return ConfigurationSystem.create(
--- a/org.oatlug.test/tst/org/oatlug/entry/PartitionedInstanceTest.java
+++ b/org.oatlug.test/tst/org/oatlug/entry/PartitionedInstanceTest.java
@@ -95,7 +95,7 @@
       upstream.setStream(EVENTS, EVENT_PAUSE_MILLIS, 0);
     }
     final CompletableFuture<Http.Response> stream = Http.sendAsync(fleet.streamRequest(0));
-    String id = fleet.lastId();
+    final String id = fleet.lastId();
     Await.until("the stream has begun", () -> !fleet.arrivals().isEmpty());
     Await.pause(EVENTS * EVENT_PAUSE_MILLIS / 4);
     fleet.partition(0, partition);
--- a/org.oatlug.test/tst/org/oatlug/internal/gateway/GatewayServerFixture.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/gateway/GatewayServerFixture.java
@@ -4,6 +4,7 @@
 package org.oatlug.internal.gateway;
 
 import com.codahale.metrics.MetricRegistry;
+import io.smallrye.mutiny.Uni;
 import io.vertx.core.Vertx;
 import java.io.IOException;
 import java.nio.file.Files;
@@ -29,8 +30,12 @@
 import org.oatlug.gateway.RoutingConfiguration;
 import org.oatlug.gateway.ServiceDefinition;
 import org.oatlug.gateway.UpstreamRecord;
+import org.oatlug.internal.forward.ForwardingProtocol;
+import org.oatlug.internal.forward.Receivers;
 import org.oatlug.internal.limit.RateSenders;
+import org.oatlug.internal.membership.Membership;
 import org.oatlug.internal.metrics.Meters;
+import org.oatlug.internal.peer.Member;
 import org.oatlug.internal.util.Json;
 import org.oatlug.platform.StoreRevision;
 import org.oatlug.platform.StoredObject;
@@ -153,6 +158,7 @@
             new PlatformAdapter(),
             tables,
             new AnyVersion(),
+            forwardingToNobody(),
             RateSenders.alone(),
             () -> 1,
             interruptedChoice,
@@ -165,6 +171,20 @@
     return ports.get(2);
   }
 
+  private PeerForwarding forwardingToNobody() {
+    Member self = new Member("entry-0", "hall-a", "entry-0", HOST, 1, 1, 0, Member.State.ALIVE);
+    Membership membership = Membership.create(self, this::now, new Random(1));
+    Meters meters = Meters.of(new MetricRegistry());
+    return new PeerForwarding(
+        Receivers.create(
+            membership,
+            (peer, message, timeout) -> Uni.createFrom().failure(new IOException(peer.name())),
+            this::now,
+            new Random(1),
+            meters),
+        ForwardingProtocol.withKey("a-key-shared-by-peers"));
+  }
+
   @Override
   public void close() {
     vertx.close().toCompletionStage().toCompletableFuture().join();
--- a/org.oatlug.test/tst/org/oatlug/test/Http.java
+++ b/org.oatlug.test/tst/org/oatlug/test/Http.java
@@ -28,6 +28,7 @@
 
   /** An HTTP response with its status and body. */
   public record Response(int status, String body, HttpResponse<String> response) {
+    /** Returns the body, parsed as JSON. */
     public JsonNode json() {
       try {
         return Json.STRICT.readTree(body);
@@ -36,31 +37,38 @@
       }
     }
 
+    /** Returns the value of a header, empty if it is missing. */
     public String header(String name) {
       return response.headers().firstValue(name).orElse("");
     }
 
+    /** Returns the reason of a refusal. */
     public String reason() {
       return json().path("reason").asText();
     }
 
+    /** Returns what a refusal says about whether the request ran. */
     public String notRun() {
       return json().path("notRun").asText();
     }
   }
 
+  /** Returns a request to a port of this host. */
   public static HttpRequest.Builder to(int port, String path) {
     return HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + port + path));
   }
 
+  /** Sends a GET request. */
   public static Response get(int port, String path) throws IOException {
     return send(to(port, path).GET());
   }
 
+  /** Sends a PUT request. */
   public static Response put(int port, String path, String body) throws IOException {
     return send(to(port, path).PUT(HttpRequest.BodyPublishers.ofString(body)));
   }
 
+  /** Sends a request and waits for the response. */
   public static Response send(HttpRequest.Builder request) throws IOException {
     try {
       return sendAsync(request).get();
@@ -72,6 +80,7 @@
     }
   }
 
+  /** Sends a request. */
   public static CompletableFuture<Response> sendAsync(HttpRequest.Builder request) {
     return CLIENT
         .sendAsync(request.build(), HttpResponse.BodyHandlers.ofString())
--- a/org.oatlug.test/tst/org/oatlug/test/SettingsTemplateTest.java
+++ b/org.oatlug.test/tst/org/oatlug/test/SettingsTemplateTest.java
@@ -35,6 +35,7 @@
   private static final Pattern LIST_SECTION = Pattern.compile("\\{\\{#(\\w+)}}.*?\\{\\{/\\1}}");
   private static final Pattern PLACEHOLDER = Pattern.compile("\\{\\{([\\w.-]+)}}");
   private static final String PORT = "port-range.1";
+  private static final String FORWARDING_PORT = "port-range.0";
 
   /** Placeholders of the numbers in the template, by the name of the settings field. */
   private static final Map<String, String> NUMERIC_FIELDS =
@@ -57,6 +58,7 @@
     values.put("listen.front", "10.1.0.40:8227");
     values.put("listen.ready", "10.1.0.40:8220");
     values.put("listen.control", "10.1.0.40:8229");
+    values.put(FORWARDING_PORT, "7340");
     values.put("platform.address", "10.200.1.7:8223");
     NUMERIC_FIELDS.values().forEach(name -> values.put(name, "1"));
     return values;
@@ -176,4 +178,13 @@
     }
     assertEquals(readWith(PORT, "8").metrics(), 8);
   }
+
+  @Test
+  public void testForwardingPortIsOptionalAndChecked() throws Exception {
+    for (String port : new String[] {"8.5", "some", "70000", "-1"}) {
+      assertRefused("forwarding", FORWARDING_PORT, port);
+    }
+    assertEquals(readWith(FORWARDING_PORT, "8").peers().forwarding(), 8);
+    assertEquals(readWith(FORWARDING_PORT, "").peers().forwarding(), 0);
+  }
 }
--- a/org.oatlug/src/org/oatlug/config/GatewaySettingsReader.java
+++ b/org.oatlug/src/org/oatlug/config/GatewaySettingsReader.java
@@ -44,7 +44,9 @@
     for (JsonNode seed : tree.path("seeds")) {
       seeds.add(Endpoint.parse(seed.asText()));
     }
-    return new GatewaySettings.Peers(endpoint(tree, "listen"), text(tree, "key"), seeds);
+    int forwarding = number(tree, "forwarding").isPresent() ? port(tree, "forwarding") : 0;
+    return new GatewaySettings.Peers(
+        endpoint(tree, "listen"), text(tree, "key"), seeds, forwarding);
   }
 
   private static GatewaySettings.Bounds bounds(JsonNode tree) {
--- a/org.oatlug/src/org/oatlug/gateway/GatewaySettings.java
+++ b/org.oatlug/src/org/oatlug/gateway/GatewaySettings.java
@@ -90,8 +90,16 @@
    * @param listen the address for connections of other instances
    * @param key the shared key
    * @param seeds the instances to contact first; may be out of date
+   * @param forwarding the port for requests that other instances forward, 0 for any free one
    */
-  public record Peers(Endpoint listen, String key, List<Endpoint> seeds) {
+  public record Peers(Endpoint listen, String key, List<Endpoint> seeds, int forwarding) {
+    /** Rejects settings whose port for forwarded requests is invalid. */
+    public Peers {
+      require(
+          forwarding == 0 || isPort(forwarding),
+          "peers.forwarding is " + forwarding + ", not a port of 0 to " + MAXIMUM_PORT);
+    }
+
     @Override
     public String toString() {
       return "Peers[" + listen + "]";
--- a/org.oatlug/src/org/oatlug/internal/forward/ServicePaths.java
+++ b/org.oatlug/src/org/oatlug/internal/forward/ServicePaths.java
@@ -8,9 +8,9 @@
 import java.time.Instant;
 import java.time.InstantSource;
 import java.util.Collection;
-import java.util.Optional;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.function.Consumer;
 import java.util.function.Function;
 import org.oatlug.internal.metrics.Meters;
 import org.oatlug.internal.routing.ServiceReachability;
@@ -23,10 +23,14 @@
 public final class ServicePaths {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
+  /** The age up to which an opened connection shows that the service is reachable. */
+  private static final Duration LATELY = Duration.ofSeconds(2);
+
   private final InstantSource clock;
   private final Meters meters;
   private final ServiceReachability reachability;
   private final Set<String> lostServices = new TreeSet<>();
+  private Consumer<String> onLost = service -> {};
 
   private ServicePaths(InstantSource clock, Meters meters, ServiceReachability reachability) {
     this.clock = clock;
@@ -44,6 +48,21 @@
     return new ServicePaths(clock, meters, ServiceReachability.create(upstreamsOf));
   }
 
+  /** Sets the action that runs with the name of a service that is no longer reachable. */
+  void onLost(Consumer<String> action) {
+    onLost = action;
+  }
+
+  /** Returns the services that were found unreachable and have not been reached since. */
+  Set<String> lostServices() {
+    return lostServices;
+  }
+
+  /** Returns whether a connection to the upstream has failed since the last one that opened. */
+  public boolean hasFailed(String service, String upstream) {
+    return reachability.hasFailed(service, upstream);
+  }
+
   /** Records that a connection to an upstream of the service has opened. */
   public void recordOpened(String service) {
     reachability.recordOpened(service, clock.instant());
@@ -74,8 +93,11 @@
     return reachability.isUnreachable(service);
   }
 
-  /** Returns the time since this instance last reached the service, empty if it never did. */
-  public Optional<Duration> sinceLastOpened(String service) {
-    return reachability.sinceLastOpened(service, clock.instant());
+  /** Returns whether a connection to the service has opened a short time ago. */
+  public boolean hasLatelyReached(String service) {
+    return reachability
+        .sinceLastOpened(service, clock.instant())
+        .map(age -> age.compareTo(LATELY) < 0)
+        .orElse(false);
   }
 }
--- a/org.oatlug/src/org/oatlug/internal/gateway/Admission.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/Admission.java
@@ -23,7 +23,7 @@
  *
  * <p>Invariant: every refusal states that the request has not run. Used from one event loop.
  */
-final class Admission {
+final class Admission implements RequestAdmission {
   /** Retry delay for requests that arrive before the first configuration or exceed the memory. */
   private static final Duration RETRY_DELAY = Duration.ofMillis(500);
 
@@ -54,14 +54,6 @@
     return new Admission(components, ready);
   }
 
-  /**
-   * An admitted request.
-   *
-   * @param route its route
-   * @param workspace the workspace that sent it, empty if it is unknown and not required
-   */
-  record Admitted(Route route, Optional<WorkspaceKeys> workspace) {}
-
   /**
    * A planned stop.
    *
@@ -93,13 +85,23 @@
     return stop.isPresent();
   }
 
-  /** Reads the head of a request, and refuses one that is too large or invalid. */
-  RequestHead read(HttpServerRequest request) throws RefusedException {
+  /** Returns whether the instance is ready to serve. */
+  boolean isReady() {
+    return ready.getAsBoolean();
+  }
+
+  @Override
+  public RequestHead read(HttpServerRequest request) throws RefusedException {
     int limit = components.tables().limits().headerBytes();
     if (headBytes(request) > limit) {
       String text = ErrorText.format(ErrorText.get().headerTooLarge, limit);
       throw refused(RefusalReason.HEADER_TOO_LARGE, text);
     }
+    return readHead(request);
+  }
+
+  /** Reads the head of a request of any size, and refuses one that is invalid. */
+  RequestHead readHead(HttpServerRequest request) throws RefusedException {
     try {
       return components.adapter().callers().read(request);
     } catch (RequestInvalidException e) {
@@ -115,8 +117,8 @@
     return bytes;
   }
 
-  /** Admits a request, or refuses it. */
-  Admitted admit(HttpServerRequest request, RequestHead head) throws RefusedException {
+  @Override
+  public Admitted admit(HttpServerRequest request, RequestHead head) throws RefusedException {
     if (!ready.getAsBoolean()) {
       throw new RefusedException(
           Refusal.retryAfter(RefusalReason.NOT_READY, ErrorText.get().notReady, RETRY_DELAY));
@@ -129,7 +131,7 @@
               RefusalReason.STOPPING, ErrorText.get().stopping, OTHER_INSTANCE_RETRY_DELAY));
     }
     checkBodyBytes(declaredLength(request));
-    return new Admitted(route, workspace);
+    return new Admitted(route, workspace, Optional.empty());
   }
 
   private Route routeOf(RequestHead head) throws RefusedException {
--- a/org.oatlug/src/org/oatlug/internal/gateway/AdmittedRequest.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/AdmittedRequest.java
@@ -8,10 +8,12 @@
 import io.vertx.core.http.HttpMethod;
 import java.time.Instant;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.oatlug.gateway.RequestHead;
 import org.oatlug.gateway.Route;
 import org.oatlug.gateway.WorkspaceKeys;
 import org.oatlug.internal.crash.RequestFingerprint;
+import org.oatlug.internal.forward.ForwardedRequest;
 
 /**
  * An admitted request with its whole body. Immutable.
@@ -27,6 +29,7 @@
  * @param hasBody whether it has a body, which may be empty
  * @param arrived the time at which its head arrived
  * @param deadline the time by which its final answer is due
+ * @param forwarded what the instance that forwards it says, empty for a caller's request
  */
 record AdmittedRequest(
     RequestHead head,
@@ -39,10 +42,21 @@
     Buffer body,
     boolean hasBody,
     Instant arrived,
-    Instant deadline) {
+    Instant deadline,
+    Optional<ForwardedRequest> forwarded) {
   /** The maximum length of a subject, in characters. */
   private static final int MAXIMUM_SUBJECT_LENGTH = 160;
 
+  /** Returns the number of upstreams to which this instance may send the request. */
+  int maximumAttempts() {
+    return forwarded.map(ForwardedRequest::maximumAttempts).orElse(route.maximumAttempts());
+  }
+
+  /** Returns the number of the last event that the caller has, if it resumes a stream. */
+  OptionalLong resumeAfter() {
+    return forwarded.map(ForwardedRequest::resumeAfter).orElse(head.resumeAfter());
+  }
+
   /** Returns the fingerprint that this request shares with the caller's repetitions of it. */
   String fingerprint() {
     return RequestFingerprint.of(head.host(), uri, workspaceName(), body.getBytes());
--- a/org.oatlug/src/org/oatlug/internal/gateway/BufferedResponse.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/BufferedResponse.java
@@ -3,9 +3,11 @@
 
 package org.oatlug.internal.gateway;
 
+import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientResponse;
 import java.util.function.Consumer;
+import java.util.function.Function;
 
 /**
  * Buffers an upstream's answer that is not an event stream.
@@ -23,17 +25,29 @@
 
   private final GatewayComponents components;
   private final CallerResponse callerResponse;
+  private final Function<HttpClientResponse, MultiMap> headersOf;
   private final Buffer body = Buffer.buffer();
   private boolean forwarded;
 
-  private BufferedResponse(GatewayComponents components, CallerResponse callerResponse) {
+  private BufferedResponse(
+      GatewayComponents components,
+      CallerResponse callerResponse,
+      Function<HttpClientResponse, MultiMap> headersOf) {
     this.components = components;
     this.callerResponse = callerResponse;
+    this.headersOf = headersOf;
   }
 
-  /** Returns an empty buffer for an answer. */
-  static BufferedResponse create(GatewayComponents components, CallerResponse callerResponse) {
-    return new BufferedResponse(components, callerResponse);
+  /**
+   * Returns an empty buffer for an answer.
+   *
+   * @param headersOf returns the headers of the answer that the caller receives
+   */
+  static BufferedResponse create(
+      GatewayComponents components,
+      CallerResponse callerResponse,
+      Function<HttpClientResponse, MultiMap> headersOf) {
+    return new BufferedResponse(components, callerResponse, headersOf);
   }
 
   /**
@@ -49,8 +63,7 @@
     }
     if (!callerResponse.isBegun()) {
       forwarded = true;
-      callerResponse.begin(
-          response.statusCode(), components.adapter().upstreams().responseHeaders(response));
+      callerResponse.begin(response.statusCode(), headersOf.apply(response));
       writer.accept(body);
     }
     writer.accept(part);
@@ -67,8 +80,7 @@
       callerResponse.end();
       return;
     }
-    callerResponse.sendWhole(
-        response.statusCode(), components.adapter().upstreams().responseHeaders(response), body);
+    callerResponse.sendWhole(response.statusCode(), headersOf.apply(response), body);
   }
 
   /** Returns the buffered bytes to the shared limit; to be called once. */
--- a/org.oatlug/src/org/oatlug/internal/gateway/CallerResponse.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/CallerResponse.java
@@ -10,6 +10,7 @@
 import java.time.Duration;
 import java.util.Locale;
 import org.oatlug.api.Refusal;
+import org.oatlug.internal.forward.ForwardingProtocol;
 import org.oatlug.internal.http.Problem;
 
 /**
@@ -24,13 +25,25 @@
 
   private final HttpServerRequest request;
   private final HttpServerResponse response;
+  private final boolean toInstance;
   private boolean ended;
 
-  CallerResponse(HttpServerRequest request) {
+  private CallerResponse(HttpServerRequest request, boolean toInstance) {
     this.request = request;
+    this.toInstance = toInstance;
     this.response = request.response();
   }
 
+  /** Returns the answer to a caller's request. */
+  static CallerResponse toCaller(HttpServerRequest request) {
+    return new CallerResponse(request, false);
+  }
+
+  /** Returns the answer to a request that another instance forwarded; it states its outcome. */
+  static CallerResponse toInstance(HttpServerRequest request) {
+    return new CallerResponse(request, true);
+  }
+
   /** Sets the handler to call if the caller disconnects before the answer ends. */
   void onDisconnect(Runnable handler) {
     response.exceptionHandler(failure -> disconnected(handler));
@@ -68,6 +81,7 @@
   void begin(int status, MultiMap headers) {
     response.setStatusCode(status);
     response.headers().addAll(headers);
+    markRelayed();
     if (!headers.contains(CONTENT_LENGTH)) {
       response.setChunked(true);
     }
@@ -103,9 +117,16 @@
     response.setStatusCode(status);
     response.headers().addAll(headers);
     response.headers().remove(CONTENT_LENGTH);
+    markRelayed();
     response.end(body);
   }
 
+  private void markRelayed() {
+    if (toInstance) {
+      ForwardingProtocol.markRelayed(response.headers());
+    }
+  }
+
   /** Refuses the request, or aborts the answer if it was begun. */
   void refuse(Refusal refusal, String requestId) {
     if (ended) {
@@ -116,6 +137,9 @@
       return;
     }
     ended = true;
+    if (toInstance) {
+      ForwardingProtocol.markRefused(response.headers(), refusal);
+    }
     Problem.send(response, refusal, requestId, CallerResponse::formatSeconds);
   }
 
--- a/org.oatlug/src/org/oatlug/internal/gateway/Exchange.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/Exchange.java
@@ -7,6 +7,8 @@
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
@@ -18,7 +20,10 @@
 import org.oatlug.errors.ErrorText;
 import org.oatlug.gateway.Generation;
 import org.oatlug.gateway.Route;
+import org.oatlug.gateway.WorkspaceKeys;
 import org.oatlug.internal.engine.FirstTokenForecast;
+import org.oatlug.internal.forward.ForwardedRequest;
+import org.oatlug.internal.forward.Receiver;
 
 /**
  * Handles one admitted request: sends it to upstreams in turn until one of them responds.
@@ -31,9 +36,6 @@
 final class Exchange {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
-  /** The default retry delay of a refusal: about the time until a connection slot frees up. */
-  private static final Duration DEFAULT_RETRY_AFTER = Duration.ofMillis(300);
-
   /** With less time left than this, an attempt cannot produce a response. */
   private static final Duration MINIMUM_ATTEMPT_TIME = Duration.ofMillis(30);
 
@@ -47,6 +49,9 @@
   private final AdmittedRequest request;
   private final Route route;
   private final Set<String> triedUpstreams = new HashSet<>();
+  private final Set<String> sentUpstreams = new LinkedHashSet<>();
+  private final Set<String> triedInstances = new HashSet<>();
+  private final ServiceRefusals refusals;
   private final StreamRelay relay;
   private final CrashGuard.RequestGuard requestGuard;
   private long deadlineTimer = NO_TIMER;
@@ -57,7 +62,10 @@
   private Optional<String> lastFailedVersion = Optional.empty();
   private Optional<VersionRule.VersionPreference> versionPreference = Optional.empty();
   private Optional<VersionDecisionInputs> firstInputs = Optional.empty();
-  private ExchangeAttempt currentAttempt;
+  private Attempt currentAttempt;
+
+  /** The number of attempts that the current one may use; a receiver may use several. */
+  private int attemptsOfCurrent;
 
   private Exchange(
       GatewayComponents components, CallerResponse callerResponse, AdmittedRequest request) {
@@ -65,7 +73,8 @@
     this.callerResponse = callerResponse;
     this.request = request;
     this.route = request.route();
-    this.relay = StreamRelay.after(request.head().resumeAfter());
+    this.refusals = new ServiceRefusals(components);
+    this.relay = StreamRelay.after(request.resumeAfter());
     this.requestGuard = components.crashes().guard(request);
   }
 
@@ -81,11 +90,30 @@
     }
     deadlineTimer = components.deadlines().schedule(request.deadline(), this::deadlinePassed);
     callerResponse.onDisconnect(this::callerDisconnected);
-    components.budgets().of(request.service()).recordTry();
-    stage = route.isCascade() ? components.stages().firstStage(route) : 0;
+    // A forwarded request is counted by the instance that admitted it.
+    if (request.forwarded().isEmpty()) {
+      components.budgets().of(request.service()).recordTry();
+    }
+    request.forwarded().ifPresent(this::continueForwarded);
+    stage = firstStage();
     components.dispatchQueue().enqueue(this);
   }
 
+  private void continueForwarded(ForwardedRequest forwarded) {
+    triedUpstreams.addAll(forwarded.triedUpstreams());
+    lastFailedVersion = forwarded.failedVersion();
+  }
+
+  private int firstStage() {
+    if (!route.isCascade()) {
+      return 0;
+    }
+    return request.forwarded().map(ForwardedRequest::stage).orElse(OptionalInt.empty()).stream()
+        .filter(begun -> begun >= 0 && begun < route.models().size())
+        .findFirst()
+        .orElseGet(() -> components.stages().firstStage(route));
+  }
+
   /** Sends the request to its first upstream; returns false if it could no longer be served. */
   boolean sendFirst() {
     if (callerResponse.isEnded()) {
@@ -155,11 +183,67 @@
     return retryAfter.isPresent();
   }
 
-  /** Sends the request to the next upstream, or refuses it if there is none. */
+  /**
+   * Sends the request to the next upstream or, if this instance reaches none, to another instance;
+   * refuses it if there is none either.
+   */
   void sendToNextUpstream() {
     if (refuseIfCrashing()) {
       return;
     }
+    if (!components.paths().isLost(request.service())) {
+      sendToUpstream();
+    } else if (request.forwarded().isEmpty()) {
+      components
+          .forwarding()
+          .receivers()
+          .choose(request.service(), Set.copyOf(triedInstances), this::receiverChosen);
+    } else {
+      giveUpUnreachable();
+    }
+  }
+
+  private void receiverChosen(Optional<Receiver> receiver) {
+    if (callerResponse.isEnded()) {
+      return;
+    }
+    if (receiver.isEmpty()) {
+      sendToUntestedUpstream();
+      return;
+    }
+    currentAttempt = ForwardedAttempt.create(this, receiver.get(), forwardedRequest());
+    currentAttempt.send();
+  }
+
+  private ForwardedRequest forwardedRequest() {
+    int attemptsLeft = request.maximumAttempts() - attemptsSent;
+    return new ForwardedRequest(
+        route.name(),
+        request.service(),
+        request.workspace().map(WorkspaceKeys::name),
+        Math.max(1, remainingTime().toMillis()),
+        // One attempt is kept for the case that the receiver is lost.
+        Math.max(1, attemptsLeft - 1),
+        List.copyOf(sentUpstreams),
+        lastFailedVersion,
+        attemptsSent > 0 && route.isCascade() ? OptionalInt.of(stage) : OptionalInt.empty(),
+        relay.lastEventId());
+  }
+
+  /** Sends the request to an upstream whose last connection has not failed, or refuses it. */
+  private void sendToUntestedUpstream() {
+    Optional<UpstreamSelection.CostedUpstream> untested =
+        choose(model())
+            .filter(chosen -> !components.paths().hasFailed(request.service(), chosen.name()));
+    untested.ifPresentOrElse(this::startAttempt, this::giveUpUnreachable);
+  }
+
+  private void giveUpUnreachable() {
+    String text = ErrorText.format(ErrorText.get().upstreamsUnreachable, request.service());
+    giveUp(RefusalReason.UPSTREAMS_UNREACHABLE, text);
+  }
+
+  private void sendToUpstream() {
     Optional<UpstreamSelection.CostedUpstream> chosen = choose(model());
     if (chosen.isEmpty()) {
       giveUpWithoutUpstream();
@@ -169,30 +253,8 @@
   }
 
   private void giveUpWithoutUpstream() {
-    String service = request.service();
-    RefusalReason reason =
-        components.selection().eligibility().refusalReason(service, components.clock().instant());
-    String pattern =
-        switch (reason) {
-          case ZONES_EMPTIED -> ErrorText.get().zonesEmptied;
-          case UPSTREAMS_COLD -> ErrorText.get().upstreamsCold;
-          case UPSTREAMS_REST -> ErrorText.get().upstreamsRest;
-          case UPSTREAMS_LIMITED -> ErrorText.get().upstreamsLimited;
-          default -> ErrorText.get().noUpstream;
-        };
-    String text = ErrorText.format(pattern, service);
-    if (reason == RefusalReason.UPSTREAMS_LIMITED) {
-      giveUp(reason, text, retryAfterAtAdvertisedRate(service));
-    } else {
-      giveUp(reason, text);
-    }
-  }
-
-  private Duration retryAfterAtAdvertisedRate(String service) {
-    double advertisedRate = components.rates().totalAdvertisedRate(service);
-    return components
-        .retryAfterJitter()
-        .spacedDelay(service, advertisedRate, components.clock().instant());
+    Refusal refusal = refusals.withoutUpstream(request.service());
+    giveUp(refusal.reason(), refusal.detail(), refusal.retryAfter().orElseThrow());
   }
 
   private void startAttempt(UpstreamSelection.CostedUpstream chosen) {
@@ -230,10 +292,12 @@
     firstInputs =
         firstInputs.or(() -> versionPreference.flatMap(VersionRule.VersionPreference::basis));
     Optional<UpstreamSelection.CostedUpstream> untried = chooseExcluding(model, triedUpstreams);
-    if (untried.isPresent() || currentAttempt == null || !route.isRepeatable()) {
+    boolean triedBefore = currentAttempt != null || request.forwarded().isPresent();
+    if (untried.isPresent() || !triedBefore || !route.isRepeatable()) {
       return untried;
     }
-    return chooseExcluding(model, Set.of(currentAttempt.upstreamName()));
+    Set<String> last = currentAttempt == null ? Set.of() : Set.of(currentAttempt.targetName());
+    return chooseExcluding(model, last);
   }
 
   private Optional<UpstreamSelection.CostedUpstream> chooseExcluding(
@@ -268,8 +332,22 @@
 
   /** Records that an attempt is being sent to the upstream. */
   void recordAttempt(String upstream) {
+    attemptsOfCurrent = 1;
     attemptsSent++;
     triedUpstreams.add(upstream);
+    sentUpstreams.add(upstream);
+  }
+
+  /** Records that the request is being sent to an instance, which may use so many attempts. */
+  void recordForwarding(String instance, int attempts) {
+    attemptsOfCurrent = attempts;
+    attemptsSent += attempts;
+    triedInstances.add(instance);
+  }
+
+  /** Returns whether an upstream may have run the request. */
+  boolean mayHaveRun() {
+    return mayHaveRun;
   }
 
   /** Records that an upstream may have run the request. */
@@ -288,7 +366,8 @@
    * @param cause the counter to increment
    */
   void retryUnsent(String cause) {
-    attemptsSent--;
+    attemptsSent -= attemptsOfCurrent;
+    sentUpstreams.remove(currentAttempt.targetName());
     attemptsNotSent++;
     components.meters().count(cause);
     if (attemptsNotSent < MAXIMUM_UNSENT_ATTEMPTS
@@ -350,7 +429,7 @@
    */
   boolean tryAcquireRetry(String cause) {
     boolean timeRemains = remainingTime().compareTo(MINIMUM_ATTEMPT_TIME) > 0;
-    if (attemptsSent >= route.maximumAttempts() || !timeRemains) {
+    if (attemptsSent >= request.maximumAttempts() || !timeRemains) {
       components.meters().count("retry.no-attempt-left");
       return false;
     }
@@ -364,7 +443,7 @@
 
   /** Refuses the request; states "not run" only while no upstream may have run it. */
   void giveUp(RefusalReason reason, String text) {
-    giveUp(reason, text, retryAfterBackOff().orElse(DEFAULT_RETRY_AFTER));
+    giveUp(reason, text, refusals.retryAfter(request.service()));
   }
 
   private void giveUp(RefusalReason reason, String text, Duration retryAfter) {
@@ -377,25 +456,13 @@
 
   /** Refuses the request after the last upstream refused it. */
   void giveUpAfterRefusal() {
-    if (retryAfterBackOff().isPresent()) {
+    if (refusals.retryAfterBackOff(request.service()).isPresent()) {
       giveUpWithoutUpstream();
     } else {
       giveUp(RefusalReason.UPSTREAM_REFUSED, ErrorText.get().upstreamRefused);
     }
   }
 
-  /**
-   * Returns the retry delay while all upstreams ask to back off: the time until the first of them
-   * accepts requests again, spread so that callers do not all return at once and are refused again.
-   */
-  private Optional<Duration> retryAfterBackOff() {
-    return components
-        .selection()
-        .eligibility()
-        .shortestBackOff(request.service(), components.clock().instant())
-        .map(components.retryAfterJitter()::withJitter);
-  }
-
   private void refuse(Refusal refusal) {
     finish("refused " + refusal.reason().text() + ": " + refusal.detail());
     components.meters().refused(refusal.reason());
@@ -423,6 +490,25 @@
     return remainingTime().compareTo(MINIMUM_ATTEMPT_TIME) >= 0;
   }
 
+  /**
+   * Checks once more, before the request is written, that its caller is connected and time is left;
+   * returns whether the attempt was ended instead. On a busy instance the disconnect of the caller
+   * may not have been processed yet, and nobody would receive the response.
+   */
+  boolean withholdsFrom(Attempt attempt) {
+    if (callerResponse.isCallerDisconnected()) {
+      attempt.withhold("the caller disconnected");
+      components.meters().count("request.withheld-caller-left");
+      return true;
+    }
+    if (!hasTimeForAttempt()) {
+      attempt.withhold("too little time is left");
+      deadlinePassed();
+      return true;
+    }
+    return false;
+  }
+
   /** Refuses the request because its deadline has passed. */
   void deadlinePassed() {
     if (callerResponse.isEnded()) {
@@ -436,7 +522,8 @@
     refuse(
         possiblyRan
             ? Refusal.unknown(RefusalReason.DEADLINE_PASSED, text)
-            : Refusal.retryAfter(RefusalReason.OVERLOADED, text, DEFAULT_RETRY_AFTER));
+            : Refusal.retryAfter(
+                RefusalReason.OVERLOADED, text, ServiceRefusals.DEFAULT_RETRY_AFTER));
   }
 
   private void callerDisconnected() {
--- a/org.oatlug/src/org/oatlug/internal/gateway/ExchangeAttempt.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/ExchangeAttempt.java
@@ -16,7 +16,6 @@
 import org.oatlug.gateway.AttemptMetadata;
 import org.oatlug.gateway.ResponseHead;
 import org.oatlug.gateway.Route;
-import org.oatlug.gateway.RouteKind;
 import org.oatlug.gateway.WorkspaceKeys;
 import org.oatlug.internal.crash.CrashLedger.Verdict;
 import org.oatlug.internal.engine.FirstTokenForecast;
@@ -28,13 +27,10 @@
  *
  * <p>{@link UpstreamConnection} owns the connection; this class decides whether the response is
  * accepted, dropped or requested again; {@link AttemptFeedback} records the progress and outcome of
- * the attempt. Invariant: once a response to the caller has begun, it continues only with the
- * events that follow. Used from one event loop.
+ * the attempt. {@link ResponseRelay} forwards an accepted response. Used from one event loop.
  */
-final class ExchangeAttempt implements UpstreamConnection.Listener {
-  private static final String EVENT_STREAM_TYPE = "text/event-stream";
+final class ExchangeAttempt implements Attempt, UpstreamConnection.Listener {
   private static final int FIRST_SERVER_ERROR = 500;
-  private static final int OK = 200;
 
   private final Exchange exchange;
   private final GatewayComponents components;
@@ -45,13 +41,11 @@
   private final UpstreamSelection.CostedUpstream chosen;
   private final Optional<String> model;
   private final AttemptFeedback feedback;
-  private final BufferedResponse bufferedResponse;
   private final IdleTimeout idleTimeout;
-  private final StreamEventInterval eventInterval = new StreamEventInterval();
+  private final ResponseRelay responseRelay;
   private final MultiMap headers = MultiMap.caseInsensitiveMultiMap();
   private UpstreamConnection connection;
   private HttpClientResponse response;
-  private boolean streaming;
   private boolean released;
   private boolean runsIsolated;
 
@@ -66,22 +60,25 @@
     this.chosen = chosen;
     this.model = model;
     this.feedback = new AttemptFeedback(components, request, chosen, model);
-    this.bufferedResponse = BufferedResponse.create(components, callerResponse);
     this.idleTimeout =
         IdleTimeout.create(components, this::currentIdleTimeout, this::retryOnAnotherUpstream);
+    this.responseRelay =
+        ResponseRelay.create(
+            exchange, components.adapter().upstreams()::responseHeaders, idleTimeout);
   }
 
-  String upstreamName() {
+  @Override
+  public String targetName() {
     return chosen.name();
   }
 
-  /** Returns whether the attempt has not ended. */
-  boolean isOpen() {
+  @Override
+  public boolean isOpen() {
     return !released;
   }
 
-  /** Sends the request to the upstream. */
-  void send() {
+  @Override
+  public void send() {
     feedback.begin();
     exchange.recordAttempt(chosen.name());
     runsIsolated = exchange.requestGuard().isSuspect();
@@ -133,7 +130,7 @@
    * Abandons the attempt after the idle timeout, if the request may be sent to another upstream.
    */
   private void retryOnAnotherUpstream() {
-    if (!bufferedResponse.isForwarded() && exchange.tryAcquireRetry("upstream-silent")) {
+    if (!responseRelay.isForwarded() && exchange.tryAcquireRetry("upstream-silent")) {
       abandon();
       logEvent("silent");
       feedback.recordFailure();
@@ -160,8 +157,8 @@
     return RequestPriority.of(basePriority, chosen.forecast(), route.goalMillis());
   }
 
-  /** Ends the attempt without a result and closes its connection. */
-  void abandon() {
+  @Override
+  public void abandon() {
     release();
     if (connection != null) {
       connection.cancel();
@@ -175,8 +172,7 @@
         exchange.requestGuard().endIsolated();
       }
       feedback.end();
-      bufferedResponse.release();
-      idleTimeout.stop();
+      responseRelay.release();
     }
   }
 
@@ -189,20 +185,11 @@
   @Override
   public boolean maySend() {
     feedback.connected();
-    if (callerResponse.isCallerDisconnected()) {
-      release();
-      logEvent("withheld, the caller disconnected");
-      components.meters().count("request.withheld-caller-left");
-      return false;
-    }
-    if (!exchange.hasTimeForAttempt()) {
-      release();
-      logEvent("withheld, too little time is left");
-      exchange.deadlinePassed();
+    if (exchange.withholdsFrom(this)) {
       return false;
     }
     if (exchange.requestGuard().verdict() == Verdict.REFUSED) {
-      return withhold("the request crashes upstreams", "crashes-upstreams");
+      return retryWithheld("the request crashes upstreams", "crashes-upstreams");
     }
     Optional<Exclusion> exclusion =
         components
@@ -213,7 +200,7 @@
       exclusion = feedback.write();
     }
     if (exclusion.isPresent()) {
-      return withhold(exclusion.get().reason(), exclusion.get().counterSuffix());
+      return retryWithheld(exclusion.get().reason(), exclusion.get().counterSuffix());
     }
     // Updates the remaining time: the host may have been suspended since the headers were first
     // composed.
@@ -221,10 +208,15 @@
     return true;
   }
 
-  /** Ends the attempt before anything is written, and tries another upstream. */
-  private boolean withhold(String reason, String counterSuffix) {
+  @Override
+  public void withhold(String reason) {
     release();
     logEvent("withheld, " + reason);
+  }
+
+  /** Ends the attempt before anything is written, and tries another upstream. */
+  private boolean retryWithheld(String reason, String counterSuffix) {
+    withhold(reason);
     exchange.retryUnsent("retry." + counterSuffix);
     return false;
   }
@@ -322,13 +314,7 @@
 
   private void accept(ResponseHead head) {
     exchange.markMayHaveRun();
-    String contentType = response.getHeader("Content-Type");
-    streaming =
-        route.kind() == RouteKind.STREAM
-            && head.status() == OK
-            && contentType != null
-            && contentType.startsWith(EVENT_STREAM_TYPE);
-    if (callerResponse.isBegun() && !streaming) {
+    if (!responseRelay.begin(response, connection)) {
       connection.cancel();
       failed(Progress.ANSWERING, "expected an event stream, status=" + head.status());
     }
@@ -337,7 +323,7 @@
   /** Records activity of the upstream, and the pause of the stream before it. */
   private void activityReceived() {
     Duration pause = idleTimeout.recordActivity();
-    if (streaming) {
+    if (responseRelay.isStreaming()) {
       feedback.recordPause(pause);
     }
   }
@@ -345,47 +331,12 @@
   @Override
   public void dataReceived(Buffer data) {
     activityReceived();
-    if (!streaming) {
-      bufferedResponse.append(response, data, this::write);
-      return;
-    }
-    long countBefore = relay.eventCount();
-    Buffer events = relay.newEvents(data);
-    if (events.length() > 0) {
-      eventInterval
-          .add(relay.eventCount() - countBefore, components.clock().instant())
-          .ifPresent(feedback::recordEventInterval);
-      beginStream();
-      write(events);
-    }
-  }
-
-  private void write(Buffer data) {
-    if (callerResponse.write(data, this::resumeReading)) {
-      eventInterval.discard();
-      idleTimeout.pause();
-      connection.pause();
-    }
-  }
-
-  private void resumeReading() {
-    idleTimeout.resume();
-    connection.resume();
-  }
-
-  private void beginStream() {
-    if (callerResponse.isBegun()) {
-      return;
-    }
-    MultiMap headers = components.adapter().upstreams().responseHeaders(response);
-    headers.remove("Content-Length");
-    callerResponse.begin(response.statusCode(), headers);
-    components.meters().time("first-event." + route.name(), exchange.elapsed());
+    responseRelay.dataReceived(data).ifPresent(feedback::recordEventInterval);
   }
 
   @Override
   public void completed() {
-    if (streaming && relay.hasPartialEvent()) {
+    if (responseRelay.endsInsideEvent()) {
       failed(Progress.ANSWERING, "the stream ended inside an event");
       return;
     }
@@ -396,15 +347,7 @@
     if (response.statusCode() < FIRST_SERVER_ERROR) {
       feedback.recordSuccess();
     }
-    if (streaming) {
-      eventInterval.end().ifPresent(feedback::recordEventInterval);
-      beginStream();
-      exchange.finish("stream");
-      callerResponse.end();
-      return;
-    }
-    exchange.finish("status " + response.statusCode());
-    bufferedResponse.finish(response);
+    responseRelay.finish().ifPresent(feedback::recordEventInterval);
   }
 
   /**
@@ -431,9 +374,10 @@
     relay.resetForNextUpstream();
     boolean mustNotRetry = recordInterruption();
     if (route.isRepeatable()
-        && !bufferedResponse.isForwarded()
+        && !responseRelay.isForwarded()
         && !mustNotRetry
-        && exchange.tryAcquireRetry("upstream-" + (streaming ? "stream" : "answer"))) {
+        && exchange.tryAcquireRetry(
+            "upstream-" + (responseRelay.isStreaming() ? "stream" : "answer"))) {
       exchange.sendToNextUpstream();
     } else {
       exchange.giveUp(RefusalReason.UPSTREAM_FAILED, ErrorText.get().upstreamBroke);
--- a/org.oatlug/src/org/oatlug/internal/gateway/GatewayComponents.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/GatewayComponents.java
@@ -34,6 +34,7 @@
  * @param prefillBacklog the prompts that wait for prefill at upstreams
  * @param zones the reachability of availability zones
  * @param paths whether this instance reaches the upstreams of each service
+ * @param forwarding forwards requests to instances that reach a service
  * @param limits the rate limits that upstreams advertise
  * @param rates limits the rate of all instances together to cold or rate-limited upstreams
  * @param crashes isolates requests that are suspected of crashing upstreams
@@ -60,6 +61,7 @@
     PrefillBacklog prefillBacklog,
     ZoneReachability zones,
     ServicePaths paths,
+    PeerForwarding forwarding,
     AdvertisedLimits limits,
     UpstreamRateLimits rates,
     CrashGuard crashes,
@@ -97,6 +99,7 @@
       DeploymentAdapter adapter,
       GatewayTables tables,
       VersionRule versions,
+      PeerForwarding forwarding,
       RateSenders senders,
       IntSupplier instances,
       RandomGenerator random,
@@ -120,6 +123,7 @@
         prefillBacklog,
         zones,
         ServicePaths.create(clock, meters, tables::remainingUpstreamsOf),
+        forwarding,
         limits,
         rates,
         crashes,
--- a/org.oatlug/src/org/oatlug/internal/gateway/GatewayServer.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/GatewayServer.java
@@ -23,9 +23,12 @@
 import org.oatlug.api.Refusal;
 import org.oatlug.api.RefusalReason;
 import org.oatlug.errors.RefusedException;
+import org.oatlug.gateway.GatewaySettings;
 import org.oatlug.gateway.GatewaySettings.Endpoint;
 import org.oatlug.gateway.RequestHead;
 import org.oatlug.gateway.Route;
+import org.oatlug.internal.forward.ForwardedRequest;
+import org.oatlug.internal.forward.ForwardingProtocol;
 
 /**
  * The HTTP server for callers: reads requests, refuses those that are not admitted, and starts an
@@ -66,6 +69,7 @@
   private final Set<OpenRequest> waitingRequests = new LinkedHashSet<>();
   private final BooleanSupplier ready;
   private final Admission admission;
+  private final ForwardedAdmission forwardedAdmission;
   private int openRequests;
 
   private GatewayServer(
@@ -74,6 +78,7 @@
     this.random = random;
     this.ready = ready;
     this.admission = Admission.create(components, ready);
+    this.forwardedAdmission = ForwardedAdmission.create(components, admission);
   }
 
   /**
@@ -97,6 +102,17 @@
         .listen(endpoint.port(), endpoint.host());
   }
 
+  /** Starts to accept connections of other instances, which forward requests. */
+  public Future<HttpServer> listenForInstances() {
+    GatewaySettings settings = components.settings();
+    return components
+        .vertx()
+        .createHttpServer(options)
+        .connectionHandler(this::connected)
+        .requestHandler(this::receivedForwarded)
+        .listen(settings.peers().forwarding(), settings.peers().listen().host());
+  }
+
   /** Returns the number of open requests. */
   public int openRequests() {
     return openRequests;
@@ -143,7 +159,9 @@
       callerConnection.close();
       return;
     }
-    OpenRequest openRequest = new OpenRequest(request, components.clock().instant());
+    OpenRequest openRequest =
+        new OpenRequest(
+            request, components.clock().instant(), CallerResponse.toCaller(request), admission);
     openRequest.begin();
     if (ready.getAsBoolean() || waitingRequests.size() >= MAXIMUM_WAITING_REQUESTS) {
       openRequest.proceed();
@@ -152,6 +170,17 @@
     }
   }
 
+  private void receivedForwarded(HttpServerRequest request) {
+    OpenRequest openRequest =
+        new OpenRequest(
+            request,
+            components.clock().instant(),
+            CallerResponse.toInstance(request),
+            forwardedAdmission);
+    openRequest.begin();
+    openRequest.proceed();
+  }
+
   /** Proceeds with the requests that arrived before the instance was ready. */
   public void startWaitingRequests() {
     List<OpenRequest> released = List.copyOf(waitingRequests);
@@ -162,28 +191,37 @@
   private AdmittedRequest admittedRequest(
       HttpServerRequest request,
       RequestHead head,
-      Admission.Admitted admitted,
+      RequestAdmission.Admitted admitted,
       Buffer body,
       Instant arrived) {
     Route route = admitted.route();
-    Duration timeout = Duration.ofMillis(route.timeoutMillis());
-    Duration callerTimeout = head.callerTimeout().orElse(timeout);
-    Duration effectiveTimeout = callerTimeout.compareTo(timeout) < 0 ? callerTimeout : timeout;
     boolean hasBody =
         request.getHeader("Content-Length") != null
             || request.getHeader("Transfer-Encoding") != null;
     return new AdmittedRequest(
         head,
         route,
-        drawService(route),
+        admitted.forwarded().map(ForwardedRequest::service).orElseGet(() -> drawService(route)),
         admitted.workspace(),
         request.method(),
         request.uri(),
-        components.adapter().callers().forwardedHeaders(request),
+        ForwardingProtocol.without(components.adapter().callers().forwardedHeaders(request)),
         body,
         hasBody,
         arrived,
-        arrived.plus(effectiveTimeout));
+        arrived.plus(timeoutOf(head, admitted)),
+        admitted.forwarded());
+  }
+
+  /** Returns the time from the arrival of a request until its final answer is due. */
+  private static Duration timeoutOf(RequestHead head, RequestAdmission.Admitted admitted) {
+    Duration routeTimeout = Duration.ofMillis(admitted.route().timeoutMillis());
+    Duration timeout =
+        admitted
+            .forwarded()
+            .map(forwarded -> Duration.ofMillis(forwarded.remainingMillis()))
+            .orElse(head.callerTimeout().orElse(routeTimeout));
+    return timeout.compareTo(routeTimeout) < 0 ? timeout : routeTimeout;
   }
 
   private String drawService(Route route) {
@@ -203,14 +241,20 @@
     private final HttpServerRequest request;
     private final Instant arrived;
     private final CallerResponse callerResponse;
+    private final RequestAdmission requestAdmission;
     private final Optional<CallerConnection> connection;
     private final Buffer body = Buffer.buffer();
     private long reservedBytes;
 
-    OpenRequest(HttpServerRequest request, Instant arrived) {
+    OpenRequest(
+        HttpServerRequest request,
+        Instant arrived,
+        CallerResponse callerResponse,
+        RequestAdmission requestAdmission) {
       this.request = request;
       this.arrived = arrived;
-      this.callerResponse = new CallerResponse(request);
+      this.callerResponse = callerResponse;
+      this.requestAdmission = requestAdmission;
       this.connection = Optional.ofNullable(connections.get(request.connection()));
     }
 
@@ -247,16 +291,16 @@
     void proceed() {
       String id = "";
       try {
-        RequestHead head = admission.read(request);
+        RequestHead head = requestAdmission.read(request);
         id = head.id();
-        readBody(head, admission.admit(request, head));
+        readBody(head, requestAdmission.admit(request, head));
       } catch (RefusedException e) {
         refuse(e.refusal(), id);
       }
       request.resume();
     }
 
-    private void readBody(RequestHead head, Admission.Admitted admitted) {
+    private void readBody(RequestHead head, RequestAdmission.Admitted admitted) {
       request.handler(data -> addToBody(head, data));
       request.endHandler(
           unused -> {
--- a/org.oatlug/src/org/oatlug/internal/gateway/GatewayTables.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/GatewayTables.java
@@ -5,6 +5,7 @@
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.google.common.flogger.FluentLogger;
+import io.vertx.core.net.SocketAddress;
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
@@ -311,6 +312,19 @@
     return upstreamsOf(service).stream().filter(name -> !isLeaving(name)).toList();
   }
 
+  /** Returns the addresses of the upstreams of a service that are not leaving, by name. */
+  public Map<String, SocketAddress> addressesOf(String service) {
+    Map<String, SocketAddress> addresses = new TreeMap<>();
+    for (String name : remainingUpstreamsOf(service)) {
+      upstream(name)
+          .ifPresent(
+              record ->
+                  addresses.put(
+                      name, SocketAddress.inetSocketAddress(record.port(), record.host())));
+    }
+    return addresses;
+  }
+
   /** Returns the names of all upstreams. */
   public Collection<String> upstreamNames() {
     return upstreams.names();
--- a/org.oatlug/src/org/oatlug/internal/gateway/KeyIndex.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/KeyIndex.java
@@ -38,6 +38,11 @@
     return required;
   }
 
+  /** Returns the workspace of this name, empty if there is none. */
+  Optional<WorkspaceKeys> workspace(String name) {
+    return byKey.values().stream().filter(workspace -> workspace.name().equals(name)).findFirst();
+  }
+
   /** Returns the workspace of the key, empty if the key is unknown. */
   public Optional<WorkspaceKeys> find(String key) {
     return Optional.ofNullable(byKey.get(key));
--- a/org.oatlug/src/org/oatlug/internal/limit/DispatchQueue.java
+++ b/org.oatlug/src/org/oatlug/internal/limit/DispatchQueue.java
@@ -92,9 +92,14 @@
     startNext();
   }
 
+  /** Returns whether the oldest request has waited too long. */
+  public boolean isOverloaded() {
+    return !queue.isEmpty()
+        && Duration.between(queue.peekFirst().queuedAt(), clock.instant()).compareTo(OVERLOAD_WAIT)
+            > 0;
+  }
+
   private T next() {
-    Duration oldest = Duration.between(queue.peekFirst().queuedAt(), clock.instant());
-    boolean overloaded = oldest.compareTo(OVERLOAD_WAIT) > 0;
-    return overloaded ? queue.removeLast().request() : queue.removeFirst().request();
+    return isOverloaded() ? queue.removeLast().request() : queue.removeFirst().request();
   }
 }
--- a/org.oatlug/src/org/oatlug/internal/peer/PeerMessage.java
+++ b/org.oatlug/src/org/oatlug/internal/peer/PeerMessage.java
@@ -42,6 +42,8 @@
   @JsonSubTypes.Type(value = PeerMessage.ZoneAccount.class, name = "zoneAccount"),
   @JsonSubTypes.Type(value = PeerMessage.Crashes.class, name = "crashes"),
   @JsonSubTypes.Type(value = PeerMessage.ReadInstead.class, name = "readInstead"),
+  @JsonSubTypes.Type(value = PeerMessage.PathQuery.class, name = "pathQuery"),
+  @JsonSubTypes.Type(value = PeerMessage.PathAnswer.class, name = "pathAnswer"),
   @JsonSubTypes.Type(value = PeerMessage.Done.class, name = "done"),
   @JsonSubTypes.Type(value = PeerMessage.Failed.class, name = "failed")
 })
@@ -162,6 +164,15 @@
   /** Crashes that a collector pushes to its zone at once. */
   record Crashes(@JsonProperty("news") CrashUpdate changes) implements PeerMessage {}
 
+  /** Asks whether the receiver takes forwarded requests for the service. */
+  record PathQuery(String service) implements PeerMessage {}
+
+  /**
+   * Whether the sender takes forwarded requests for the service, whether it has lately reached it,
+   * and the port for such requests.
+   */
+  record PathAnswer(boolean available, boolean reached, int port) implements PeerMessage {}
+
   /** A message of an unknown type, from a later or an earlier version. */
   record Unknown() implements PeerMessage {}
 
--- a/org.oatlug/src/org/oatlug/internal/peer/PeerProof.java
+++ b/org.oatlug/src/org/oatlug/internal/peer/PeerProof.java
@@ -13,14 +13,15 @@
  * <p>The proof of each side covers both nonces and its own role, so that it cannot be replayed or
  * reflected. Immutable, thread-safe.
  */
-final class PeerProof {
+public final class PeerProof {
   private final byte[] key;
 
   private PeerProof(byte[] key) {
     this.key = key;
   }
 
-  static PeerProof withKey(String key) {
+  /** Returns the proofs of a key. */
+  public static PeerProof withKey(String key) {
     return new PeerProof(key.getBytes(StandardCharsets.UTF_8));
   }
 
@@ -32,7 +33,13 @@
     return mac("acceptor", acceptorNonce, callerNonce, acceptor.toString());
   }
 
-  static boolean matches(String expected, String received) {
+  /** Returns the proof of a request that an instance forwards, over the given parts. */
+  public String ofForwardedRequest(String... parts) {
+    return mac("forward", String.join("\n", parts));
+  }
+
+  /** Compares proofs in constant time. */
+  public static boolean matches(String expected, String received) {
     byte[] expectedBytes = expected.getBytes(StandardCharsets.UTF_8);
     byte[] receivedBytes = received.getBytes(StandardCharsets.UTF_8);
     return MessageDigest.isEqual(expectedBytes, receivedBytes);
