Test forwarded requests under loss, cancellation, forgery and exhausted attempts

The tests found two faults. A request that its receiver failed was not sent again though its route had an attempt left (502 to the caller of a repeatable request, 1 of 2 attempts used): the sender now uses the attempt that it keeps.

Receivers are logged when they change, not at each question.

--- a/org.oatlug.test/tst/org/oatlug/entry/PartitionedFleet.java
+++ b/org.oatlug.test/tst/org/oatlug/entry/PartitionedFleet.java
@@ -8,13 +8,16 @@
 import io.vertx.core.VertxOptions;
 import io.vertx.core.json.JsonObject;
 import java.io.IOException;
+import java.net.Socket;
 import java.net.http.HttpRequest;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
 import org.oatlug.adapter.PlatformAdapter;
@@ -45,7 +48,10 @@
   final StoreStandin store = StoreStandin.create(vertx);
   final Map<String, UpstreamStandin> upstreams = new TreeMap<>();
 
-  /** One instance with its ports, in the order of {@link SampleObjects#settings}. */
+  /**
+   * One instance with its ports, in the order of {@link SampleObjects#settings}, the second for
+   * forwarded requests.
+   */
   private record Instance(
       List<Integer> ports, String zone, PartitionableTransport transport, Vertx vertx) {}
 
@@ -98,7 +104,7 @@
     PartitionableTransport transport = new PartitionableTransport();
     VertxOptions options = new VertxOptions().setEventLoopPoolSize(1);
     List<Integer> ports =
-        List.of(storePort, 0, Ports.free(), Ports.free(), Ports.free(), Ports.free());
+        List.of(storePort, Ports.free(), Ports.free(), Ports.free(), Ports.free(), Ports.free());
     instances.add(
         new Instance(
             ports,
@@ -113,7 +119,9 @@
     JsonObject settings = SampleObjects.settings("entry-" + index, instance.ports(), seeds);
     Path file = Files.createTempFile("oatlug-partitioned", ".json");
     file.toFile().deleteOnExit();
-    Files.writeString(file, settings.put("zone", instance.zone()).encode());
+    settings.put("zone", instance.zone());
+    settings.getJsonObject("peers").put("forwarding", instance.ports().get(1));
+    Files.writeString(file, settings.encode());
     GatewayInstance verticle =
         new GatewayInstance(SettingsFile.readGateway(file), new PlatformAdapter());
     await(instance.vertx().deployVerticle(verticle));
@@ -162,9 +170,28 @@
     return upstreams.values().stream().flatMap(each -> each.arrivals().stream()).toList();
   }
 
-  /** Returns the text of an instance's counters. */
-  String metrics(int index) throws IOException {
-    return Http.get(instances.get(index).ports().get(5), "/metrics").body();
+  /** Returns the arrivals of the request with the id. */
+  List<UpstreamStandin.Arrival> arrivalsOf(String id) {
+    return arrivals().stream()
+        .filter(arrival -> arrival.header("Attempt-Id").equals(Optional.of(id)))
+        .toList();
+  }
+
+  /** Returns the port on which an instance takes forwarded requests. */
+  int forwardingPort(int index) {
+    return instances.get(index).ports().get(1);
+  }
+
+  /** Sends a request over a connection that the test can close at any time. */
+  Socket sendRaw(int index, String path) throws IOException {
+    requestCount++;
+    Socket socket = new Socket(HOST, instances.get(index).ports().get(2));
+    String head =
+        "POST %s%d HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nAuthorization: Bearer %s\r\n"
+            .formatted(path, requestCount, HOST, lastId(), SampleObjects.KEY);
+    String request = head + "Content-Length: 0\r\n\r\n";
+    socket.getOutputStream().write(request.getBytes(StandardCharsets.UTF_8));
+    return socket;
   }
 
   @Override
--- a/org.oatlug.test/tst/org/oatlug/entry/PartitionedInstanceTest.java
+++ b/org.oatlug.test/tst/org/oatlug/entry/PartitionedInstanceTest.java
@@ -7,6 +7,7 @@
 import static org.testng.Assert.assertTrue;
 
 import java.io.IOException;
+import java.net.Socket;
 import java.net.http.HttpRequest;
 import java.util.ArrayList;
 import java.util.List;
@@ -108,6 +109,135 @@
     assertEquals(answer.body(), String.join("", events));
   }
 
+  @Test
+  public void testForwardedRequestReachesUpstreamOnceAndUnchanged() throws Exception {
+    fleet = PartitionedFleet.start(List.of("hall-a", "hall-a"), 2);
+    fleet.partition(0, Partition.RESET);
+    awaitServed(0);
+    Http.Response answer =
+        Http.send(
+            fleet
+                .request(0, SampleObjects.ONCE)
+                .header("Oatlug-Forwarded", "forged")
+                .header("Tenant", "another"));
+    assertEquals(answer.status(), 200);
+    assertTrue(answer.header("Response-Signature").startsWith("signed-by-i-"));
+    assertEquals(answer.header("Oatlug-Outcome"), "");
+    List<UpstreamStandin.Arrival> arrivals = fleet.arrivalsOf(fleet.lastId());
+    assertEquals(arrivals.size(), 1);
+    UpstreamStandin.Arrival arrival = arrivals.get(0);
+    assertEquals(arrival.body(), "a body");
+    assertEquals(arrival.header("Tenant").orElse(""), "desk");
+    assertTrue(Integer.parseInt(arrival.header("Request-Deadline").orElseThrow()) <= 10_000);
+    assertTrue(arrival.headers().keySet().stream().noneMatch(name -> name.startsWith("oatlug")));
+    assertTrue(arrival.header("Authorization").isEmpty());
+  }
+
+  @Test
+  public void testCallerCannotUsePortForForwardedRequests() throws Exception {
+    fleet = PartitionedFleet.start(List.of("hall-a"), 1);
+    Http.Response answer =
+        Http.send(
+            Http.to(fleet.forwardingPort(0), SampleObjects.ONCE + "x")
+                .header("Attempt-Id", "forged")
+                .header("Oatlug-Forwarded", "gA")
+                .header("Oatlug-Proof", "0")
+                .POST(HttpRequest.BodyPublishers.ofString("a body")));
+    assertEquals(answer.status(), 403);
+    assertEquals(fleet.arrivals().size(), 0);
+  }
+
+  @Test
+  public void testServiceThatNobodyReachesIsRefusedAtOnce() throws Exception {
+    fleet = PartitionedFleet.start(List.of("hall-a", "hall-a", "hall-b"), 2);
+    for (int instance = 0; instance < 3; instance++) {
+      fleet.partition(instance, Partition.SILENT);
+    }
+    for (int instance = 0; instance < 3; instance++) {
+      awaitReason(instance, "upstreams-unreachable");
+    }
+    Http.Response refusal = Http.send(fleet.request(0, SampleObjects.ONCE));
+    assertEquals(refusal.status(), 503);
+    assertEquals(refusal.notRun(), "yes");
+    for (int instance = 0; instance < 3; instance++) {
+      fleet.partition(instance, Partition.NONE);
+    }
+    for (int instance = 0; instance < 3; instance++) {
+      awaitServed(instance);
+    }
+  }
+
+  private void awaitReason(int instance, String reason) {
+    Await.until(
+        reason,
+        () -> {
+          Http.Response answer = Http.send(fleet.request(instance, SampleObjects.ONCE));
+          return answer.status() == 503 && answer.reason().equals(reason);
+        });
+  }
+
+  @Test
+  public void testUnrepeatableRequestIsNotRepeatedWhenItsReceiverIsLost() throws Exception {
+    fleet = PartitionedFleet.start(List.of("hall-a", "hall-a", "hall-b"), 1);
+    fleet.partition(0, Partition.RESET);
+    fleet.partition(2, Partition.RESET);
+    awaitServed(0);
+    fleet.upstreams.get("i-1").setBehaviour(UpstreamStandin.Behaviour.HANGS);
+    fleet.partition(2, Partition.NONE);
+    final CompletableFuture<Http.Response> answer =
+        Http.sendAsync(fleet.request(0, SampleObjects.ONCE));
+    final String id = fleet.lastId();
+    Await.until("the request runs", () -> !fleet.arrivalsOf(id).isEmpty());
+    fleet.kill(1);
+    assertEquals(answer.get().status(), 502);
+    assertEquals(answer.get().notRun(), "unknown");
+    assertEquals(fleet.arrivalsOf(id).size(), 1);
+  }
+
+  @Test
+  public void testRepeatableRequestIsRepeatedWhenItsReceiverIsLost() throws Exception {
+    fleet = PartitionedFleet.start(List.of("hall-a", "hall-a", "hall-b"), 1);
+    fleet.partition(0, Partition.RESET);
+    awaitServed(0);
+    fleet.upstreams.get("i-1").setBehaviour(UpstreamStandin.Behaviour.HANGS);
+    final CompletableFuture<Http.Response> answer =
+        Http.sendAsync(fleet.request(0, SampleObjects.REPEATABLE));
+    final String id = fleet.lastId();
+    Await.until("the request runs", () -> !fleet.arrivalsOf(id).isEmpty());
+    fleet.upstreams.get("i-1").setBehaviour(UpstreamStandin.Behaviour.NORMAL);
+    fleet.kill(1);
+    assertEquals(answer.get().status(), 200);
+    assertEquals(fleet.arrivalsOf(id).size(), 2);
+  }
+
+  @Test
+  public void testCallerThatLeavesCancelsForwardedRequestAtUpstream() throws Exception {
+    fleet = PartitionedFleet.start(List.of("hall-a", "hall-a"), 1);
+    fleet.partition(0, Partition.RESET);
+    awaitServed(0);
+    UpstreamStandin upstream = fleet.upstreams.get("i-1");
+    upstream.setBehaviour(UpstreamStandin.Behaviour.HANGS);
+    try (Socket caller = fleet.sendRaw(0, SampleObjects.ONCE)) {
+      Await.until("the request runs", () -> !fleet.arrivalsOf(fleet.lastId()).isEmpty());
+    }
+    Await.until("the request is cancelled", () -> upstream.cancelled() == 1);
+  }
+
+  @Test
+  public void testForwardedRequestUsesNoMoreAttemptsThanItsRoute() throws Exception {
+    fleet = PartitionedFleet.start(List.of("hall-a", "hall-a", "hall-b"), 4);
+    fleet.partition(0, Partition.RESET);
+    awaitServed(0);
+    for (UpstreamStandin upstream : fleet.upstreams.values()) {
+      upstream.setBehaviour(UpstreamStandin.Behaviour.FAILS);
+    }
+    for (int number = 0; number < 20; number++) {
+      Http.send(fleet.request(0, SampleObjects.REPEATABLE));
+      int attempts = fleet.arrivalsOf(fleet.lastId()).size();
+      assertTrue(attempts >= 1 && attempts <= 2, attempts + " attempts of a route with 2");
+    }
+  }
+
   @Test
   public void testInstanceUsesItsOwnPathAgainAfterPartition() throws Exception {
     fleet = PartitionedFleet.start(List.of("hall-a", "hall-a"), 2);
--- a/org.oatlug/src/org/oatlug/internal/forward/Receivers.java
+++ b/org.oatlug/src/org/oatlug/internal/forward/Receivers.java
@@ -45,9 +45,6 @@
   /** The age of the statements from which the instances are asked again. */
   private static final Duration REFRESH_AGE = Duration.ofMillis(400);
 
-  /** The time for which a fruitless round of questions counts for further requests. */
-  private static final Duration NOBODY_VALIDITY = Duration.ofMillis(200);
-
   /** The time for which an instance that did not serve a service gets no more requests for it. */
   private static final Duration UNSERVED_VALIDITY = Duration.ofSeconds(1);
 
@@ -96,6 +93,7 @@
     private final Map<String, Receiver> stated = new HashMap<>();
     private final Map<String, Instant> unservedUntil = new HashMap<>();
     private final List<Pending> pending = new ArrayList<>();
+    private Set<String> logged = Set.of();
     private Instant askedAt = Instant.MIN;
     private int questionsOpen;
   }
@@ -127,9 +125,8 @@
     if (receivers.questionsOpen > 0) {
       return false;
     }
-    Instant now = clock.instant();
-    Duration age = receivers.stated.isEmpty() ? NOBODY_VALIDITY : REFRESH_AGE;
-    return receivers.askedAt.equals(Instant.MIN) || !now.isBefore(receivers.askedAt.plus(age));
+    return receivers.askedAt.equals(Instant.MIN)
+        || !clock.instant().isBefore(receivers.askedAt.plus(REFRESH_AGE));
   }
 
   private void ask(String service, ServiceReceivers receivers) {
@@ -143,9 +140,8 @@
           .with(
               answer -> answered(service, receivers, member, answer),
               failure -> {
-                logger.atFine().log("%s did not say whether it reaches it", member.name());
-                receivers.stated.remove(member.name());
-                questionEnded(receivers);
+                logger.atFine().log("%s does not answer whether it reaches it", member.name());
+                answered(service, receivers, member, new PeerMessage.Failed("no answer"));
               });
     }
   }
@@ -156,10 +152,13 @@
         new ArrayList<>(
             membership.live().stream()
                 .filter(member -> member.state() == Member.State.ALIVE && member.epoch() > 0)
-                .filter(member -> !membership.isSelf(member) && membership.isReachable(member))
+                .filter(member -> !membership.isSelf(member))
                 .toList());
     Collections.shuffle(members, random);
-    members.sort(Comparator.comparing(member -> !receivers.stated.containsKey(member.name())));
+    // One that seems unreachable may just have started.
+    members.sort(
+        Comparator.comparing((Member member) -> !receivers.stated.containsKey(member.name()))
+            .thenComparing(member -> !membership.isReachable(member)));
     Map<String, Integer> countByZone = new HashMap<>();
     return members.stream()
         .filter(member -> countByZone.merge(member.zone(), 1, Integer::sum) <= sampleSize(member))
@@ -184,8 +183,15 @@
     }
     questionEnded(receivers);
     if (receivers.questionsOpen == 0) {
-      logger.atInfo().log(
-          "service %s: forwarding is possible to %s", service, receivers.stated.keySet());
+      logChange(service, receivers);
+    }
+  }
+
+  private static void logChange(String service, ServiceReceivers receivers) {
+    Set<String> names = Set.copyOf(receivers.stated.keySet());
+    if (!names.equals(receivers.logged)) {
+      receivers.logged = names;
+      logger.atInfo().log("service %s: forwarding is possible to %s", service, names);
     }
   }
 
--- a/org.oatlug/src/org/oatlug/internal/gateway/ForwardedAttempt.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/ForwardedAttempt.java
@@ -29,6 +29,8 @@
  * have run. Used from one event loop.
  */
 final class ForwardedAttempt implements Attempt, UpstreamConnection.Listener {
+  private static final int FIRST_SERVER_ERROR = 500;
+
   private final Exchange exchange;
   private final GatewayComponents components;
   private final AdmittedRequest request;
@@ -191,6 +193,9 @@
       return;
     }
     exchange.markMayHaveRun();
+    if (retryAfterFailure(head, outcome.get())) {
+      return;
+    }
     if (!responseRelay.begin(response, connection)) {
       connection.cancel();
       failed(Progress.ANSWERING, "expected an event stream, status=" + head.status());
@@ -205,6 +210,18 @@
         || head.requestId().equals(Optional.of(request.head().id()));
   }
 
+  /** Uses an attempt that the receiver did not have after it failed; returns whether it did. */
+  private boolean retryAfterFailure(ResponseHead head, ForwardingOutcome outcome) {
+    boolean failed = !outcome.notRun() && head.status() >= FIRST_SERVER_ERROR;
+    if (!failed || !route.isRepeatable() || !exchange.tryAcquireRetry("instance-status")) {
+      return false;
+    }
+    abandon();
+    logEvent("failed status=" + head.status());
+    exchange.sendToNextUpstream();
+    return true;
+  }
+
   private void handleRefusal(ForwardingOutcome outcome) {
     abandon();
     logEvent("refused by instance reason=" + outcome.refusal().orElseThrow().text());
