Give each instance only its share of the places of brittle upstreams

Upstreams may say in all responses that they are brittle: they fall over once they have to reject more than N requests within a second. Nothing read that. Cause: a rejection is known only after the send, and all instances see the same free places, so a burst at all of them is rejected by the dozen.

The statement is kept by process and told with the reports between instances, like an advertised rate. While it holds, an instance has open at the upstream no more than its share of the requests that it runs at the same time, so nothing depends on how many it lets wait. All live instances share, a few by rank where there are fewer places than instances; one without any share of a service forwards to one that has. A request without a free place waits for a fifth of its latency goal, then it is refused as upstreams-brittle, not run. After a rejection this instance leaves the upstream alone for a second.

--- a/org.oatlug.entry/src/org/oatlug/entry/GatewayInstance.java
+++ b/org.oatlug.entry/src/org/oatlug/entry/GatewayInstance.java
@@ -252,7 +252,7 @@
     boolean available =
         isReady()
             && forwardingPort.isPresent()
-            && !components.paths().isLost(service)
+            && components.canSendTo(service)
             && !tables.upstreamsOf(service).isEmpty();
     return new PeerMessage.PathAnswer(
         available, components.paths().hasLatelyReached(service), forwardingPort.orElse(0));
--- a/org.oatlug.test/tst/org/oatlug/entry/PartitionedFleet.java
+++ b/org.oatlug.test/tst/org/oatlug/entry/GatewayFleet.java
@@ -35,7 +35,7 @@
  * Runs a store, upstreams and entry instances in this process; each instance can be partitioned
  * from the upstreams. Used from one thread; {@link #close} stops everything that was started.
  */
-final class PartitionedFleet implements AutoCloseable {
+final class GatewayFleet implements AutoCloseable {
   private static final String HOST = "127.0.0.1";
   private static final int TIMEOUT_MILLIS = 10_000;
   private static final int PAUSE_GOAL_MILLIS = 400;
@@ -55,12 +55,12 @@
   private record Instance(
       List<Integer> ports, String zone, PartitionableTransport transport, Vertx vertx) {}
 
-  private PartitionedFleet() {}
+  private GatewayFleet() {}
 
   /** Starts one instance in each of the given zones, and upstreams i-1, i-2, ... of zone hall-a. */
-  static PartitionedFleet start(List<String> zones, int upstreamCount)
+  static GatewayFleet start(List<String> zones, int upstreamCount)
       throws IOException, SettingsInvalidException {
-    PartitionedFleet fleet = new PartitionedFleet();
+    GatewayFleet fleet = new GatewayFleet();
     await(fleet.store.listen(HOST, fleet.storePort));
     fleet.store.put("config", "main", configuration());
     for (int number = 1; number <= upstreamCount; number++) {
--- a/org.oatlug.test/tst/org/oatlug/entry/PartitionedInstanceTest.java
+++ b/org.oatlug.test/tst/org/oatlug/entry/PartitionedInstanceTest.java
@@ -31,7 +31,7 @@
   private static final int EVENTS = 40;
   private static final int EVENT_PAUSE_MILLIS = 25;
 
-  private PartitionedFleet fleet;
+  private GatewayFleet fleet;
 
   @AfterMethod(alwaysRun = true)
   void stop() {
@@ -70,7 +70,7 @@
 
   @Test(dataProvider = "partitions")
   public void testInstanceWithoutUpstreamsServesItsCallers(Partition partition) throws Exception {
-    fleet = PartitionedFleet.start(List.of("hall-a", "hall-a", "hall-b"), 3);
+    fleet = GatewayFleet.start(List.of("hall-a", "hall-a", "hall-b"), 3);
     fleet.partition(0, partition);
     awaitServed(0);
     int failed = failedRequests(0);
@@ -79,7 +79,7 @@
 
   @Test(dataProvider = "partitions")
   public void testZoneWithoutUpstreamsServesItsCallers(Partition partition) throws Exception {
-    fleet = PartitionedFleet.start(List.of("hall-a", "hall-a", "hall-b"), 3);
+    fleet = GatewayFleet.start(List.of("hall-a", "hall-a", "hall-b"), 3);
     fleet.partition(0, partition);
     fleet.partition(1, partition);
     awaitServed(0);
@@ -91,7 +91,7 @@
   @Test(dataProvider = "partitions")
   public void testStreamOfInstanceThatLosesUpstreamsContinues(Partition partition)
       throws Exception {
-    fleet = PartitionedFleet.start(List.of("hall-a", "hall-a"), 2);
+    fleet = GatewayFleet.start(List.of("hall-a", "hall-a"), 2);
     for (UpstreamStandin upstream : fleet.upstreams.values()) {
       upstream.setStream(EVENTS, EVENT_PAUSE_MILLIS, 0);
     }
@@ -111,7 +111,7 @@
 
   @Test
   public void testForwardedRequestReachesUpstreamOnceAndUnchanged() throws Exception {
-    fleet = PartitionedFleet.start(List.of("hall-a", "hall-a"), 2);
+    fleet = GatewayFleet.start(List.of("hall-a", "hall-a"), 2);
     fleet.partition(0, Partition.RESET);
     awaitServed(0);
     Http.Response answer =
@@ -135,7 +135,7 @@
 
   @Test
   public void testCallerCannotUsePortForForwardedRequests() throws Exception {
-    fleet = PartitionedFleet.start(List.of("hall-a"), 1);
+    fleet = GatewayFleet.start(List.of("hall-a"), 1);
     Http.Response answer =
         Http.send(
             Http.to(fleet.forwardingPort(0), SampleObjects.ONCE + "x")
@@ -149,7 +149,7 @@
 
   @Test
   public void testServiceThatNobodyReachesIsRefusedAtOnce() throws Exception {
-    fleet = PartitionedFleet.start(List.of("hall-a", "hall-a", "hall-b"), 2);
+    fleet = GatewayFleet.start(List.of("hall-a", "hall-a", "hall-b"), 2);
     for (int instance = 0; instance < 3; instance++) {
       fleet.partition(instance, Partition.SILENT);
     }
@@ -178,7 +178,7 @@
 
   @Test
   public void testUnrepeatableRequestIsNotRepeatedWhenItsReceiverIsLost() throws Exception {
-    fleet = PartitionedFleet.start(List.of("hall-a", "hall-a", "hall-b"), 1);
+    fleet = GatewayFleet.start(List.of("hall-a", "hall-a", "hall-b"), 1);
     fleet.partition(0, Partition.RESET);
     fleet.partition(2, Partition.RESET);
     awaitServed(0);
@@ -196,7 +196,7 @@
 
   @Test
   public void testRepeatableRequestIsRepeatedWhenItsReceiverIsLost() throws Exception {
-    fleet = PartitionedFleet.start(List.of("hall-a", "hall-a", "hall-b"), 1);
+    fleet = GatewayFleet.start(List.of("hall-a", "hall-a", "hall-b"), 1);
     fleet.partition(0, Partition.RESET);
     awaitServed(0);
     fleet.upstreams.get("i-1").setBehaviour(UpstreamStandin.Behaviour.HANGS);
@@ -212,7 +212,7 @@
 
   @Test
   public void testCallerThatLeavesCancelsForwardedRequestAtUpstream() throws Exception {
-    fleet = PartitionedFleet.start(List.of("hall-a", "hall-a"), 1);
+    fleet = GatewayFleet.start(List.of("hall-a", "hall-a"), 1);
     fleet.partition(0, Partition.RESET);
     awaitServed(0);
     UpstreamStandin upstream = fleet.upstreams.get("i-1");
@@ -225,7 +225,7 @@
 
   @Test
   public void testForwardedRequestUsesNoMoreAttemptsThanItsRoute() throws Exception {
-    fleet = PartitionedFleet.start(List.of("hall-a", "hall-a", "hall-b"), 4);
+    fleet = GatewayFleet.start(List.of("hall-a", "hall-a", "hall-b"), 4);
     fleet.partition(0, Partition.RESET);
     awaitServed(0);
     for (UpstreamStandin upstream : fleet.upstreams.values()) {
@@ -240,7 +240,7 @@
 
   @Test
   public void testInstanceUsesItsOwnPathAgainAfterPartition() throws Exception {
-    fleet = PartitionedFleet.start(List.of("hall-a", "hall-a"), 2);
+    fleet = GatewayFleet.start(List.of("hall-a", "hall-a"), 2);
     fleet.partition(0, Partition.SILENT);
     awaitServed(0);
     fleet.partition(0, Partition.NONE);
--- a/org.oatlug.test/tst/org/oatlug/internal/gateway/GatewayDecisionTest.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/gateway/GatewayDecisionTest.java
@@ -38,6 +38,7 @@
 import org.oatlug.internal.engine.PrefillEstimates;
 import org.oatlug.internal.engine.PrefillTimeModel;
 import org.oatlug.internal.limit.AdvertisedLimits;
+import org.oatlug.internal.limit.BrittleShares;
 import org.oatlug.internal.limit.RateSenders;
 import org.oatlug.internal.limit.SenderSelection;
 import org.oatlug.internal.routing.ZoneReachability;
@@ -145,7 +146,9 @@
             5,
             Duration.ofSeconds(2),
             Duration.ofSeconds(2));
-    return UpstreamRateLimits.create(tables, bounds, limits, senders);
+    BrittleShares shares =
+        BrittleShares.create(AdvertisedLimits.ofRejections(clock), senders.ofBrittle());
+    return UpstreamRateLimits.create(tables, bounds, limits, shares, senders);
   }
 
   /**
@@ -160,7 +163,8 @@
     AdvertisedLimits limits = AdvertisedLimits.create(clock);
     limits.advertised(tables.row("i-1").process(), 1);
     RateSenders notAmongSenders =
-        new RateSenders(SenderSelection.ALONE, (upstream, zone, maximum, rotation) -> 0);
+        new RateSenders(
+            SenderSelection.ALONE, (upstream, zone, maximum, rotation) -> 0, SenderSelection.ALONE);
     UpstreamEligibility eligibility =
         UpstreamEligibility.of(tables, rateLimits(limits, notAmongSenders));
     for (int connection = 0; connection < 100; connection++) {
--- a/org.oatlug.test/tst/org/oatlug/internal/gather/ReportAggregatorTest.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/gather/ReportAggregatorTest.java
@@ -33,7 +33,8 @@
     VersionEvidence evidence =
         new VersionEvidence(
             "pool", "v2", StoreRevision.ofNumber(orderedAt), pairs, 2 * worse, false, 0, 1);
-    return new StateReport(Map.of("i-1", openMillis), List.of(evidence), Map.of(), Map.of());
+    return new StateReport(
+        Map.of("i-1", openMillis), List.of(evidence), Map.of(), Map.of(), Map.of());
   }
 
   /** A report of a process, with a number of worse pairs that grows with each state. */
--- a/org.oatlug.test/tst/org/oatlug/internal/gather/StateExchangeFleet.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/gather/StateExchangeFleet.java
@@ -121,7 +121,8 @@
           new VersionEvidence(
               SERVICE, VERSION, StoreRevision.ofNumber(1), pairs, worse, refuted, 0, 1);
       List<VersionEvidence> entries = worse > 0 || refuted ? List.of(evidence) : List.of();
-      return new StateReport(Map.copyOf(openMillis), entries, Map.of(), limits.observed());
+      return new StateReport(
+          Map.copyOf(openMillis), entries, Map.of(), limits.observed(), Map.of());
     }
 
     @Override
--- a/org.oatlug.test/tst/org/oatlug/internal/gather/StateExchangeTest.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/gather/StateExchangeTest.java
@@ -209,11 +209,11 @@
             false,
             0,
             1);
-    return new StateReport(Map.of(), List.of(evidence), Map.of(), Map.of());
+    return new StateReport(Map.of(), List.of(evidence), Map.of(), Map.of(), Map.of());
   }
 
   private static StateReport reportOf(AdvertisedLimit limit) {
-    return new StateReport(Map.of(), List.of(), Map.of(), Map.of("i-1@1", limit));
+    return new StateReport(Map.of(), List.of(), Map.of(), Map.of("i-1@1", limit), Map.of());
   }
 
   @DataProvider
@@ -222,10 +222,10 @@
     return new Object[][] {
       {evidence(-1)},
       {evidence(Long.MAX_VALUE)},
-      {new StateReport(Map.of("i-1", -5), List.of(), Map.of(), Map.of())},
-      {new StateReport(Map.of("i-1", Integer.MAX_VALUE), List.of(), Map.of(), Map.of())},
-      {new StateReport(Map.of(), List.of(), Map.of("large", invalidSpeed), Map.of())},
-      {new StateReport(null, List.of(), Map.of(), Map.of())},
+      {new StateReport(Map.of("i-1", -5), List.of(), Map.of(), Map.of(), Map.of())},
+      {new StateReport(Map.of("i-1", Integer.MAX_VALUE), List.of(), Map.of(), Map.of(), Map.of())},
+      {new StateReport(Map.of(), List.of(), Map.of("large", invalidSpeed), Map.of(), Map.of())},
+      {new StateReport(null, List.of(), Map.of(), Map.of(), Map.of())},
       {reportOf(new AdvertisedLimit(Double.NaN, 0))},
       {reportOf(new AdvertisedLimit(-2, 0))},
       {reportOf(new AdvertisedLimit(1, -1))},
--- a/org.oatlug.test/tst/org/oatlug/test/RolloutFleet.java
+++ b/org.oatlug.test/tst/org/oatlug/test/RolloutFleet.java
@@ -216,7 +216,7 @@
 
     @Override
     public StateReport localReport() {
-      return new StateReport(Map.of(), director.evidence(), Map.of(), Map.of());
+      return new StateReport(Map.of(), director.evidence(), Map.of(), Map.of(), Map.of());
     }
 
     @Override
--- a/org.oatlug/src/org/oatlug/errors/ErrorText.java
+++ b/org.oatlug/src/org/oatlug/errors/ErrorText.java
@@ -46,6 +46,7 @@
   public String upstreamsCold;
   public String upstreamsRest;
   public String upstreamsLimited;
+  public String upstreamsBrittle;
   public String upstreamsUnreachable;
   public String crashesUpstreams;
   public String upstreamRefused;
--- a/org.oatlug/src/org/oatlug/gateway/ResponseHead.java
+++ b/org.oatlug/src/org/oatlug/gateway/ResponseHead.java
@@ -25,6 +25,8 @@
  *     requested
  * @param limitPerSecond the limit of requests per second that the upstream accepts from all
  *     instances together; empty if it advertises none
+ * @param bearableRejections the requests per second, of all instances together, that the upstream
+ *     can reject for want of room without failing; empty if it is not brittle
  */
 public record ResponseHead(
     int status,
@@ -36,7 +38,8 @@
     Optional<String> answeredBy,
     boolean leaving,
     Optional<Duration> backOff,
-    OptionalDouble limitPerSecond) {
+    OptionalDouble limitPerSecond,
+    OptionalDouble bearableRejections) {
 
   /** Statement of an upstream about the execution of a request. */
   public enum Verdict {
--- a/org.oatlug/src/org/oatlug/internal/gateway/AttemptFeedback.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/AttemptFeedback.java
@@ -22,6 +22,9 @@
 final class AttemptFeedback {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
+  /** The back-off from a brittle upstream that rejected a request: it counts those of a second. */
+  private static final Duration BRITTLE_BACK_OFF = Duration.ofSeconds(1);
+
   private final GatewayComponents components;
   private final AdmittedRequest request;
   private final UpstreamSelection.CostedUpstream chosen;
@@ -123,9 +126,22 @@
                   .ifPresentOrElse(
                       limit -> recordLimit(row, limit),
                       () -> writtenAt.ifPresent(at -> recordNoLimit(row, at)));
+              head.bearableRejections()
+                  .ifPresentOrElse(
+                      limit -> recordBrittle(row, limit),
+                      () -> writtenAt.ifPresent(at -> recordNotBrittle(row, at)));
             });
   }
 
+  private void recordBrittle(UpstreamRow row, double rejectionsPerSecond) {
+    components.meters().count("upstream.brittle");
+    components.brittle().advertised(row.process(), rejectionsPerSecond);
+  }
+
+  private void recordNotBrittle(UpstreamRow row, Instant requestWritten) {
+    components.brittle().notAdvertised(row.process(), requestWritten);
+  }
+
   private void recordLimit(UpstreamRow row, double requestsPerSecond) {
     components.meters().count("upstream.limit-advertised");
     components.limits().advertised(row.process(), requestsPerSecond);
@@ -187,6 +203,10 @@
   /** Records that the upstream refused the request because of its load. */
   void recordRefusal() {
     chosen.row().recordRefusal(now());
+    if (components.brittle().limitOf(process).isPresent()) {
+      components.meters().count("upstream.brittle-rejected");
+      chosen.row().extendBackOff(now().plus(BRITTLE_BACK_OFF));
+    }
   }
 
   /** Records that the connection to the upstream has opened. */
--- a/org.oatlug/src/org/oatlug/internal/gateway/Exchange.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/Exchange.java
@@ -42,6 +42,11 @@
   /** The number of attempts without any written byte after which the request is refused. */
   private static final int MAXIMUM_UNSENT_ATTEMPTS = 4;
 
+  /** The part of the latency goal for which a request waits for a place at a brittle upstream. */
+  private static final double MAXIMUM_WAIT_SHARE = 0.2;
+
+  private static final long PLACE_POLL_MILLIS = 20;
+
   private static final long NO_TIMER = -1;
 
   private final GatewayComponents components;
@@ -191,7 +196,7 @@
     if (refuseIfCrashing()) {
       return;
     }
-    if (!components.paths().isLost(request.service())) {
+    if (components.canSendTo(request.service())) {
       sendToUpstream();
     } else if (request.forwarded().isEmpty()) {
       components
@@ -235,7 +240,13 @@
     Optional<UpstreamSelection.CostedUpstream> untested =
         choose(model())
             .filter(chosen -> !components.paths().hasFailed(request.service(), chosen.name()));
-    untested.ifPresentOrElse(this::startAttempt, this::giveUpUnreachable);
+    if (untested.isPresent()) {
+      startAttempt(untested.get());
+    } else if (components.paths().isLost(request.service())) {
+      giveUpUnreachable();
+    } else {
+      giveUpWithoutUpstream();
+    }
   }
 
   private void giveUpUnreachable() {
@@ -254,9 +265,25 @@
 
   private void giveUpWithoutUpstream() {
     Refusal refusal = refusals.withoutUpstream(request.service());
+    if (refusal.reason() == RefusalReason.UPSTREAMS_BRITTLE && mayWait()) {
+      components.vertx().setTimer(PLACE_POLL_MILLIS, unused -> sendAfterWait());
+      return;
+    }
     giveUp(refusal.reason(), refusal.detail(), refusal.retryAfter().orElseThrow());
   }
 
+  /** Returns whether the wait for a place is short compared to the time of a useful answer. */
+  private boolean mayWait() {
+    Duration maximum = Duration.ofMillis((long) (route.goalMillis() * MAXIMUM_WAIT_SHARE));
+    return elapsed().compareTo(maximum) < 0 && hasTimeForAttempt();
+  }
+
+  private void sendAfterWait() {
+    if (!callerResponse.isEnded()) {
+      sendToNextUpstream();
+    }
+  }
+
   private void startAttempt(UpstreamSelection.CostedUpstream chosen) {
     versionPreference.ifPresent(
         preference -> logVersionChoice(preference, chosen.upstream().version()));
--- a/org.oatlug/src/org/oatlug/internal/gateway/GatewayComponents.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/GatewayComponents.java
@@ -15,6 +15,7 @@
 import org.oatlug.internal.engine.PrefillEstimates;
 import org.oatlug.internal.forward.ServicePaths;
 import org.oatlug.internal.limit.AdvertisedLimits;
+import org.oatlug.internal.limit.BrittleShares;
 import org.oatlug.internal.limit.DispatchQueue;
 import org.oatlug.internal.limit.RateSenders;
 import org.oatlug.internal.metrics.Meters;
@@ -36,6 +37,7 @@
  * @param paths whether this instance reaches the upstreams of each service
  * @param forwarding forwards requests to instances that reach a service
  * @param limits the rate limits that upstreams advertise
+ * @param brittle the rejections per second that brittle upstreams bear
  * @param rates limits the rate of all instances together to cold or rate-limited upstreams
  * @param crashes isolates requests that are suspected of crashing upstreams
  * @param selection chooses upstreams
@@ -63,6 +65,7 @@
     ServicePaths paths,
     PeerForwarding forwarding,
     AdvertisedLimits limits,
+    AdvertisedLimits brittle,
     UpstreamRateLimits rates,
     CrashGuard crashes,
     UpstreamSelection selection,
@@ -82,6 +85,11 @@
     deadlines.rescheduleAll();
   }
 
+  /** Returns whether this instance may send requests to an upstream of the service. */
+  public boolean canSendTo(String service) {
+    return !paths.isLost(service) && !rates.lacksShareOf(service);
+  }
+
   /** Returns the ledger of requests that crashed upstreams, as seen by all instances. */
   public CrashLedger crashLedger() {
     return crashes.ledger();
@@ -109,8 +117,14 @@
     PrefillBacklog prefillBacklog = PrefillBacklog.create();
     ZoneReachability zones = ZoneReachability.create();
     AdvertisedLimits limits = AdvertisedLimits.create(clock);
+    AdvertisedLimits brittle = AdvertisedLimits.ofRejections(clock);
     UpstreamRateLimits rates =
-        UpstreamRateLimits.create(tables, settings.bounds(), limits, senders);
+        UpstreamRateLimits.create(
+            tables,
+            settings.bounds(),
+            limits,
+            BrittleShares.create(brittle, senders.ofBrittle()),
+            senders);
     CrashGuard crashes = CrashGuard.create(vertx, clock, meters);
     return new GatewayComponents(
         vertx,
@@ -125,6 +139,7 @@
         ServicePaths.create(clock, meters, tables::remainingUpstreamsOf),
         forwarding,
         limits,
+        brittle,
         rates,
         crashes,
         UpstreamSelection.create(
--- a/org.oatlug/src/org/oatlug/internal/gateway/GatewayParticipant.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/GatewayParticipant.java
@@ -50,7 +50,8 @@
         components.prefillBacklog().own(),
         rollouts.evidence(),
         prefillModels,
-        components.limits().observed());
+        components.limits().observed(),
+        components.brittle().observed());
   }
 
   @Override
@@ -74,6 +75,7 @@
     remote.speeds().forEach(components.prefillEstimates()::applyReported);
     remote.evidence().forEach(rollouts::applyReported);
     components.limits().applyReported(remote.limits());
+    components.brittle().applyReported(remote.brittle());
   }
 
   @Override
--- a/org.oatlug/src/org/oatlug/internal/gateway/ServiceRefusals.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/ServiceRefusals.java
@@ -26,6 +26,7 @@
     String pattern =
         switch (reason) {
           case ZONES_EMPTIED -> ErrorText.get().zonesEmptied;
+          case UPSTREAMS_BRITTLE -> ErrorText.get().upstreamsBrittle;
           case UPSTREAMS_COLD -> ErrorText.get().upstreamsCold;
           case UPSTREAMS_REST -> ErrorText.get().upstreamsRest;
           case UPSTREAMS_LIMITED -> ErrorText.get().upstreamsLimited;
--- a/org.oatlug/src/org/oatlug/internal/gateway/UpstreamEligibility.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/UpstreamEligibility.java
@@ -28,10 +28,11 @@
   private static final Optional<Exclusion> COLD = Optional.of(Exclusion.COLD);
   private static final Optional<Exclusion> LIMITED = Optional.of(Exclusion.LIMITED);
   private static final Optional<Exclusion> FULL = Optional.of(Exclusion.FULL);
+  private static final Optional<Exclusion> BRITTLE = Optional.of(Exclusion.BRITTLE);
 
   /** Reasons that don't apply to a selected request: it has reserved its connection and permits. */
   private static final Set<Exclusion> RESERVED_BY_REQUEST =
-      Sets.immutableEnumSet(Exclusion.FULL, Exclusion.COLD, Exclusion.LIMITED);
+      Sets.immutableEnumSet(Exclusion.FULL, Exclusion.BRITTLE, Exclusion.COLD, Exclusion.LIMITED);
 
   private final GatewayTables tables;
   private final UpstreamRateLimits rates;
@@ -56,6 +57,8 @@
     RESTS("the upstream asked to back off", "upstream-rests"),
     /** All its connections are in use. */
     FULL("all connections of the upstream are in use", "upstream-full"),
+    /** It is brittle, and this instance has no place left there. */
+    BRITTLE("the instance's places at the brittle upstream are in use", "upstream-brittle"),
     /** It is in its cold start and the cold-start rate limit is exhausted. */
     COLD("the cold-start rate limit of the upstream is exhausted", "upstream-cold"),
     /** The rate limit that it advertises is exhausted for this instance. */
@@ -118,6 +121,9 @@
     if (row.expectedLoad() >= connectionLimit) {
       return FULL;
     }
+    if (!rates.brittleShareAllows(upstream, row)) {
+      return BRITTLE;
+    }
     if (!rates.coldLimitAllows(upstream, row, now)) {
       return COLD;
     }
@@ -141,6 +147,9 @@
     if (reasons.contains(Exclusion.COLD)) {
       return RefusalReason.UPSTREAMS_COLD;
     }
+    if (reasons.contains(Exclusion.BRITTLE)) {
+      return RefusalReason.UPSTREAMS_BRITTLE;
+    }
     if (reasons.contains(Exclusion.RESTS)) {
       return RefusalReason.UPSTREAMS_REST;
     }
--- a/org.oatlug/src/org/oatlug/internal/gateway/UpstreamRateLimits.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/UpstreamRateLimits.java
@@ -7,10 +7,12 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalInt;
 import org.oatlug.gateway.GatewaySettings;
 import org.oatlug.gateway.ServiceDefinition;
 import org.oatlug.gateway.UpstreamRecord;
 import org.oatlug.internal.limit.AdvertisedLimits;
+import org.oatlug.internal.limit.BrittleShares;
 import org.oatlug.internal.limit.RateSenders;
 import org.oatlug.internal.limit.SharedRateLimit;
 import org.oatlug.internal.limit.SharedRateLimit.Permit;
@@ -18,8 +20,8 @@
 import org.oatlug.internal.table.UpstreamRow;
 
 /**
- * Enforces the rate limits of an upstream, which all instances share: the limit during a cold start
- * and the limit that the upstream advertises.
+ * Enforces the rate limits of an upstream, which all instances share: the limit during a cold
+ * start, the limit that the upstream advertises, and the places of a brittle upstream.
  *
  * <p>Invariant: an upstream is never limited if its service configures no cold-start limit and the
  * upstream advertises none. Owned by one event loop, not thread-safe.
@@ -28,6 +30,7 @@
   private final GatewayTables tables;
   private final GatewaySettings.Bounds bounds;
   private final AdvertisedLimits advertisedLimits;
+  private final BrittleShares brittleShares;
   private final SharedRateLimit coldLimit;
   private final SharedRateLimit advertisedLimit;
 
@@ -35,10 +38,12 @@
       GatewayTables tables,
       GatewaySettings.Bounds bounds,
       AdvertisedLimits advertisedLimits,
+      BrittleShares brittleShares,
       RateSenders senders) {
     this.tables = tables;
     this.bounds = bounds;
     this.advertisedLimits = advertisedLimits;
+    this.brittleShares = brittleShares;
     this.coldLimit = SharedRateLimit.create(senders.ofCold());
     this.advertisedLimit = SharedRateLimit.create(senders.ofLimited());
   }
@@ -48,8 +53,9 @@
       GatewayTables tables,
       GatewaySettings.Bounds bounds,
       AdvertisedLimits advertisedLimits,
+      BrittleShares brittleShares,
       RateSenders senders) {
-    return new UpstreamRateLimits(tables, bounds, advertisedLimits, senders);
+    return new UpstreamRateLimits(tables, bounds, advertisedLimits, brittleShares, senders);
   }
 
   /** Returns whether the upstream is warm or its cold-start limit admits a request. */
@@ -64,6 +70,30 @@
         .orElse(true);
   }
 
+  /** Returns whether the upstream is not brittle or this instance has a place left there. */
+  boolean brittleShareAllows(UpstreamRecord upstream, UpstreamRow row) {
+    OptionalInt share = brittleShareOf(upstream, row);
+    return share.isEmpty() || row.inFlight() < share.getAsInt();
+  }
+
+  private OptionalInt brittleShareOf(UpstreamRecord upstream, UpstreamRow row) {
+    return brittleShares.shareOf(row.process(), upstream.zone(), upstream.slots());
+  }
+
+  /** Returns whether this instance has no place at any upstream of the service, all brittle. */
+  boolean lacksShareOf(String service) {
+    List<String> upstreams = tables.remainingUpstreamsOf(service);
+    return !upstreams.isEmpty() && upstreams.stream().allMatch(this::lacksShare);
+  }
+
+  private boolean lacksShare(String name) {
+    return tables
+        .upstream(name)
+        .map(upstream -> brittleShareOf(upstream, tables.row(name)))
+        .map(share -> share.isPresent() && share.getAsInt() == 0)
+        .orElse(false);
+  }
+
   /** Holds the rate limit permits of one request at one upstream. Used from one event loop. */
   final class Reservation {
     private final String name;
--- a/org.oatlug/src/org/oatlug/internal/gather/StateReport.java
+++ b/org.oatlug/src/org/oatlug/internal/gather/StateReport.java
@@ -24,14 +24,17 @@
  * @param speeds the prefill time models of engines by model; a measurement of any instance is valid
  *     for all
  * @param limits the rate limits that upstreams advertise, by upstream process
+ * @param brittle the rejections per second that brittle upstreams bear, by upstream process
  */
 public record StateReport(
     Map<String, Integer> openMillis,
     List<VersionEvidence> evidence,
     Map<String, PrefillTimeModel> speeds,
-    Map<String, AdvertisedLimit> limits) {
+    Map<String, AdvertisedLimit> limits,
+    Map<String, AdvertisedLimit> brittle) {
   /** An empty report. */
-  public static final StateReport EMPTY = new StateReport(Map.of(), List.of(), Map.of(), Map.of());
+  public static final StateReport EMPTY =
+      new StateReport(Map.of(), List.of(), Map.of(), Map.of(), Map.of());
 
   /** The maximum prefill time pending at an upstream, in milliseconds; no queue is that long. */
   private static final int MAXIMUM_OPEN_MILLIS = 10_000_000;
@@ -42,6 +45,7 @@
   /** Replaces missing limits, as sent by an instance of an earlier version, by an empty map. */
   public StateReport {
     limits = limits == null ? Map.of() : limits;
+    brittle = brittle == null ? Map.of() : brittle;
   }
 
   /** Returns the aggregate of reports of different instances. */
@@ -50,15 +54,19 @@
     Map<String, PrefillTimeModel> models = new TreeMap<>();
     Map<String, VersionEvidence> byService = new TreeMap<>();
     Map<String, AdvertisedLimit> newestLimits = new TreeMap<>();
+    Map<String, AdvertisedLimit> newestBrittle = new TreeMap<>();
     for (StateReport report : reports) {
       report.openMillis.forEach((upstream, millis) -> open.merge(upstream, millis, Integer::sum));
       report.speeds.forEach(models::putIfAbsent);
       report.limits.forEach(
           (name, limit) -> newestLimits.merge(name, limit, AdvertisedLimit::newer));
+      report.brittle.forEach(
+          (name, limit) -> newestBrittle.merge(name, limit, AdvertisedLimit::newer));
       report.evidence.forEach(
           entry -> byService.merge(entry.service(), entry, StateReport::sumOrLatest));
     }
-    return new StateReport(open, List.copyOf(byService.values()), models, newestLimits);
+    return new StateReport(
+        open, List.copyOf(byService.values()), models, newestLimits, newestBrittle);
   }
 
   /**
@@ -86,19 +94,20 @@
     }
     Map<String, PrefillTimeModel> models = new TreeMap<>(earlier.speeds);
     models.putAll(speeds);
-    return new StateReport(openMillis, joined, models, limits);
+    return new StateReport(openMillis, joined, models, limits, brittle);
   }
 
   /** Returns this report with all ages increased by the elapsed time. */
   StateReport aged(Duration elapsed) {
-    if (evidence.isEmpty() && limits.isEmpty()) {
+    if (evidence.isEmpty() && limits.isEmpty() && brittle.isEmpty()) {
       return this;
     }
     return new StateReport(
         openMillis,
         evidence.stream().map(entry -> entry.after(elapsed)).toList(),
         speeds,
-        Maps.transformValues(limits, limit -> limit.aged(elapsed)));
+        Maps.transformValues(limits, limit -> limit.aged(elapsed)),
+        Maps.transformValues(brittle, limit -> limit.aged(elapsed)));
   }
 
   /** Returns whether the reports are equal apart from ages. */
@@ -106,6 +115,7 @@
     return openMillis.equals(other.openMillis)
         && speeds.equals(other.speeds)
         && withoutAge(limits).equals(withoutAge(other.limits))
+        && withoutAge(brittle).equals(withoutAge(other.brittle))
         && withoutAge(evidence).equals(withoutAge(other.evidence));
   }
 
@@ -119,7 +129,7 @@
 
   /** Returns this report without the pending prompts. */
   StateReport withoutPendingPrompts() {
-    return new StateReport(Map.of(), evidence, speeds, limits);
+    return new StateReport(Map.of(), evidence, speeds, limits, brittle);
   }
 
   /** Returns the number of compared pairs in which the new version was worse. */
@@ -142,7 +152,8 @@
     if (openMillis == null || evidence == null || speeds == null) {
       return Optional.of("a field of the report is missing");
     }
-    int entries = openMillis.size() + evidence.size() + speeds.size() + limits.size();
+    int entries =
+        openMillis.size() + evidence.size() + speeds.size() + limits.size() + brittle.size();
     if (entries > MAXIMUM_ENTRIES) {
       return Optional.of("the report has " + entries + " entries");
     }
@@ -152,7 +163,7 @@
     if (!speeds.values().stream().allMatch(StateReport::isValidSpeed)) {
       return Optional.of("a prefill speed is missing, negative or not finite");
     }
-    if (!limits.values().stream().allMatch(limit -> limit != null && limit.isSound())) {
+    if (!areValid(limits) || !areValid(brittle)) {
       return Optional.of("a rate limit is missing or invalid");
     }
     return evidence.stream().flatMap(entry -> problemOf(entry).stream()).findFirst();
@@ -164,6 +175,10 @@
         : evidence.problem();
   }
 
+  private static boolean areValid(Map<String, AdvertisedLimit> limits) {
+    return limits.values().stream().allMatch(limit -> limit != null && limit.isSound());
+  }
+
   private static boolean isValidOpenMillis(Integer millis) {
     return millis != null && millis >= 0 && millis <= MAXIMUM_OPEN_MILLIS;
   }
--- a/org.oatlug/src/org/oatlug/internal/limit/AdvertisedLimits.java
+++ b/org.oatlug/src/org/oatlug/internal/limit/AdvertisedLimits.java
@@ -43,6 +43,7 @@
   private static final int LOG_PERIOD_MILLIS = 20;
 
   private final InstantSource clock;
+  private final String counted;
   private final Map<String, Observation> validObservations =
       BoundedMap.withMaximumSize(MAXIMUM_UPSTREAMS);
   private final Map<String, Observation> ownObservations =
@@ -82,13 +83,19 @@
     }
   }
 
-  private AdvertisedLimits(InstantSource clock) {
+  private AdvertisedLimits(InstantSource clock, String counted) {
     this.clock = clock;
+    this.counted = counted;
   }
 
-  /** Returns an empty collection of limits. */
+  /** Returns an empty collection of limits of the requests that upstreams accept. */
   public static AdvertisedLimits create(InstantSource clock) {
-    return new AdvertisedLimits(clock);
+    return new AdvertisedLimits(clock, "requests");
+  }
+
+  /** Returns an empty collection of limits of the rejections that brittle upstreams bear. */
+  public static AdvertisedLimits ofRejections(InstantSource clock) {
+    return new AdvertisedLimits(clock, "rejections");
   }
 
   /** Returns the requests a second that the upstream accepts, empty if it advertises no limit. */
@@ -148,9 +155,10 @@
         previous == null ? !updated.isLimit() : previous.limit() == updated.limit();
     if (!isUnchanged) {
       logger.atInfo().atMostEvery(LOG_PERIOD_MILLIS, TimeUnit.MILLISECONDS).log(
-          "upstream %s accepts %s, age %d ms, from %s",
+          "upstream %s accepts %s %s, age %d ms, from %s",
           upstream,
-          updated.isLimit() ? updated.limit() + " requests a second" : "any rate",
+          updated.isLimit() ? updated.limit() + " a second of" : "any number of",
+          counted,
           Duration.between(updated.at(), clock.instant()).toMillis(),
           source);
     }
--- a/org.oatlug/src/org/oatlug/internal/limit/RankedSenders.java
+++ b/org.oatlug/src/org/oatlug/internal/limit/RankedSenders.java
@@ -75,6 +75,7 @@
   private final Map<String, LastSeen> roster = BoundedMap.withMaximumSize(MAXIMUM_REMEMBERED);
   private final Map<String, Integer> ranks = BoundedMap.withMaximumSize(MAXIMUM_RANKS);
   private final Map<String, Integer> liveRanks = BoundedMap.withMaximumSize(MAXIMUM_RANKS);
+  private final Map<String, Integer> brittleRanks = BoundedMap.withMaximumSize(MAXIMUM_RANKS);
   private final Map<String, Zone> zones = new HashMap<>();
 
   /**
@@ -154,6 +155,7 @@
     if (!names.equals(liveNames)) {
       liveNames = names;
       liveRanks.clear();
+      brittleRanks.clear();
     }
     zones.clear();
     roster.values().stream()
@@ -179,9 +181,9 @@
     return new Zone(names, 2 * liveInZone.size() > names.size(), liveInZone, counted);
   }
 
-  /** Returns the senders of cold and of limited upstreams. */
+  /** Returns the senders of cold, of limited and of brittle upstreams. */
   public RateSenders senders() {
-    return new RateSenders(ofColdUpstreams(), ofLimitedUpstreams());
+    return new RateSenders(ofColdUpstreams(), ofLimitedUpstreams(), ofBrittleUpstreams());
   }
 
   /** Returns the senders of cold upstreams, whose limit lasts a few seconds. */
@@ -208,6 +210,23 @@
     };
   }
 
+  /**
+   * Returns the senders of brittle upstreams: the live instances of all zones, so that the loss of
+   * a zone's upstreams leaves its instances others; in a partition with a minority of the
+   * instances, those of the upstream's zone.
+   */
+  SenderSelection ofBrittleUpstreams() {
+    return (upstream, zone, maximum, rotation) -> {
+      Zone senders =
+          allZones.hasMajority() ? allZones : limitedSenders(zones.getOrDefault(zone, Zone.EMPTY));
+      if (!isSettled() || senders.live().isEmpty()) {
+        return 0;
+      }
+      int rank = brittleRanks.computeIfAbsent(upstream, name -> rank(name, senders.live()));
+      return senderCount(rank, maximum, rotation, senders.live().size());
+    };
+  }
+
   /**
    * Returns the instances that send to limited upstreams of a zone; none if instances outside this
    * partition may send. Of two equal halves of a zone, the half that sees the majority of all
--- a/org.oatlug/src/org/oatlug/internal/limit/RateSenders.java
+++ b/org.oatlug/src/org/oatlug/internal/limit/RateSenders.java
@@ -9,10 +9,12 @@
  *
  * @param ofCold the senders to upstreams that have just started
  * @param ofLimited the senders to upstreams that advertise a limit
+ * @param ofBrittle the senders to upstreams that are brittle
  */
-public record RateSenders(SenderSelection ofCold, SenderSelection ofLimited) {
+public record RateSenders(
+    SenderSelection ofCold, SenderSelection ofLimited, SenderSelection ofBrittle) {
   /** Returns the senders of a single instance. */
   public static RateSenders alone() {
-    return new RateSenders(SenderSelection.ALONE, SenderSelection.ALONE);
+    return new RateSenders(SenderSelection.ALONE, SenderSelection.ALONE, SenderSelection.ALONE);
   }
 }
