--- a/org.oatlug.test/tst/org/oatlug/entry/GatewayFleet.java
+++ b/org.oatlug.test/tst/org/oatlug/entry/GatewayFleet.java
@@ -38,7 +38,6 @@
 final class GatewayFleet implements AutoCloseable {
   private static final String HOST = "127.0.0.1";
   private static final int TIMEOUT_MILLIS = 10_000;
-  private static final int PAUSE_GOAL_MILLIS = 400;
 
   private final Vertx vertx = Vertx.vertx();
   private final int storePort = Ports.free();
@@ -81,7 +80,6 @@
     JsonObject configuration = SampleObjects.configuration(1);
     for (Object route : configuration.getJsonArray("routes")) {
       ((JsonObject) route).put("timeout-ms", TIMEOUT_MILLIS);
-      ((JsonObject) route).put("gap-aim-ms", PAUSE_GOAL_MILLIS);
     }
     return configuration;
   }
--- a/org.oatlug.test/tst/org/oatlug/entry/PartitionedInstanceTest.java
+++ b/org.oatlug.test/tst/org/oatlug/entry/PartitionedInstanceTest.java
@@ -30,6 +30,7 @@
 
   private static final int EVENTS = 40;
   private static final int EVENT_PAUSE_MILLIS = 25;
+  private static final int UPSTREAM_PAUSE_MILLIS = 1000;
 
   private GatewayFleet fleet;
 
@@ -133,6 +134,18 @@
     assertTrue(arrival.header("Authorization").isEmpty());
   }
 
+  @Test
+  public void testPauseOfSoundUpstreamBreaksOffNoForwardedStream() throws Exception {
+    fleet = GatewayFleet.start(List.of("hall-a", "hall-a"), 2);
+    fleet.partition(0, Partition.RESET);
+    awaitServed(0);
+    for (UpstreamStandin upstream : fleet.upstreams.values()) {
+      upstream.setStream(4, UPSTREAM_PAUSE_MILLIS, 0);
+    }
+    assertEquals(Http.send(fleet.streamRequest(0)).status(), 200);
+    assertEquals(fleet.arrivalsOf(fleet.lastId()).size(), 1);
+  }
+
   @Test
   public void testCallerCannotUsePortForForwardedRequests() throws Exception {
     fleet = GatewayFleet.start(List.of("hall-a"), 1);
