Take refused connections for a crash only if another upstream accepts one

Callers of an instance that was partitioned several times by resets got 503 crashes-upstreams at every instance for requests that crash nothing: an interrupted response and a refused connection counted as a crash of the upstream, and three of them convict the request. Cause, of the same class as the refusals of partitioned instances: what this instance cannot reach was taken for dead. The probe relied on a partition that answers nothing, but one may refuse connections.

A refused connection now counts only if one of up to three reference upstreams accepts one then: of the same service, or of others if none of it is known to run.

PartitionedInstanceTest.testPartitionIsNoEvidenceThatRequestCrashesUpstreams failed before (verdict REFUSED after three partitions) and passes; CrashingRequestProcessTest and the ledger's tests still find crashing requests.

--- a/org.oatlug.test/tst/org/oatlug/entry/GatewayFleet.java
+++ b/org.oatlug.test/tst/org/oatlug/entry/GatewayFleet.java
@@ -142,8 +142,13 @@
 
   /** Returns a request to an instance with the headers that every caller sends and a unique id. */
   HttpRequest.Builder request(int index, String path) {
+    return repeatedRequest(index, path + (requestCount + 1));
+  }
+
+  /** Returns a request that differs from others for the same path in its id only. */
+  HttpRequest.Builder repeatedRequest(int index, String path) {
     requestCount++;
-    return Http.to(instances.get(index).ports().get(2), path + requestCount)
+    return Http.to(instances.get(index).ports().get(2), path)
         .header("Attempt-Id", "request-" + requestCount)
         .header("Request-Deadline", "10000")
         .header("Authorization", "Bearer " + SampleObjects.KEY)
@@ -175,6 +180,11 @@
         .toList();
   }
 
+  /** Returns the text of an instance's counters. */
+  String metrics(int index) throws IOException {
+    return Http.get(instances.get(index).ports().get(5), "/metrics").body();
+  }
+
   /** Returns the port on which an instance takes forwarded requests. */
   int forwardingPort(int index) {
     return instances.get(index).ports().get(1);
--- a/org.oatlug.test/tst/org/oatlug/entry/PartitionedInstanceTest.java
+++ b/org.oatlug.test/tst/org/oatlug/entry/PartitionedInstanceTest.java
@@ -4,6 +4,7 @@
 package org.oatlug.entry;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 import java.io.IOException;
@@ -146,6 +147,30 @@
     assertEquals(fleet.arrivalsOf(fleet.lastId()).size(), 1);
   }
 
+  @Test
+  public void testPartitionIsNoEvidenceThatRequestCrashesUpstreams() throws Exception {
+    fleet = GatewayFleet.start(List.of("hall-a"), 6);
+    String path = SampleObjects.REPEATABLE + "same";
+    for (int round = 0; round < 5; round++) {
+      setBehaviour(UpstreamStandin.Behaviour.HANGS);
+      final int before = fleet.arrivals().size();
+      final CompletableFuture<Http.Response> answer =
+          Http.sendAsync(fleet.repeatedRequest(0, path));
+      Await.until("the request runs", () -> fleet.arrivals().size() > before);
+      fleet.partition(0, Partition.RESET);
+      answer.get();
+      setBehaviour(UpstreamStandin.Behaviour.NORMAL);
+      fleet.partition(0, Partition.NONE);
+      awaitServed(0);
+    }
+    assertEquals(Http.send(fleet.repeatedRequest(0, path)).status(), 200);
+    assertFalse(fleet.metrics(0).contains("crash_upstream_ended"));
+  }
+
+  private void setBehaviour(UpstreamStandin.Behaviour behaviour) {
+    fleet.upstreams.values().forEach(upstream -> upstream.setBehaviour(behaviour));
+  }
+
   @Test
   public void testCallerCannotUsePortForForwardedRequests() throws Exception {
     fleet = GatewayFleet.start(List.of("hall-a"), 1);
--- a/org.oatlug/src/org/oatlug/internal/gateway/CrashGuard.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/CrashGuard.java
@@ -48,9 +48,12 @@
     this.meters = meters;
   }
 
-  /** Returns a guard that has recorded no crashes yet. */
-  static CrashGuard create(Vertx vertx, InstantSource clock, Meters meters) {
-    return new CrashGuard(CrashLedger.create(clock), CrashProbe.create(vertx), clock, meters);
+  /** Returns a guard that has recorded no crashes yet, of requests to upstreams in the tables. */
+  static CrashGuard create(Vertx vertx, InstantSource clock, Meters meters, GatewayTables tables) {
+    CrashReferences references = new CrashReferences(tables);
+    CrashProbe probe = CrashProbe.create(vertx, references::of);
+    references.exclude(probe::hasCrashed);
+    return new CrashGuard(CrashLedger.create(clock), probe, clock, meters);
   }
 
   /** Returns the ledger of crashes that this instance and its peers have recorded. */
--- a/org.oatlug/src/org/oatlug/internal/gateway/CrashProbe.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/CrashProbe.java
@@ -4,16 +4,19 @@
 package org.oatlug.internal.gateway;
 
 import io.netty.channel.ConnectTimeoutException;
+import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.net.NetClient;
 import io.vertx.core.net.NetClientOptions;
 import io.vertx.core.net.NetSocket;
+import io.vertx.core.net.SocketAddress;
 import java.net.ConnectException;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Function;
 import org.oatlug.gateway.UpstreamRecord;
 import org.oatlug.internal.util.BoundedMap;
 
@@ -22,9 +25,10 @@
  *
  * <p>A lost or truncated response looks the same whether the process crashed or the network failed.
  * So the probe opens a connection to the address: it is refused at once if no process listens any
- * more, and accepted by a live process. A process that is cut off by the network does neither and
- * counts as alive. Invariants: at most one probe connection per upstream process is being opened;
- * each action runs at most once. Used from one event loop.
+ * more, and accepted by a live process. A network partition may refuse connections, too, so a
+ * refused one counts only if a reference, another upstream, accepts one then. Invariants: at most
+ * one probe of an upstream process is under way; each action runs at most once. Used from one event
+ * loop.
  */
 final class CrashProbe {
   /** Connect timeout in milliseconds: many round trips between availability zones. */
@@ -34,18 +38,32 @@
   private static final int MAXIMUM_CRASHED = 256;
 
   private final Vertx vertx;
+  private final Function<UpstreamRecord, List<SocketAddress>> referencesOf;
   private final Map<String, List<Runnable>> pendingActions = new HashMap<>();
   private final Map<String, Boolean> crashed = BoundedMap.withMaximumSize(MAXIMUM_CRASHED);
 
   private Optional<NetClient> client = Optional.empty();
 
-  private CrashProbe(Vertx vertx) {
+  private CrashProbe(Vertx vertx, Function<UpstreamRecord, List<SocketAddress>> referencesOf) {
     this.vertx = vertx;
+    this.referencesOf = referencesOf;
   }
 
-  /** Returns a probe that has recorded no crashes yet. */
-  static CrashProbe create(Vertx vertx) {
-    return new CrashProbe(vertx);
+  /**
+   * Returns a probe that has recorded no crashes yet.
+   *
+   * @param referencesOf returns the addresses of other upstreams that should accept connections
+   *     unless this instance is partitioned; empty if there are none, and a refused connection then
+   *     counts by itself
+   */
+  static CrashProbe create(
+      Vertx vertx, Function<UpstreamRecord, List<SocketAddress>> referencesOf) {
+    return new CrashProbe(vertx, referencesOf);
+  }
+
+  /** Returns whether the process is known to have crashed. */
+  boolean hasCrashed(String process) {
+    return crashed.containsKey(process);
   }
 
   /** Returns the client, created on first use, because most instances never need it. */
@@ -72,7 +90,8 @@
     client()
         .connect(upstream.port(), upstream.host())
         .onComplete(
-            socket -> connected(process, socket), failure -> connectFailed(process, failure));
+            socket -> connected(process, socket),
+            failure -> connectFailed(process, upstream, failure));
   }
 
   private void connected(String process, NetSocket socket) {
@@ -80,12 +99,26 @@
     pendingActions.remove(process);
   }
 
-  private void connectFailed(String process, Throwable failure) {
-    List<Runnable> actions = pendingActions.remove(process);
-    if (isRefused(failure)) {
-      crashed.put(process, Boolean.TRUE);
-      actions.forEach(Runnable::run);
+  private void connectFailed(String process, UpstreamRecord upstream, Throwable failure) {
+    if (!isRefused(failure)) {
+      pendingActions.remove(process);
+      return;
     }
+    List<SocketAddress> references = referencesOf.apply(upstream);
+    if (references.isEmpty()) {
+      confirm(process);
+      return;
+    }
+    List<Future<NetSocket>> connections =
+        references.stream().map(reference -> client().connect(reference)).toList();
+    connections.forEach(connection -> connection.onSuccess(NetSocket::close));
+    Future.any(connections)
+        .onComplete(unused -> confirm(process), noneAccepts -> pendingActions.remove(process));
+  }
+
+  private void confirm(String process) {
+    crashed.put(process, Boolean.TRUE);
+    pendingActions.remove(process).forEach(Runnable::run);
   }
 
   private static boolean isRefused(Throwable failure) {
--- a/org.oatlug/src/org/oatlug/internal/gateway/GatewayComponents.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/GatewayComponents.java
@@ -125,7 +125,7 @@
             limits,
             BrittleShares.create(brittle, senders.ofBrittle()),
             senders);
-    CrashGuard crashes = CrashGuard.create(vertx, clock, meters);
+    CrashGuard crashes = CrashGuard.create(vertx, clock, meters, tables);
     return new GatewayComponents(
         vertx,
         settings,
