Let a rare request wait for new statements of who reaches a service

Cause: the statements were too old to be used, but still ended the wait for new ones as soon as any instance answered. A waiting request now ends its wait only with a receiver that it can use, or when all have answered.

--- a/org.oatlug.test/tst/org/oatlug/internal/forward/ReceiverFleet.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/forward/ReceiverFleet.java
@@ -26,11 +26,12 @@
 final class ReceiverFleet {
   static final String SERVICE = "pool";
   private static final List<String> ZONES = List.of("hall-a", "hall-b", "hall-c");
-  private static final Duration REQUEST_INTERVAL = Duration.ofMillis(50);
+  private static final Duration USUAL_INTERVAL = Duration.ofMillis(50);
   private static final int MAXIMUM_DELAY_MILLIS = 6;
   private static final int MAXIMUM_REQUEST_MILLIS = 1000;
 
   private final Random random;
+  private final Duration requestInterval;
   private final VirtualTime time = new VirtualTime();
   private final Map<String, Instance> instances = new TreeMap<>();
   private final Set<String> lost = new HashSet<>();
@@ -39,8 +40,9 @@
   final Map<String, Integer> questionsByInstance = new TreeMap<>();
   int withoutReceiver;
 
-  private ReceiverFleet(long seed) {
+  private ReceiverFleet(long seed, Duration requestInterval) {
     random = new Random(seed);
+    this.requestInterval = requestInterval;
   }
 
   /** One instance, whose callers send requests at a constant rate. */
@@ -83,7 +85,7 @@
             Set.of(),
             receiver -> receiver.ifPresentOrElse(this::forward, () -> withoutReceiver++));
       }
-      time.after(REQUEST_INTERVAL, this::sendRequests);
+      time.after(requestInterval, this::sendRequests);
     }
 
     private void forward(Receiver receiver) {
@@ -104,7 +106,12 @@
 
   /** Returns instances in three zones, all of which reach the service. */
   static ReceiverFleet create(int size, long seed) {
-    ReceiverFleet fleet = new ReceiverFleet(seed);
+    return create(size, seed, USUAL_INTERVAL);
+  }
+
+  /** Returns the same with this time between two requests at each instance. */
+  static ReceiverFleet create(int size, long seed, Duration requestInterval) {
+    ReceiverFleet fleet = new ReceiverFleet(seed, requestInterval);
     for (int number = 0; number < size; number++) {
       String name = "entry-" + number;
       Member member =
@@ -122,7 +129,7 @@
     for (Instance instance : fleet.instances.values()) {
       fleet.instances.values().forEach(peer -> instance.membership.merge(peer.membership.self()));
       fleet.time.after(
-          Duration.ofMillis(fleet.random.nextInt((int) REQUEST_INTERVAL.toMillis())),
+          Duration.ofMillis(fleet.random.nextInt((int) requestInterval.toMillis())),
           instance::sendRequests);
     }
     return fleet;
--- a/org.oatlug.test/tst/org/oatlug/internal/forward/ReceiversTest.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/forward/ReceiversTest.java
@@ -16,6 +16,9 @@
   private static final Duration NOTICE = Duration.ofSeconds(1);
   private static final Duration MEASURED = Duration.ofSeconds(10);
 
+  /** A time between requests after which no statement is valid. */
+  private static final Duration RARE = Duration.ofMillis(1700);
+
   /** A receiver may get three times the mean, as each sender knows only a sample. */
   private static final int MAXIMUM_OVER_MEAN = 3;
 
@@ -49,6 +52,14 @@
         (name, count) -> assertTrue(count <= maximumQuestions, name + " is asked " + count));
   }
 
+  @Test(dataProvider = "sizes")
+  public void testRareRequestWaitsForNewStatements(int size, long seed) {
+    ReceiverFleet fleet = ReceiverFleet.create(size, seed, RARE);
+    fleet.loseService("hall-a", fleet.sizeOf("hall-a") / 2);
+    fleet.run(MEASURED.multipliedBy(10));
+    assertEquals(fleet.withoutReceiver, 0);
+  }
+
   @Test(dataProvider = "sizes")
   public void testHalfZoneForwardsWithinItsZone(int size, long seed) {
     ReceiverFleet fleet = ReceiverFleet.create(size, seed);
--- a/org.oatlug/src/org/oatlug/internal/forward/Receivers.java
+++ b/org.oatlug/src/org/oatlug/internal/forward/Receivers.java
@@ -196,17 +196,22 @@
   }
 
   /**
-   * Completes the requests that wait once one instance reaches the service or all have answered.
+   * Completes the requests for which there is an instance that has reached the service, or all once
+   * everyone has answered.
    */
   private void questionEnded(ServiceReceivers receivers) {
     receivers.questionsOpen--;
-    boolean anyReached = receivers.stated.values().stream().anyMatch(Receiver::reached);
-    if (receivers.questionsOpen > 0 && !anyReached) {
-      return;
-    }
-    List<Pending> completed = List.copyOf(receivers.pending);
+    boolean allAnswered = receivers.questionsOpen == 0;
+    List<Pending> waiting = List.copyOf(receivers.pending);
     receivers.pending.clear();
-    completed.forEach(each -> each.result().accept(best(receivers, each.excluded())));
+    for (Pending request : waiting) {
+      Optional<Receiver> receiver = best(receivers, request.excluded());
+      if (allAnswered || receiver.filter(Receiver::reached).isPresent()) {
+        request.result().accept(receiver);
+      } else {
+        receivers.pending.add(request);
+      }
+    }
   }
 
   /**
