--- a/org.oatlug/src/org/oatlug/internal/gateway/Exchange.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/Exchange.java
@@ -7,8 +7,6 @@
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.LinkedHashSet;
-import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
@@ -53,20 +51,16 @@
   private final CallerResponse callerResponse;
   private final AdmittedRequest request;
   private final Route route;
-  private final Set<String> triedUpstreams = new HashSet<>();
-  private final Set<String> sentUpstreams = new LinkedHashSet<>();
   private final Set<String> triedInstances = new HashSet<>();
   private final ServiceRefusals refusals;
   private final StreamRelay relay;
   private final CrashGuard.RequestGuard requestGuard;
+  private final UpstreamChoice upstreams;
   private long deadlineTimer = NO_TIMER;
   private int attemptsSent;
   private int attemptsNotSent;
   private int stage;
   private boolean mayHaveRun;
-  private Optional<String> lastFailedVersion = Optional.empty();
-  private Optional<VersionRule.VersionPreference> versionPreference = Optional.empty();
-  private Optional<VersionDecisionInputs> firstInputs = Optional.empty();
   private Attempt currentAttempt;
 
   /** The number of attempts that the current one may use; a receiver may use several. */
@@ -81,6 +75,7 @@
     this.refusals = new ServiceRefusals(components);
     this.relay = StreamRelay.after(request.resumeAfter());
     this.requestGuard = components.crashes().guard(request);
+    this.upstreams = UpstreamChoice.of(components, request, requestGuard);
   }
 
   /** Starts handling a request. */
@@ -99,16 +94,10 @@
     if (request.forwarded().isEmpty()) {
       components.budgets().of(request.service()).recordTry();
     }
-    request.forwarded().ifPresent(this::continueForwarded);
     stage = firstStage();
     components.dispatchQueue().enqueue(this);
   }
 
-  private void continueForwarded(ForwardedRequest forwarded) {
-    triedUpstreams.addAll(forwarded.triedUpstreams());
-    lastFailedVersion = forwarded.failedVersion();
-  }
-
   private int firstStage() {
     if (!route.isCascade()) {
       return 0;
@@ -229,8 +218,8 @@
         Math.max(1, remainingTime().toMillis()),
         // One attempt is kept for the case that the receiver is lost.
         Math.max(1, attemptsLeft - 1),
-        List.copyOf(sentUpstreams),
-        lastFailedVersion,
+        upstreams.sentUpstreams(),
+        upstreams.lastFailedVersion(),
         attemptsSent > 0 && route.isCascade() ? OptionalInt.of(stage) : OptionalInt.empty(),
         relay.lastEventId());
   }
@@ -238,7 +227,8 @@
   /** Sends the request to an upstream whose last connection has not failed, or refuses it. */
   private void sendToUntestedUpstream() {
     Optional<UpstreamSelection.CostedUpstream> untested =
-        choose(model())
+        upstreams
+            .next(model())
             .filter(chosen -> !components.paths().hasFailed(request.service(), chosen.name()));
     if (untested.isPresent()) {
       startAttempt(untested.get());
@@ -255,7 +245,7 @@
   }
 
   private void sendToUpstream() {
-    Optional<UpstreamSelection.CostedUpstream> chosen = choose(model());
+    Optional<UpstreamSelection.CostedUpstream> chosen = upstreams.next(model());
     if (chosen.isEmpty()) {
       giveUpWithoutUpstream();
       return;
@@ -285,62 +275,11 @@
   }
 
   private void startAttempt(UpstreamSelection.CostedUpstream chosen) {
-    versionPreference.ifPresent(
-        preference -> logVersionChoice(preference, chosen.upstream().version()));
+    upstreams.logVersion(chosen.upstream().version(), this::log);
     currentAttempt = new ExchangeAttempt(this, chosen, model());
     currentAttempt.send();
   }
 
-  /** Logs why the request is sent to this version during a roll-out. */
-  private void logVersionChoice(VersionRule.VersionPreference preference, String version) {
-    boolean satisfied = preference.isSatisfiedBy(version);
-    if (!satisfied) {
-      components.meters().count("version.wish-not-met");
-    }
-    preference
-        .basis()
-        .ifPresent(
-            inputs ->
-                log()
-                    .log(
-                        "version %s %s wanted=%b met=%b failed=%s",
-                        version,
-                        inputs,
-                        preference.wanted(),
-                        satisfied,
-                        lastFailedVersion.orElse("-")));
-  }
-
-  private Optional<UpstreamSelection.CostedUpstream> choose(Optional<String> model) {
-    VersionRule.PriorAttempts priorAttempts =
-        new VersionRule.PriorAttempts(lastFailedVersion, firstInputs);
-    versionPreference =
-        components.versions().preferenceFor(request.service(), request.head(), priorAttempts);
-    firstInputs =
-        firstInputs.or(() -> versionPreference.flatMap(VersionRule.VersionPreference::basis));
-    Optional<UpstreamSelection.CostedUpstream> untried = chooseExcluding(model, triedUpstreams);
-    boolean triedBefore = currentAttempt != null || request.forwarded().isPresent();
-    if (untried.isPresent() || !triedBefore || !route.isRepeatable()) {
-      return untried;
-    }
-    Set<String> last = currentAttempt == null ? Set.of() : Set.of(currentAttempt.targetName());
-    return chooseExcluding(model, last);
-  }
-
-  private Optional<UpstreamSelection.CostedUpstream> chooseExcluding(
-      Optional<String> model, Set<String> excluded) {
-    UpstreamSelection.Criteria criteria =
-        new UpstreamSelection.Criteria(
-            request.service(),
-            versionPreference,
-            model,
-            request.head().generation(),
-            request.body().length(),
-            Set.copyOf(excluded),
-            requestGuard.isSuspect());
-    return components.selection().choose(criteria, components.clock().instant());
-  }
-
   /**
    * Returns the generation parameters of the request, or {@link Generation#UNKNOWN} if it has none.
    */
@@ -361,8 +300,7 @@
   void recordAttempt(String upstream) {
     attemptsOfCurrent = 1;
     attemptsSent++;
-    triedUpstreams.add(upstream);
-    sentUpstreams.add(upstream);
+    upstreams.recordSent(upstream);
   }
 
   /** Records that the request is being sent to an instance, which may use so many attempts. */
@@ -384,7 +322,7 @@
 
   /** Records the version on which the request failed last. */
   void recordFailedVersion(String version) {
-    lastFailedVersion = Optional.of(version);
+    upstreams.recordFailedVersion(version);
   }
 
   /**
@@ -394,7 +332,7 @@
    */
   void retryUnsent(String cause) {
     attemptsSent -= attemptsOfCurrent;
-    sentUpstreams.remove(currentAttempt.targetName());
+    upstreams.recordNotSent(currentAttempt.targetName());
     attemptsNotSent++;
     components.meters().count(cause);
     if (attemptsNotSent < MAXIMUM_UNSENT_ATTEMPTS
@@ -417,7 +355,7 @@
   Optional<Replacement> replacementFor(int confidence) {
     Map<String, Optional<UpstreamSelection.CostedUpstream>> choices = new HashMap<>();
     Function<String, Optional<UpstreamSelection.CostedUpstream>> upstreamOf =
-        name -> choices.computeIfAbsent(name, modelName -> choose(Optional.of(modelName)));
+        name -> choices.computeIfAbsent(name, modelName -> upstreams.next(Optional.of(modelName)));
     StageRule.LowConfidenceResponse lowConfidenceResponse =
         new StageRule.LowConfidenceResponse(
             route,
