Keep to the receivers of before while answers of other instances are lost

Cause: an instance that did not answer the question counted as one that does not reach the service, though the hop opens a connection of its own. Now only a negative answer removes a receiver; without a valid statement one of up to 5 s is used, and a receiver that does not serve is skipped as before.

ReceiversTest.testLostAnswersLeaveTheReceiversOfBefore failed in 6 of 6 cases before, none after.

--- a/org.oatlug.test/tst/org/oatlug/internal/forward/ReceiverFleet.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/forward/ReceiverFleet.java
@@ -36,6 +36,7 @@
   private final Map<String, Instance> instances = new TreeMap<>();
   private final Set<String> lost = new HashSet<>();
   private final Set<String> stopped = new HashSet<>();
+  private boolean answersLost;
   final Map<String, Integer> requestsByReceiver = new TreeMap<>();
   final Map<String, Integer> questionsByInstance = new TreeMap<>();
   int withoutReceiver;
@@ -67,7 +68,7 @@
           .emitter(
               emitter -> {
                 time.after(timeout, () -> emitter.fail(new PeerUnavailableException(peer.name())));
-                if (!stopped.contains(peer.name())) {
+                if (!stopped.contains(peer.name()) && !answersLost) {
                   time.after(
                       delay().plus(delay()),
                       () ->
@@ -149,6 +150,11 @@
     stopped.add(name);
   }
 
+  /** Sets whether questions get no answers, as on silent connections, though all instances run. */
+  void loseAnswers(boolean lose) {
+    answersLost = lose;
+  }
+
   /** Returns the number of instances of a zone. */
   int sizeOf(String zone) {
     return (int) instances.keySet().stream().filter(name -> zoneOf(name).equals(zone)).count();
--- a/org.oatlug.test/tst/org/oatlug/internal/forward/ReceiversTest.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/forward/ReceiversTest.java
@@ -14,6 +14,10 @@
 /** Tests to which instances those without a path to a service forward, at several sizes. */
 public class ReceiversTest {
   private static final Duration NOTICE = Duration.ofSeconds(1);
+
+  /** The time in which silent connections between instances are replaced. */
+  private static final Duration SILENT_CONNECTIONS = Duration.ofSeconds(2);
+
   private static final Duration MEASURED = Duration.ofSeconds(10);
 
   /** A time between requests after which no statement is valid. */
@@ -60,6 +64,16 @@
     assertEquals(fleet.withoutReceiver, 0);
   }
 
+  @Test(dataProvider = "sizes")
+  public void testLostAnswersLeaveTheReceiversOfBefore(int size, long seed) {
+    ReceiverFleet fleet = ReceiverFleet.create(size, seed);
+    fleet.loseService("hall-a", fleet.sizeOf("hall-a"));
+    fleet.run(NOTICE);
+    fleet.loseAnswers(true);
+    fleet.run(SILENT_CONNECTIONS);
+    assertEquals(fleet.withoutReceiver, 0);
+  }
+
   @Test(dataProvider = "sizes")
   public void testHalfZoneForwardsWithinItsZone(int size, long seed) {
     ReceiverFleet fleet = ReceiverFleet.create(size, seed);
--- a/org.oatlug/src/org/oatlug/internal/forward/Receivers.java
+++ b/org.oatlug/src/org/oatlug/internal/forward/Receivers.java
@@ -33,8 +33,9 @@
  * partitioned, each of its instances asks a different sample, which spreads the requests. No
  * instance states anything on its own, so nothing is sent while no service is lost.
  *
- * <p>Invariants: a statement is used for at most {@link #VALIDITY}; each call of {@link #choose}
- * gets exactly one result. Owned by one event loop, not thread-safe.
+ * <p>Invariants: a statement older than {@link #VALIDITY} is used only if no instance has made a
+ * later one; each call of {@link #choose} gets exactly one result. Owned by one event loop, not
+ * thread-safe.
  */
 public final class Receivers {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
@@ -42,6 +43,12 @@
   /** The time for which a statement of an instance is used. */
   private static final Duration VALIDITY = Duration.ofSeconds(1);
 
+  /**
+   * The time for which a statement is used if there is none that is valid: the connections by which
+   * instances ask may have gone silent, while new ones work.
+   */
+  private static final Duration SILENT_VALIDITY = Duration.ofSeconds(5);
+
   /** The age of the statements from which the instances are asked again. */
   private static final Duration REFRESH_AGE = Duration.ofMillis(400);
 
@@ -113,8 +120,9 @@
     if (isDue(receivers)) {
       ask(service, receivers);
     }
-    Optional<Receiver> known = best(receivers, excluded);
-    if (known.isEmpty() && receivers.questionsOpen > 0) {
+    boolean asking = receivers.questionsOpen > 0;
+    Optional<Receiver> known = best(receivers, excluded, asking ? VALIDITY : SILENT_VALIDITY);
+    if (known.isEmpty() && asking) {
       receivers.pending.add(new Pending(excluded, result));
     } else {
       result.accept(known);
@@ -141,7 +149,7 @@
               answer -> answered(service, receivers, member, answer),
               failure -> {
                 logger.atFine().log("%s does not answer whether it reaches it", member.name());
-                answered(service, receivers, member, new PeerMessage.Failed("no answer"));
+                questionEnded(receivers);
               });
     }
   }
@@ -205,7 +213,8 @@
     List<Pending> waiting = List.copyOf(receivers.pending);
     receivers.pending.clear();
     for (Pending request : waiting) {
-      Optional<Receiver> receiver = best(receivers, request.excluded());
+      Optional<Receiver> receiver =
+          best(receivers, request.excluded(), allAnswered ? SILENT_VALIDITY : VALIDITY);
       if (allAnswered || receiver.filter(Receiver::reached).isPresent()) {
         request.result().accept(receiver);
       } else {
@@ -217,13 +226,14 @@
   /**
    * Returns the best receiver: one that reached the service, of the own zone, with few requests.
    */
-  private Optional<Receiver> best(ServiceReceivers receivers, Set<String> excluded) {
+  private Optional<Receiver> best(
+      ServiceReceivers receivers, Set<String> excluded, Duration validity) {
     Instant now = clock.instant();
     List<Receiver> usable =
         new ArrayList<>(
             receivers.stated.values().stream()
                 .filter(receiver -> !excluded.contains(receiver.name()))
-                .filter(receiver -> now.isBefore(receiver.statedAt().plus(VALIDITY)))
+                .filter(receiver -> now.isBefore(receiver.statedAt().plus(validity)))
                 .filter(receiver -> !isUnserved(receivers, receiver, now))
                 .filter(receiver -> !membership.isGone(receiver.member().process()))
                 .toList());
