Take a forwarded request only for a target of its route, and check shares without a list

The receiver trusted the sender's service even if its own, newer route no longer has it. The check for a share of brittle upstreams built a list of all upstreams for each request; it now ends at the first that is not brittle.

--- a/org.oatlug.test/tst/org/oatlug/entry/PartitionedInstanceTest.java
+++ b/org.oatlug.test/tst/org/oatlug/entry/PartitionedInstanceTest.java
@@ -255,9 +255,9 @@
     awaitServed(0);
     UpstreamStandin upstream = fleet.upstreams.get("i-1");
     upstream.setBehaviour(UpstreamStandin.Behaviour.HANGS);
-    try (Socket caller = fleet.sendRaw(0, SampleObjects.ONCE)) {
-      Await.until("the request runs", () -> !fleet.arrivalsOf(fleet.lastId()).isEmpty());
-    }
+    Socket caller = fleet.sendRaw(0, SampleObjects.ONCE);
+    Await.until("the request runs", () -> !fleet.arrivalsOf(fleet.lastId()).isEmpty());
+    caller.close();
     Await.until("the request is cancelled", () -> upstream.cancelled() == 1);
   }
 
--- a/org.oatlug/src/org/oatlug/internal/gateway/ForwardedAdmission.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/ForwardedAdmission.java
@@ -83,6 +83,7 @@
         .routes()
         .find(head.host(), head.path())
         .filter(route -> route.name().equals(forwarded.route()))
+        .filter(route -> hasTarget(route, forwarded.service()))
         .orElseThrow(
             () ->
                 retryElsewhere(
@@ -90,6 +91,10 @@
                     ErrorText.format(ErrorText.get().routeUnknown, head.path())));
   }
 
+  private static boolean hasTarget(Route route, String service) {
+    return route.targets().stream().anyMatch(target -> target.service().equals(service));
+  }
+
   private Optional<WorkspaceKeys> workspaceOf(ForwardedRequest forwarded) throws RefusedException {
     if (forwarded.workspace().isEmpty()) {
       return Optional.empty();
--- a/org.oatlug/src/org/oatlug/internal/gateway/UpstreamRateLimits.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/UpstreamRateLimits.java
@@ -82,8 +82,16 @@
 
   /** Returns whether this instance has no place at any upstream of the service, all brittle. */
   boolean lacksShareOf(String service) {
-    List<String> upstreams = tables.remainingUpstreamsOf(service);
-    return !upstreams.isEmpty() && upstreams.stream().allMatch(this::lacksShare);
+    boolean anyRemains = false;
+    for (String name : tables.upstreamsOf(service)) {
+      if (!tables.isLeaving(name)) {
+        anyRemains = true;
+        if (!lacksShare(name)) {
+          return false;
+        }
+      }
+    }
+    return anyRemains;
   }
 
   private boolean lacksShare(String name) {
