--- a/org.oatlug.test/tst/org/oatlug/internal/forward/ReceiverFleet.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/forward/ReceiverFleet.java
@@ -26,21 +26,24 @@
 final class ReceiverFleet {
   static final String SERVICE = "pool";
   private static final List<String> ZONES = List.of("hall-a", "hall-b", "hall-c");
-  private static final Duration REQUEST_INTERVAL = Duration.ofMillis(50);
+  private static final Duration USUAL_INTERVAL = Duration.ofMillis(50);
   private static final int MAXIMUM_DELAY_MILLIS = 6;
   private static final int MAXIMUM_REQUEST_MILLIS = 1000;
 
   private final Random random;
+  private final Duration requestInterval;
   private final VirtualTime time = new VirtualTime();
   private final Map<String, Instance> instances = new TreeMap<>();
   private final Set<String> lost = new HashSet<>();
   private final Set<String> stopped = new HashSet<>();
+  private boolean answersLost;
   final Map<String, Integer> requestsByReceiver = new TreeMap<>();
   final Map<String, Integer> questionsByInstance = new TreeMap<>();
   int withoutReceiver;
 
-  private ReceiverFleet(long seed) {
+  private ReceiverFleet(long seed, Duration requestInterval) {
     random = new Random(seed);
+    this.requestInterval = requestInterval;
   }
 
   /** One instance, whose callers send requests at a constant rate. */
@@ -65,7 +68,7 @@
           .emitter(
               emitter -> {
                 time.after(timeout, () -> emitter.fail(new PeerUnavailableException(peer.name())));
-                if (!stopped.contains(peer.name())) {
+                if (!stopped.contains(peer.name()) && !answersLost) {
                   time.after(
                       delay().plus(delay()),
                       () ->
@@ -83,7 +86,7 @@
             Set.of(),
             receiver -> receiver.ifPresentOrElse(this::forward, () -> withoutReceiver++));
       }
-      time.after(REQUEST_INTERVAL, this::sendRequests);
+      time.after(requestInterval, this::sendRequests);
     }
 
     private void forward(Receiver receiver) {
@@ -104,7 +107,12 @@
 
   /** Returns instances in three zones, all of which reach the service. */
   static ReceiverFleet create(int size, long seed) {
-    ReceiverFleet fleet = new ReceiverFleet(seed);
+    return create(size, seed, USUAL_INTERVAL);
+  }
+
+  /** Returns the same with this time between two requests at each instance. */
+  static ReceiverFleet create(int size, long seed, Duration requestInterval) {
+    ReceiverFleet fleet = new ReceiverFleet(seed, requestInterval);
     for (int number = 0; number < size; number++) {
       String name = "entry-" + number;
       Member member =
@@ -122,7 +130,7 @@
     for (Instance instance : fleet.instances.values()) {
       fleet.instances.values().forEach(peer -> instance.membership.merge(peer.membership.self()));
       fleet.time.after(
-          Duration.ofMillis(fleet.random.nextInt((int) REQUEST_INTERVAL.toMillis())),
+          Duration.ofMillis(fleet.random.nextInt((int) requestInterval.toMillis())),
           instance::sendRequests);
     }
     return fleet;
@@ -142,6 +150,11 @@
     stopped.add(name);
   }
 
+  /** Sets whether questions get no answers, as on silent connections, though all instances run. */
+  void loseAnswers(boolean lose) {
+    answersLost = lose;
+  }
+
   /** Returns the number of instances of a zone. */
   int sizeOf(String zone) {
     return (int) instances.keySet().stream().filter(name -> zoneOf(name).equals(zone)).count();
