Ask instances learned later at once whether they reach a lost service

A partitioned instance that had just started, or whose receivers had failed, refused requests for up to 0.4 s though others reached the service: it knew only some of the others when it asked, and did not ask again before that time. Now instances that have not been asked yet are asked as soon as a request finds no receiver.

--- a/org.oatlug.test/tst/org/oatlug/entry/GatewayFleet.java
+++ b/org.oatlug.test/tst/org/oatlug/entry/GatewayFleet.java
@@ -185,6 +185,15 @@
     return Http.get(instances.get(index).ports().get(5), "/metrics").body();
   }
 
+  /** Returns the value of a counter of an instance, 0 if it has counted nothing. */
+  double counter(int index, String name) throws IOException {
+    return metrics(index)
+        .lines()
+        .filter(line -> line.startsWith(name))
+        .mapToDouble(line -> Double.parseDouble(line.substring(line.lastIndexOf(' ') + 1)))
+        .sum();
+  }
+
   /** Returns the port on which an instance takes forwarded requests. */
   int forwardingPort(int index) {
     return instances.get(index).ports().get(1);
--- a/org.oatlug.test/tst/org/oatlug/entry/PartitionedInstanceTest.java
+++ b/org.oatlug.test/tst/org/oatlug/entry/PartitionedInstanceTest.java
@@ -232,18 +232,31 @@
     assertEquals(fleet.arrivalsOf(id).size(), 1);
   }
 
+  /** Sends requests until the first instance knows the others, one in its zone and one not. */
+  private void awaitBothAsked() {
+    Await.until(
+        "both are asked",
+        () -> {
+          Http.send(fleet.request(0, SampleObjects.ONCE));
+          String metrics = fleet.metrics(0);
+          return metrics.contains("PathQuery_own_zone") && metrics.contains("PathQuery_other_zone");
+        });
+    awaitServed(0);
+  }
+
   @Test
   public void testRepeatableRequestIsRepeatedWhenItsReceiverIsLost() throws Exception {
     fleet = GatewayFleet.start(List.of("hall-a", "hall-a", "hall-b"), 1);
     fleet.partition(0, Partition.RESET);
-    awaitServed(0);
+    awaitBothAsked();
     fleet.upstreams.get("i-1").setBehaviour(UpstreamStandin.Behaviour.HANGS);
+    final double receivedBefore = fleet.counter(1, "forward_received");
     final CompletableFuture<Http.Response> answer =
         Http.sendAsync(fleet.request(0, SampleObjects.REPEATABLE));
     final String id = fleet.lastId();
     Await.until("the request runs", () -> !fleet.arrivalsOf(id).isEmpty());
     fleet.upstreams.get("i-1").setBehaviour(UpstreamStandin.Behaviour.NORMAL);
-    fleet.kill(1);
+    fleet.kill(fleet.counter(1, "forward_received") > receivedBefore ? 1 : 2);
     assertEquals(answer.get().status(), 200);
     assertEquals(fleet.arrivalsOf(id).size(), 2);
   }
--- a/org.oatlug.test/tst/org/oatlug/internal/forward/ReceiverFleet.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/forward/ReceiverFleet.java
@@ -112,6 +112,13 @@
 
   /** Returns the same with this time between two requests at each instance. */
   static ReceiverFleet create(int size, long seed, Duration requestInterval) {
+    ReceiverFleet fleet = createUnacquainted(size, seed, requestInterval);
+    fleet.introduceAll();
+    return fleet;
+  }
+
+  /** Returns instances that do not know each other yet. */
+  static ReceiverFleet createUnacquainted(int size, long seed, Duration requestInterval) {
     ReceiverFleet fleet = new ReceiverFleet(seed, requestInterval);
     for (int number = 0; number < size; number++) {
       String name = "entry-" + number;
@@ -128,7 +135,6 @@
       fleet.instances.put(name, fleet.new Instance(member));
     }
     for (Instance instance : fleet.instances.values()) {
-      fleet.instances.values().forEach(peer -> instance.membership.merge(peer.membership.self()));
       fleet.time.after(
           Duration.ofMillis(fleet.random.nextInt((int) requestInterval.toMillis())),
           instance::sendRequests);
@@ -145,6 +151,13 @@
         .forEach(member -> lost.add(member.name()));
   }
 
+  /** Lets all instances know each other. */
+  void introduceAll() {
+    for (Instance instance : instances.values()) {
+      instances.values().forEach(peer -> instance.membership.merge(peer.membership.self()));
+    }
+  }
+
   /** Stops an instance, so that it answers nothing. */
   void stop(String name) {
     stopped.add(name);
--- a/org.oatlug.test/tst/org/oatlug/internal/forward/ReceiversTest.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/forward/ReceiversTest.java
@@ -18,6 +18,8 @@
   /** The time in which silent connections between instances are replaced. */
   private static final Duration SILENT_CONNECTIONS = Duration.ofSeconds(2);
 
+  private static final Duration SHORT = Duration.ofMillis(20);
+
   private static final Duration MEASURED = Duration.ofSeconds(10);
 
   /** A time between requests after which no statement is valid. */
@@ -74,6 +76,17 @@
     assertEquals(fleet.withoutReceiver, 0);
   }
 
+  @Test(dataProvider = "sizes")
+  public void testInstanceLearnedLaterIsAskedAtOnce(int size, long seed) {
+    ReceiverFleet fleet = ReceiverFleet.createUnacquainted(size, seed, SHORT);
+    fleet.loseService("hall-a", 1);
+    fleet.run(SHORT.multipliedBy(2));
+    assertTrue(fleet.withoutReceiver > 0);
+    fleet.introduceAll();
+    fleet.run(SHORT.multipliedBy(5));
+    assertEquals(fleet.withoutReceiver, 0);
+  }
+
   @Test(dataProvider = "sizes")
   public void testHalfZoneForwardsWithinItsZone(int size, long seed) {
     ReceiverFleet fleet = ReceiverFleet.create(size, seed);
--- a/org.oatlug/src/org/oatlug/internal/forward/Receivers.java
+++ b/org.oatlug/src/org/oatlug/internal/forward/Receivers.java
@@ -11,12 +11,14 @@
 import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 import org.oatlug.internal.membership.Membership;
 import org.oatlug.internal.metrics.Meters;
@@ -100,6 +102,7 @@
     private final Map<String, Receiver> stated = new HashMap<>();
     private final Map<String, Instant> unservedUntil = new HashMap<>();
     private final List<Pending> pending = new ArrayList<>();
+    private final Set<String> askedProcesses = new HashSet<>();
     private Set<String> logged = Set.of();
     private Instant askedAt = Instant.MIN;
     private int questionsOpen;
@@ -117,8 +120,14 @@
   public void choose(String service, Set<String> excluded, Consumer<Optional<Receiver>> result) {
     ServiceReceivers receivers =
         byService.computeIfAbsent(service, unused -> new ServiceReceivers());
-    if (isDue(receivers)) {
-      ask(service, receivers);
+    if (receivers.questionsOpen == 0) {
+      if (isRefreshDue(receivers)) {
+        receivers.askedAt = clock.instant();
+        receivers.askedProcesses.removeIf(membership::isGone);
+        ask(service, receivers, sample(receivers, member -> true));
+      } else if (best(receivers, excluded, VALIDITY).isEmpty()) {
+        askOthers(service, receivers);
+      }
     }
     boolean asking = receivers.questionsOpen > 0;
     Optional<Receiver> known = best(receivers, excluded, asking ? VALIDITY : SILENT_VALIDITY);
@@ -129,18 +138,22 @@
     }
   }
 
-  private boolean isDue(ServiceReceivers receivers) {
-    if (receivers.questionsOpen > 0) {
-      return false;
-    }
+  private boolean isRefreshDue(ServiceReceivers receivers) {
     return receivers.askedAt.equals(Instant.MIN)
         || !clock.instant().isBefore(receivers.askedAt.plus(REFRESH_AGE));
   }
 
-  private void ask(String service, ServiceReceivers receivers) {
-    receivers.askedAt = clock.instant();
-    List<Member> sample = sample(receivers);
+  /** Asks instances that have not been asked yet, such as those learned since. */
+  private void askOthers(String service, ServiceReceivers receivers) {
+    ask(
+        service,
+        receivers,
+        sample(receivers, member -> !receivers.askedProcesses.contains(member.process())));
+  }
+
+  private void ask(String service, ServiceReceivers receivers, List<Member> sample) {
     receivers.questionsOpen = sample.size();
+    sample.forEach(member -> receivers.askedProcesses.add(member.process()));
     for (Member member : sample) {
       network
           .sendRequest(member, new PeerMessage.PathQuery(service), TIMEOUT)
@@ -149,18 +162,18 @@
               answer -> answered(service, receivers, member, answer),
               failure -> {
                 logger.atFine().log("%s does not answer whether it reaches it", member.name());
-                questionEnded(receivers);
+                questionEnded(service, receivers);
               });
     }
   }
 
   /** Returns the instances to ask: those that served before, and random others of each zone. */
-  private List<Member> sample(ServiceReceivers receivers) {
+  private List<Member> sample(ServiceReceivers receivers, Predicate<Member> filter) {
     List<Member> members =
         new ArrayList<>(
             membership.live().stream()
                 .filter(member -> member.state() == Member.State.ALIVE && member.epoch() > 0)
-                .filter(member -> !membership.isSelf(member))
+                .filter(member -> !membership.isSelf(member) && filter.test(member))
                 .toList());
     Collections.shuffle(members, random);
     // One that seems unreachable may just have started.
@@ -189,7 +202,7 @@
     } else {
       receivers.stated.remove(member.name());
     }
-    questionEnded(receivers);
+    questionEnded(service, receivers);
     if (receivers.questionsOpen == 0) {
       logChange(service, receivers);
     }
@@ -203,12 +216,20 @@
     }
   }
 
+  private boolean lacksReceiver(ServiceReceivers receivers) {
+    return receivers.pending.stream()
+        .anyMatch(request -> best(receivers, request.excluded(), VALIDITY).isEmpty());
+  }
+
   /**
    * Completes the requests for which there is an instance that has reached the service, or all once
    * everyone has answered.
    */
-  private void questionEnded(ServiceReceivers receivers) {
+  private void questionEnded(String service, ServiceReceivers receivers) {
     receivers.questionsOpen--;
+    if (receivers.questionsOpen == 0 && lacksReceiver(receivers)) {
+      askOthers(service, receivers);
+    }
     boolean allAnswered = receivers.questionsOpen == 0;
     List<Pending> waiting = List.copyOf(receivers.pending);
     receivers.pending.clear();
