--- a/org.oatlug.test/tst/org/oatlug/entry/PartitionedInstanceTest.java
+++ b/org.oatlug.test/tst/org/oatlug/entry/PartitionedInstanceTest.java
@@ -205,6 +205,39 @@
     }
   }
 
+  @Test
+  public void testReceiverForwardsNoForwardedRequest() throws Exception {
+    fleet = GatewayFleet.start(List.of("hall-a", "hall-a", "hall-b"), 2);
+    fleet.partition(0, Partition.RESET);
+    fleet.partition(1, Partition.RESET);
+    awaitServed(0);
+    assertEquals(fleet.counter(1, "forward_sent"), 0.0);
+  }
+
+  @Test
+  public void testRequestsForServiceThatIsDownAreNotForwarded() throws Exception {
+    fleet = GatewayFleet.start(List.of("hall-a", "hall-a", "hall-b"), 2);
+    for (int instance = 0; instance < 3; instance++) {
+      fleet.partition(instance, Partition.RESET);
+    }
+    for (int instance = 0; instance < 3; instance++) {
+      awaitReason(instance, "upstreams-unreachable");
+    }
+    double before = forwardedByAll();
+    for (int instance = 0; instance < 3; instance++) {
+      assertEquals(failedRequests(instance), REQUESTS);
+    }
+    // Each may still take each of the others for a receiver once.
+    assertTrue(forwardedByAll() - before <= 6, forwardedByAll() - before + " forwarded");
+    assertEquals(fleet.arrivals().size(), 0);
+  }
+
+  private double forwardedByAll() throws IOException {
+    return fleet.counter(0, "forward_sent")
+        + fleet.counter(1, "forward_sent")
+        + fleet.counter(2, "forward_sent");
+  }
+
   private void awaitReason(int instance, String reason) {
     Await.until(
         reason,
