--- a/org.oatlug/src/org/oatlug/internal/gateway/AdmittedRequest.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/AdmittedRequest.java
@@ -7,8 +7,11 @@
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpMethod;
 import java.time.Instant;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import org.oatlug.gateway.Generation;
+import org.oatlug.gateway.PromptPart;
 import org.oatlug.gateway.RequestHead;
 import org.oatlug.gateway.Route;
 import org.oatlug.gateway.WorkspaceKeys;
@@ -62,6 +65,20 @@
     return RequestFingerprint.of(head.host(), uri, workspaceName(), body.getBytes());
   }
 
+  /**
+   * Returns the parts of the prompt that other requests may share: all but the last, which belongs
+   * to the request or its session; empty if the request generates nothing.
+   */
+  List<PromptPart> sharedParts() {
+    List<PromptPart> prompt = head.generation().map(Generation::prompt).orElse(List.of());
+    return prompt.subList(0, Math.max(0, prompt.size() - 1));
+  }
+
+  /** Returns the hashes of the shared parts in hexadecimal, as callers state them. */
+  List<String> sharedPartNames() {
+    return sharedParts().stream().map(part -> Long.toHexString(part.hash())).toList();
+  }
+
   /** Returns the workspace, host and path of the request for operators, possibly truncated. */
   String subject() {
     String text = workspaceName() + " " + head.host() + head.path();
--- a/org.oatlug/src/org/oatlug/internal/gateway/CrashProbe.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/CrashProbe.java
@@ -3,6 +3,7 @@
 
 package org.oatlug.internal.gateway;
 
+import com.google.common.flogger.FluentLogger;
 import io.netty.channel.ConnectTimeoutException;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
@@ -31,6 +32,8 @@
  * loop.
  */
 final class CrashProbe {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
   /** Connect timeout in milliseconds: many round trips between availability zones. */
   private static final int CONNECT_TIMEOUT_MILLIS = 400;
 
@@ -118,7 +121,11 @@
 
   private void confirm(String process) {
     crashed.put(process, Boolean.TRUE);
-    pendingActions.remove(process).forEach(Runnable::run);
+    List<Runnable> actions = pendingActions.remove(process);
+    logger.atInfo().log(
+        "upstream process %s has crashed under %d attempts of this instance",
+        process, actions.size());
+    actions.forEach(Runnable::run);
   }
 
   private static boolean isRefused(Throwable failure) {
--- a/org.oatlug/src/org/oatlug/internal/gateway/ExchangeAttempt.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/ExchangeAttempt.java
@@ -307,7 +307,7 @@
     exchange.markMayHaveRun();
     feedback.recordSuccess();
     abandon();
-    logEvent("dropped confidence=" + confidence);
+    logEvent("dropped confidence=" + confidence + " parts=" + request.sharedPartNames());
     exchange.sendToReplacement(replacement.get());
     return true;
   }
@@ -343,6 +343,8 @@
     release();
     if (isDelimited()) {
       exchange.requestGuard().recordSuccess();
+    } else {
+      logEvent("ended with its connection parts=" + request.sharedPartNames());
     }
     if (response.statusCode() < FIRST_SERVER_ERROR) {
       feedback.recordSuccess();
@@ -363,7 +365,15 @@
   public void failed(Progress progress, String problem) {
     release();
     feedback.recordFailure();
-    logEvent("failed " + progress + " " + problem + " request=" + request.fingerprint());
+    logEvent(
+        "failed "
+            + progress
+            + " "
+            + problem
+            + " request="
+            + request.fingerprint()
+            + " parts="
+            + request.sharedPartNames());
     if (progress == Progress.NOT_SENT) {
       feedback.connectFailed();
       exchange.retryUnsent("retry.upstream-not-reached");
