--- a/org.oatlug.test/tst/org/oatlug/test/GatewayCluster.java
+++ b/org.oatlug.test/tst/org/oatlug/test/GatewayCluster.java
@@ -139,8 +139,21 @@
    * under a new name after the given time.
    */
   void crashOn(String name, String text, long downMillis) {
+    upstreams.get(name).crashOn(text, downMillis);
+    registerAfterRestart(name);
+  }
+
+  /** Makes all upstreams crash like {@link #crashOn}, on each request with the prompt part. */
+  void crashOnPart(String part, long downMillis) {
+    upstreams.forEach(
+        (name, upstream) -> {
+          upstream.crashOnPart(part, downMillis);
+          registerAfterRestart(name);
+        });
+  }
+
+  private void registerAfterRestart(String name) {
     UpstreamStandin upstream = upstreams.get(name);
-    upstream.crashOn(text, downMillis);
     AtomicReference<String> registered = new AtomicReference<>(name);
     upstream.onRestart(
         () -> {
@@ -206,10 +219,24 @@
   /** Returns a request for a stream that belongs to a session. */
   HttpRequest.Builder streamRequest(int entry, String session) {
     String sessionHash = Integer.toHexString(session.hashCode());
+    return promptRequest(entry, "a1:60," + sessionHash + ":40");
+  }
+
+  /** Returns a request for a stream with the prompt parts, each with its hash and length. */
+  HttpRequest.Builder promptRequest(int entry, String parts) {
     return request(entry, SampleObjects.STREAM + "x")
         .header("Model", "*")
         .header("Token-Usage", "100,50")
-        .header("Prefix-Hash", "a1:60," + sessionHash + ":40");
+        .header("Prefix-Hash", parts);
+  }
+
+  /** Returns the number of requests with the prompt part that all upstreams received. */
+  int arrivalsWithPart(String part) {
+    return upstreams.values().stream()
+        .mapToInt(
+            upstream ->
+                (int) upstream.arrivals().stream().filter(arrival -> arrival.hasPart(part)).count())
+        .sum();
   }
 
   /** Returns the state of the roll-out that the instances wrote to the store, empty for none. */
