Find the prompt part that crashes upstreams, at all instances

What callers saw: requests with one prompt part in common crashed 63 and 73 upstreams, one after the other, and all else that was open there failed with them.

Cause: crashes were recorded by whole request only. No two of these requests were alike, so each began with a clean record and crashed two upstreams. And the request that crashed an upstream was often not even among those that were blamed: its response had been dropped for a larger model 50 to 80 ms before.

Why it works: crashes count against each shared prompt part, too, of all attempts that were open or abandoned within the last half second, in the ledger that all instances merge. What completes is cleared. A part counts only together with all other keys that have at least its crashes, and once it is the only one it is convicted: for good, at all instances, and its crashes no longer count against what was open beside it.

--- a/org.oatlug.entry/src/org/oatlug/entry/GatewayInstance.java
+++ b/org.oatlug.entry/src/org/oatlug/entry/GatewayInstance.java
@@ -224,7 +224,8 @@
             () ->
                 !tables.hasRunningRollout()
                     || stateExchange.hasCompletedInitialExchange()
-                    || stateExchange.hasSessionRecords() && rollouts.knowsOrderAges());
+                    || stateExchange.hasSessionRecords() && rollouts.knowsOrderAges(),
+            () -> !membership.hasKnownPeers() || stateExchange.hasCrashRecords());
     server = GatewayServer.create(components, random, readinessGate::isOpen);
     PauseDetector pause = PauseDetector.create(clock, components::handleProcessPause);
     systems =
--- a/org.oatlug.test/tst/org/oatlug/internal/crash/CrashLedgerTest.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/crash/CrashLedgerTest.java
@@ -14,6 +14,7 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
+import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
 import org.oatlug.internal.crash.CrashLedger.Verdict;
@@ -222,28 +223,117 @@
     List<CrashRecord> invalid = new ArrayList<>();
     CrashRecord.CrashedRun run = new CrashRecord.CrashedRun("i-1", 10, 5, Set.of());
     invalid.add(null);
-    invalid.add(new CrashRecord("short", "", List.of(run), -1));
-    invalid.add(new CrashRecord(CRASHING, null, List.of(run), -1));
-    invalid.add(new CrashRecord(CRASHING, "x".repeat(1000), List.of(run), -1));
-    invalid.add(new CrashRecord(CRASHING, "", null, -1));
-    invalid.add(new CrashRecord(CRASHING, "", Collections.nCopies(100, run), -1));
-    invalid.add(new CrashRecord(CRASHING, "", List.of(run), -2));
+    invalid.add(new CrashRecord("short", "", List.of(run), -1, null));
+    invalid.add(new CrashRecord(CRASHING, null, List.of(run), -1, null));
+    invalid.add(new CrashRecord(CRASHING, "x".repeat(1000), List.of(run), -1, null));
+    invalid.add(new CrashRecord(CRASHING, "", null, -1, null));
+    invalid.add(new CrashRecord(CRASHING, "", Collections.nCopies(100, run), -1, null));
+    invalid.add(new CrashRecord(CRASHING, "", List.of(run), -2, null));
     invalid.add(
         new CrashRecord(
-            CRASHING, "", List.of(new CrashRecord.CrashedRun(null, 10, 5, Set.of())), -1));
+            CRASHING, "", List.of(new CrashRecord.CrashedRun(null, 10, 5, Set.of())), -1, null));
     invalid.add(
         new CrashRecord(
-            CRASHING, "", List.of(new CrashRecord.CrashedRun("i", 5, 10, Set.of())), -1));
+            CRASHING, "", List.of(new CrashRecord.CrashedRun("i", 5, 10, Set.of())), -1, null));
     invalid.add(
         new CrashRecord(
             CRASHING,
             "",
             List.of(new CrashRecord.CrashedRun("i", Long.MAX_VALUE, 1, Set.of())),
-            0));
+            0,
+            null));
+    invalid.add(new CrashRecord(CRASHING, "", List.of(), -1, 1L));
+    invalid.add(new CrashRecord(RequestFingerprint.ofPart(1), "", List.of(), -1, -1L));
     ledger.merge(invalid, "another");
     assertTrue(ledger.isEmpty());
   }
 
+  private static final String PART = RequestFingerprint.ofPart(0xdead01);
+  private static final String COMMON_PART = RequestFingerprint.ofPart(0xa1);
+
+  private static CrashKeys keysWith(String body, String... parts) {
+    return new CrashKeys(fingerprint(body), List.of(parts));
+  }
+
+  /** Crashes an upstream under a new request with the part and the common one. */
+  private void crashUnderPart(CrashLedger observer, int number) {
+    Instant began = time.instant();
+    time.run(RUN);
+    for (String key : keysWith("new" + number, COMMON_PART, PART).all()) {
+      observer.recordCrash(key, "", "i-" + number, began, time.instant());
+    }
+  }
+
+  private Verdict verdictOfNew(CrashLedger observer, String... parts) {
+    return observer.assess(keysWith("yet another", parts)).verdict();
+  }
+
+  @Test
+  public void testOnlyRequestsWithAllPartsThatExplainTheCrashesAreRefused() {
+    for (int number = 0; number < 3; number++) {
+      crashUnderPart(ledger, number);
+    }
+    assertEquals(verdictOfNew(ledger, COMMON_PART, PART), Verdict.REFUSED);
+    assertEquals(verdictOfNew(ledger, COMMON_PART), Verdict.CLEAR);
+    ledger.recordSuccess(COMMON_PART);
+    assertEquals(verdictOfNew(ledger, COMMON_PART), Verdict.CLEAR);
+    assertEquals(verdictOfNew(ledger, PART), Verdict.REFUSED);
+  }
+
+  @Test
+  public void testConvictedPartIsReplicatedAndDoesNotExpire() {
+    for (int number = 0; number < 3; number++) {
+      crashUnderPart(ledger, number);
+    }
+    ledger.recordSuccess(COMMON_PART);
+    assertEquals(verdictOfNew(ledger, PART), Verdict.REFUSED);
+    time.run(CrashLedger.VALIDITY.multipliedBy(3));
+    CrashLedger started = CrashLedger.create(time);
+    replicate(ledger, started);
+    assertEquals(verdictOfNew(started, PART), Verdict.REFUSED);
+    assertEquals(started.timeUntilRelease(PART), Optional.empty());
+    assertTrue(started.clear(PART));
+    replicate(started, ledger);
+    assertEquals(verdictOfNew(ledger, PART), Verdict.CLEAR);
+  }
+
+  /** What was open at a crash that a convicted part explains is not suspected for it. */
+  @Test
+  public void testCrashesOfConvictedPartDoNotCountAgainstOthers() {
+    String rarePart = RequestFingerprint.ofPart(0xb2);
+    for (int number = 0; number < 3; number++) {
+      crashUnderPart(ledger, number);
+      ledger.recordSuccess(COMMON_PART);
+    }
+    assertEquals(verdictOfNew(ledger, PART), Verdict.REFUSED);
+    for (int number = 0; number < 3; number++) {
+      crashUpstream(ledger, PART, "j-" + number);
+      crashUpstream(ledger, rarePart, "j-" + number);
+    }
+    assertEquals(verdictOfNew(ledger, rarePart), Verdict.CLEAR);
+    assertEquals(verdictOfNew(ledger, PART), Verdict.REFUSED);
+  }
+
+  @Test
+  public void testRetryIsBlockedOnceUnprovenPartHasCrash() {
+    CrashKeys second = keysWith("second", COMMON_PART, PART);
+    ledger.recordSuccess(COMMON_PART);
+    crashUnderPart(ledger, 0);
+    assertTrue(ledger.blocksRetry(second, "i-1"));
+    assertFalse(ledger.blocksRetry(second, "i-0"), "the same crash");
+    assertFalse(ledger.blocksRetry(keysWith("third", COMMON_PART), "i-1"), "it has completed");
+  }
+
+  @Test
+  public void testFloodOfConvictedPartsIsBounded() {
+    for (int number = 0; number < 2 * CrashLedger.MAXIMUM_REQUESTS; number++) {
+      CrashRecord convicted =
+          new CrashRecord(RequestFingerprint.ofPart(number), "", List.of(), CrashRecord.NEVER, 1L);
+      ledger.merge(List.of(convicted), "another");
+    }
+    assertEquals(ledger.restrictedRequests().size(), CrashLedger.MAXIMUM_REQUESTS);
+  }
+
   @Test
   public void testFingerprintDiffersOnlyByCoveredFields() {
     byte[] body = {1, 2};
--- a/org.oatlug.test/tst/org/oatlug/internal/gateway/ReadinessGateTest.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/gateway/ReadinessGateTest.java
@@ -15,25 +15,31 @@
   private boolean configured;
   private boolean objectsRead;
   private boolean sessionsKnown;
+  private boolean crashesKnown;
 
   private ReadinessGate gate() {
     return ReadinessGate.create(
-        () -> now, () -> configured, () -> objectsRead, () -> sessionsKnown);
+        () -> now, () -> configured, () -> objectsRead, () -> sessionsKnown, () -> crashesKnown);
   }
 
   @Test
-  public void testAllThreeConditionsAreRequired() {
+  public void testAllConditionsAreRequired() {
     final ReadinessGate gate = gate();
     objectsRead = true;
     sessionsKnown = true;
+    crashesKnown = true;
     assertFalse(gate.tryOpen());
     configured = true;
     sessionsKnown = false;
     assertFalse(gate.tryOpen());
     sessionsKnown = true;
+    crashesKnown = false;
+    assertFalse(gate.tryOpen());
+    crashesKnown = true;
     assertTrue(gate.tryOpen());
     assertFalse(gate.tryOpen(), "the gate opens only once");
     sessionsKnown = false;
+    crashesKnown = false;
     assertTrue(gate.isOpen(), "the gate stays open");
   }
 
--- a/org.oatlug.test/tst/org/oatlug/test/RolloutFleet.java
+++ b/org.oatlug.test/tst/org/oatlug/test/RolloutFleet.java
@@ -144,7 +144,8 @@
               () ->
                   !tables.hasRunningRollout()
                       || exchange.hasCompletedInitialExchange()
-                      || exchange.hasSessionRecords() && director.knowsOrderAges());
+                      || exchange.hasSessionRecords() && director.knowsOrderAges(),
+              () -> true);
     }
 
     String name() {
--- a/org.oatlug/src/org/oatlug/internal/crash/CrashRecord.java
+++ b/org.oatlug/src/org/oatlug/internal/crash/CrashRecord.java
@@ -15,9 +15,15 @@
  * @param subject the workspace and destination of the request, for operators
  * @param runs its runs during which an upstream crashed, one for each upstream process
  * @param clearedAgeMillis how long ago the request was cleared, in milliseconds; -1 for never
+ * @param convictedAgeMillis how long ago the prompt part was convicted, in milliseconds; null if it
+ *     is not, or if the sender has an earlier version
  */
 public record CrashRecord(
-    String fingerprint, String subject, List<CrashedRun> runs, long clearedAgeMillis) {
+    String fingerprint,
+    String subject,
+    List<CrashedRun> runs,
+    long clearedAgeMillis,
+    Long convictedAgeMillis) {
   /** The age that stands for a request that was never cleared. */
   static final long NEVER = -1;
 
@@ -66,6 +72,11 @@
         && runs != null
         && runs.size() <= CrashLedger.MAXIMUM_RUNS
         && runs.stream().allMatch(run -> run != null && run.isSound())
-        && clearedAgeMillis >= NEVER;
+        && clearedAgeMillis >= NEVER
+        && (convictedAgeMillis == null || isValidConviction());
+  }
+
+  private boolean isValidConviction() {
+    return convictedAgeMillis >= 0 && RequestFingerprint.isPart(fingerprint);
   }
 }
--- a/org.oatlug/src/org/oatlug/internal/crash/CrashedRuns.java
+++ b/org.oatlug/src/org/oatlug/internal/crash/CrashedRuns.java
@@ -12,20 +12,24 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
+import java.util.function.Predicate;
 import java.util.stream.Collectors;
 import org.oatlug.internal.crash.CrashLedger.Verdict;
 
 /**
- * Holds the runs of one request during which upstreams crashed, and when it was last cleared.
+ * Holds the runs of one request, or of all requests with one prompt part, during which upstreams
+ * crashed, and when it was last cleared or convicted.
  *
  * <p>Invariants: an upstream process counts once, no matter how often and by how many instances it
- * is reported; a crash before the request was cleared does not count. Owned by one event loop, not
- * thread-safe.
+ * is reported; a crash before the request was cleared does not count, nor does one that is
+ * explained by another key. Owned by one event loop, not thread-safe.
  */
 final class CrashedRuns {
   private final String subject;
+  private final Predicate<String> isExplainedByAnother;
   private final Map<String, Run> runs = new TreeMap<>();
   private Optional<Instant> clearedAt = Optional.empty();
+  private Optional<Instant> convictedAt = Optional.empty();
   private long revision;
   private Verdict verdict = Verdict.CLEAR;
 
@@ -36,8 +40,15 @@
    */
   private record Run(Instant startedAt, Instant crashedAt, Set<String> predecessors) {}
 
-  CrashedRuns(String subject) {
+  /**
+   * Creates an empty record.
+   *
+   * @param isExplainedByAnother whether the crash of a process is explained by another key, and so
+   *     does not count here
+   */
+  CrashedRuns(String subject, Predicate<String> isExplainedByAnother) {
     this.subject = subject;
+    this.isExplainedByAnother = isExplainedByAnother;
   }
 
   String subject() {
@@ -91,27 +102,55 @@
     return true;
   }
 
-  /** Clears all crashes up to a moment; returns whether any of them counted before. */
+  /**
+   * Clears all crashes and the conviction up to a moment; returns whether there were any that had
+   * not been cleared before.
+   */
   boolean clear(Instant moment) {
+    boolean clearsConviction = convictedAt.filter(at -> !at.isAfter(moment)).isPresent();
     boolean clearsAny =
-        runs.values().stream().anyMatch(run -> isCounted(run) && !isAfter(run, moment));
+        clearsConviction
+            || runs.values().stream().anyMatch(run -> isUncleared(run) && !isAfter(run, moment));
     if (clearsAny) {
       clearedAt = Optional.of(moment);
     }
+    if (clearsConviction) {
+      convictedAt = Optional.empty();
+    }
     return clearsAny;
   }
 
-  private boolean isCounted(Run run) {
+  /** Convicts the prompt part, unless it was cleared later; returns whether that is new. */
+  boolean convict(Instant moment) {
+    boolean isNew =
+        convictedAt.isEmpty() && clearedAt.map(cleared -> moment.isAfter(cleared)).orElse(true);
+    if (isNew) {
+      convictedAt = Optional.of(moment);
+    }
+    return isNew;
+  }
+
+  /** Returns whether the prompt part is convicted, which does not expire. */
+  boolean isConvicted() {
+    return convictedAt.isPresent();
+  }
+
+  private boolean isUncleared(Run run) {
     return clearedAt.map(moment -> isAfter(run, moment)).orElse(true);
   }
 
+  private boolean isCounted(Map.Entry<String, Run> entry) {
+    return isUncleared(entry.getValue()) && !isExplainedByAnother.test(entry.getKey());
+  }
+
   private static boolean isAfter(Run run, Instant moment) {
     return run.crashedAt().isAfter(moment);
   }
 
   private List<Run> countedRuns() {
-    return runs.values().stream()
+    return runs.entrySet().stream()
         .filter(this::isCounted)
+        .map(Map.Entry::getValue)
         .sorted(Comparator.comparing(Run::crashedAt))
         .toList();
   }
@@ -125,16 +164,18 @@
   int crashesExcept(String process) {
     return (int)
         runs.entrySet().stream()
-            .filter(entry -> !entry.getKey().equals(process) && isCounted(entry.getValue()))
+            .filter(entry -> !entry.getKey().equals(process) && isCounted(entry))
             .count();
   }
 
   /** Returns the upstream processes whose crashes count. */
   List<String> processes() {
-    return runs.entrySet().stream()
-        .filter(entry -> isCounted(entry.getValue()))
-        .map(Map.Entry::getKey)
-        .toList();
+    return runs.entrySet().stream().filter(this::isCounted).map(Map.Entry::getKey).toList();
+  }
+
+  /** Returns whether all these processes are among those whose crashes count. */
+  boolean hasCrashed(Set<String> processes) {
+    return runs.keySet().containsAll(processes) && processes().containsAll(processes);
   }
 
   /**
@@ -144,7 +185,7 @@
    */
   int consecutiveCrashes() {
     Map<String, Run> counted = new TreeMap<>(runs);
-    counted.values().removeIf(run -> !isCounted(run));
+    counted.entrySet().removeIf(entry -> !isCounted(entry));
     return counted.keySet().stream()
         .mapToInt(process -> longestChainTo(process, counted))
         .max()
@@ -173,13 +214,16 @@
     return countedRuns().stream().map(Run::crashedAt).findFirst();
   }
 
-  /** Removes crashes before a moment; returns whether no run is left. */
+  /** Removes crashes before a moment; returns whether nothing is left to remember. */
   boolean removeBefore(Instant moment) {
     runs.values().removeIf(run -> run.crashedAt().isBefore(moment));
-    return runs.isEmpty();
+    boolean clearedSince = clearedAt.filter(cleared -> !cleared.isBefore(moment)).isPresent();
+    return runs.isEmpty() && !isConvicted() && !clearedSince;
   }
 
+  /** Returns the record to send to other instances, without expired crashes. */
   CrashRecord asOf(Instant now, String fingerprint) {
+    removeBefore(now.minus(CrashLedger.VALIDITY));
     List<CrashRecord.CrashedRun> reported =
         runs.entrySet().stream()
             .map(
@@ -191,7 +235,8 @@
                         entry.getValue().predecessors()))
             .toList();
     long clearedAge = clearedAt.map(moment -> age(moment, now)).orElse(CrashRecord.NEVER);
-    return new CrashRecord(fingerprint, subject, reported, clearedAge);
+    Long convictedAge = convictedAt.map(moment -> age(moment, now)).orElse(null);
+    return new CrashRecord(fingerprint, subject, reported, clearedAge, convictedAge);
   }
 
   private static long age(Instant moment, Instant now) {
--- a/org.oatlug/src/org/oatlug/internal/crash/RequestFingerprint.java
+++ b/org.oatlug/src/org/oatlug/internal/crash/RequestFingerprint.java
@@ -10,7 +10,8 @@
 import java.util.Arrays;
 
 /**
- * Identifies a request across the retries of its caller, equally on every instance.
+ * Identifies a request across the retries of its caller, or a part of prompts that many requests
+ * share, equally on every instance.
  *
  * <p>The fingerprint covers host, path with query, workspace and body, but not the id, the
  * deadline, the session or other headers, which change with each try. 128 bits of SHA-256 keep a
@@ -22,8 +23,21 @@
   /** The length of a fingerprint in characters. */
   static final int LENGTH = 2 * BYTES;
 
+  /** Begins the fingerprints of prompt parts; no hash of a request begins like this. */
+  private static final String PART_PREFIX = "0".repeat(LENGTH / 2);
+
   private RequestFingerprint() {}
 
+  /** Returns the fingerprint of a prompt part, which ends with its hash in hexadecimal. */
+  public static String ofPart(long hash) {
+    return PART_PREFIX + String.format("%016x", hash);
+  }
+
+  /** Returns whether the fingerprint is that of a prompt part. */
+  static boolean isPart(String fingerprint) {
+    return fingerprint.startsWith(PART_PREFIX);
+  }
+
   /**
    * Returns the fingerprint of a request, in hexadecimal.
    *
--- a/org.oatlug/src/org/oatlug/internal/gateway/CrashGuard.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/CrashGuard.java
@@ -12,19 +12,24 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.oatlug.gateway.PromptPart;
+import org.oatlug.internal.crash.AbandonedAttempts;
+import org.oatlug.internal.crash.CrashKeys;
 import org.oatlug.internal.crash.CrashLedger;
+import org.oatlug.internal.crash.CrashLedger.Assessment;
 import org.oatlug.internal.crash.CrashLedger.Verdict;
+import org.oatlug.internal.crash.RequestFingerprint;
 import org.oatlug.internal.metrics.Meters;
 
 /**
  * Prevents requests that crash upstreams from crashing more of them.
  *
- * <p>A request becomes a suspect when two upstream processes have crashed while running it. A
- * suspect runs isolated: on one upstream at a time, preferably an idle one, and without retries
- * within the try. So another crash affects few other requests, and a harmless request is soon
- * cleared by completing. The {@link CrashLedger} holds the evidence. Invariant: an upstream counts
- * as running a suspect exactly while this instance has a suspect open there. Used from one event
- * loop.
+ * <p>A request becomes a suspect when two upstream processes have crashed while running it, or
+ * requests that share a prompt part with it. Suspects of one cause run isolated: on one upstream at
+ * a time, preferably an idle one, and without retries within the try. So another crash affects few
+ * other requests, and a harmless request is soon cleared by completing. The {@link CrashLedger}
+ * holds the evidence. Invariant: an upstream counts as running a suspect exactly while this
+ * instance has a suspect open there. Used from one event loop.
  */
 final class CrashGuard {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
@@ -37,15 +42,26 @@
   private final InstantSource clock;
   private final Meters meters;
 
-  /** Maps the fingerprint of each running suspect to its upstream. */
+  private final AbandonedAttempts abandonedAttempts = AbandonedAttempts.create();
+
+  /** Maps what each running suspect is suspected for to its upstream. */
   private final Map<String, String> suspectUpstreams = new HashMap<>();
 
+  /**
+   * A reason not to send a request now.
+   *
+   * @param processes the upstream processes that crashed
+   * @param retryAfter when the caller may retry, empty if that is pointless
+   */
+  record Hold(List<String> processes, Optional<Duration> retryAfter) {}
+
   private CrashGuard(
       CrashLedger ledger, CrashProbe crashProbe, InstantSource clock, Meters meters) {
     this.ledger = ledger;
     this.crashProbe = crashProbe;
     this.clock = clock;
     this.meters = meters;
+    ledger.onProcessCrash(this::recordAbandonedAtCrash);
   }
 
   /** Returns a guard that has recorded no crashes yet, of requests to upstreams in the tables. */
@@ -66,6 +82,50 @@
     return new RequestGuard(request);
   }
 
+  private void recordAbandonedAtCrash(String process, Instant crashedAt) {
+    abandonedAttempts
+        .takeAtCrash(process, crashedAt)
+        .forEach(attempt -> recordCrash(process, attempt, crashedAt));
+  }
+
+  private void recordCrash(String process, AbandonedAttempts.Attempt attempt, Instant crashedAt) {
+    meters.count("crash.after-abandoned");
+    for (long part : attempt.parts()) {
+      recordPartCrash(part, process, attempt.startedAt(), crashedAt);
+    }
+  }
+
+  private void recordPartCrash(long part, String process, Instant startedAt, Instant crashedAt) {
+    ledger.recordCrash(
+        RequestFingerprint.ofPart(part),
+        "prompt part " + Long.toHexString(part),
+        process,
+        startedAt,
+        crashedAt);
+  }
+
+  /** Records that an upstream responded to a request of this instance. */
+  void recordResponse(String process) {
+    abandonedAttempts.recordResponse(process, clock.instant());
+  }
+
+  /**
+   * Records that no connection to an upstream could be opened. It may have crashed under an attempt
+   * that was abandoned, without anything else being open there.
+   */
+  void connectFailed(UpstreamSelection.CostedUpstream chosen) {
+    String process = chosen.row().process();
+    if (abandonedAttempts.mayHaveCrashed(process)) {
+      crashProbe.ifCrashed(process, chosen.upstream(), () -> recordAbandoned(process));
+    }
+  }
+
+  private void recordAbandoned(String process) {
+    for (AbandonedAttempts.Attempt attempt : abandonedAttempts.takeUnanswered(process)) {
+      recordCrash(process, attempt, attempt.abandonedAt());
+    }
+  }
+
   /** Returns whether a suspect runs on the upstream. */
   boolean runsSuspect(String upstream) {
     return !suspectUpstreams.isEmpty() && suspectUpstreams.containsValue(upstream);
@@ -80,23 +140,34 @@
   /** Guards one try of a request. */
   final class RequestGuard {
     private final AdmittedRequest request;
-    private Optional<String> fingerprint = Optional.empty();
+    private Optional<CrashKeys> keys = Optional.empty();
+    private Optional<String> isolatedFor = Optional.empty();
 
     private RequestGuard(AdmittedRequest request) {
       this.request = request;
     }
 
-    /** Returns the fingerprint; it is computed once, and only if the ledger is not empty. */
-    private String fingerprint() {
-      if (fingerprint.isEmpty()) {
-        fingerprint = Optional.of(request.fingerprint());
+    /** Returns the keys of the request; computed once, and only if the ledger is not empty. */
+    private CrashKeys keys() {
+      if (keys.isEmpty()) {
+        keys = Optional.of(new CrashKeys(request.fingerprint(), parts()));
       }
-      return fingerprint.get();
+      return keys.get();
+    }
+
+    private List<String> parts() {
+      return request.sharedParts().stream()
+          .map(part -> RequestFingerprint.ofPart(part.hash()))
+          .toList();
+    }
+
+    private Optional<Assessment> assessment() {
+      return ledger.isEmpty() ? Optional.empty() : Optional.of(ledger.assess(keys()));
     }
 
     /** Returns the verdict on the request. */
     Verdict verdict() {
-      return ledger.isEmpty() ? Verdict.CLEAR : ledger.verdict(fingerprint());
+      return assessment().map(Assessment::verdict).orElse(Verdict.CLEAR);
     }
 
     /** Returns whether the request has to run isolated. */
@@ -104,40 +175,43 @@
       return verdict() == Verdict.SUSPECT;
     }
 
-    /** Returns the time after which the caller may retry, empty if the request may run now. */
-    Optional<Duration> retryDelay() {
-      return switch (verdict()) {
+    /** Returns why the request must not be sent now, empty if it may be. */
+    Optional<Hold> hold() {
+      return assessment().flatMap(this::hold);
+    }
+
+    private Optional<Hold> hold(Assessment assessment) {
+      List<String> processes = ledger.crashedProcesses(assessment.cause());
+      return switch (assessment.verdict()) {
         case CLEAR -> Optional.empty();
         case SUSPECT ->
-            suspectUpstreams.containsKey(fingerprint())
-                ? Optional.of(SUSPECT_RETRY_DELAY)
+            suspectUpstreams.containsKey(assessment.cause())
+                ? Optional.of(new Hold(processes, Optional.of(SUSPECT_RETRY_DELAY)))
                 : Optional.empty();
-        case REFUSED -> Optional.of(ledger.timeUntilExpiry(fingerprint()));
+        case REFUSED ->
+            Optional.of(new Hold(processes, ledger.timeUntilRelease(assessment.cause())));
       };
     }
 
-    /** Returns the upstream processes that crashed while running the request. */
-    List<String> crashedProcesses() {
-      return ledger.crashedProcesses(fingerprint());
-    }
-
     /** Records that the suspect is sent to an upstream. */
     void startIsolated(String upstream) {
       meters.count("crash.suspect-alone");
-      suspectUpstreams.put(fingerprint(), upstream);
+      isolatedFor = assessment().map(Assessment::cause);
+      isolatedFor.ifPresent(cause -> suspectUpstreams.put(cause, upstream));
     }
 
     /** Records that the suspect is no longer open on its upstream. */
     void endIsolated() {
-      suspectUpstreams.remove(fingerprint());
+      isolatedFor.ifPresent(suspectUpstreams::remove);
+      isolatedFor = Optional.empty();
     }
 
     /**
      * Returns whether the request must not be retried within this try after its response was
-     * interrupted: if the upstream turns out to have crashed, the request becomes a suspect.
+     * interrupted: if the upstream turns out to have crashed, so could the next one.
      */
     boolean blocksRetry(String process) {
-      return !ledger.isEmpty() && ledger.wouldBeSuspect(fingerprint(), process);
+      return !ledger.isEmpty() && ledger.blocksRetry(keys(), process);
     }
 
     /**
@@ -145,33 +219,61 @@
      * upstream has crashed.
      *
      * @param attemptStart the start time of the attempt
+     * @param hasBegun whether the response had gone on beyond its beginning, which speaks against
+     *     its prompt parts as the cause
      */
-    void responseInterrupted(UpstreamSelection.CostedUpstream chosen, Instant attemptStart) {
+    void responseInterrupted(
+        UpstreamSelection.CostedUpstream chosen, Instant attemptStart, boolean hasBegun) {
       Instant interruptedAt = clock.instant();
       crashProbe.ifCrashed(
           chosen.row().process(),
           chosen.upstream(),
-          () -> recordCrash(chosen, attemptStart, interruptedAt));
+          () -> recordCrash(chosen, attemptStart, interruptedAt, hasBegun));
     }
 
     private void recordCrash(
-        UpstreamSelection.CostedUpstream chosen, Instant attemptStart, Instant interruptedAt) {
+        UpstreamSelection.CostedUpstream chosen,
+        Instant attemptStart,
+        Instant interruptedAt,
+        boolean hasBegun) {
       meters.count("crash.upstream-ended");
       chosen.row().recordCrash(interruptedAt);
+      String process = chosen.row().process();
+      if (!hasBegun) {
+        request
+            .sharedParts()
+            .forEach(part -> recordPartCrash(part.hash(), process, attemptStart, interruptedAt));
+      }
       ledger.recordCrash(
-          fingerprint(), request.subject(), chosen.row().process(), attemptStart, interruptedAt);
+          request.fingerprint(), request.subject(), process, attemptStart, interruptedAt);
+    }
+
+    /** Records that the attempt was ended before its response was complete. */
+    void attemptAbandoned(UpstreamSelection.CostedUpstream chosen, Instant attemptStart) {
+      List<Long> hashes = request.sharedParts().stream().map(PromptPart::hash).toList();
+      if (!hashes.isEmpty()) {
+        abandonedAttempts.add(
+            chosen.row().process(),
+            new AbandonedAttempts.Attempt(hashes, attemptStart, clock.instant()));
+      }
+    }
+
+    /** Records that the response has gone on beyond its beginning. */
+    void recordBegun() {
+      parts().forEach(ledger::recordSuccess);
     }
 
     /** Records that the request completed with a whole response. */
     void recordSuccess() {
+      recordBegun();
       if (!ledger.isEmpty()) {
-        ledger.recordSuccess(fingerprint());
+        ledger.recordSuccess(keys().request());
       }
     }
 
     @Override
     public String toString() {
-      return fingerprint() + " " + verdict();
+      return keys().request() + " " + assessment().map(Assessment::toString).orElse("");
     }
   }
 }
--- a/org.oatlug/src/org/oatlug/internal/gateway/Exchange.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/Exchange.java
@@ -162,19 +162,23 @@
    * evidence; returns whether it was refused.
    */
   private boolean refuseIfCrashing() {
-    Optional<Duration> retryAfter = requestGuard.retryDelay();
-    retryAfter.ifPresent(
-        delay -> {
-          String text =
-              ErrorText.format(
-                  ErrorText.get().crashesUpstreams, requestGuard.crashedProcesses().size());
-          log()
-              .log(
-                  "refusing request %s, upstreams that it crashed: %s",
-                  requestGuard, requestGuard.crashedProcesses());
-          giveUp(RefusalReason.CRASHES_UPSTREAMS, text, delay);
-        });
-    return retryAfter.isPresent();
+    Optional<CrashGuard.Hold> hold = requestGuard.hold();
+    hold.ifPresent(this::refuseAsCrashing);
+    return hold.isPresent();
+  }
+
+  private void refuseAsCrashing(CrashGuard.Hold hold) {
+    log().log("refusing request %s, upstreams that it crashed: %s", requestGuard, hold.processes());
+    String text = ErrorText.format(ErrorText.get().crashesUpstreams, hold.processes().size());
+    RefusalReason reason = RefusalReason.CRASHES_UPSTREAMS;
+    hold.retryAfter()
+        .ifPresentOrElse(
+            delay -> giveUp(reason, text, delay),
+            () -> refuse(mayHaveRun ? failed(text) : Refusal.notRun(reason, text)));
+  }
+
+  private static Refusal failed(String text) {
+    return Refusal.unknown(RefusalReason.UPSTREAM_FAILED, text);
   }
 
   /**
@@ -412,10 +416,7 @@
   }
 
   private void giveUp(RefusalReason reason, String text, Duration retryAfter) {
-    Refusal refusal =
-        mayHaveRun
-            ? Refusal.unknown(RefusalReason.UPSTREAM_FAILED, text)
-            : Refusal.retryAfter(reason, text, retryAfter);
+    Refusal refusal = mayHaveRun ? failed(text) : Refusal.retryAfter(reason, text, retryAfter);
     refuse(refusal);
   }
 
--- a/org.oatlug/src/org/oatlug/internal/gateway/ExchangeAttempt.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/ExchangeAttempt.java
@@ -8,6 +8,7 @@
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.net.SocketAddress;
 import java.time.Duration;
+import java.time.Instant;
 import java.util.Optional;
 import java.util.OptionalInt;
 import org.oatlug.api.RefusalReason;
@@ -32,6 +33,9 @@
 final class ExchangeAttempt implements Attempt, UpstreamConnection.Listener {
   private static final int FIRST_SERVER_ERROR = 500;
 
+  /** The time after the first data in which a prompt may still crash the upstream. */
+  private static final Duration BEGINNING = Duration.ofMillis(500);
+
   private final Exchange exchange;
   private final GatewayComponents components;
   private final AdmittedRequest request;
@@ -48,6 +52,9 @@
   private HttpClientResponse response;
   private boolean released;
   private boolean runsIsolated;
+  private boolean written;
+  private Optional<Instant> firstDataAt = Optional.empty();
+  private boolean hasBegun;
 
   ExchangeAttempt(
       Exchange exchange, UpstreamSelection.CostedUpstream chosen, Optional<String> model) {
@@ -159,6 +166,9 @@
 
   @Override
   public void abandon() {
+    if (!released && written) {
+      exchange.requestGuard().attemptAbandoned(chosen, feedback.started());
+    }
     release();
     if (connection != null) {
       connection.cancel();
@@ -205,6 +215,7 @@
     // Updates the remaining time: the host may have been suspended since the headers were first
     // composed.
     components.adapter().upstreams().addMetadata(headers, metadata());
+    written = true;
     return true;
   }
 
@@ -225,6 +236,7 @@
   public void headReceived(HttpClientResponse received) {
     response = received;
     activityReceived();
+    components.crashes().recordResponse(chosen.row().process());
     ResponseHead head = components.adapter().upstreams().read(received);
     feedback.responseHeadReceived(head);
     if (!head.requestId().equals(Optional.of(request.head().id()))) {
@@ -295,7 +307,11 @@
 
   /** Drops a low-confidence response and tries another model; returns whether it did. */
   private boolean replaceWithOtherModel(ResponseHead head) {
-    boolean replaceable = route.isCascade() && route.isRepeatable() && !callerResponse.isBegun();
+    boolean replaceable =
+        route.isCascade()
+            && route.isRepeatable()
+            && !callerResponse.isBegun()
+            && !exchange.requestGuard().blocksRetry(chosen.row().process());
     if (!replaceable || head.confidence().isEmpty()) {
       return false;
     }
@@ -331,9 +347,21 @@
   @Override
   public void dataReceived(Buffer data) {
     activityReceived();
+    recordBeginning();
     responseRelay.dataReceived(data).ifPresent(feedback::recordEventInterval);
   }
 
+  /** Records once that the response has gone on for longer than its beginning takes. */
+  private void recordBeginning() {
+    Instant now = components.clock().instant();
+    if (firstDataAt.isEmpty()) {
+      firstDataAt = Optional.of(now);
+    } else if (!hasBegun && now.isAfter(firstDataAt.get().plus(BEGINNING))) {
+      hasBegun = true;
+      exchange.requestGuard().recordBegun();
+    }
+  }
+
   @Override
   public void completed() {
     if (responseRelay.endsInsideEvent()) {
@@ -376,6 +404,7 @@
             + request.sharedPartNames());
     if (progress == Progress.NOT_SENT) {
       feedback.connectFailed();
+      components.crashes().connectFailed(chosen);
       exchange.retryUnsent("retry.upstream-not-reached");
       return;
     }
@@ -402,7 +431,7 @@
     boolean mustNotRetry = exchange.requestGuard().blocksRetry(chosen.row().process());
     // An upstream that drains ends as planned, so the request did not crash it.
     if (!components.tables().isLeaving(chosen.name())) {
-      exchange.requestGuard().responseInterrupted(chosen, feedback.started());
+      exchange.requestGuard().responseInterrupted(chosen, feedback.started(), hasBegun);
     }
     return mustNotRetry;
   }
--- /dev/null
+++ b/org.oatlug/src/org/oatlug/internal/gather/StartupCrashQuery.java
@@ -0,0 +1,96 @@
+// Copyright (c) 2026, the oatlug authors
+// SPDX-License-Identifier: BSD-3-Clause
+
+package org.oatlug.internal.gather;
+
+import com.google.common.flogger.FluentLogger;
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.Set;
+import org.oatlug.internal.crash.CrashLedger;
+import org.oatlug.internal.membership.Membership;
+import org.oatlug.internal.peer.Member;
+import org.oatlug.internal.peer.PeerMessage;
+import org.oatlug.internal.peer.PeerNetwork;
+
+/**
+ * Reads the crash records of other instances at the start, before there is a collector to report
+ * to.
+ *
+ * <p>Invariants: an instance is asked again only if it did not respond, and at most {@link
+ * #MAXIMUM_QUERIES} queries are sent; none once an instance that has all records has responded.
+ * Owned by one event loop, not thread-safe.
+ */
+final class StartupCrashQuery {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  /** Enough to find one that has not just started, too, without a burst at a start of all. */
+  private static final int MAXIMUM_QUERIES = 12;
+
+  /** The maximum instances to ask at the same time. */
+  private static final int MAXIMUM_PEERS = 4;
+
+  private static final Duration TIMEOUT = Duration.ofMillis(400);
+
+  private final Membership membership;
+  private final PeerNetwork network;
+  private final CrashLedger ledger;
+  private final Set<String> asked = new HashSet<>();
+  private int queries;
+  private boolean responded;
+  private boolean informed;
+
+  private StartupCrashQuery(Membership membership, PeerNetwork network, CrashLedger ledger) {
+    this.membership = membership;
+    this.network = network;
+    this.ledger = ledger;
+  }
+
+  /** Returns a query that has asked nobody. */
+  static StartupCrashQuery create(Membership membership, PeerNetwork network, CrashLedger ledger) {
+    return new StartupCrashQuery(membership, network, ledger);
+  }
+
+  /** Returns whether an instance that has all records has responded. */
+  boolean isAnswered() {
+    return informed;
+  }
+
+  /** Returns whether any instance has responded, which may have started just now, too. */
+  boolean hasResponse() {
+    return responded;
+  }
+
+  /** Asks instances that were not asked before, or did not respond. */
+  void askPeers() {
+    for (Member peer : membership.addressablePeers()) {
+      String address = peer.host() + ":" + peer.peerPort();
+      boolean mayAsk = !informed && queries < MAXIMUM_QUERIES && asked.size() < MAXIMUM_PEERS;
+      if (mayAsk && asked.add(address)) {
+        ask(peer, address);
+      }
+    }
+  }
+
+  private void ask(Member peer, String address) {
+    queries++;
+    network
+        .sendRequest(peer, new PeerMessage.CrashQuery(), TIMEOUT)
+        .subscribe()
+        .with(
+            response -> answered(peer, response),
+            failure -> {
+              asked.remove(address);
+              logger.atFine().log(
+                  "no crash records from %s: %s", peer.name(), failure.getMessage());
+            });
+  }
+
+  private void answered(Member peer, PeerMessage response) {
+    if (response instanceof PeerMessage.CrashAnswer answer && answer.changes() != null) {
+      responded = true;
+      ledger.merge(answer.changes().records(), peer.name());
+      informed |= answer.informed();
+    }
+  }
+}
--- a/org.oatlug/src/org/oatlug/internal/gather/StateExchange.java
+++ b/org.oatlug/src/org/oatlug/internal/gather/StateExchange.java
@@ -55,6 +55,9 @@
   /** The time within which a new instance receives the state of the collectors of all zones. */
   private static final Duration INITIAL_EXCHANGE = Duration.ofMillis(600);
 
+  /** The time for which a new instance waits for crash records while no other responds. */
+  private static final Duration UNANSWERED_CRASH_QUERY = Duration.ofMillis(1500);
+
   /** The minimum interval between log lines on rejected reports, in seconds. */
   private static final int REJECTION_LOG_SECONDS = 1;
 
@@ -70,6 +73,7 @@
   private final ZoneReplication zoneReplication = ZoneReplication.create(sessions);
   private final CrashLedger ledger;
   private final CrashReplication crashReplication;
+  private final StartupCrashQuery crashQuery;
   private StateReport lastReport = StateReport.EMPTY;
   private Instant reportedAt = Instant.EPOCH;
   private Optional<Instant> startedAt = Optional.empty();
@@ -94,6 +98,7 @@
     this.participant = participant;
     this.ledger = ledger;
     this.crashReplication = CrashReplication.of(ledger);
+    this.crashQuery = StartupCrashQuery.create(membership, network, ledger);
     this.collectors = ZoneCollectors.of(membership, clock);
   }
 
@@ -116,6 +121,9 @@
   public void tick() {
     Instant now = clock.instant();
     startedAt = startedAt.or(() -> Optional.of(now));
+    if (!hasCrashRecords()) {
+      crashQuery.askPeers();
+    }
     pendingSessions.add(participant.drainPendingSessions(), now);
     StateReport own = participant.localReport();
     Optional<Member> remoteCollector = collectors.ofOwnZone();
@@ -144,11 +152,23 @@
     return receivedRecords || hasCompletedInitialExchange();
   }
 
+  /**
+   * Returns whether this instance has the crash records of the others: one that has them responded,
+   * or all that respond have just started, too, or none responds for long.
+   */
+  public boolean hasCrashRecords() {
+    return crashQuery.isAnswered()
+        || hasRunFor(UNANSWERED_CRASH_QUERY)
+        || hasCompletedInitialExchange() && crashQuery.hasResponse();
+  }
+
   /** Returns whether this instance has run for long enough to have received all reports. */
   public boolean hasCompletedInitialExchange() {
-    return startedAt
-        .map(start -> clock.instant().isAfter(start.plus(INITIAL_EXCHANGE)))
-        .orElse(false);
+    return hasRunFor(INITIAL_EXCHANGE);
+  }
+
+  private boolean hasRunFor(Duration duration) {
+    return startedAt.map(start -> clock.instant().isAfter(start.plus(duration))).orElse(false);
   }
 
   private boolean isDue(StateReport own, Instant now) {
@@ -342,6 +362,9 @@
       crashReplication.mergePushed(from, pushed.changes());
       return new PeerMessage.Done();
     }
+    if (message instanceof PeerMessage.CrashQuery) {
+      return new PeerMessage.CrashAnswer(ledger.after(0), hasCrashRecords());
+    }
     if (message instanceof PeerMessage.InstanceAccount instance) {
       return isValid(from, instance.account()) ? acceptReport(from, instance) : rejection();
     }
--- a/org.oatlug/src/org/oatlug/internal/peer/PeerMessage.java
+++ b/org.oatlug/src/org/oatlug/internal/peer/PeerMessage.java
@@ -41,6 +41,8 @@
   @JsonSubTypes.Type(value = PeerMessage.FleetAccount.class, name = "fleetAccount"),
   @JsonSubTypes.Type(value = PeerMessage.ZoneAccount.class, name = "zoneAccount"),
   @JsonSubTypes.Type(value = PeerMessage.Crashes.class, name = "crashes"),
+  @JsonSubTypes.Type(value = PeerMessage.CrashQuery.class, name = "crashQuery"),
+  @JsonSubTypes.Type(value = PeerMessage.CrashAnswer.class, name = "crashAnswer"),
   @JsonSubTypes.Type(value = PeerMessage.ReadInstead.class, name = "readInstead"),
   @JsonSubTypes.Type(value = PeerMessage.PathQuery.class, name = "pathQuery"),
   @JsonSubTypes.Type(value = PeerMessage.PathAnswer.class, name = "pathAnswer"),
@@ -164,6 +166,13 @@
   /** Crashes that a collector pushes to its zone at once. */
   record Crashes(@JsonProperty("news") CrashUpdate changes) implements PeerMessage {}
 
+  /** Asks an instance for its crash records, at the start of the sender. */
+  record CrashQuery() implements PeerMessage {}
+
+  /** The crash records of the sender, and whether it has had time to receive those of others. */
+  record CrashAnswer(@JsonProperty("news") CrashUpdate changes, boolean informed)
+      implements PeerMessage {}
+
   /** Asks whether the receiver takes forwarded requests for the service. */
   record PathQuery(String service) implements PeerMessage {}
 
