Check upstreams whose responses end with their connection

What callers saw: a response without length or chunks that ended between two events, or before the first, counted as complete although its upstream had crashed; the stream just stopped, a plain response was cut short with 200, and nothing counted against the version or the request.

Cause: such a response ends with its connection in both cases, and nobody asked which it was.

Why it works: the end, and only the end, waits for the state of the process, at most 100 ms. A crash is a failure like any other interruption: it counts as evidence, the stream continues elsewhere. Only an upstream that still accepts connections makes the response evidence in favour of the request.

--- a/org.oatlug.test/tst/org/oatlug/internal/gather/PartCrashSimulation.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/gather/PartCrashSimulation.java
@@ -236,9 +236,9 @@
     if (up.isEmpty()) {
       return;
     }
-    Upstream upstream = up.get(random.nextInt(up.size()));
     request.attempts++;
     request.deadly.ifPresent(this::countLate);
+    Upstream upstream = up.get(random.nextInt(up.size()));
     Run run = new Run(request, now(), cause);
     cause.ifPresent(isolated.get(request.instance)::add);
     upstream.runs.add(run);
--- a/org.oatlug.test/tst/org/oatlug/test/GatewayCluster.java
+++ b/org.oatlug.test/tst/org/oatlug/test/GatewayCluster.java
@@ -23,6 +23,7 @@
 import java.util.concurrent.atomic.AtomicReference;
 import org.oatlug.adapter.standin.SampleObjects;
 import org.oatlug.adapter.standin.StoreStandin;
+import org.oatlug.adapter.standin.UndelimitedUpstream;
 import org.oatlug.adapter.standin.UpstreamStandin;
 import org.oatlug.pgm.ExitCode;
 import org.oatlug.pgm.Oatlug;
@@ -134,6 +135,15 @@
     return upstream;
   }
 
+  /** Starts an upstream whose responses end with their connection, and registers it. */
+  UndelimitedUpstream addUndelimitedUpstream(String name) {
+    UndelimitedUpstream upstream = UndelimitedUpstream.create(vertx);
+    int port = Ports.free();
+    upstream.listen(HOST, port).toCompletionStage().toCompletableFuture().join();
+    store.put("servers", name, SampleObjects.upstream(SampleObjects.SERVICE, HOST, port, "v1"));
+    return upstream;
+  }
+
   /**
    * Makes an upstream crash on each request whose body contains the text. The upstream restarts
    * under a new name after the given time.
--- a/org.oatlug/src/org/oatlug/internal/gateway/CrashGuard.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/CrashGuard.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Consumer;
 import org.oatlug.gateway.PromptPart;
 import org.oatlug.internal.crash.AbandonedAttempts;
 import org.oatlug.internal.crash.CrashKeys;
@@ -19,6 +20,7 @@
 import org.oatlug.internal.crash.CrashLedger.Assessment;
 import org.oatlug.internal.crash.CrashLedger.Verdict;
 import org.oatlug.internal.crash.RequestFingerprint;
+import org.oatlug.internal.gateway.CrashProbe.ProcessState;
 import org.oatlug.internal.metrics.Meters;
 
 /**
@@ -126,6 +128,11 @@
     }
   }
 
+  /** Calls the action with the state of the upstream process, as soon as it is known. */
+  void checkProcess(UpstreamSelection.CostedUpstream chosen, Consumer<ProcessState> action) {
+    crashProbe.check(chosen.row().process(), chosen.upstream(), action);
+  }
+
   /** Returns whether a suspect runs on the upstream. */
   boolean runsSuspect(String upstream) {
     return !suspectUpstreams.isEmpty() && suspectUpstreams.containsValue(upstream);
--- a/org.oatlug/src/org/oatlug/internal/gateway/CrashProbe.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/CrashProbe.java
@@ -17,6 +17,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Consumer;
 import java.util.function.Function;
 import org.oatlug.gateway.UpstreamRecord;
 import org.oatlug.internal.util.BoundedMap;
@@ -42,11 +43,21 @@
 
   private final Vertx vertx;
   private final Function<UpstreamRecord, List<SocketAddress>> referencesOf;
-  private final Map<String, List<Runnable>> pendingActions = new HashMap<>();
+  private final Map<String, List<Consumer<ProcessState>>> pendingActions = new HashMap<>();
   private final Map<String, Boolean> crashed = BoundedMap.withMaximumSize(MAXIMUM_CRASHED);
 
   private Optional<NetClient> client = Optional.empty();
 
+  /** The state of an upstream process as far as a connection shows it. */
+  enum ProcessState {
+    /** It refuses connections, and the network does not explain it. */
+    CRASHED,
+    /** It accepts a connection. */
+    ALIVE,
+    /** It does not respond, or the network may be the reason. */
+    UNKNOWN
+  }
+
   private CrashProbe(Vertx vertx, Function<UpstreamRecord, List<SocketAddress>> referencesOf) {
     this.vertx = vertx;
     this.referencesOf = referencesOf;
@@ -80,11 +91,23 @@
 
   /** Runs the action if the upstream process has crashed, now or as soon as that is known. */
   void ifCrashed(String process, UpstreamRecord upstream, Runnable action) {
+    check(
+        process,
+        upstream,
+        state -> {
+          if (state == ProcessState.CRASHED) {
+            action.run();
+          }
+        });
+  }
+
+  /** Calls the action with the state of the upstream process, now or as soon as it is known. */
+  void check(String process, UpstreamRecord upstream, Consumer<ProcessState> action) {
     if (crashed.containsKey(process)) {
-      action.run();
+      action.accept(ProcessState.CRASHED);
       return;
     }
-    List<Runnable> pending = pendingActions.get(process);
+    List<Consumer<ProcessState>> pending = pendingActions.get(process);
     if (pending != null) {
       pending.add(action);
       return;
@@ -99,12 +122,16 @@
 
   private void connected(String process, NetSocket socket) {
     socket.close();
-    pendingActions.remove(process);
+    complete(process, ProcessState.ALIVE);
+  }
+
+  private void complete(String process, ProcessState state) {
+    pendingActions.remove(process).forEach(action -> action.accept(state));
   }
 
   private void connectFailed(String process, UpstreamRecord upstream, Throwable failure) {
     if (!isRefused(failure)) {
-      pendingActions.remove(process);
+      complete(process, ProcessState.UNKNOWN);
       return;
     }
     List<SocketAddress> references = referencesOf.apply(upstream);
@@ -116,16 +143,16 @@
         references.stream().map(reference -> client().connect(reference)).toList();
     connections.forEach(connection -> connection.onSuccess(NetSocket::close));
     Future.any(connections)
-        .onComplete(unused -> confirm(process), noneAccepts -> pendingActions.remove(process));
+        .onComplete(
+            unused -> confirm(process), noneAccepts -> complete(process, ProcessState.UNKNOWN));
   }
 
   private void confirm(String process) {
     crashed.put(process, Boolean.TRUE);
-    List<Runnable> actions = pendingActions.remove(process);
     logger.atInfo().log(
         "upstream process %s has crashed under %d attempts of this instance",
-        process, actions.size());
-    actions.forEach(Runnable::run);
+        process, pendingActions.get(process).size());
+    complete(process, ProcessState.CRASHED);
   }
 
   private static boolean isRefused(Throwable failure) {
--- a/org.oatlug/src/org/oatlug/internal/gateway/ExchangeAttempt.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/ExchangeAttempt.java
@@ -9,6 +9,7 @@
 import io.vertx.core.net.SocketAddress;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.Locale;
 import java.util.Optional;
 import java.util.OptionalInt;
 import org.oatlug.api.RefusalReason;
@@ -20,6 +21,7 @@
 import org.oatlug.gateway.WorkspaceKeys;
 import org.oatlug.internal.crash.CrashLedger.Verdict;
 import org.oatlug.internal.engine.FirstTokenForecast;
+import org.oatlug.internal.gateway.CrashProbe.ProcessState;
 import org.oatlug.internal.gateway.UpstreamEligibility.Exclusion;
 import org.oatlug.internal.routing.RequestPriority;
 
@@ -33,6 +35,9 @@
 final class ExchangeAttempt implements Attempt, UpstreamConnection.Listener {
   private static final int FIRST_SERVER_ERROR = 500;
 
+  /** The time for which the end of a response waits until the state of the upstream is known. */
+  private static final long MAXIMUM_CHECK_MILLIS = 100;
+
   /** The time after the first data in which a prompt may still crash the upstream. */
   private static final Duration BEGINNING = Duration.ofMillis(500);
 
@@ -368,16 +373,12 @@
       failed(Progress.ANSWERING, "the stream ended inside an event");
       return;
     }
-    release();
     if (isDelimited()) {
+      complete();
       exchange.requestGuard().recordSuccess();
     } else {
-      logEvent("ended with its connection parts=" + request.sharedPartNames());
-    }
-    if (response.statusCode() < FIRST_SERVER_ERROR) {
-      feedback.recordSuccess();
+      checkEndOfConnection();
     }
-    responseRelay.finish().ifPresent(feedback::recordEventInterval);
   }
 
   /**
@@ -385,8 +386,50 @@
    * connection, so a crash of the upstream looks like a complete response.
    */
   private boolean isDelimited() {
+    String encoding = response.getHeader("Transfer-Encoding");
     return response.getHeader("Content-Length") != null
-        || response.getHeader("Transfer-Encoding") != null;
+        || encoding != null && encoding.toLowerCase(Locale.ROOT).contains("chunked");
+  }
+
+  /** Completes a response that ended with its connection, unless the upstream crashed there. */
+  private void checkEndOfConnection() {
+    logEvent("ended with its connection parts=" + request.sharedPartNames());
+    if (components.tables().isLeaving(chosen.name())) {
+      complete();
+      return;
+    }
+    long timer =
+        components.vertx().setTimer(MAXIMUM_CHECK_MILLIS, unused -> complete(ProcessState.UNKNOWN));
+    components
+        .crashes()
+        .checkProcess(
+            chosen,
+            state -> {
+              components.vertx().cancelTimer(timer);
+              complete(state);
+            });
+  }
+
+  private void complete(ProcessState state) {
+    if (released) {
+      return;
+    }
+    switch (state) {
+      case CRASHED -> failed(Progress.ANSWERING, "the upstream crashed");
+      case ALIVE -> {
+        complete();
+        exchange.requestGuard().recordSuccess();
+      }
+      case UNKNOWN -> complete();
+    }
+  }
+
+  private void complete() {
+    release();
+    if (response.statusCode() < FIRST_SERVER_ERROR) {
+      feedback.recordSuccess();
+    }
+    responseRelay.finish().ifPresent(feedback::recordEventInterval);
   }
 
   @Override
