--- a/org.oatlug.pgm/src/org/oatlug/pgm/StatusCommand.java
+++ b/org.oatlug.pgm/src/org/oatlug/pgm/StatusCommand.java
@@ -105,15 +105,21 @@
     return String.format(Locale.ROOT, ", backs off for %.1f s", seconds);
   }
 
-  /** Returns why a request runs isolated or is refused, and for how long. */
+  /** Returns why a request or prompt part runs isolated or is refused, and for how long. */
   private static String heldRequestState(JsonNode heldRequest) {
     return String.format(
         Locale.ROOT,
-        "%s of %s, %d upstreams crashed while they ran it, for %.0f s",
+        "%s of %s, %d upstreams crashed while they ran it, %s",
         heldRequest.path("verdict").asText().toLowerCase(Locale.ROOT),
         heldRequest.path("subject").asText(),
         heldRequest.path("ended").size(),
-        heldRequest.path("lapsesMillis").asLong() / MILLIS_PER_SECOND);
+        heldUntil(heldRequest.path("lapsesMillis")));
+  }
+
+  private static String heldUntil(JsonNode lapsesMillis) {
+    return lapsesMillis.isNumber()
+        ? String.format(Locale.ROOT, "for %.0f s", lapsesMillis.asLong() / MILLIS_PER_SECOND)
+        : "until it is released";
   }
 
   /** Returns the version, progress, share and evidence of a roll-out at this instance. */
--- a/org.oatlug.test/tst/org/oatlug/test/CrashingPartProcessTest.java
+++ b/org.oatlug.test/tst/org/oatlug/test/CrashingPartProcessTest.java
@@ -124,6 +124,8 @@
     JsonNode held = Http.get(cluster.metricsPort(0), "/status").json().path("heldRequests");
     assertEquals(held.size(), 1, held.toString());
     assertTrue(held.path(0).path("subject").asText().contains(CRASHING_PART), held.toString());
+    String status = cluster.command(0, "status");
+    assertTrue(status.contains("until it is released"), status);
     String fingerprint = held.path(0).path("fingerprint").asText();
     assertTrue(cluster.command(0, "let-run", fingerprint).contains("runs again"));
     int before = cluster.arrivalsWithPart(CRASHING_PART);
--- a/org.oatlug/src/org/oatlug/internal/crash/CrashLedger.java
+++ b/org.oatlug/src/org/oatlug/internal/crash/CrashLedger.java
@@ -90,16 +90,21 @@
   }
 
   /**
-   * A restricted request, as shown to operators.
+   * A restricted request or prompt part, as shown to operators.
    *
-   * @param fingerprint the fingerprint of the request
-   * @param subject the workspace and destination of the request
-   * @param verdict the verdict on the request
+   * @param fingerprint the fingerprint of the request or the part
+   * @param subject the workspace and destination of the request, or the hash of the part
+   * @param verdict the verdict on it
    * @param ended the upstream processes that crashed while they ran it
-   * @param lapsesMillis the time until the earliest crash expires, in milliseconds
+   * @param lapsesMillis the time until the earliest crash expires, in milliseconds; empty for a
+   *     convicted part, which only an operator releases
    */
   public record RestrictedRequest(
-      String fingerprint, String subject, Verdict verdict, List<String> ended, long lapsesMillis) {}
+      String fingerprint,
+      String subject,
+      Verdict verdict,
+      List<String> ended,
+      Optional<Long> lapsesMillis) {}
 
   /**
    * The verdict on a request, and what it follows from.
@@ -471,6 +476,6 @@
         runs.subject(),
         verdict(fingerprint),
         crashedProcesses(fingerprint),
-        timeUntilExpiry(fingerprint).toMillis());
+        timeUntilRelease(fingerprint).map(Duration::toMillis));
   }
 }
