Compute chains of crashes without enumerating them

Each assessment of a request whose prompt parts have many crashes enumerated all chains of up to eight of them; during a series of crashes that is done for every part and request. Each chain is extended once now.

--- a/org.oatlug/src/org/oatlug/internal/crash/CrashedRuns.java
+++ b/org.oatlug/src/org/oatlug/internal/crash/CrashedRuns.java
@@ -6,6 +6,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -186,23 +187,33 @@
   int consecutiveCrashes() {
     Map<String, Run> counted = new TreeMap<>(runs);
     counted.entrySet().removeIf(entry -> !isCounted(entry));
+    Map<String, Integer> longest = new HashMap<>();
     return counted.keySet().stream()
-        .mapToInt(process -> longestChainTo(process, counted))
+        .mapToInt(process -> longestChainTo(process, counted, longest))
         .max()
         .orElse(0);
   }
 
   /** Returns the length of the longest chain of consecutive crashes that ends with a process. */
-  private static int longestChainTo(String process, Map<String, Run> candidates) {
-    Map<String, Run> others = new TreeMap<>(candidates);
-    Run last = others.remove(process);
-    int longest = 0;
-    for (Map.Entry<String, Run> previous : Map.copyOf(others).entrySet()) {
-      if (isConsecutive(previous.getKey(), previous.getValue(), last)) {
-        longest = Math.max(longest, longestChainTo(previous.getKey(), others));
+  private static int longestChainTo(
+      String process, Map<String, Run> counted, Map<String, Integer> longest) {
+    Integer known = longest.get(process);
+    if (known != null) {
+      return known;
+    }
+    // Runs that each seem to precede the other, by the delay of messages, must not be followed.
+    longest.put(process, 0);
+    int length = 0;
+    for (Map.Entry<String, Run> previous : counted.entrySet()) {
+      boolean precedes =
+          !previous.getKey().equals(process)
+              && isConsecutive(previous.getKey(), previous.getValue(), counted.get(process));
+      if (precedes) {
+        length = Math.max(length, longestChainTo(previous.getKey(), counted, longest));
       }
     }
-    return longest + 1;
+    longest.put(process, length + 1);
+    return length + 1;
   }
 
   private static boolean isConsecutive(String process, Run run, Run next) {
