--- a/org.oatlug/src/org/oatlug/internal/gateway/ExchangeAttempt.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/ExchangeAttempt.java
@@ -414,13 +414,13 @@
     if (released) {
       return;
     }
-    switch (state) {
-      case CRASHED -> failed(Progress.ANSWERING, "the upstream crashed");
-      case ALIVE -> {
-        complete();
-        exchange.requestGuard().recordSuccess();
-      }
-      case UNKNOWN -> complete();
+    if (state == ProcessState.CRASHED) {
+      failed(Progress.ANSWERING, "the upstream crashed");
+      return;
+    }
+    complete();
+    if (state == ProcessState.ALIVE) {
+      exchange.requestGuard().recordSuccess();
     }
   }
 
