Name the map of the crash ledger by what it holds, end inference when nothing is new

The map holds requests and prompt parts. The loop that convicts parts could only end because a part that may be convicted is never found cleared at that moment; it ends now whenever a conviction changes nothing, so that no clock can hold the event loop.

--- a/org.oatlug.test/tst/org/oatlug/internal/crash/CrashLedgerTest.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/crash/CrashLedgerTest.java
@@ -174,11 +174,11 @@
   public void testFloodOfRequestsDoesNotEvictRequestWithSeveralCrashes() {
     crashUpstream(CRASHING, 3);
     Instant now = time.instant();
-    for (int number = 0; number < 3 * CrashLedger.MAXIMUM_REQUESTS; number++) {
+    for (int number = 0; number < 3 * CrashLedger.MAXIMUM_KEYS; number++) {
       ledger.recordCrash(fingerprint("flood" + number), "", "i-9", now.minus(RUN), now);
     }
     assertEquals(ledger.verdict(CRASHING), Verdict.REFUSED);
-    assertTrue(ledger.after(0).records().size() <= CrashLedger.MAXIMUM_REQUESTS);
+    assertTrue(ledger.after(0).records().size() <= CrashLedger.MAXIMUM_KEYS);
   }
 
   @Test
@@ -326,12 +326,12 @@
 
   @Test
   public void testFloodOfConvictedPartsIsBounded() {
-    for (int number = 0; number < 2 * CrashLedger.MAXIMUM_REQUESTS; number++) {
+    for (int number = 0; number < 2 * CrashLedger.MAXIMUM_KEYS; number++) {
       CrashRecord convicted =
           new CrashRecord(RequestFingerprint.ofPart(number), "", List.of(), CrashRecord.NEVER, 1L);
       ledger.merge(List.of(convicted), "another");
     }
-    assertEquals(ledger.restrictedRequests().size(), CrashLedger.MAXIMUM_REQUESTS);
+    assertEquals(ledger.restrictedRequests().size(), CrashLedger.MAXIMUM_KEYS);
   }
 
   @Test
--- a/org.oatlug/src/org/oatlug/internal/crash/CrashLedger.java
+++ b/org.oatlug/src/org/oatlug/internal/crash/CrashLedger.java
@@ -29,10 +29,10 @@
  * of all earlier crashes. A prompt part counts as the cause only together with all other keys that
  * have at least its crashes; once it is the only one, it is convicted, which does not expire, and
  * its crashes no longer count against anything else. Invariants: merging is commutative,
- * associative and idempotent except for the rounding of ages; at most {@link #MAXIMUM_REQUESTS}
- * requests are kept, and those with the fewest crashes are evicted first, then those that have not
- * changed for longest, so that a flood of requests with one crash each evicts none with several.
- * Owned by one event loop, not thread-safe.
+ * associative and idempotent except for the rounding of ages; at most {@link #MAXIMUM_KEYS} keys
+ * are kept, and those with the fewest crashes are evicted first, then those that have not changed
+ * for longest, so that a flood of requests with one crash each evicts none with several. Owned by
+ * one event loop, not thread-safe.
  */
 public final class CrashLedger {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
@@ -43,8 +43,11 @@
   /** The maximum crashes kept for a request: more than any verdict needs. */
   static final int MAXIMUM_RUNS = 8;
 
-  /** Several times the requests open at the upstreams that crash within {@link #VALIDITY}. */
-  static final int MAXIMUM_REQUESTS = 1024;
+  /**
+   * Several times the requests open at the upstreams that crash within {@link #VALIDITY}, and their
+   * prompt parts.
+   */
+  static final int MAXIMUM_KEYS = 1024;
 
   /** The number of crashes from which a request runs alone on an upstream. */
   private static final int SUSPECT_CRASHES = 2;
@@ -68,7 +71,7 @@
   private static final int LOG_PERIOD_MILLIS = 20;
 
   private final InstantSource clock;
-  private final Map<String, CrashedRuns> requests = new HashMap<>();
+  private final Map<String, CrashedRuns> runsByKey = new HashMap<>();
   private final Map<String, Instant> completed = BoundedMap.withMaximumSize(MAXIMUM_COMPLETED);
   private final Map<String, Boolean> crashedProcesses =
       BoundedMap.withMaximumSize(MAXIMUM_PROCESSES);
@@ -127,17 +130,17 @@
 
   /** Returns whether no request has crashes; cheap, because it is called for each request. */
   public boolean isEmpty() {
-    if (!requests.isEmpty() && !clock.instant().isBefore(nextPurge)) {
+    if (!runsByKey.isEmpty() && !clock.instant().isBefore(nextPurge)) {
       purge();
     }
-    return requests.isEmpty();
+    return runsByKey.isEmpty();
   }
 
   /** Removes expired crashes. */
   private void purge() {
     Instant now = clock.instant();
     nextPurge = now.plus(PURGE_INTERVAL);
-    requests.values().removeIf(runs -> runs.removeBefore(now.minus(VALIDITY)));
+    runsByKey.values().removeIf(runs -> runs.removeBefore(now.minus(VALIDITY)));
   }
 
   /** Sets the action for each upstream process of which a crash becomes known, once. */
@@ -185,12 +188,12 @@
 
   /** Returns whether the request has every key that has at least the crashes of the given one. */
   private boolean containsAlternatives(CrashKeys keys, String key) {
-    CrashedRuns runs = requests.get(key);
+    CrashedRuns runs = runsByKey.get(key);
     if (runs.isConvicted()) {
       return true;
     }
     Set<String> processes = Set.copyOf(runs.processes());
-    return requests.entrySet().stream()
+    return runsByKey.entrySet().stream()
         .filter(entry -> isAlternative(entry.getKey(), key))
         .filter(entry -> entry.getValue().hasCrashed(processes))
         .allMatch(entry -> keys.contains(entry.getKey()));
@@ -209,33 +212,33 @@
     }
     needsInference = false;
     Optional<String> next = nextConviction();
-    while (next.isPresent()) {
-      convict(next.get(), clock.instant(), "no other prompt part has all its crashes");
+    while (next.isPresent() && convict(next.get())) {
       next = nextConviction();
     }
   }
 
   private Optional<String> nextConviction() {
-    return List.copyOf(requests.keySet()).stream()
+    return List.copyOf(runsByKey.keySet()).stream()
         .filter(RequestFingerprint::isPart)
-        .filter(part -> verdict(part) == Verdict.REFUSED && !requests.get(part).isConvicted())
+        .filter(part -> verdict(part) == Verdict.REFUSED && !runsByKey.get(part).isConvicted())
         .filter(part -> containsAlternatives(new CrashKeys(part, List.of()), part))
         .max(
-            Comparator.<String>comparingInt(part -> requests.get(part).crashes())
+            Comparator.<String>comparingInt(part -> runsByKey.get(part).crashes())
                 .thenComparing(Comparator.naturalOrder()));
   }
 
-  private void convict(String part, Instant moment, String reason) {
-    CrashedRuns runs = requests.get(part);
-    if (runs.convict(moment)) {
-      explanations.explain(runs.processes(), part);
-      recordChange(part, runs, reason);
+  private boolean convict(String part) {
+    CrashedRuns runs = runsByKey.get(part);
+    boolean isNew = runs.convict(clock.instant());
+    if (isNew) {
+      recordChange(part, runs, "no other key has all its crashes");
     }
+    return isNew;
   }
 
-  /** Returns the runs of the request that have not expired. */
+  /** Returns the runs of the request or prompt part that have not expired. */
   private Optional<CrashedRuns> find(String fingerprint) {
-    CrashedRuns runs = requests.get(fingerprint);
+    CrashedRuns runs = runsByKey.get(fingerprint);
     if (runs != null && runs.removeBefore(clock.instant().minus(VALIDITY))) {
       remove(fingerprint);
       return Optional.empty();
@@ -244,7 +247,7 @@
   }
 
   private void remove(String fingerprint) {
-    requests.remove(fingerprint);
+    runsByKey.remove(fingerprint);
     explanations.withdraw(fingerprint);
   }
 
@@ -336,10 +339,10 @@
 
   private CrashedRuns getOrCreate(String fingerprint, String subject) {
     find(fingerprint);
-    if (!requests.containsKey(fingerprint) && requests.size() >= MAXIMUM_REQUESTS) {
+    if (!runsByKey.containsKey(fingerprint) && runsByKey.size() >= MAXIMUM_KEYS) {
       evict();
     }
-    return requests.computeIfAbsent(
+    return runsByKey.computeIfAbsent(
         fingerprint,
         key ->
             new CrashedRuns(subject, process -> explanations.isExplainedByAnother(process, key)));
@@ -347,10 +350,10 @@
 
   private void evict() {
     purge();
-    if (requests.size() < MAXIMUM_REQUESTS) {
+    if (runsByKey.size() < MAXIMUM_KEYS) {
       return;
     }
-    requests.entrySet().stream()
+    runsByKey.entrySet().stream()
         .min(
             Comparator.<Map.Entry<String, CrashedRuns>, Boolean>comparing(
                     entry -> entry.getValue().isConvicted())
@@ -399,7 +402,7 @@
     }
     Instant now = clock.instant();
     List<Map.Entry<String, CrashedRuns>> changed =
-        requests.entrySet().stream()
+        runsByKey.entrySet().stream()
             .filter(entry -> entry.getValue().revision() > knownRevision)
             .sorted(Comparator.comparingLong(entry -> entry.getValue().revision()))
             .toList();
@@ -433,7 +436,7 @@
     boolean isRelevant =
         !unexpired.isEmpty()
             || record.convictedAgeMillis() != null
-            || requests.containsKey(record.fingerprint());
+            || runsByKey.containsKey(record.fingerprint());
     if (!isRelevant) {
       return;
     }
@@ -459,18 +462,18 @@
   /** Returns the requests that run alone or are refused, sorted by fingerprint. */
   public List<RestrictedRequest> restrictedRequests() {
     inferConvictions();
-    return List.copyOf(requests.keySet()).stream()
+    return List.copyOf(runsByKey.keySet()).stream()
         .sorted()
         .filter(fingerprint -> verdict(fingerprint) != Verdict.CLEAR)
         .filter(
             fingerprint ->
-                !RequestFingerprint.isPart(fingerprint) || requests.get(fingerprint).isConvicted())
+                !RequestFingerprint.isPart(fingerprint) || runsByKey.get(fingerprint).isConvicted())
         .map(this::restrictedRequest)
         .toList();
   }
 
   private RestrictedRequest restrictedRequest(String fingerprint) {
-    CrashedRuns runs = requests.get(fingerprint);
+    CrashedRuns runs = runsByKey.get(fingerprint);
     return new RestrictedRequest(
         fingerprint,
         runs.subject(),
