Do not wait for crash records from instances that refuse connections

What callers saw: an instance that started while no other responded was ready after 2,073 ms, 775 ms before the crash records were asked for: it waited 1.5 s, also when all others had refused the connection. Cause: only a response ended the wait early.

--- a/org.oatlug/src/org/oatlug/internal/gather/StartupCrashQuery.java
+++ b/org.oatlug/src/org/oatlug/internal/gather/StartupCrashQuery.java
@@ -37,7 +37,7 @@
   private final CrashLedger ledger;
   private final Set<String> asked = new HashSet<>();
   private int queries;
-  private boolean responded;
+  private int outstanding;
   private boolean informed;
 
   private StartupCrashQuery(Membership membership, PeerNetwork network, CrashLedger ledger) {
@@ -56,9 +56,9 @@
     return informed;
   }
 
-  /** Returns whether any instance has responded, which may have started just now, too. */
-  boolean hasResponse() {
-    return responded;
+  /** Returns whether an instance that was asked may still respond. */
+  boolean isOutstanding() {
+    return outstanding > 0;
   }
 
   /** Asks instances that were not asked before, or did not respond. */
@@ -74,12 +74,14 @@
 
   private void ask(Member peer, String address) {
     queries++;
+    outstanding++;
     network
         .sendRequest(peer, new PeerMessage.CrashQuery(), TIMEOUT)
         .subscribe()
         .with(
             response -> answered(peer, response),
             failure -> {
+              outstanding--;
               asked.remove(address);
               logger.atFine().log(
                   "no crash records from %s: %s", peer.name(), failure.getMessage());
@@ -87,8 +89,8 @@
   }
 
   private void answered(Member peer, PeerMessage response) {
+    outstanding--;
     if (response instanceof PeerMessage.CrashAnswer answer && answer.changes() != null) {
-      responded = true;
       ledger.merge(answer.changes().records(), peer.name());
       informed |= answer.informed();
     }
--- a/org.oatlug/src/org/oatlug/internal/gather/StateExchange.java
+++ b/org.oatlug/src/org/oatlug/internal/gather/StateExchange.java
@@ -55,7 +55,7 @@
   /** The time within which a new instance receives the state of the collectors of all zones. */
   private static final Duration INITIAL_EXCHANGE = Duration.ofMillis(600);
 
-  /** The time for which a new instance waits for crash records while no other responds. */
+  /** The time for which a new instance waits for crash records that others may still send. */
   private static final Duration UNANSWERED_CRASH_QUERY = Duration.ofMillis(1500);
 
   /** The minimum interval between log lines on rejected reports, in seconds. */
@@ -154,12 +154,12 @@
 
   /**
    * Returns whether this instance has the crash records of the others: one that has them responded,
-   * or all that respond have just started, too, or none responds for long.
+   * or those that can be reached have just started, too, or none responds for long.
    */
   public boolean hasCrashRecords() {
     return crashQuery.isAnswered()
         || hasRunFor(UNANSWERED_CRASH_QUERY)
-        || hasCompletedInitialExchange() && crashQuery.hasResponse();
+        || hasCompletedInitialExchange() && !crashQuery.isOutstanding();
   }
 
   /** Returns whether this instance has run for long enough to have received all reports. */
