Test that a convicted part's refusal states not run, and that completion clears it everywhere

Two gaps found on reading the change again: no test asked what the refusal of a part says (not run, no Retry-After), nor that a response that completes at one instance clears the part at another.

Two comments are reworded.

--- a/org.oatlug.test/tst/org/oatlug/internal/crash/CrashLedgerTest.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/crash/CrashLedgerTest.java
@@ -297,7 +297,7 @@
     assertEquals(verdictOfNew(ledger, PART), Verdict.CLEAR);
   }
 
-  /** What was open at a crash that a convicted part explains is not suspected for it. */
+  /** Guards against suspicion of a rare part that was only open beside a convicted one. */
   @Test
   public void testCrashesOfConvictedPartDoNotCountAgainstOthers() {
     String rarePart = RequestFingerprint.ofPart(0xb2);
@@ -314,6 +314,23 @@
     assertEquals(verdictOfNew(ledger, PART), Verdict.REFUSED);
   }
 
+  /** A response that completes at one instance clears the part at all others. */
+  @Test
+  public void testCompletedPartIsClearedAtOtherInstances() {
+    for (int number = 0; number < 3; number++) {
+      crashUpstream(ledger, PART, "i-" + number);
+    }
+    CrashLedger peer = CrashLedger.create(time);
+    replicate(ledger, peer);
+    assertEquals(verdictOfNew(ledger, PART), Verdict.REFUSED);
+    assertEquals(verdictOfNew(peer, PART), Verdict.REFUSED);
+    peer.recordSuccess(PART);
+    replicate(peer, ledger);
+    assertEquals(verdictOfNew(ledger, PART), Verdict.CLEAR);
+    replicate(ledger, peer);
+    assertEquals(verdictOfNew(peer, PART), Verdict.CLEAR);
+  }
+
   @Test
   public void testRetryIsBlockedOnceUnprovenPartHasCrash() {
     CrashKeys second = keysWith("second", COMMON_PART, PART);
--- a/org.oatlug.test/tst/org/oatlug/test/CrashingPartProcessTest.java
+++ b/org.oatlug.test/tst/org/oatlug/test/CrashingPartProcessTest.java
@@ -76,6 +76,8 @@
     for (int round = 0; round < ROUNDS; round++) {
       Http.Response response = sendCrashing(round % ENTRIES);
       assertEquals(response.status(), 503, "round " + round);
+      assertEquals(response.notRun(), "yes");
+      assertEquals(response.header("Retry-After"), "", "a repetition would be refused, too");
       for (int sound = 0; sound < SOUND_PER_ROUND; sound++) {
         assertEquals(sendSound((round + sound) % ENTRIES).status(), 200, "round " + round);
       }
--- a/org.oatlug/src/org/oatlug/internal/gather/StartupCrashQuery.java
+++ b/org.oatlug/src/org/oatlug/internal/gather/StartupCrashQuery.java
@@ -46,7 +46,7 @@
     this.ledger = ledger;
   }
 
-  /** Returns a query that has asked nobody. */
+  /** Returns a query that has sent no messages yet. */
   static StartupCrashQuery create(Membership membership, PeerNetwork network, CrashLedger ledger) {
     return new StartupCrashQuery(membership, network, ledger);
   }
