Accept load reports with more than three fields

Upstreams of one deployment add a fourth number to their load header.

Fields beyond the third are optional.

--- a/org.oatlug/src/org/oatlug/gateway/ResponseHead.java
+++ b/org.oatlug/src/org/oatlug/gateway/ResponseHead.java
@@ -57,6 +57,8 @@
    * @param running the number of running requests
    * @param waiting the number of queued requests
    * @param slots the maximum number of concurrently running requests
+   * @param slowdown the factor by which work takes longer at this moment than it usually does
+   *     there, 1 for as usual; empty if not reported
    */
-  public record Load(int running, int waiting, int slots) {}
+  public record Load(int running, int waiting, int slots, OptionalDouble slowdown) {}
 }
