Add switches for load management and a bounded load report

Settings get an object loadManagement with the switches queue, pace, shares and reservation, which are off unless set; other values are refused with the name of the field. StateReport gets the component LoadReport, which is empty until a part of load management fills it. docs/design/load-management.md states what the parts have to do.

--- a/org.oatlug.test/tst/org/oatlug/test/SettingsTemplateTest.java
+++ b/org.oatlug.test/tst/org/oatlug/test/SettingsTemplateTest.java
@@ -157,6 +157,18 @@
     assertEquals(settings.bounds().grace(), Duration.ofSeconds(5));
   }
 
+  @Test
+  public void testLoadManagementIsOffUnlessSetAndItsValuesAreChecked() throws Exception {
+    assertEquals(
+        SettingsFile.checkGateway(fileWith("")).loadManagement(),
+        GatewaySettings.LoadManagement.OFF);
+    assertEquals(read(values()).loadManagement().queue(), GatewaySettings.Switch.AUTO);
+    Path invalid = fileWith("\"graceSeconds\": 1}, \"loadManagement\": {\"queue\": \"sometimes\"");
+    SettingsInvalidException refusal =
+        expectThrows(SettingsInvalidException.class, () -> SettingsFile.readGateway(invalid));
+    assertTrue(refusal.problems().toString().contains("loadManagement.queue"), "" + refusal);
+  }
+
   private static Path fileWith(String bound) throws IOException {
     Path file = Files.createTempFile("settings", ".json");
     file.toFile().deleteOnExit();
--- a/org.oatlug/src/org/oatlug/config/GatewaySettingsReader.java
+++ b/org.oatlug/src/org/oatlug/config/GatewaySettingsReader.java
@@ -36,7 +36,26 @@
         port(tree, "metrics"),
         peers(object(tree, "peers")),
         endpoint(tree, "platform"),
-        bounds(object(tree, "bounds")));
+        bounds(object(tree, "bounds")),
+        loadManagement(tree.path("loadManagement")));
+  }
+
+  private static GatewaySettings.LoadManagement loadManagement(JsonNode tree) {
+    if (tree.isMissingNode()) {
+      return GatewaySettings.LoadManagement.OFF;
+    }
+    require(tree.isObject(), "loadManagement", tree, "an object");
+    return new GatewaySettings.LoadManagement(
+        switchOf(tree, "queue"),
+        switchOf(tree, "pace"),
+        switchOf(tree, "shares"),
+        switchOf(tree, "reservation"));
+  }
+
+  private static GatewaySettings.Switch switchOf(JsonNode tree, String field) {
+    Optional<String> text =
+        tree.hasNonNull(field) ? Optional.of(tree.get(field).asText()) : Optional.empty();
+    return GatewaySettings.Switch.parse(field, text);
   }
 
   private static GatewaySettings.Peers peers(JsonNode tree) {
--- a/org.oatlug/src/org/oatlug/gateway/GatewaySettings.java
+++ b/org.oatlug/src/org/oatlug/gateway/GatewaySettings.java
@@ -18,6 +18,7 @@
  * @param peers the address for connections of other instances, the shared key and the seeds
  * @param platform the address of the deployment's store
  * @param bounds the service levels that the deployment guarantees
+ * @param loadManagement the parts of load management that are in use
  */
 public record GatewaySettings(
     String name,
@@ -27,7 +28,8 @@
     int metrics,
     Peers peers,
     Endpoint platform,
-    Bounds bounds) {
+    Bounds bounds,
+    LoadManagement loadManagement) {
 
   private static final int MILLIS_PER_SECOND = 1000;
   private static final int MAXIMUM_PORT = 65_535;
@@ -41,6 +43,7 @@
     requireField("peers", peers);
     requireField("platform", platform);
     requireField("bounds", bounds);
+    requireField("loadManagement", loadManagement);
     require(isPort(metrics), "metrics is " + metrics + ", not a port of 1 to " + MAXIMUM_PORT);
   }
 
@@ -106,6 +109,51 @@
     }
   }
 
+  /** State of a part of load management. */
+  public enum Switch {
+    /** The part is not used. */
+    OFF,
+    /** The part is used for the services whose published configuration calls for it. */
+    AUTO,
+    /** The part is used for all services. */
+    ON;
+
+    /**
+     * Parses a switch; a missing one is off.
+     *
+     * @throws IllegalArgumentException if the text is not {@code off}, {@code auto} or {@code on}
+     */
+    public static Switch parse(String field, Optional<String> text) {
+      return switch (text.orElse("off")) {
+        case "off" -> OFF;
+        case "auto" -> AUTO;
+        case "on" -> ON;
+        default ->
+            throw new IllegalArgumentException(
+                "loadManagement." + field + " is '" + text.get() + "', not off, auto or on");
+      };
+    }
+
+    /** Returns whether the part is used, given whether the configuration calls for it. */
+    public boolean isOn(boolean configured) {
+      return this == ON || this == AUTO && configured;
+    }
+  }
+
+  /**
+   * The parts of load management that are in use; see docs/design/load-management.md.
+   *
+   * @param queue the queue of requests that may wait
+   * @param pace the pace of upstreams
+   * @param shares the shares of workspaces
+   * @param reservation the reservation of engines for deferrable requests
+   */
+  public record LoadManagement(Switch queue, Switch pace, Switch shares, Switch reservation) {
+    /** No part is in use. */
+    public static final LoadManagement OFF =
+        new LoadManagement(Switch.OFF, Switch.OFF, Switch.OFF, Switch.OFF);
+  }
+
   /**
    * Service levels that the deployment guarantees.
    *
--- /dev/null
+++ b/org.oatlug/src/org/oatlug/internal/gather/LoadReport.java
@@ -0,0 +1,166 @@
+// Copyright (c) 2026, the oatlug authors
+// SPDX-License-Identifier: BSD-3-Clause
+
+package org.oatlug.internal.gather;
+
+import java.util.Comparator;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.function.BinaryOperator;
+import java.util.function.ToDoubleFunction;
+
+/**
+ * Load that one instance or several together observe: the pace of upstreams, the demand of
+ * workspaces and the work by rank. Immutable, thread-safe.
+ *
+ * <p>Invariant: the number of entries is bounded, whatever the number of instances, upstreams and
+ * workspaces.
+ *
+ * @param paces the lasting pace of upstreams, by upstream process
+ * @param workspaces the load of workspaces by name; the empty name stands for all others
+ * @param workByRank the prefill work that arrives, in milliseconds per second, by {@link #rankKey}
+ */
+public record LoadReport(
+    Map<String, PaceObservation> paces,
+    Map<String, WorkspaceLoad> workspaces,
+    Map<String, Integer> workByRank) {
+  /** A report without observations. */
+  public static final LoadReport EMPTY = new LoadReport(Map.of(), Map.of(), Map.of());
+
+  /** The key under which the workspaces that are not listed are summed. */
+  public static final String OTHER_WORKSPACES = "";
+
+  static final int MAXIMUM_PACES = 128;
+  static final int MAXIMUM_WORKSPACES = 64;
+  static final int MAXIMUM_RANKS = 256;
+
+  /** Replaces missing components, as sent by an instance of an earlier version, by empty maps. */
+  public LoadReport {
+    paces = paces == null ? Map.of() : paces;
+    workspaces = workspaces == null ? Map.of() : workspaces;
+    workByRank = workByRank == null ? Map.of() : workByRank;
+  }
+
+  /**
+   * Pace of an upstream process.
+   *
+   * @param pace the factor by which it takes longer than its peers, 1 for as long as they
+   * @param samples the number of responses that the pace is based on
+   */
+  public record PaceObservation(double pace, int samples) {
+    /** Returns the mean of both paces, weighted by their samples. */
+    PaceObservation join(PaceObservation other) {
+      int sum = samples + other.samples;
+      double logarithm = (samples * Math.log(pace) + other.samples * Math.log(other.pace)) / sum;
+      return new PaceObservation(Math.exp(logarithm), sum);
+    }
+
+    private boolean isValid() {
+      return Double.isFinite(pace) && pace > 0 && samples > 0 && samples < Integer.MAX_VALUE / 4096;
+    }
+  }
+
+  /**
+   * Load of a workspace, in units of work per second.
+   *
+   * @param demand the work that its callers ask for now
+   * @param usual the work that they usually ask for
+   */
+  public record WorkspaceLoad(double demand, double usual) {
+    /** Returns the sum of both loads. */
+    public WorkspaceLoad plus(WorkspaceLoad other) {
+      return new WorkspaceLoad(demand + other.demand, usual + other.usual);
+    }
+
+    private boolean isValid() {
+      return Double.isFinite(demand) && demand >= 0 && Double.isFinite(usual) && usual >= 0;
+    }
+  }
+
+  /** Returns the key of the work of a service at a rank. */
+  public static String rankKey(String service, int rank) {
+    return service + "/" + rank;
+  }
+
+  /** Returns the sum of two reports of different instances, cut to the bounds. */
+  LoadReport plus(LoadReport other) {
+    return new LoadReport(
+            merge(paces, other.paces, PaceObservation::join),
+            merge(workspaces, other.workspaces, WorkspaceLoad::plus),
+            merge(workByRank, other.workByRank, Integer::sum))
+        .bounded();
+  }
+
+  /**
+   * Returns this report with at most the entries that a message may hold: the paces farthest from 1
+   * and the workspaces of the highest demand, the others summed.
+   */
+  public LoadReport bounded() {
+    return new LoadReport(
+        highest(paces, MAXIMUM_PACES, entry -> Math.abs(Math.log(entry.pace()))),
+        boundedWorkspaces(),
+        highest(workByRank, MAXIMUM_RANKS, Integer::doubleValue));
+  }
+
+  private Map<String, WorkspaceLoad> boundedWorkspaces() {
+    if (workspaces.size() <= MAXIMUM_WORKSPACES) {
+      return workspaces;
+    }
+    Map<String, WorkspaceLoad> named = new TreeMap<>(workspaces);
+    Optional<WorkspaceLoad> others = Optional.ofNullable(named.remove(OTHER_WORKSPACES));
+    Map<String, WorkspaceLoad> kept = highest(named, MAXIMUM_WORKSPACES - 1, WorkspaceLoad::demand);
+    WorkspaceLoad sum = others.orElse(new WorkspaceLoad(0, 0));
+    for (Map.Entry<String, WorkspaceLoad> entry : named.entrySet()) {
+      sum = kept.containsKey(entry.getKey()) ? sum : sum.plus(entry.getValue());
+    }
+    kept.put(OTHER_WORKSPACES, sum);
+    return kept;
+  }
+
+  private static <T> Map<String, T> merge(
+      Map<String, T> left, Map<String, T> right, BinaryOperator<T> sum) {
+    if (left.isEmpty() || right.isEmpty()) {
+      return left.isEmpty() ? right : left;
+    }
+    Map<String, T> merged = new TreeMap<>(left);
+    right.forEach((key, value) -> merged.merge(key, value, sum));
+    return merged;
+  }
+
+  private static <T> Map<String, T> highest(
+      Map<String, T> entries, int maximum, ToDoubleFunction<T> weight) {
+    Map<String, T> kept = new TreeMap<>();
+    if (entries.size() <= maximum) {
+      kept.putAll(entries);
+      return kept;
+    }
+    entries.entrySet().stream()
+        .sorted(
+            Comparator.<Map.Entry<String, T>>comparingDouble(
+                    entry -> weight.applyAsDouble(entry.getValue()))
+                .reversed())
+        .limit(maximum)
+        .forEach(entry -> kept.put(entry.getKey(), entry.getValue()));
+    return kept;
+  }
+
+  /** Returns whether nothing is observed. */
+  boolean isEmpty() {
+    return paces.isEmpty() && workspaces.isEmpty() && workByRank.isEmpty();
+  }
+
+  /** Validates a report of a peer: returns the reason to reject it, empty if it is valid. */
+  Optional<String> problem() {
+    if (paces.size() > MAXIMUM_PACES
+        || workspaces.size() > MAXIMUM_WORKSPACES
+        || workByRank.size() > MAXIMUM_RANKS) {
+      return Optional.of("the load report has too many entries");
+    }
+    boolean valid =
+        paces.values().stream().allMatch(pace -> pace != null && pace.isValid())
+            && workspaces.values().stream().allMatch(load -> load != null && load.isValid())
+            && workByRank.values().stream().allMatch(millis -> millis != null && millis >= 0);
+    return valid ? Optional.empty() : Optional.of("an entry of the load report is invalid");
+  }
+}
--- a/org.oatlug/src/org/oatlug/internal/gather/StateReport.java
+++ b/org.oatlug/src/org/oatlug/internal/gather/StateReport.java
@@ -25,13 +25,15 @@
  *     for all
  * @param limits the rate limits that upstreams advertise, by upstream process
  * @param brittle the rejections per second that brittle upstreams bear, by upstream process
+ * @param load the load that the instances observe
  */
 public record StateReport(
     Map<String, Integer> openMillis,
     List<VersionEvidence> evidence,
     Map<String, PrefillTimeModel> speeds,
     Map<String, AdvertisedLimit> limits,
-    Map<String, AdvertisedLimit> brittle) {
+    Map<String, AdvertisedLimit> brittle,
+    LoadReport load) {
   /** An empty report. */
   public static final StateReport EMPTY =
       new StateReport(Map.of(), List.of(), Map.of(), Map.of(), Map.of());
@@ -46,6 +48,17 @@
   public StateReport {
     limits = limits == null ? Map.of() : limits;
     brittle = brittle == null ? Map.of() : brittle;
+    load = load == null ? LoadReport.EMPTY : load;
+  }
+
+  /** Creates a report without load. */
+  public StateReport(
+      Map<String, Integer> openMillis,
+      List<VersionEvidence> evidence,
+      Map<String, PrefillTimeModel> speeds,
+      Map<String, AdvertisedLimit> limits,
+      Map<String, AdvertisedLimit> brittle) {
+    this(openMillis, evidence, speeds, limits, brittle, LoadReport.EMPTY);
   }
 
   /** Returns the aggregate of reports of different instances. */
@@ -55,6 +68,7 @@
     Map<String, VersionEvidence> byService = new TreeMap<>();
     Map<String, AdvertisedLimit> newestLimits = new TreeMap<>();
     Map<String, AdvertisedLimit> newestBrittle = new TreeMap<>();
+    LoadReport load = LoadReport.EMPTY;
     for (StateReport report : reports) {
       report.openMillis.forEach((upstream, millis) -> open.merge(upstream, millis, Integer::sum));
       report.speeds.forEach(models::putIfAbsent);
@@ -64,9 +78,10 @@
           (name, limit) -> newestBrittle.merge(name, limit, AdvertisedLimit::newer));
       report.evidence.forEach(
           entry -> byService.merge(entry.service(), entry, StateReport::sumOrLatest));
+      load = load.plus(report.load);
     }
     return new StateReport(
-        open, List.copyOf(byService.values()), models, newestLimits, newestBrittle);
+        open, List.copyOf(byService.values()), models, newestLimits, newestBrittle, load);
   }
 
   /**
@@ -94,7 +109,7 @@
     }
     Map<String, PrefillTimeModel> models = new TreeMap<>(earlier.speeds);
     models.putAll(speeds);
-    return new StateReport(openMillis, joined, models, limits, brittle);
+    return new StateReport(openMillis, joined, models, limits, brittle, load);
   }
 
   /** Returns this report with all ages increased by the elapsed time. */
@@ -107,7 +122,8 @@
         evidence.stream().map(entry -> entry.after(elapsed)).toList(),
         speeds,
         Maps.transformValues(limits, limit -> limit.aged(elapsed)),
-        Maps.transformValues(brittle, limit -> limit.aged(elapsed)));
+        Maps.transformValues(brittle, limit -> limit.aged(elapsed)),
+        load);
   }
 
   /** Returns whether the reports are equal apart from ages. */
@@ -116,6 +132,7 @@
         && speeds.equals(other.speeds)
         && withoutAge(limits).equals(withoutAge(other.limits))
         && withoutAge(brittle).equals(withoutAge(other.brittle))
+        && load.equals(other.load)
         && withoutAge(evidence).equals(withoutAge(other.evidence));
   }
 
@@ -127,9 +144,9 @@
     return Maps.transformValues(limits, AdvertisedLimit::requestsPerSecond);
   }
 
-  /** Returns this report without the pending prompts. */
+  /** Returns this report without the pending prompts and the load. */
   StateReport withoutPendingPrompts() {
-    return new StateReport(Map.of(), evidence, speeds, limits, brittle);
+    return new StateReport(Map.of(), evidence, speeds, limits, brittle, LoadReport.EMPTY);
   }
 
   /** Returns the number of compared pairs in which the new version was worse. */
@@ -142,9 +159,9 @@
     return evidence.stream().filter(VersionEvidence::refuted).count();
   }
 
-  /** Returns whether no prompt is pending and no version is being rolled out. */
+  /** Returns whether no prompt is pending, no version is being rolled out and there is no load. */
   boolean isIdle() {
-    return openMillis.isEmpty() && evidence.isEmpty();
+    return openMillis.isEmpty() && evidence.isEmpty() && load.isEmpty();
   }
 
   /** Validates a report of a peer: returns the reason to reject it, empty if it is valid. */
@@ -166,7 +183,8 @@
     if (!areValid(limits) || !areValid(brittle)) {
       return Optional.of("a rate limit is missing or invalid");
     }
-    return evidence.stream().flatMap(entry -> problemOf(entry).stream()).findFirst();
+    return load.problem()
+        .or(() -> evidence.stream().flatMap(entry -> problemOf(entry).stream()).findFirst());
   }
 
   private static Optional<String> problemOf(VersionEvidence evidence) {
