--- a/org.oatlug/src/org/oatlug/internal/gateway/GatewayTables.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/GatewayTables.java
@@ -57,6 +57,7 @@
   private final Map<String, ServiceDefinition> services = new HashMap<>();
   private Optional<RoutingConfiguration> configuration = Optional.empty();
   private RouteIndex routes = RouteIndex.empty();
+  private DeferrableRoutes deferrableRoutes = DeferrableRoutes.of(List.of());
   private KeyIndex keys = KeyIndex.notRequired();
   private long epoch = StoreEpoch.UNREPORTED;
   private Instant epochSince;
@@ -147,6 +148,7 @@
         Json.STRICT.treeToValue(object.value(), RoutingConfiguration.class);
     configuration = Optional.of(parsed);
     routes = RouteIndex.of(parsed.routes());
+    deferrableRoutes = DeferrableRoutes.of(parsed.routes());
     keys = parsed.workspaces().map(KeyIndex::of).orElse(KeyIndex.notRequired());
     services.clear();
     parsed.services().forEach(service -> services.put(service.name(), service));
@@ -231,6 +233,11 @@
     return routes;
   }
 
+  /** Returns the routes in force whose requests may be delayed in favour of more urgent ones. */
+  public DeferrableRoutes deferrableRoutes() {
+    return deferrableRoutes;
+  }
+
   /** Returns the caller keys in force. */
   public KeyIndex keys() {
     return keys;
