Weigh the delay of an escalation by load and urgency

Whether a larger model is worth its prefill weighed the delay of other requests by a fixed factor, as if every engine were busy and every delayed request as valuable as the escalated one. Where the most urgent requests have the longest prompts, these kept the responses of the smallest model while engines were idle. The delay now counts by the utilization of the engines and by the share of work that is at least as urgent, and engines are reserved only if deferrable prompts are longer than others.

--- a/org.oatlug.test/tst/org/oatlug/internal/gateway/EngineReservationsTest.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/gateway/EngineReservationsTest.java
@@ -21,6 +21,7 @@
 import org.oatlug.config.Kinds;
 import org.oatlug.gateway.CallerLimits;
 import org.oatlug.gateway.GatewayKinds;
+import org.oatlug.gateway.GatewaySettings.LoadManagement;
 import org.oatlug.gateway.GatewaySettings.Switch;
 import org.oatlug.gateway.Route;
 import org.oatlug.gateway.RoutingConfiguration;
@@ -80,12 +81,15 @@
   }
 
   private EngineReservations reservations(Switch mode) {
+    ServiceWorkMeter meter = ServiceWorkMeter.create(LoadManagement.OFF, tables, work, () -> now);
     return EngineReservations.create(
-        mode, tables, work, () -> now, Meters.of(new MetricRegistry()));
+        mode, tables, meter, () -> now, Meters.of(new MetricRegistry()));
   }
 
   /** Long prompts of four busy engines arrive. */
   private void reportDigests() {
+    work.record("pool/2", 200, now);
+    work.record("pool/0", 10, now);
     work.applyReported(Map.of("pool/2", 4000, "pool/0", 600), now);
   }
 
--- a/org.oatlug.test/tst/org/oatlug/internal/gateway/GatewayDecisionTest.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/gateway/GatewayDecisionTest.java
@@ -470,7 +470,7 @@
 
   private OptionalInt escalation(
       Route route, ResponseTimes times, int confidence, int prefillMillis) {
-    return ExpectedValueRule.create(tables, times)
+    return ExpectedValueRule.create(tables, times, ExpectedValueRule.DelayWeight.FULL)
         .replacementStage(
             new StageRule.LowConfidenceResponse(
                 route,
@@ -484,7 +484,8 @@
 
   private OptionalInt escalation(ResponseTimes times, int stage, int confidence, long elapsed) {
     Route route = route("a", "/x/");
-    ExpectedValueRule rule = ExpectedValueRule.create(tables, times);
+    ExpectedValueRule rule =
+        ExpectedValueRule.create(tables, times, ExpectedValueRule.DelayWeight.FULL);
     return rule.replacementStage(
         new StageRule.LowConfidenceResponse(
             route,
--- a/org.oatlug.test/tst/org/oatlug/internal/routing/EngineReservationTest.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/routing/EngineReservationTest.java
@@ -30,7 +30,7 @@
 
   private static EngineReservation reservation(double deferrable, double other, int engines) {
     EngineReservation reservation = EngineReservation.create();
-    reservation.update(new Work(deferrable, other, engines));
+    reservation.update(new Work(deferrable, other, engines, 10));
     return reservation;
   }
 
@@ -107,6 +107,9 @@
     assertEquals(reservation(0, 60_000, 63).share(), 0.0);
     assertEquals(reservation(30_000, 5000, 0).share(), 0.0);
     assertEquals(reservation(30_000, 5000, 63).reservedOf(1), 0);
+    EngineReservation shortPrompts = EngineReservation.create();
+    shortPrompts.update(new Work(30_000, 5000, 63, 1.5));
+    assertEquals(shortPrompts.share(), 0.0, "deferrable prompts that are as short as others");
   }
 
   @Test
@@ -129,12 +132,12 @@
   public void testSmallChangesKeepTheShare() {
     EngineReservation reservation = reservation(20_000, 5000, 63);
     double share = reservation.share();
-    assertFalse(reservation.update(new Work(21_000, 5000, 63)));
+    assertFalse(reservation.update(new Work(21_000, 5000, 63, 10)));
     assertEquals(reservation.share(), share);
-    assertTrue(reservation.update(new Work(30_000, 5000, 63)));
+    assertTrue(reservation.update(new Work(30_000, 5000, 63, 10)));
     assertTrue(reservation.share() > share);
     assertFalse(
-        reservation(9000, 0, 63).update(new Work(6000, 0, 63)), "ends at half of its start");
+        reservation(9000, 0, 63).update(new Work(6000, 0, 63, 10)), "ends at half of its start");
   }
 
   /** Instances whose measurements differ must agree on nearly all reserved engines. */
--- a/org.oatlug/src/org/oatlug/config/GatewaySettingsReader.java
+++ b/org.oatlug/src/org/oatlug/config/GatewaySettingsReader.java
@@ -49,7 +49,8 @@
         switchOf(tree, "queue"),
         switchOf(tree, "pace"),
         switchOf(tree, "shares"),
-        switchOf(tree, "reservation"));
+        switchOf(tree, "reservation"),
+        switchOf(tree, "escalation"));
   }
 
   private static GatewaySettings.Switch switchOf(JsonNode tree, String field) {
--- a/org.oatlug/src/org/oatlug/gateway/GatewaySettings.java
+++ b/org.oatlug/src/org/oatlug/gateway/GatewaySettings.java
@@ -147,11 +147,13 @@
    * @param pace the pace of upstreams
    * @param shares the shares of workspaces
    * @param reservation the reservation of engines for deferrable requests
+   * @param escalation the weight of load and urgency when a larger model is considered
    */
-  public record LoadManagement(Switch queue, Switch pace, Switch shares, Switch reservation) {
+  public record LoadManagement(
+      Switch queue, Switch pace, Switch shares, Switch reservation, Switch escalation) {
     /** No part is in use. */
     public static final LoadManagement OFF =
-        new LoadManagement(Switch.OFF, Switch.OFF, Switch.OFF, Switch.OFF);
+        new LoadManagement(Switch.OFF, Switch.OFF, Switch.OFF, Switch.OFF, Switch.OFF);
   }
 
   /**
--- a/org.oatlug/src/org/oatlug/internal/engine/PrefillWork.java
+++ b/org.oatlug/src/org/oatlug/internal/engine/PrefillWork.java
@@ -7,6 +7,7 @@
 import java.time.Instant;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.OptionalDouble;
 import java.util.TreeMap;
 import java.util.function.IntSupplier;
 
@@ -49,21 +50,33 @@
   /** An exponentially decaying rate, in milliseconds of work per second. */
   private static final class Rate {
     private double value;
+    private double count;
     private Instant at;
 
     private Rate(Instant at) {
       this.at = at;
     }
 
-    double at(Instant now) {
+    private double decay(Instant now) {
       double age = Math.max(0, Duration.between(at, now).toMillis());
-      return value * Math.exp(-age / TIME_CONSTANT.toMillis());
+      return Math.exp(-age / TIME_CONSTANT.toMillis());
+    }
+
+    double at(Instant now) {
+      return value * decay(now);
     }
 
     void add(double millis, Instant now) {
-      value = at(now) + millis * MILLIS_PER_SECOND / TIME_CONSTANT.toMillis();
+      double perSecond = MILLIS_PER_SECOND / TIME_CONSTANT.toMillis();
+      double decay = decay(now);
+      value = value * decay + millis * perSecond;
+      count = count * decay + perSecond;
       at = now;
     }
+
+    double mean() {
+      return value / count;
+    }
   }
 
   /** Records work of a class of requests. */
@@ -95,6 +108,12 @@
     return Duration.between(othersReceivedAt, now);
   }
 
+  /** Returns the mean work of the requests of this instance in a class, empty if there are none. */
+  public OptionalDouble meanMillis(String requestClass) {
+    Rate rate = own.get(requestClass);
+    return rate == null ? OptionalDouble.empty() : OptionalDouble.of(rate.mean());
+  }
+
   /** Returns the work of all instances in a class, in milliseconds per second. */
   public double total(String requestClass, Instant now) {
     Rate rate = own.get(requestClass);
--- a/org.oatlug/src/org/oatlug/internal/gateway/AttemptFeedback.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/AttemptFeedback.java
@@ -69,7 +69,7 @@
         Optional.of(components.rates().reserve(chosen.name(), chosen.upstream(), started));
     promptQueued = true;
     components.prefillBacklog().begin(process, chosen.forecast().prefillMillis());
-    components.reservations().recordAttempt(request, chosen.forecast().prefillMillis());
+    components.workMeter().recordAttempt(request, chosen.forecast().prefillMillis());
     components
         .versions()
         .recordSent(request.service(), chosen.upstream().version(), request.head());
--- a/org.oatlug/src/org/oatlug/internal/gateway/EngineReservations.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/EngineReservations.java
@@ -15,8 +15,6 @@
 import java.util.Map;
 import org.oatlug.gateway.GatewaySettings;
 import org.oatlug.gateway.Route;
-import org.oatlug.internal.engine.PrefillWork;
-import org.oatlug.internal.gather.LoadReport;
 import org.oatlug.internal.metrics.Meters;
 import org.oatlug.internal.routing.EngineReservation;
 import org.oatlug.internal.util.Hashes;
@@ -42,7 +40,7 @@
 
   private final GatewaySettings.Switch mode;
   private final GatewayTables tables;
-  private final PrefillWork work;
+  private final ServiceWorkMeter work;
   private final InstantSource clock;
   private final Meters meters;
   private final Map<String, ServiceReservation> services = new HashMap<>();
@@ -50,7 +48,7 @@
   private EngineReservations(
       GatewaySettings.Switch mode,
       GatewayTables tables,
-      PrefillWork work,
+      ServiceWorkMeter work,
       InstantSource clock,
       Meters meters) {
     this.mode = mode;
@@ -64,7 +62,7 @@
   static EngineReservations create(
       GatewaySettings.Switch mode,
       GatewayTables tables,
-      PrefillWork work,
+      ServiceWorkMeter work,
       InstantSource clock,
       Meters meters) {
     return new EngineReservations(mode, tables, work, clock, meters);
@@ -76,24 +74,12 @@
     private Instant updatedAt = Instant.EPOCH;
   }
 
-  private boolean appliesTo(String service) {
-    return mode.isOn(tables.deferrableRoutes().hasAny(service));
-  }
-
-  /** Records the prefill work of an attempt that is being sent. */
-  void recordAttempt(AdmittedRequest request, double prefillMillis) {
-    if (prefillMillis > 0 && appliesTo(request.service())) {
-      String key = LoadReport.rankKey(request.service(), request.route().priority());
-      work.record(key, prefillMillis, clock.instant());
-    }
-  }
-
   /** Returns which upstreams a request prefers. */
   PlacementPreference preferenceOf(String service, Route route) {
-    if (!appliesTo(service)) {
+    if (!work.applies(mode, service)) {
       return PlacementPreference.NONE;
     }
-    EngineReservation reservation = updated(service);
+    EngineReservation reservation = updated(service, route);
     if (reservation.share() == 0) {
       return PlacementPreference.NONE;
     }
@@ -105,36 +91,32 @@
     };
   }
 
-  private EngineReservation updated(String service) {
+  private EngineReservation updated(String service, Route route) {
     ServiceReservation state =
         services.computeIfAbsent(service, unused -> new ServiceReservation());
     Instant now = clock.instant();
     if (!now.isBefore(state.updatedAt.plus(UPDATE_INTERVAL))) {
       state.updatedAt = now;
-      update(service, state.reservation, now);
+      update(service, route, state.reservation);
     }
     return state.reservation;
   }
 
-  private void update(String service, EngineReservation reservation, Instant now) {
-    double deferrableMillis = 0;
-    double otherMillis = 0;
-    for (Map.Entry<Integer, Boolean> rank : tables.deferrableRoutes().ranksOf(service).entrySet()) {
-      double millis = work.total(LoadReport.rankKey(service, rank.getKey()), now);
-      deferrableMillis += rank.getValue() ? millis : 0;
-      otherMillis += rank.getValue() ? 0 : millis;
-    }
-    int engines = tables.remainingUpstreamsOf(service).size();
-    if (reservation.update(new EngineReservation.Work(deferrableMillis, otherMillis, engines))) {
+  private void update(String service, Route route, EngineReservation reservation) {
+    ServiceWorkMeter.ServiceWork sum = work.workOf(service, route);
+    EngineReservation.Work arriving =
+        new EngineReservation.Work(
+            sum.deferrableMillis(), sum.otherMillis(), sum.engines(), sum.lengthRatio());
+    if (reservation.update(arriving)) {
       meters.count("reservation.changed");
       logger.atInfo().log(
           "service %s: %.2f of %d engines take deferrable requests, work=%.0f other=%.0f age=%d",
           service,
           reservation.share(),
-          engines,
-          deferrableMillis,
-          otherMillis,
-          Math.min(Integer.MAX_VALUE, work.ageOfReport(now).toMillis()));
+          sum.engines(),
+          sum.deferrableMillis(),
+          sum.otherMillis(),
+          Math.min(Integer.MAX_VALUE, work.ageOfReport().toMillis()));
     }
   }
 
--- a/org.oatlug/src/org/oatlug/internal/gateway/ExpectedValueRule.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/ExpectedValueRule.java
@@ -55,17 +55,34 @@
    */
   private static final double QUEUEING_LOSS = 2.0;
 
+  /** Weighs the delay that the prefill of a request causes to other requests of the service. */
+  @FunctionalInterface
+  interface DelayWeight {
+    /** Every delay counts in full. */
+    DelayWeight FULL = (service, route) -> 1;
+
+    /** Returns the weight for a request of the route, 0 to 1. */
+    double weightFor(String service, Route route);
+  }
+
   private final GatewayTables tables;
   private final ResponseTimes times;
+  private final DelayWeight delayWeight;
 
-  private ExpectedValueRule(GatewayTables tables, ResponseTimes times) {
+  private ExpectedValueRule(GatewayTables tables, ResponseTimes times, DelayWeight delayWeight) {
     this.tables = tables;
     this.times = times;
+    this.delayWeight = delayWeight;
   }
 
-  /** Returns a rule that uses the prices in the tables and the measured times. */
-  static ExpectedValueRule create(GatewayTables tables, ResponseTimes times) {
-    return new ExpectedValueRule(tables, times);
+  /**
+   * Returns a rule that uses the prices in the tables and the measured times.
+   *
+   * @param delayWeight weighs the delay that a prefill causes to other requests
+   */
+  static ExpectedValueRule create(
+      GatewayTables tables, ResponseTimes times, DelayWeight delayWeight) {
+    return new ExpectedValueRule(tables, times, delayWeight);
   }
 
   @Override
@@ -101,9 +118,10 @@
    * it, and the longer it takes, the more of them are late. It is zero on a route without a goal,
    * where no response counts as late.
    */
-  private static double queueingLoss(LowConfidenceResponse answer, FirstTokenForecast forecast) {
+  private double queueingLoss(LowConfidenceResponse answer, FirstTokenForecast forecast) {
     long goal = answer.route().goalMillis();
-    return goal > 0 ? QUEUEING_LOSS * forecast.prefillMillis() / goal : 0;
+    double weight = delayWeight.weightFor(answer.service(), answer.route());
+    return goal > 0 ? weight * QUEUEING_LOSS * forecast.prefillMillis() / goal : 0;
   }
 
   private double expectedValue(
--- a/org.oatlug/src/org/oatlug/internal/gateway/GatewayComponents.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/GatewayComponents.java
@@ -35,6 +35,7 @@
  * @param prefillEstimates the estimated prefill times of engines
  * @param prefillBacklog the prompts that wait for prefill at upstreams
  * @param prefillWork the prefill work that requests bring to engines
+ * @param workMeter measures the prefill work by service
  * @param reservations the engines that are reserved for deferrable requests
  * @param zones the reachability of availability zones
  * @param paths whether this instance reaches the upstreams of each service
@@ -65,6 +66,7 @@
     PrefillEstimates prefillEstimates,
     PrefillBacklog prefillBacklog,
     PrefillWork prefillWork,
+    ServiceWorkMeter workMeter,
     EngineReservations reservations,
     ZoneReachability zones,
     ServicePaths paths,
@@ -121,6 +123,8 @@
     PrefillEstimates prefillEstimates = PrefillEstimates.create();
     PrefillBacklog prefillBacklog = PrefillBacklog.create();
     PrefillWork prefillWork = PrefillWork.create(instances);
+    ServiceWorkMeter workMeter =
+        ServiceWorkMeter.create(settings.loadManagement(), tables, prefillWork, clock);
     ZoneReachability zones = ZoneReachability.create();
     AdvertisedLimits limits = AdvertisedLimits.create(clock);
     AdvertisedLimits brittle = AdvertisedLimits.ofRejections(clock);
@@ -142,8 +146,9 @@
         prefillEstimates,
         prefillBacklog,
         prefillWork,
+        workMeter,
         EngineReservations.create(
-            settings.loadManagement().reservation(), tables, prefillWork, clock, meters),
+            settings.loadManagement().reservation(), tables, workMeter, clock, meters),
         zones,
         ServicePaths.create(clock, meters, tables::remainingUpstreamsOf),
         forwarding,
@@ -160,7 +165,7 @@
             rates,
             crashes::runsSuspect,
             random),
-        ExpectedValueRule.create(tables, times),
+        ExpectedValueRule.create(tables, times, workMeter::escalationDelayWeight),
         versions,
         RetryBudgets.within(settings.bounds(), instances),
         DeadlineTimers.create(vertx, clock),
--- /dev/null
+++ b/org.oatlug/src/org/oatlug/internal/gateway/ServiceWorkMeter.java
@@ -0,0 +1,135 @@
+// Copyright (c) 2026, the oatlug authors
+// SPDX-License-Identifier: BSD-3-Clause
+
+package org.oatlug.internal.gateway;
+
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.Map;
+import org.oatlug.gateway.GatewaySettings.LoadManagement;
+import org.oatlug.gateway.GatewaySettings.Switch;
+import org.oatlug.gateway.Route;
+import org.oatlug.internal.cascade.EscalationDelay;
+import org.oatlug.internal.engine.PrefillWork;
+import org.oatlug.internal.gather.LoadReport;
+
+/**
+ * Measures the prefill work that arrives at the engines of services with deferrable routes.
+ *
+ * <p>Invariant: nothing is measured for a service for which no part of load management needs it.
+ * Owned by one event loop, not thread-safe.
+ */
+final class ServiceWorkMeter {
+  private static final double MILLIS_PER_SECOND = 1000;
+
+  private final LoadManagement settings;
+  private final GatewayTables tables;
+  private final PrefillWork work;
+  private final InstantSource clock;
+
+  private ServiceWorkMeter(
+      LoadManagement settings, GatewayTables tables, PrefillWork work, InstantSource clock) {
+    this.settings = settings;
+    this.tables = tables;
+    this.work = work;
+    this.clock = clock;
+  }
+
+  /** Returns a meter that measures what the parts in use need. */
+  static ServiceWorkMeter create(
+      LoadManagement settings, GatewayTables tables, PrefillWork work, InstantSource clock) {
+    return new ServiceWorkMeter(settings, tables, work, clock);
+  }
+
+  /**
+   * The prefill work that arrives at a service.
+   *
+   * @param deferrableMillis the work of deferrable requests, in milliseconds per second
+   * @param otherMillis the work of the other requests, in milliseconds per second
+   * @param urgentMillis the work of the requests that are at least as urgent as a given route
+   * @param engines the number of engines
+   * @param lengthRatio the mean prefill time of a deferrable request at this instance, relative to
+   *     that of another
+   */
+  record ServiceWork(
+      double deferrableMillis,
+      double otherMillis,
+      double urgentMillis,
+      int engines,
+      double lengthRatio) {
+    private double totalMillis() {
+      return deferrableMillis + otherMillis;
+    }
+
+    /** Returns the share of the time in which the engines prefill; may exceed 1. */
+    double utilization() {
+      return engines > 0 ? totalMillis() / (engines * MILLIS_PER_SECOND) : 0;
+    }
+
+    /** Returns the share of the work that is at least as urgent as the route, 1 without work. */
+    double urgentShare() {
+      return totalMillis() > 0 ? urgentMillis / totalMillis() : 1;
+    }
+  }
+
+  /** Returns whether a part of load management applies to the service. */
+  boolean applies(Switch part, String service) {
+    return part.isOn(tables.deferrableRoutes().hasAny(service));
+  }
+
+  /** Records the prefill work of an attempt that is being sent. */
+  void recordAttempt(AdmittedRequest request, double prefillMillis) {
+    String service = request.service();
+    boolean needed =
+        applies(settings.reservation(), service) || applies(settings.escalation(), service);
+    if (needed && prefillMillis > 0) {
+      String key = LoadReport.rankKey(service, request.route().priority());
+      work.record(key, prefillMillis, clock.instant());
+    }
+  }
+
+  /** Returns the work of a service; its urgency is compared to that of the route. */
+  ServiceWork workOf(String service, Route route) {
+    double deferrable = 0;
+    double other = 0;
+    double urgent = 0;
+    for (Map.Entry<Integer, Boolean> rank : tables.deferrableRoutes().ranksOf(service).entrySet()) {
+      double millis = work.total(LoadReport.rankKey(service, rank.getKey()), clock.instant());
+      deferrable += rank.getValue() ? millis : 0;
+      other += rank.getValue() ? 0 : millis;
+      urgent += rank.getKey() <= route.priority() ? millis : 0;
+    }
+    int engines = tables.remainingUpstreamsOf(service).size();
+    return new ServiceWork(deferrable, other, urgent, engines, lengthRatioOf(service));
+  }
+
+  private double lengthRatioOf(String service) {
+    double deferrable = meanMillisOf(service, true);
+    double other = meanMillisOf(service, false);
+    return other > 0 ? deferrable / other : 1;
+  }
+
+  /** Returns the mean over the ranks that are deferrable or not, 0 if no request was sent. */
+  private double meanMillisOf(String service, boolean deferrable) {
+    return tables.deferrableRoutes().ranksOf(service).entrySet().stream()
+        .filter(rank -> rank.getValue() == deferrable)
+        .flatMapToDouble(
+            rank -> work.meanMillis(LoadReport.rankKey(service, rank.getKey())).stream())
+        .average()
+        .orElse(0);
+  }
+
+  /** Returns the age of the last report of the other instances. */
+  Duration ageOfReport() {
+    return work.ageOfReport(clock.instant());
+  }
+
+  /** Returns the weight of the delay that an escalation of the route causes to others, 0 to 1. */
+  double escalationDelayWeight(String service, Route route) {
+    if (!applies(settings.escalation(), service)) {
+      return 1;
+    }
+    ServiceWork arriving = workOf(service, route);
+    return EscalationDelay.weight(arriving.utilization(), arriving.urgentShare());
+  }
+}
--- a/org.oatlug/src/org/oatlug/internal/routing/EngineReservation.java
+++ b/org.oatlug/src/org/oatlug/internal/routing/EngineReservation.java
@@ -26,6 +26,12 @@
   /** Share of the capacity of all engines below which long prompts rarely delay other requests. */
   static final double BUSY_UTILIZATION = 0.25;
 
+  /**
+   * How much longer deferrable prefills have to be than others. Short ones hardly delay others, so
+   * that a reservation would only leave fewer engines to each class.
+   */
+  static final double MINIMUM_LENGTH_RATIO = 2;
+
   /** Share of the engines that either class keeps. */
   static final double MINIMUM_SHARE = 0.1;
 
@@ -49,8 +55,9 @@
    * @param deferrableMillis the work of deferrable requests, in milliseconds per second
    * @param otherMillis the work of the other requests, in milliseconds per second
    * @param engines the number of engines
+   * @param lengthRatio the mean prefill time of a deferrable request, relative to that of another
    */
-  public record Work(double deferrableMillis, double otherMillis, int engines) {
+  public record Work(double deferrableMillis, double otherMillis, int engines, double lengthRatio) {
     double utilization() {
       return engines <= 0 ? 0 : (deferrableMillis + otherMillis) / (engines * MILLIS_PER_SECOND);
     }
@@ -70,7 +77,8 @@
   private double needOf(Work work) {
     // Half of the threshold ends a reservation, so that it does not switch on and off.
     double threshold = share > 0 ? BUSY_UTILIZATION / 2 : BUSY_UTILIZATION;
-    if (work.deferrableMillis() <= 0 || work.utilization() < threshold) {
+    boolean isLonger = work.lengthRatio() >= MINIMUM_LENGTH_RATIO;
+    if (!isLonger || work.deferrableMillis() <= 0 || work.utilization() < threshold) {
       return 0;
     }
     double deferrable = work.deferrableMillis() / (work.engines() * MILLIS_PER_SECOND);
