Make the admission queue one decision for both interfaces

The queue of the chat interface ordered by priority and arrival only, was not bounded, and kept requests of callers that had disconnected. It now orders by rank, by whether the goal can still be met and by the end of the goal; every eighth release of a target goes to the request that has waited longest; at most 256 requests wait for a target; the handler of a request decides what happens at its bound, so that the routed path can send it then. The interval between releases is measured by the queue, for each target while requests wait for it.

--- a/org.oatlug.benchmarks/src/org/oatlug/benchmarks/PoolRun.java
+++ b/org.oatlug.benchmarks/src/org/oatlug/benchmarks/PoolRun.java
@@ -5,6 +5,7 @@
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.time.Duration;
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -20,6 +21,7 @@
 import org.oatlug.internal.limit.AdmissionQueue;
 import org.oatlug.internal.limit.CapacityRule;
 import org.oatlug.internal.limit.RetryBudget;
+import org.oatlug.internal.limit.Urgency;
 import org.oatlug.internal.routing.RouteRequest;
 import org.oatlug.internal.routing.Router;
 import org.oatlug.internal.routing.RoutingDecision;
@@ -39,6 +41,10 @@
   private static final double WARM_UP_MILLIS = 30_000;
   private static final double END_MILLIS = 150_000;
   private static final int MAXIMUM_ATTEMPTS = 3;
+
+  /** The rank of the lowest priority, 0. */
+  private static final int LOWEST_RANK = 9;
+
   private static final String[] ZONES = {"hall-a", "hall-b", "hall-c"};
   private static final long MAXIMUM_LATENCY_MILLIS = 600_000;
 
@@ -281,14 +287,36 @@
     private void waitInQueue() {
       double remainingMillis =
           startedAtMillis + request.requestClass().deadlineMillis() - time.nowMillis();
+      Instant now = time.instant();
+      Instant latestStart = now.plusMillis((long) (remainingMillis / 2));
+      Urgency urgency =
+          new Urgency(
+              LOWEST_RANK - request.requestClass().priority(),
+              now.plusMillis((long) remainingMillis),
+              latestStart);
       AdmissionQueue.QueuedRequest queuedRequest =
           new AdmissionQueue.QueuedRequest(
               "m",
-              request.requestClass().priority(),
-              time.instant().plusMillis((long) remainingMillis),
-              this::tryRoute,
-              this::refuse);
-      entry.queue().enqueue(queuedRequest, time.instant()).ifPresent(wait -> refuse());
+              urgency,
+              latestStart,
+              latestStart,
+              new AdmissionQueue.Handler() {
+                @Override
+                public boolean proceed() {
+                  return tryRoute();
+                }
+
+                @Override
+                public void boundReached() {
+                  refuse();
+                }
+
+                @Override
+                public void displaced(Duration predictedWait) {
+                  refuse();
+                }
+              });
+      entry.queue().enqueue(queuedRequest, now).ifPresent(rejection -> refuse());
     }
 
     private void refuse() {
@@ -321,7 +349,6 @@
     private void finishAttempt(
         UpstreamRow row, String name, double sentAtMillis, boolean succeeded) {
       row.release();
-      entry.queue().recordRelease(time.instant());
       if (succeeded) {
         row.recordSuccess(time.instant());
         entry.queue().serve(time.instant());
--- a/org.oatlug.test/tst/org/oatlug/test/DecisionTest.java
+++ b/org.oatlug.test/tst/org/oatlug/test/DecisionTest.java
@@ -8,6 +8,7 @@
 import static org.testng.Assert.assertTrue;
 
 import java.time.Duration;
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
@@ -22,6 +23,7 @@
 import org.oatlug.internal.limit.OpenRequests;
 import org.oatlug.internal.limit.RetryBudget;
 import org.oatlug.internal.limit.TokenBucket;
+import org.oatlug.internal.limit.Urgency;
 import org.oatlug.internal.rollout.CandidateEvidence;
 import org.oatlug.internal.rollout.RolloutGuard;
 
@@ -103,13 +105,30 @@
       String name,
       List<String> served,
       boolean hasCapacity) {
+    Instant deadline = clock.instant().plusSeconds(10);
+    Instant bound = clock.instant().plusSeconds(5);
     AdmissionQueue.QueuedRequest request =
         new AdmissionQueue.QueuedRequest(
             target,
-            priority,
-            clock.instant().plusSeconds(10),
-            () -> hasCapacity && served.add(name),
-            () -> served.add(name + " refused"));
+            new Urgency(9 - priority, deadline, bound),
+            bound,
+            bound,
+            new AdmissionQueue.Handler() {
+              @Override
+              public boolean proceed() {
+                return hasCapacity && served.add(name);
+              }
+
+              @Override
+              public void boundReached() {
+                served.add(name + " refused");
+              }
+
+              @Override
+              public void displaced(Duration predictedWait) {
+                served.add(name + " displaced");
+              }
+            });
     assertTrue(queue.enqueue(request, clock.instant()).isEmpty());
   }
 
--- a/org.oatlug/src/org/oatlug/internal/http/Forwarding.java
+++ b/org.oatlug/src/org/oatlug/internal/http/Forwarding.java
@@ -20,6 +20,7 @@
 import org.oatlug.errors.UpstreamFailedException.Progress;
 import org.oatlug.internal.engine.UpstreamCaller;
 import org.oatlug.internal.limit.AdmissionQueue;
+import org.oatlug.internal.limit.Urgency;
 import org.oatlug.internal.routing.RoutingDecision;
 import org.oatlug.internal.routing.RoutingDecision.Route;
 import org.oatlug.internal.table.UpstreamRow;
@@ -40,11 +41,15 @@
   private static final Duration CONFIRMATION_TIMEOUT = Duration.ofSeconds(3);
   private static final long CONFIRMATION_POLL_MILLIS = 10;
 
+  /** The rank of the lowest priority of a workspace, 0; the highest priority has rank 0. */
+  private static final int LOWEST_RANK = 9;
+
   private final Services services;
   private final CallerRequest request;
   private final Plan plan;
   private final Set<String> failedUpstreams = new HashSet<>();
   private UpstreamCaller.Attempt attempt = UpstreamCaller.Attempt.validWhile(() -> true);
+  private Optional<AdmissionQueue.QueuedRequest> queued = Optional.empty();
   private boolean dispatched;
   private boolean mayHaveRun;
   private boolean outcomeReported;
@@ -103,15 +108,37 @@
     Instant firstByteDeadline = now.plusMillis(services.settings().limits().firstByteMillis());
     Instant deadline =
         firstByteDeadline.isBefore(request.deadline()) ? firstByteDeadline : request.deadline();
+    Instant latestStart = now.plus(Duration.between(now, deadline).dividedBy(2));
+    Urgency urgency =
+        new Urgency(LOWEST_RANK - request.workspace().priority(), deadline, latestStart);
     AdmissionQueue.QueuedRequest queuedRequest =
         new AdmissionQueue.QueuedRequest(
-            plan.target(),
-            request.workspace().priority(),
-            deadline,
-            this::tryRoute,
-            () -> refuse(RefusalReason.OVERLOADED, ErrorText.get().overloaded));
+            plan.target(), urgency, latestStart, latestStart, new QueueHandler());
     services.meters().count("line.asked");
-    services.admissionQueue().enqueue(queuedRequest, now).ifPresent(wait -> end(overloaded(wait)));
+    services
+        .admissionQueue()
+        .enqueue(queuedRequest, now)
+        .ifPresentOrElse(
+            rejection -> end(overloaded(rejection.predictedWait())),
+            () -> queued = Optional.of(queuedRequest));
+  }
+
+  /** Sends or refuses the request as the queue decides. */
+  private final class QueueHandler implements AdmissionQueue.Handler {
+    @Override
+    public boolean proceed() {
+      return tryRoute();
+    }
+
+    @Override
+    public void boundReached() {
+      refuse(RefusalReason.OVERLOADED, ErrorText.get().overloaded);
+    }
+
+    @Override
+    public void displaced(Duration predictedWait) {
+      end(overloaded(predictedWait));
+    }
   }
 
   private Refusal overloaded(Duration wait) {
@@ -148,7 +175,6 @@
   private void release(UpstreamRow row) {
     row.release();
     Instant now = services.clock().instant();
-    services.admissionQueue().recordRelease(now);
     services.vertx().runOnContext(unused -> services.admissionQueue().serve(now));
   }
 
@@ -368,6 +394,9 @@
     if (plan.isRepeatable()) {
       attempt.cancel();
     }
+    if (queued.map(services.admissionQueue()::remove).orElse(false)) {
+      finishUnanswered();
+    }
   }
 
   private void deadlinePassed() {
--- a/org.oatlug/src/org/oatlug/internal/limit/AdmissionQueue.java
+++ b/org.oatlug/src/org/oatlug/internal/limit/AdmissionQueue.java
@@ -5,42 +5,42 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.TreeSet;
-import java.util.function.BooleanSupplier;
 
 /**
- * Queues requests at this instance until an upstream has capacity.
+ * Queues requests at this instance until an upstream has room.
  *
- * <p>A request queues here rather than at an upstream, so that it takes the first slot that becomes
- * free on any upstream and is routed only then. Higher priority goes first, then earlier arrival; a
- * target without capacity does not block the others. Invariant: a request may be queued for {@link
- * #QUEUE_TIME_SHARE} of the time to its deadline: it is refused at once if its predicted wait is
- * longer, and otherwise as soon as that time has passed. Owned by one event loop, not thread-safe.
+ * <p>A request queues here rather than at an upstream, so that it takes the first room that becomes
+ * free on any upstream and is routed only then. Requests are released in the order of {@link
+ * Urgency#order}; a target without room does not block the others. Every eighth release of a target
+ * goes to the request that has waited longest there, so that urgent requests cannot starve others.
+ *
+ * <p>Invariants: a request leaves the queue at its bound at the latest; it is not queued if its
+ * predicted start is after its latest start; at most {@link #MAXIMUM_WAITING} requests wait for a
+ * target, and the least urgent of them are refused first. Does no I/O and reads no clock. Owned by
+ * one event loop, not thread-safe.
  */
 public final class AdmissionQueue {
+  /** The maximum number of requests that wait for a target. */
+  static final int MAXIMUM_WAITING = 256;
+
+  /** Every release of this number goes to the request that has waited longest. */
+  static final int LONGEST_WAITING_PERIOD = 8;
+
   /** The weight of the latest interval in the mean interval between releases. */
   private static final double SMOOTHING = 0.05;
 
-  /**
-   * The share of the time to its deadline that a request may spend in the queue; the rest is left
-   * to run it.
-   */
-  private static final double QUEUE_TIME_SHARE = 0.5;
-
   private static final double NANOS_PER_SECOND = 1e9;
 
-  private final TreeSet<Entry> entries =
-      new TreeSet<>(
-          Comparator.comparingInt((Entry entry) -> entry.request().priority())
-              .reversed()
-              .thenComparingLong(Entry::number));
-  private double meanReleaseIntervalSeconds;
-  private Instant lastReleasedAt = Instant.EPOCH;
+  private final List<Entry> entries = new ArrayList<>();
+  private final Map<String, Releases> releases = new HashMap<>();
   private long lastNumber;
 
   private AdmissionQueue() {}
@@ -50,64 +50,153 @@
     return new AdmissionQueue();
   }
 
+  /** Handles what the queue decides about a request. */
+  public interface Handler {
+    /** Tries to send the request; returns whether it leaves the queue. */
+    boolean proceed();
+
+    /** Handles that the request has waited until its bound; it has left the queue. */
+    void boundReached();
+
+    /** Refuses the request for a more urgent one; it has left the queue. */
+    void displaced(Duration predictedWait);
+  }
+
   /**
    * A request that may be queued.
    *
-   * @param target the target whose capacity the request needs
-   * @param priority the priority from 0 to 9
-   * @param deadline the deadline of the request
-   * @param proceed tries to send the request; returns whether it leaves the queue
-   * @param refuse refuses the request
+   * @param target the target whose room the request needs
+   * @param urgency the urgency of the request
+   * @param bound the time until which it may wait
+   * @param latestStart the latest start that is of use; it is not queued if it is predicted to
+   *     start later
+   * @param handler handles what the queue decides
    */
   public record QueuedRequest(
-      String target, int priority, Instant deadline, BooleanSupplier proceed, Runnable refuse) {}
-
-  private record Entry(QueuedRequest request, long number, Instant latestStart) {}
+      String target, Urgency urgency, Instant bound, Instant latestStart, Handler handler) {}
+
+  /** The reason why a request is not queued. */
+  public enum RejectionReason {
+    /** It is predicted to start too late. */
+    LATE,
+    /** The queue of its target is full of requests that are at least as urgent. */
+    FULL
+  }
 
   /**
-   * Queues a request and returns empty. If the predicted wait is too long, returns that wait, after
-   * which a retry is worthwhile.
+   * A rejection of a request that is not queued.
+   *
+   * @param reason the reason
+   * @param predictedWait the predicted wait, after which a retry is worthwhile
    */
-  public Optional<Duration> enqueue(QueuedRequest request, Instant now) {
-    Duration wait = predictedWait(request);
-    long remainingMillis = Duration.between(now, request.deadline()).toMillis();
-    Instant latestStart = now.plusMillis((long) (remainingMillis * QUEUE_TIME_SHARE));
-    if (now.plus(wait).isAfter(latestStart)) {
-      return Optional.of(wait);
+  public record Rejection(RejectionReason reason, Duration predictedWait) {}
+
+  private record Entry(QueuedRequest request, long number) {
+    private String target() {
+      return request.target();
+    }
+
+    private static Comparator<Entry> order(Instant now) {
+      return Comparator.comparing((Entry entry) -> entry.request().urgency(), Urgency.order(now))
+          .thenComparingLong(Entry::number);
     }
-    entries.add(new Entry(request, ++lastNumber, latestStart));
-    return Optional.empty();
   }
 
-  /** Records that a request of this instance has released its slot at an upstream. */
-  public void recordRelease(Instant now) {
-    if (!lastReleasedAt.equals(Instant.EPOCH)) {
-      double interval = Duration.between(lastReleasedAt, now).toNanos() / NANOS_PER_SECOND;
-      meanReleaseIntervalSeconds += SMOOTHING * (interval - meanReleaseIntervalSeconds);
+  /** The releases of a target while requests wait for it. */
+  private static final class Releases {
+    private long count;
+    private double meanIntervalSeconds;
+    private Instant intervalStart = Instant.EPOCH;
+
+    private void record(Instant now) {
+      count++;
+      double interval = Duration.between(intervalStart, now).toNanos() / NANOS_PER_SECOND;
+      // The mean begins at zero, so that few observations predict no long wait.
+      double weight = Math.max(SMOOTHING, 1.0 / (count + 1));
+      meanIntervalSeconds += weight * (interval - meanIntervalSeconds);
+      intervalStart = now;
+    }
+
+    private boolean isTurnOfLongestWaiting() {
+      return count % LONGEST_WAITING_PERIOD == LONGEST_WAITING_PERIOD - 1;
     }
-    lastReleasedAt = now;
   }
 
-  /** Refuses requests that were queued for too long and tries to send the others. */
+  /** Queues a request and returns empty, or returns why it is rejected. */
+  public Optional<Rejection> enqueue(QueuedRequest request, Instant now) {
+    Entry entry = new Entry(request, ++lastNumber);
+    List<Entry> ofTarget = ofTarget(request.target());
+    Duration wait = predictedWait(entry, ofTarget, now);
+    if (now.plus(wait).isAfter(request.latestStart())) {
+      return Optional.of(new Rejection(RejectionReason.LATE, wait));
+    }
+    if (ofTarget.size() >= MAXIMUM_WAITING) {
+      // The requests of the lowest rank, and the newest of those.
+      Entry last =
+          ofTarget.stream()
+              .max(
+                  Comparator.comparingInt((Entry other) -> other.request().urgency().rank())
+                      .thenComparingLong(Entry::number))
+              .orElseThrow();
+      if (last.request().urgency().rank() <= request.urgency().rank()) {
+        return Optional.of(new Rejection(RejectionReason.FULL, wait));
+      }
+      entries.remove(last);
+      last.request().handler().displaced(predictedWait(last, ofTarget, now));
+    }
+    if (ofTarget.isEmpty()) {
+      releasesOf(request.target()).intervalStart = now;
+    }
+    entries.add(entry);
+    return Optional.empty();
+  }
+
+  /** Ends the wait of requests that have reached their bound, and tries to send the others. */
   public void serve(Instant now) {
-    Set<String> fullTargets = new HashSet<>();
     for (Entry entry : List.copyOf(entries)) {
-      QueuedRequest request = entry.request();
-      if (!now.isBefore(entry.latestStart())) {
-        entries.remove(entry);
-        request.refuse().run();
-      } else if (!fullTargets.contains(request.target())) {
-        tryToSend(entry, fullTargets);
+      if (!now.isBefore(entry.request().bound()) && entries.remove(entry)) {
+        entry.request().handler().boundReached();
+      }
+    }
+    Set<String> fullTargets = new HashSet<>();
+    for (Optional<Entry> next = next(fullTargets, now);
+        next.isPresent();
+        next = next(fullTargets, now)) {
+      Entry entry = next.get();
+      if (entry.request().handler().proceed()) {
+        if (entries.remove(entry)) {
+          releasesOf(entry.target()).record(now);
+        }
+      } else {
+        fullTargets.add(entry.target());
       }
     }
   }
 
-  private void tryToSend(Entry entry, Set<String> fullTargets) {
-    if (entry.request().proceed().getAsBoolean()) {
-      entries.remove(entry);
-    } else {
-      fullTargets.add(entry.request().target());
-    }
+  private Optional<Entry> next(Set<String> fullTargets, Instant now) {
+    return entries.stream()
+        .filter(entry -> !fullTargets.contains(entry.target()))
+        .min(Entry.order(now))
+        .map(first -> releasesOf(first.target()).isTurnOfLongestWaiting() ? longest(first) : first);
+  }
+
+  /** Returns the request that has waited longest for the target of another one. */
+  private Entry longest(Entry other) {
+    return ofTarget(other.target()).stream()
+        .min(Comparator.comparingLong(Entry::number))
+        .orElse(other);
+  }
+
+  /** Removes a request whose caller no longer needs it; returns whether it was queued. */
+  public boolean remove(QueuedRequest request) {
+    return entries.removeIf(entry -> entry.request() == request);
+  }
+
+  /** Ends the wait of all requests as if they had reached their bounds. */
+  public void endAllWaits() {
+    List<Entry> all = List.copyOf(entries);
+    entries.clear();
+    all.forEach(entry -> entry.request().handler().boundReached());
   }
 
   /** Returns the number of queued requests. */
@@ -115,13 +204,35 @@
     return entries.size();
   }
 
-  private Duration predictedWait(QueuedRequest request) {
-    long queuedAhead =
-        entries.stream()
-            .filter(entry -> entry.request().target().equals(request.target()))
-            .filter(entry -> entry.request().priority() >= request.priority())
-            .count();
-    return Duration.ofNanos(
-        (long) ((queuedAhead + 1) * meanReleaseIntervalSeconds * NANOS_PER_SECOND));
+  /** Returns whether a request waits for the target. */
+  public boolean isWaitedFor(String target) {
+    return entries.stream().anyMatch(entry -> entry.target().equals(target));
+  }
+
+  /** Returns the position of a queued request in the queue of its target, from 1. */
+  public int positionOf(QueuedRequest request, Instant now) {
+    List<Entry> ordered = new ArrayList<>(ofTarget(request.target()));
+    ordered.sort(Entry.order(now));
+    return 1 + ordered.stream().map(Entry::request).toList().indexOf(request);
+  }
+
+  /** Returns the earliest bound of the queued requests, empty if there are none. */
+  public Optional<Instant> earliestBound() {
+    return entries.stream().map(entry -> entry.request().bound()).min(Comparator.naturalOrder());
+  }
+
+  private List<Entry> ofTarget(String target) {
+    return entries.stream().filter(entry -> entry.target().equals(target)).toList();
+  }
+
+  private Releases releasesOf(String target) {
+    return releases.computeIfAbsent(target, unused -> new Releases());
+  }
+
+  private Duration predictedWait(Entry entry, List<Entry> ofTarget, Instant now) {
+    Comparator<Entry> order = Entry.order(now);
+    long ahead = ofTarget.stream().filter(other -> order.compare(other, entry) < 0).count();
+    double seconds = (ahead + 1) * releasesOf(entry.target()).meanIntervalSeconds;
+    return Duration.ofNanos((long) (seconds * NANOS_PER_SECOND));
   }
 }
--- /dev/null
+++ b/org.oatlug/src/org/oatlug/internal/limit/Urgency.java
@@ -0,0 +1,26 @@
+// Copyright (c) 2026, the oatlug authors
+// SPDX-License-Identifier: BSD-3-Clause
+
+package org.oatlug.internal.limit;
+
+import java.time.Instant;
+import java.util.Comparator;
+
+/**
+ * The urgency of a request among those that wait. Immutable, thread-safe.
+ *
+ * @param rank the rank, 0 is the most urgent
+ * @param goalEnd the time until which a response has its full value
+ * @param latestTimelyStart the latest start with which the response is expected by that time
+ */
+public record Urgency(int rank, Instant goalEnd, Instant latestTimelyStart) {
+  /**
+   * Returns the order in which waiting requests start: by rank; within a rank, requests that can
+   * still meet their goal before those that cannot, then by the earlier end of the goal.
+   */
+  public static Comparator<Urgency> order(Instant now) {
+    return Comparator.comparingInt(Urgency::rank)
+        .thenComparing(urgency -> now.isAfter(urgency.latestTimelyStart()))
+        .thenComparing(Urgency::goalEnd);
+  }
+}
