Let an overloaded dispatch queue start requests by urgency

An overloaded instance starts the newest request first, whatever its rank. With an order, the queue starts the most urgent first: by rank, then those that can still meet their goal, then by the end of the goal. Without an order, which remains the default, the newest starts first as before.

--- a/org.oatlug.test/tst/org/oatlug/internal/limit/DispatchQueueTest.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/limit/DispatchQueueTest.java
@@ -9,7 +9,9 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
+import java.util.Optional;
 import java.util.function.Consumer;
 import org.oatlug.test.VirtualTime;
 import org.testng.annotations.Test;
@@ -125,6 +127,46 @@
     assertEquals(queue.size(), 0);
   }
 
+  private Urgency urgencyOf(Request request) {
+    Instant goalEnd = request.sentAt.plus(LATENCY_TARGET);
+    return new Urgency(1, goalEnd, request.sentAt.plus(LATENCY_TARGET.dividedBy(2)));
+  }
+
+  /** Guards against an order by goal that starts only requests that are about to miss it. */
+  @Test
+  public void testOrderByGoalServesRequestsThatCanBeInTime() {
+    DispatchQueue<Request> queue =
+        DispatchQueue.create(
+            time,
+            loop::yield,
+            request -> !request.hasTimedOut() && attempt(request),
+            () ->
+                Optional.of(Comparator.comparing(this::urgencyOf, Urgency.order(time.instant()))));
+    Outcome queued = replay(queue::enqueue);
+    assertTrue(queued.inTime >= 50, "in time " + queued.inTime + " served " + queued.served);
+    assertEquals(queue.size(), 0);
+  }
+
+  /** Guards against an urgent request behind others at an overloaded instance. */
+  @Test
+  public void testOrderAppliesOnlyToOverload() {
+    List<String> started = new ArrayList<>();
+    Iterations iterations = new Iterations();
+    DispatchQueue<String> queue =
+        DispatchQueue.create(
+            time,
+            iterations.scheduled::add,
+            started::add,
+            () -> Optional.of(Comparator.<String>reverseOrder()));
+    List.of("a", "b", "d", "c").forEach(queue::enqueue);
+    iterations.next();
+    time.run(Duration.ofMillis(200));
+    iterations.next();
+    iterations.next();
+    assertEquals(started, List.of("a", "b", "d", "c"));
+    assertEquals(queue.size(), 0);
+  }
+
   /** Holds actions until the test runs the next iteration. */
   private static final class Iterations {
     private final List<Runnable> scheduled = new ArrayList<>();
--- a/org.oatlug/src/org/oatlug/internal/limit/DispatchQueue.java
+++ b/org.oatlug/src/org/oatlug/internal/limit/DispatchQueue.java
@@ -7,9 +7,12 @@
 import java.time.Instant;
 import java.time.InstantSource;
 import java.util.ArrayDeque;
+import java.util.Comparator;
 import java.util.Deque;
+import java.util.Optional;
 import java.util.concurrent.Executor;
 import java.util.function.Predicate;
+import java.util.function.Supplier;
 
 /**
  * Queues requests until this instance starts to process them.
@@ -19,9 +22,10 @@
  * once, each step of a request would wait for a step of every other, and most callers would
  * disconnect before the first response. If one request starts per iteration of the loop, it
  * completes its steps without waiting for the others. Once the oldest request has waited too long,
- * the newest starts first, so that requests that can still meet their deadlines are not delayed by
- * those that cannot. The limit applies to starts per iteration, not to connections that are being
- * opened, because a network partition keeps connections in that state for as long as it lasts.
+ * the most urgent starts first if the requests have an order, otherwise the newest, so that
+ * requests that can still meet their deadlines are not delayed by those that cannot. The limit
+ * applies to starts per iteration, not to connections that are being opened, because a network
+ * partition keeps connections in that state for as long as it lasts.
  *
  * <p>Invariants: at most one request starts per iteration of the event loop, which takes less than
  * a millisecond without overload; a request that can no longer be served uses no iteration. Owned
@@ -31,23 +35,29 @@
  */
 public final class DispatchQueue<T> {
   /**
-   * The wait from which the newest starts first: many iterations, and too long for short latency
-   * targets.
+   * The wait from which the oldest no longer starts first: many iterations, and too long for short
+   * latency targets.
    */
   private static final Duration OVERLOAD_WAIT = Duration.ofMillis(100);
 
   private final InstantSource clock;
   private final Executor eventLoop;
   private final Predicate<T> start;
+  private final Supplier<Optional<Comparator<T>>> overloadOrder;
   private final Deque<Entry<T>> queue = new ArrayDeque<>();
   private boolean startedInIteration;
 
   private record Entry<T>(T request, Instant queuedAt) {}
 
-  private DispatchQueue(InstantSource clock, Executor eventLoop, Predicate<T> start) {
+  private DispatchQueue(
+      InstantSource clock,
+      Executor eventLoop,
+      Predicate<T> start,
+      Supplier<Optional<Comparator<T>>> overloadOrder) {
     this.clock = clock;
     this.eventLoop = eventLoop;
     this.start = start;
+    this.overloadOrder = overloadOrder;
   }
 
   /**
@@ -58,7 +68,23 @@
    */
   public static <T> DispatchQueue<T> create(
       InstantSource clock, Executor eventLoop, Predicate<T> start) {
-    return new DispatchQueue<>(clock, eventLoop, start);
+    return create(clock, eventLoop, start, Optional::empty);
+  }
+
+  /**
+   * Returns an empty queue.
+   *
+   * @param eventLoop runs an action in a later iteration of the event loop
+   * @param start starts a request; returns whether it could still be served
+   * @param overloadOrder returns the order in which requests start once the queue is overloaded;
+   *     empty to start the newest first
+   */
+  public static <T> DispatchQueue<T> create(
+      InstantSource clock,
+      Executor eventLoop,
+      Predicate<T> start,
+      Supplier<Optional<Comparator<T>>> overloadOrder) {
+    return new DispatchQueue<>(clock, eventLoop, start, overloadOrder);
   }
 
   /** Starts the request now or, if another started in this iteration, queues it. */
@@ -100,6 +126,16 @@
   }
 
   private T next() {
-    return isOverloaded() ? queue.removeLast().request() : queue.removeFirst().request();
+    if (!isOverloaded()) {
+      return queue.removeFirst().request();
+    }
+    Optional<Comparator<T>> order = overloadOrder.get();
+    if (order.isEmpty()) {
+      return queue.removeLast().request();
+    }
+    Entry<T> first =
+        queue.stream().min(Comparator.comparing(Entry::request, order.get())).orElseThrow();
+    queue.remove(first);
+    return first.request();
   }
 }
