Queue deferrable requests of routed services until an upstream has room

Only the engines decided which request waits, each for itself, so that an urgent request was behind a long prefill that had begun. A request of a deferrable route, or of a workspace beyond its share, now waits at its instance until an upstream has a free slot and its pending prefill delays urgent requests by at most a quarter of their goal; at half of its goal it is sent whatever the load. The queue is served when a response begins or ends, when a report of other instances is applied, and by a timer while something waits, at most every 20 ms. A planned stop ends all waits. Requests that were sent before are not refused for room. An overloaded dispatch queue uses the same order. With the switch off, or auto without a deferrable route, nothing is created or ordered.

--- a/org.oatlug.test/tst/org/oatlug/test/GatewayCluster.java
+++ b/org.oatlug.test/tst/org/oatlug/test/GatewayCluster.java
@@ -51,6 +51,7 @@
   final Map<String, UpstreamStandin> upstreams = new TreeMap<>();
   private final Map<String, Integer> upstreamPorts = new TreeMap<>();
   private final int storePort = Ports.free();
+  private JsonObject loadManagement = new JsonObject();
   private int requestCount;
 
   private GatewayCluster() throws IOException {}
@@ -70,6 +71,19 @@
     return cluster;
   }
 
+  /** Starts a store with this configuration, upstream i-1, and an instance with these switches. */
+  static GatewayCluster startManaged(JsonObject configuration, JsonObject loadManagement)
+      throws IOException {
+    GatewayCluster cluster = new GatewayCluster();
+    cluster.loadManagement = loadManagement;
+    cluster.startStore();
+    cluster.store.put("config", "main", configuration);
+    cluster.addUpstream("i-1", "v1");
+    cluster.startEntries(1);
+    cluster.awaitReady(0);
+    return cluster;
+  }
+
   /**
    * Starts a store without a configuration, and instances, and returns without waiting for them.
    */
@@ -96,7 +110,8 @@
   void startEntry(int entry) throws IOException {
     List<Integer> seeds = ports.stream().map(instancePorts -> instancePorts.get(4)).toList();
     String name = "entry-" + entry;
-    JsonObject settings = SampleObjects.settings(name, ports.get(entry), seeds);
+    JsonObject settings =
+        SampleObjects.settings(name, ports.get(entry), seeds).put("loadManagement", loadManagement);
     Path file = directory.resolve(name + ".json");
     Files.writeString(file, settings.encodePrettily());
     // A test run under nohup ignores SIGHUP, and its child processes would inherit that.
--- a/org.oatlug/src/org/oatlug/internal/gateway/AdmittedRequest.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/AdmittedRequest.java
@@ -17,6 +17,7 @@
 import org.oatlug.gateway.WorkspaceKeys;
 import org.oatlug.internal.crash.RequestFingerprint;
 import org.oatlug.internal.forward.ForwardedRequest;
+import org.oatlug.internal.limit.Urgency;
 
 /**
  * An admitted request with its whole body. Immutable.
@@ -55,6 +56,20 @@
     return forwarded.map(ForwardedRequest::maximumAttempts).orElse(route.maximumAttempts());
   }
 
+  /** Returns the rank of the request, 0 is the most urgent: that of its workspace or route. */
+  int rank() {
+    return workspace.flatMap(WorkspaceKeys::priority).orElse(route.priority());
+  }
+
+  /**
+   * Returns the urgency of the request. Half of its goal is left for its way and its run: a request
+   * that starts later is likely to miss its goal.
+   */
+  Urgency urgency() {
+    return new Urgency(
+        rank(), arrived.plusMillis(route.goalMillis()), arrived.plusMillis(route.goalMillis() / 2));
+  }
+
   /** Returns the number of the last event that the caller has, if it resumes a stream. */
   OptionalLong resumeAfter() {
     return forwarded.map(ForwardedRequest::resumeAfter).orElse(head.resumeAfter());
--- a/org.oatlug/src/org/oatlug/internal/gateway/AttemptFeedback.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/AttemptFeedback.java
@@ -180,6 +180,7 @@
     if (promptQueued) {
       promptQueued = false;
       components.prefillBacklog().end(process, chosen.forecast().prefillMillis());
+      components.requestQueue().roomMayBeFree();
     }
   }
 
@@ -188,6 +189,7 @@
     dequeuePrompt();
     chosen.row().release();
     reservation.ifPresent(UpstreamRateLimits.Reservation::release);
+    components.requestQueue().roomMayBeFree();
   }
 
   /** Records a success of the upstream. */
--- a/org.oatlug/src/org/oatlug/internal/gateway/Exchange.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/Exchange.java
@@ -13,6 +13,7 @@
 import java.util.OptionalInt;
 import java.util.Set;
 import java.util.function.Function;
+import java.util.function.Predicate;
 import org.oatlug.api.Refusal;
 import org.oatlug.api.RefusalReason;
 import org.oatlug.errors.ErrorText;
@@ -22,6 +23,7 @@
 import org.oatlug.internal.engine.FirstTokenForecast;
 import org.oatlug.internal.forward.ForwardedRequest;
 import org.oatlug.internal.forward.Receiver;
+import org.oatlug.internal.limit.Urgency;
 
 /**
  * Handles one admitted request: sends it to upstreams in turn until one of them responds.
@@ -56,6 +58,7 @@
   private final StreamRelay relay;
   private final CrashGuard.RequestGuard requestGuard;
   private final UpstreamChoice upstreams;
+  private final Optional<RequestWait> wait;
   private long deadlineTimer = NO_TIMER;
   private int attemptsSent;
   private int attemptsNotSent;
@@ -76,6 +79,7 @@
     this.relay = StreamRelay.after(request.resumeAfter());
     this.requestGuard = components.crashes().guard(request);
     this.upstreams = UpstreamChoice.of(components, request, requestGuard);
+    this.wait = components.requestQueue().waitOf(this);
   }
 
   /** Starts handling a request. */
@@ -137,6 +141,11 @@
     return request;
   }
 
+  /** Returns the urgency of the request. */
+  Urgency urgency() {
+    return request.urgency();
+  }
+
   /** Returns the relay of the event stream, which all attempts share. */
   StreamRelay relay() {
     return relay;
@@ -161,7 +170,7 @@
    * Refuses the request if it is known to crash upstreams, as waiting would not change the
    * evidence; returns whether it was refused.
    */
-  private boolean refuseIfCrashing() {
+  boolean refuseIfCrashing() {
     Optional<CrashGuard.Hold> hold = requestGuard.hold();
     hold.ifPresent(this::refuseAsCrashing);
     return hold.isPresent();
@@ -254,7 +263,18 @@
       giveUpWithoutUpstream();
       return;
     }
-    startAttempt(chosen.get());
+    sendOrWait(chosen.get());
+  }
+
+  /** Sends the request to the upstream; one that may wait is sent when an upstream has room. */
+  private void sendOrWait(UpstreamSelection.CostedUpstream best) {
+    wait.ifPresentOrElse(waiting -> waiting.send(best), () -> startAttempt(best));
+  }
+
+  /** Returns the next upstream among those that satisfy the condition. */
+  Optional<UpstreamSelection.CostedUpstream> choose(
+      Predicate<UpstreamSelection.CostedUpstream> condition) {
+    return upstreams.next(model(), condition);
   }
 
   private void giveUpWithoutUpstream() {
@@ -278,7 +298,8 @@
     }
   }
 
-  private void startAttempt(UpstreamSelection.CostedUpstream chosen) {
+  /** Sends the request to the upstream now. */
+  void startAttempt(UpstreamSelection.CostedUpstream chosen) {
     upstreams.logVersion(chosen.upstream().version(), this::log);
     currentAttempt = new ExchangeAttempt(this, chosen, model());
     currentAttempt.send();
@@ -296,7 +317,8 @@
     return Duration.between(request.arrived(), components.clock().instant());
   }
 
-  private Optional<String> model() {
+  /** Returns the model to ask next, empty if the caller names it. */
+  Optional<String> model() {
     return route.isCascade() ? Optional.of(route.models().get(stage)) : Optional.empty();
   }
 
@@ -388,7 +410,7 @@
       return;
     }
     stage = replacement.stage();
-    startAttempt(replacement.chosen());
+    sendOrWait(replacement.chosen());
   }
 
   /**
@@ -415,7 +437,8 @@
     giveUp(reason, text, refusals.retryAfter(request.service()));
   }
 
-  private void giveUp(RefusalReason reason, String text, Duration retryAfter) {
+  /** Refuses the request with a retry delay; states "not run" only while that is true. */
+  void giveUp(RefusalReason reason, String text, Duration retryAfter) {
     Refusal refusal = mayHaveRun ? failed(text) : Refusal.retryAfter(reason, text, retryAfter);
     refuse(refusal);
   }
@@ -438,6 +461,7 @@
   /** Records the outcome of the request; called before its response ends. */
   void finish(String outcome) {
     components.deadlines().cancel(deadlineTimer);
+    wait.ifPresent(RequestWait::exchangeEnded);
     Duration duration = elapsed();
     components.meters().time("request." + route.kind().name().toLowerCase(Locale.ROOT), duration);
     log()
--- a/org.oatlug/src/org/oatlug/internal/gateway/ExchangeAttempt.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/ExchangeAttempt.java
@@ -164,9 +164,7 @@
   }
 
   private int priority() {
-    int basePriority =
-        request.workspace().flatMap(WorkspaceKeys::priority).orElse(route.priority());
-    return RequestPriority.of(basePriority, chosen.forecast(), route.goalMillis());
+    return RequestPriority.of(request.rank(), chosen.forecast(), route.goalMillis());
   }
 
   @Override
--- a/org.oatlug/src/org/oatlug/internal/gateway/GatewayComponents.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/GatewayComponents.java
@@ -46,6 +46,7 @@
  * @param budgets the retry budgets
  * @param deadlines the deadline timers of open requests
  * @param dispatchQueue the queue of requests that have not started
+ * @param requestQueue the queue of requests that wait for room at an upstream
  * @param retryAfterJitter computes the retry delays of refused callers
  * @param times the measured times of responses
  * @param bodyMemory the memory budget of request and response bodies
@@ -74,6 +75,7 @@
     RetryBudgets budgets,
     DeadlineTimers deadlines,
     DispatchQueue<Exchange> dispatchQueue,
+    RequestQueue requestQueue,
     RetryAfterJitter retryAfterJitter,
     ResponseTimes times,
     BodyMemoryBudget bodyMemory,
@@ -83,6 +85,7 @@
   public void handleProcessPause() {
     meters.count("pause");
     deadlines.rescheduleAll();
+    requestQueue.roomMayBeFree();
   }
 
   /** Returns whether this instance may send requests to an upstream of the service. */
@@ -125,6 +128,9 @@
             limits,
             BrittleShares.create(brittle, senders.ofBrittle()),
             senders);
+    RequestQueue requestQueue =
+        RequestQueue.create(
+            vertx, clock, settings.loadManagement().queue(), tables, WorkspaceShareRule.NEVER);
     CrashGuard crashes = CrashGuard.create(vertx, clock, meters, tables);
     return new GatewayComponents(
         vertx,
@@ -156,7 +162,11 @@
         RetryBudgets.within(settings.bounds(), instances),
         DeadlineTimers.create(vertx, clock),
         DispatchQueue.create(
-            clock, task -> vertx.runOnContext(unused -> task.run()), Exchange::sendFirst),
+            clock,
+            task -> vertx.runOnContext(unused -> task.run()),
+            Exchange::sendFirst,
+            requestQueue::startOrder),
+        requestQueue,
         RetryAfterJitter.create(random, instances),
         times,
         BodyMemoryBudget.create(),
--- a/org.oatlug/src/org/oatlug/internal/gateway/GatewayParticipant.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/GatewayParticipant.java
@@ -76,6 +76,7 @@
     remote.evidence().forEach(rollouts::applyReported);
     components.limits().applyReported(remote.limits());
     components.brittle().applyReported(remote.brittle());
+    components.requestQueue().roomMayBeFree();
   }
 
   @Override
--- a/org.oatlug/src/org/oatlug/internal/gateway/GatewayServer.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/GatewayServer.java
@@ -125,6 +125,7 @@
    */
   public void beginShutdown(Instant closeAt) {
     admission.beginShutdown(closeAt);
+    components.requestQueue().stop();
   }
 
   /** Closes idle connections, so that their callers connect to other instances. */
--- a/org.oatlug/src/org/oatlug/internal/gateway/UpstreamChoice.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/UpstreamChoice.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 import org.oatlug.internal.forward.ForwardedRequest;
 
@@ -51,22 +52,31 @@
 
   /** Returns the next upstream, empty if there is none. */
   Optional<UpstreamSelection.CostedUpstream> next(Optional<String> model) {
+    return next(model, unused -> true);
+  }
+
+  /** Returns the next upstream among those that satisfy the condition, empty if there is none. */
+  Optional<UpstreamSelection.CostedUpstream> next(
+      Optional<String> model, Predicate<UpstreamSelection.CostedUpstream> condition) {
     VersionRule.PriorAttempts priorAttempts =
         new VersionRule.PriorAttempts(lastFailedVersion, firstInputs);
     versionPreference =
         components.versions().preferenceFor(request.service(), request.head(), priorAttempts);
     firstInputs =
         firstInputs.or(() -> versionPreference.flatMap(VersionRule.VersionPreference::basis));
-    Optional<UpstreamSelection.CostedUpstream> untried = chooseExcluding(model, triedUpstreams);
+    Optional<UpstreamSelection.CostedUpstream> untried =
+        chooseExcluding(model, triedUpstreams, condition);
     boolean triedBefore = lastUpstream.isPresent() || request.forwarded().isPresent();
     if (untried.isPresent() || !triedBefore || !request.route().isRepeatable()) {
       return untried;
     }
-    return chooseExcluding(model, lastUpstream.map(Set::of).orElse(Set.of()));
+    return chooseExcluding(model, lastUpstream.map(Set::of).orElse(Set.of()), condition);
   }
 
   private Optional<UpstreamSelection.CostedUpstream> chooseExcluding(
-      Optional<String> model, Set<String> excluded) {
+      Optional<String> model,
+      Set<String> excluded,
+      Predicate<UpstreamSelection.CostedUpstream> condition) {
     UpstreamSelection.Criteria criteria =
         new UpstreamSelection.Criteria(
             request.service(),
@@ -76,7 +86,7 @@
             request.body().length(),
             Set.copyOf(excluded),
             requestGuard.isSuspect());
-    return components.selection().choose(criteria, components.clock().instant());
+    return components.selection().choose(criteria, components.clock().instant(), condition);
   }
 
   /** Records that the request is being sent to the upstream. */
--- a/org.oatlug/src/org/oatlug/internal/gateway/UpstreamSelection.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/UpstreamSelection.java
@@ -137,10 +137,16 @@
    * lowest load, so that a crash affects few requests.
    */
   Optional<CostedUpstream> choose(Criteria criteria, Instant now) {
+    return choose(criteria, now, unused -> true);
+  }
+
+  /** Returns the upstream with the lowest cost among those that satisfy the condition. */
+  Optional<CostedUpstream> choose(
+      Criteria criteria, Instant now, Predicate<CostedUpstream> condition) {
     Comparator<CostedUpstream> byCost = Comparator.comparingDouble(CostedUpstream::costMillis);
     Comparator<CostedUpstream> order =
         criteria.isolated() ? byLowestLoad(now).thenComparing(byCost) : byCost;
-    return costs(criteria, now).stream().min(order);
+    return costs(criteria, now).stream().filter(condition).min(order);
   }
 
   private Comparator<CostedUpstream> byLowestLoad(Instant now) {
