Merge the queue of routed requests

A waiting request has room only at engines that it prefers: while engines are reserved, those of the other class are used from its bound on.

--- a/org.oatlug/src/org/oatlug/internal/gateway/GatewayParticipant.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/GatewayParticipant.java
@@ -81,6 +81,7 @@
     components
         .prefillWork()
         .applyReported(remote.load().workByRank(), components.clock().instant());
+    components.requestQueue().roomMayBeFree();
   }
 
   @Override
--- a/org.oatlug/src/org/oatlug/internal/gateway/UpstreamSelection.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/UpstreamSelection.java
@@ -151,13 +151,15 @@
    * @param row the state that this instance has observed
    * @param forecast the predicted time until the response begins
    * @param costMillis the placement cost in milliseconds
+   * @param preferred whether the preference of the request adds nothing to its cost
    */
   record CostedUpstream(
       String name,
       UpstreamRecord upstream,
       UpstreamRow row,
       FirstTokenForecast forecast,
-      double costMillis) {}
+      double costMillis,
+      boolean preferred) {}
 
   /**
    * Returns the upstream with the lowest cost, empty if none is eligible. For a request that runs
@@ -165,10 +167,16 @@
    * lowest load, so that a crash affects few requests.
    */
   Optional<CostedUpstream> choose(Criteria criteria, Instant now) {
+    return choose(criteria, now, unused -> true);
+  }
+
+  /** Returns the upstream with the lowest cost among those that satisfy the condition. */
+  Optional<CostedUpstream> choose(
+      Criteria criteria, Instant now, Predicate<CostedUpstream> condition) {
     Comparator<CostedUpstream> byCost = Comparator.comparingDouble(CostedUpstream::costMillis);
     Comparator<CostedUpstream> order =
         criteria.isolated() ? byLowestLoad(now).thenComparing(byCost) : byCost;
-    return costs(criteria, now).stream().min(order);
+    return costs(criteria, now).stream().filter(condition).min(order);
   }
 
   private Comparator<CostedUpstream> byLowestLoad(Instant now) {
@@ -191,13 +199,19 @@
           prompt
               .map(value -> forecast(candidate, value, home, now))
               .orElse(FirstTokenForecast.NONE);
+      double additional = additionalMillis.applyAsDouble(candidate.name());
       double cost =
           PlacementCost.of(upstreamState(candidate, forecast, now), criteria.bodyBytes())
-              + additionalMillis.applyAsDouble(candidate.name());
+              + additional;
       double jitter = random.nextDouble() * JITTER_MILLIS;
       costs.add(
           new CostedUpstream(
-              candidate.name(), candidate.upstream(), candidate.row(), forecast, cost + jitter));
+              candidate.name(),
+              candidate.upstream(),
+              candidate.row(),
+              forecast,
+              cost + jitter,
+              additional == 0));
     }
     return costs;
   }
