Weight upstreams by their lasting pace and predict plain responses

Engines of one service differ in speed by a factor of two, and become slower for half a second now and then. PrefillEstimates mixes both in one factor that decays within seconds, and all instances follow the same reports. The cost of a plain service is made of fixed sums.

UpstreamPaces separates a lasting pace, a median of observed times joined with those of other instances, from the momentary slowdown that an upstream reports. Forecasts and load are weighted by the lasting pace; candidates are drawn at random by capacity, and the momentary slowdown decides between the two best only if their costs are about equal. For a plain service the cost is the predicted time to the response, with the own zone first if it answers within the goal of the route.

It applies to services whose upstreams report a slowdown ("auto") or to all ("on"); for others nothing is recorded and selection is unchanged.

--- a/org.oatlug.test/tst/org/oatlug/internal/gateway/GatewayDecisionTest.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/gateway/GatewayDecisionTest.java
@@ -8,6 +8,7 @@
 import static org.testng.Assert.assertNotEquals;
 import static org.testng.Assert.assertTrue;
 
+import com.codahale.metrics.MetricRegistry;
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
@@ -41,6 +42,7 @@
 import org.oatlug.internal.limit.BrittleShares;
 import org.oatlug.internal.limit.RateSenders;
 import org.oatlug.internal.limit.SenderSelection;
+import org.oatlug.internal.metrics.Meters;
 import org.oatlug.internal.routing.ZoneReachability;
 import org.oatlug.internal.util.Json;
 import org.oatlug.platform.StoreRevision;
@@ -127,7 +129,21 @@
   private UpstreamSelection.Criteria criteria(
       Optional<VersionRule.VersionPreference> preference, Set<String> excluded) {
     return new UpstreamSelection.Criteria(
-        "pool", preference, Optional.empty(), Optional.empty(), 0, excluded, false);
+        "pool", preference, Optional.empty(), Optional.empty(), 0, excluded, false, 2000);
+  }
+
+  /** Returns bounds on retries and exposure. */
+  static GatewaySettings.Bounds bounds() {
+    return new GatewaySettings.Bounds(
+        Duration.ofSeconds(8),
+        0.9,
+        52,
+        0.15,
+        Duration.ofSeconds(5),
+        1.5,
+        5,
+        Duration.ofSeconds(2),
+        Duration.ofSeconds(2));
   }
 
   private UpstreamRateLimits noRateLimits() {
@@ -135,20 +151,9 @@
   }
 
   private UpstreamRateLimits rateLimits(AdvertisedLimits limits, RateSenders senders) {
-    GatewaySettings.Bounds bounds =
-        new GatewaySettings.Bounds(
-            Duration.ofSeconds(8),
-            0.9,
-            52,
-            0.15,
-            Duration.ofSeconds(5),
-            1.5,
-            5,
-            Duration.ofSeconds(2),
-            Duration.ofSeconds(2));
     BrittleShares shares =
         BrittleShares.create(AdvertisedLimits.ofRejections(clock), senders.ofBrittle());
-    return UpstreamRateLimits.create(tables, bounds, limits, shares, senders);
+    return UpstreamRateLimits.create(tables, bounds(), limits, shares, senders);
   }
 
   /**
@@ -186,6 +191,7 @@
         PrefillBacklog.create(),
         ZoneReachability.create(),
         noRateLimits(),
+        UpstreamPacing.create(GatewaySettings.Switch.OFF, tables, Meters.of(new MetricRegistry())),
         unused -> false,
         new Random(1));
   }
@@ -349,7 +355,8 @@
                     "*", 100, 10, List.of(new PromptPart(7, 90_000)), OptionalInt.empty())),
             100,
             Set.of(),
-            false);
+            false,
+            2000);
     assertEquals(selection.choose(criteria, now).orElseThrow().name(), "i-2");
     assertEquals(generation.prompt().size(), 2);
   }
@@ -367,6 +374,8 @@
             prefillBacklog,
             zones,
             noRateLimits(),
+            UpstreamPacing.create(
+                GatewaySettings.Switch.OFF, tables, Meters.of(new MetricRegistry())),
             unused -> false,
             new Random(1));
     List<PromptPart> parts = List.of(new PromptPart(7, 13_000), new PromptPart(8, 4000));
@@ -379,7 +388,8 @@
             Optional.of(generation),
             17_000,
             Set.of(),
-            false);
+            false,
+            2000);
     return selection.choose(criteria, now).orElseThrow().name();
   }
 
--- a/org.oatlug/src/org/oatlug/internal/gateway/AttemptFeedback.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/AttemptFeedback.java
@@ -68,7 +68,8 @@
     reservation =
         Optional.of(components.rates().reserve(chosen.name(), chosen.upstream(), started));
     promptQueued = true;
-    components.prefillBacklog().begin(process, chosen.forecast().prefillMillis());
+    countPacing();
+    components.prefillBacklog().begin(process, pendingMillis());
     components
         .versions()
         .recordSent(request.service(), chosen.upstream().version(), request.head());
@@ -78,6 +79,29 @@
         .ifPresent(generation -> UpstreamSelection.recordPrompt(chosen.row(), model, generation));
   }
 
+  /**
+   * Returns the prefill time that counts as pending. With paces in use it is that of an upstream of
+   * pace 1, because forecasts multiply the pending time by the pace.
+   */
+  private double pendingMillis() {
+    return chosen.forecast().prefillMillis() / chosen.applied().forecastFactor();
+  }
+
+  private void countPacing() {
+    if (chosen.applied().tieBroken()) {
+      components.meters().count("pace.tie-broken");
+    }
+    if (chosen.applied().active() && !otherZone().isEmpty()) {
+      components.meters().count("pace.other-zone");
+    }
+  }
+
+  /** Returns the zone of the upstream, empty if it is that of this instance. */
+  private String otherZone() {
+    String zone = chosen.upstream().zone();
+    return zone.equals(components.settings().zone()) ? "" : zone;
+  }
+
   /**
    * Records that the request is written now, if the rate limits of the upstream allow it.
    *
@@ -97,13 +121,7 @@
   void responseHeadReceived(ResponseHead head) {
     dequeuePrompt();
     components.zones().recordResponse(chosen.upstream().zone());
-    head.load()
-        .ifPresent(
-            load ->
-                components
-                    .tables()
-                    .upstreamTable()
-                    .report(chosen.row(), load.running(), load.waiting(), false));
+    head.load().ifPresent(this::recordLoad);
     head.coldMillis().ifPresent(millis -> chosen.row().extendColdStart(now().plusMillis(millis)));
     head.backOff().ifPresent(this::recordBackOff);
     applyLimit(head);
@@ -112,6 +130,11 @@
     }
   }
 
+  private void recordLoad(ResponseHead.Load load) {
+    components.tables().upstreamTable().report(chosen.row(), load.running(), load.waiting(), false);
+    components.pacing().recordLoad(request.service(), process, load, now());
+  }
+
   private void recordBackOff(Duration backOff) {
     components.meters().count("upstream.asked-for-rest");
     chosen.row().extendBackOff(now().plus(backOff));
@@ -179,7 +202,7 @@
   private void dequeuePrompt() {
     if (promptQueued) {
       promptQueued = false;
-      components.prefillBacklog().end(process, chosen.forecast().prefillMillis());
+      components.prefillBacklog().end(process, pendingMillis());
     }
   }
 
@@ -245,6 +268,7 @@
                 request.route(),
                 model,
                 millisPerEvent));
+    components.pacing().recordEventInterval(chosen, process, model, millisPerEvent, now());
   }
 
   /** Updates the estimates with the time to the response head, and records the forecast error. */
@@ -252,6 +276,7 @@
     components.times().recordHeadTime(timesKey(), elapsed());
     FirstTokenForecast forecast = chosen.forecast();
     if (forecast.equals(FirstTokenForecast.NONE)) {
+      components.pacing().recordResponse(chosen, process, otherZone(), elapsed(), now());
       return;
     }
     Duration error = elapsed().minus(forecast.timeToFirstToken());
@@ -259,6 +284,7 @@
     components
         .prefillEstimates()
         .recordTimeToFirstToken(process, model, forecast, elapsed(), now());
+    components.pacing().recordFirstToken(chosen, process, elapsed(), now());
   }
 
   /** Records a pause between events of the stream. */
--- a/org.oatlug/src/org/oatlug/internal/gateway/ExchangeAttempt.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/ExchangeAttempt.java
@@ -111,7 +111,7 @@
     exchange.log().log(
         "attempt=%d route=%s upstream=%s revision=%s version=%s model=%s load=%d"
             + " remainingMillis=%d lastEventId=%s uncachedTokens=%.0f waitingMillis=%.0f"
-            + " expected=%d",
+            + " expected=%d%s",
         exchange.attemptsSent(),
         route.name(),
         chosen.name(),
@@ -123,7 +123,8 @@
         relay.lastEventId(),
         forecast.uncachedTokens(),
         forecast.waitingMillis(),
-        forecast.timeToFirstToken().toMillis());
+        forecast.timeToFirstToken().toMillis(),
+        chosen.applied().logFields());
   }
 
   private UpstreamConnection.OutgoingRequest outgoingRequest() {
--- a/org.oatlug/src/org/oatlug/internal/gateway/GatewayComponents.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/GatewayComponents.java
@@ -40,6 +40,7 @@
  * @param brittle the rejections per second that brittle upstreams bear
  * @param rates limits the rate of all instances together to cold or rate-limited upstreams
  * @param crashes isolates requests that are suspected of crashing upstreams
+ * @param pacing the pace of upstreams
  * @param selection chooses upstreams
  * @param stages chooses models of cascades
  * @param versions chooses versions during a roll-out
@@ -68,6 +69,7 @@
     AdvertisedLimits brittle,
     UpstreamRateLimits rates,
     CrashGuard crashes,
+    UpstreamPacing pacing,
     UpstreamSelection selection,
     StageRule stages,
     VersionRule versions,
@@ -125,6 +127,7 @@
             limits,
             BrittleShares.create(brittle, senders.ofBrittle()),
             senders);
+    UpstreamPacing pacing = UpstreamPacing.create(settings.loadManagement().pace(), tables, meters);
     CrashGuard crashes = CrashGuard.create(vertx, clock, meters, tables);
     return new GatewayComponents(
         vertx,
@@ -142,6 +145,7 @@
         brittle,
         rates,
         crashes,
+        pacing,
         UpstreamSelection.create(
             settings.zone(),
             tables,
@@ -149,6 +153,7 @@
             prefillBacklog,
             zones,
             rates,
+            pacing,
             crashes::runsSuspect,
             random),
         ExpectedValueRule.create(tables, times),
--- a/org.oatlug/src/org/oatlug/internal/gateway/GatewayParticipant.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/GatewayParticipant.java
@@ -9,24 +9,26 @@
 import java.util.Map;
 import org.oatlug.internal.engine.PrefillTimeModel;
 import org.oatlug.internal.gather.ExchangeParticipant;
+import org.oatlug.internal.gather.LoadReport;
 import org.oatlug.internal.gather.SessionObservation;
 import org.oatlug.internal.gather.StateReport;
 
 /**
  * Exchanges the gateway's state with other instances: prompts waiting for prefill, prefill models,
- * evidence about versions under roll-out and rate limits of upstreams. Owned by one event loop, not
- * thread-safe.
+ * evidence about versions under roll-out, rate limits and paces of upstreams. Owned by one event
+ * loop, not thread-safe.
  */
 public final class GatewayParticipant implements ExchangeParticipant {
   /**
-   * The interval at which prefill models are read; each response changes them, but the reported
-   * ones may be 1 s old.
+   * The interval at which prefill models and paces are read; each response changes them, but the
+   * reported ones may be 1 s old.
    */
   private static final Duration PREFILL_MODELS_INTERVAL = Duration.ofSeconds(1);
 
   private final GatewayComponents components;
   private final RolloutDirector rollouts;
   private Map<String, PrefillTimeModel> prefillModels = Map.of();
+  private Map<String, LoadReport.PaceObservation> paces = Map.of();
   private Instant prefillModelsReadAt = Instant.EPOCH;
 
   private GatewayParticipant(GatewayComponents components, RolloutDirector rollouts) {
@@ -43,6 +45,7 @@
   public StateReport localReport() {
     Instant now = components.clock().instant();
     if (!now.isBefore(prefillModelsReadAt.plus(PREFILL_MODELS_INTERVAL))) {
+      paces = components.pacing().observed(now);
       prefillModels = components.prefillEstimates().measured();
       prefillModelsReadAt = now;
     }
@@ -51,7 +54,8 @@
         rollouts.evidence(),
         prefillModels,
         components.limits().observed(),
-        components.brittle().observed());
+        components.brittle().observed(),
+        new LoadReport(paces, Map.of(), Map.of()).bounded());
   }
 
   @Override
@@ -72,6 +76,7 @@
   @Override
   public void applyReported(StateReport remote) {
     components.prefillBacklog().applyReported(remote.openMillis(), components.clock().instant());
+    components.pacing().applyReported(remote.load().paces(), components.clock().instant());
     remote.speeds().forEach(components.prefillEstimates()::applyReported);
     remote.evidence().forEach(rollouts::applyReported);
     components.limits().applyReported(remote.limits());
--- a/org.oatlug/src/org/oatlug/internal/gateway/RouteExplanation.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/RouteExplanation.java
@@ -128,7 +128,14 @@
             : Optional.empty();
     UpstreamSelection.Criteria criteria =
         new UpstreamSelection.Criteria(
-            service, preference, firstModel, head.generation(), EMPTY_BODY_BYTES, Set.of(), false);
+            service,
+            preference,
+            firstModel,
+            head.generation(),
+            EMPTY_BODY_BYTES,
+            Set.of(),
+            false,
+            route.goalMillis());
     return new Target(
         service,
         target.weight(),
--- a/org.oatlug/src/org/oatlug/internal/gateway/UpstreamChoice.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/UpstreamChoice.java
@@ -75,7 +75,8 @@
             request.head().generation(),
             request.body().length(),
             Set.copyOf(excluded),
-            requestGuard.isSuspect());
+            requestGuard.isSuspect(),
+            request.route().goalMillis());
     return components.selection().choose(criteria, components.clock().instant());
   }
 
--- a/org.oatlug/src/org/oatlug/internal/gateway/UpstreamSelection.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/UpstreamSelection.java
@@ -18,6 +18,8 @@
 import org.oatlug.internal.engine.PrefillBacklog;
 import org.oatlug.internal.engine.PrefillEstimates;
 import org.oatlug.internal.routing.PlacementCost;
+import org.oatlug.internal.routing.PredictedResponseCost;
+import org.oatlug.internal.routing.SampledChoice;
 import org.oatlug.internal.routing.ZoneReachability;
 import org.oatlug.internal.table.UpstreamRow;
 import org.oatlug.internal.util.Hashes;
@@ -42,6 +44,7 @@
   private final PrefillBacklog prefillBacklog;
   private final ZoneReachability zones;
   private final UpstreamEligibility eligibility;
+  private final UpstreamPacing pacing;
   private final Predicate<String> hasSuspect;
   private final RandomGenerator random;
 
@@ -52,6 +55,7 @@
       PrefillBacklog prefillBacklog,
       ZoneReachability zones,
       UpstreamRateLimits rates,
+      UpstreamPacing pacing,
       Predicate<String> hasSuspect,
       RandomGenerator random) {
     this.zone = zone;
@@ -60,6 +64,7 @@
     this.prefillBacklog = prefillBacklog;
     this.zones = zones;
     this.eligibility = UpstreamEligibility.of(tables, rates);
+    this.pacing = pacing;
     this.hasSuspect = hasSuspect;
     this.random = random;
   }
@@ -76,10 +81,11 @@
       PrefillBacklog prefillBacklog,
       ZoneReachability zones,
       UpstreamRateLimits rates,
+      UpstreamPacing pacing,
       Predicate<String> hasSuspect,
       RandomGenerator random) {
     return new UpstreamSelection(
-        zone, tables, prefillEstimates, prefillBacklog, zones, rates, hasSuspect, random);
+        zone, tables, prefillEstimates, prefillBacklog, zones, rates, pacing, hasSuspect, random);
   }
 
   /**
@@ -92,6 +98,7 @@
    * @param bodyBytes the size of the request body in bytes
    * @param excluded the upstreams that have already been tried
    * @param isolated whether the request has to run isolated from other requests
+   * @param goalMillis the time within which the response has its full value, in milliseconds
    */
   record Criteria(
       String service,
@@ -100,7 +107,8 @@
       Optional<Generation> generation,
       int bodyBytes,
       Set<String> excluded,
-      boolean isolated) {
+      boolean isolated,
+      long goalMillis) {
     private boolean matchesVersion(UpstreamRecord upstream) {
       return version.map(preference -> preference.isSatisfiedBy(upstream.version())).orElse(true);
     }
@@ -108,7 +116,14 @@
     /** Returns the same criteria for another model. */
     Criteria withModel(String newModel) {
       return new Criteria(
-          service, version, Optional.of(newModel), generation, bodyBytes, excluded, isolated);
+          service,
+          version,
+          Optional.of(newModel),
+          generation,
+          bodyBytes,
+          excluded,
+          isolated,
+          goalMillis);
     }
   }
 
@@ -123,24 +138,56 @@
    * @param row the state that this instance has observed
    * @param forecast the predicted time until the response begins
    * @param costMillis the placement cost in milliseconds
+   * @param applied how its pace entered the cost
    */
   record CostedUpstream(
       String name,
       UpstreamRecord upstream,
       UpstreamRow row,
       FirstTokenForecast forecast,
-      double costMillis) {}
+      double costMillis,
+      UpstreamPacing.Applied applied) {
+    private CostedUpstream withTieBroken() {
+      return new CostedUpstream(name, upstream, row, forecast, costMillis, applied.withTieBroken());
+    }
+  }
 
   /**
-   * Returns the upstream with the lowest cost, empty if none is eligible. For a request that runs
-   * isolated, upstreams that are not ejected and run no suspect come first, then those with the
-   * lowest load, so that a crash affects few requests.
+   * Returns the upstream with the lowest cost, empty if none is eligible. If the pace of upstreams
+   * is in use, these are the upstreams of a random sample, see {@link SampledChoice}. For a request
+   * that runs isolated, upstreams that are not ejected and run no suspect come first, then those
+   * with the lowest load, so that a crash affects few requests.
    */
   Optional<CostedUpstream> choose(Criteria criteria, Instant now) {
     Comparator<CostedUpstream> byCost = Comparator.comparingDouble(CostedUpstream::costMillis);
     Comparator<CostedUpstream> order =
         criteria.isolated() ? byLowestLoad(now).thenComparing(byCost) : byCost;
-    return costs(criteria, now).stream().min(order);
+    List<CostedUpstream> costs = costs(criteria, now);
+    boolean sampled = !criteria.isolated() && pacing.isActive(criteria.service());
+    return sampled ? chooseSampled(costs, criteria, now) : costs.stream().min(order);
+  }
+
+  private Optional<CostedUpstream> chooseSampled(
+      List<CostedUpstream> costs, Criteria criteria, Instant now) {
+    int promptTokens = criteria.generation().map(Generation::promptTokens).orElse(0);
+    double fewestUncached =
+        costs.stream()
+            .mapToDouble(cost -> cost.forecast().uncachedTokens())
+            .min()
+            .orElse(promptTokens);
+    List<SampledChoice.Option<CostedUpstream>> options = new ArrayList<>();
+    for (CostedUpstream cost : costs) {
+      options.add(
+          new SampledChoice.Option<>(
+              cost,
+              cost.costMillis(),
+              Math.max(1, cost.upstream().slots()) / cost.applied().lasting(),
+              pacing.momentarySlowdownOf(cost.row(), now),
+              !cost.upstream().zone().equals(zone),
+              fewestUncached < promptTokens && cost.forecast().uncachedTokens() <= fewestUncached));
+    }
+    return SampledChoice.choose(options, random)
+        .map(choice -> choice.tieBroken() ? choice.value().withTieBroken() : choice.value());
   }
 
   private Comparator<CostedUpstream> byLowestLoad(Instant now) {
@@ -156,17 +203,29 @@
     String home = homeOf(criteria, candidates);
     Optional<Prompt> prompt =
         criteria.generation().map(generation -> Prompt.of(criteria.model().orElse(""), generation));
+    boolean paced = pacing.isActive(criteria.service());
     List<CostedUpstream> costs = new ArrayList<>();
     for (Candidate candidate : candidates) {
       FirstTokenForecast forecast =
           prompt
-              .map(value -> forecast(candidate, value, home, now))
+              .map(value -> forecast(candidate, value, home, paced, now))
               .orElse(FirstTokenForecast.NONE);
-      double cost = PlacementCost.of(upstreamState(candidate, forecast, now), criteria.bodyBytes());
+      UpstreamPacing.Applied applied =
+          paced ? applied(candidate, now) : UpstreamPacing.Applied.NONE;
+      double cost =
+          paced && prompt.isEmpty() && pacing.isPlain(criteria.service())
+              ? responseCost(candidate, criteria, now)
+              : PlacementCost.of(
+                  upstreamState(candidate, forecast, now), criteria.bodyBytes(), applied.lasting());
       double jitter = random.nextDouble() * JITTER_MILLIS;
       costs.add(
           new CostedUpstream(
-              candidate.name(), candidate.upstream(), candidate.row(), forecast, cost + jitter));
+              candidate.name(),
+              candidate.upstream(),
+              candidate.row(),
+              forecast,
+              cost + jitter,
+              applied));
     }
     return costs;
   }
@@ -177,9 +236,9 @@
   }
 
   private FirstTokenForecast forecast(
-      Candidate candidate, Prompt prompt, String home, Instant now) {
+      Candidate candidate, Prompt prompt, String home, boolean paced, Instant now) {
     Uncached uncached = prompt.uncachedAt(candidate, home);
-    double slowness = prefillEstimates.slownessOf(candidate.row().process(), now);
+    double slowness = slownessOf(candidate, paced, now);
     double queueMillis = prefillBacklog.waitingMillis(candidate.row().process(), now);
     double prefillMillis =
         prefillEstimates.prefillModelOf(prompt.model()).millisFor(uncached.tokens());
@@ -187,18 +246,56 @@
         slowness * queueMillis, slowness * prefillMillis, uncached.tokens(), uncached.certain());
   }
 
-  private PlacementCost.UpstreamState upstreamState(
-      Candidate candidate, FirstTokenForecast forecast, Instant now) {
+  /** Returns the factor by which the times of an upstream exceed those of its models. */
+  private double slownessOf(Candidate candidate, boolean paced, Instant now) {
+    double slowness = prefillEstimates.slownessOf(candidate.row().process(), now);
+    return paced ? slowness * pacing.lastingPaceOf(candidate.row(), now) : slowness;
+  }
+
+  private UpstreamPacing.Applied applied(Candidate candidate, Instant now) {
+    return new UpstreamPacing.Applied(
+        true,
+        pacing.lastingPaceOf(candidate.row(), now),
+        pacing.momentarySlowdownOf(candidate.row(), now),
+        slownessOf(candidate, true, now),
+        PredictedResponseCost.loadFactor(
+            tables.upstreamTable().estimatedLoad(candidate.row()), slotsOf(candidate)),
+        false);
+  }
+
+  private double responseCost(Candidate candidate, Criteria criteria, Instant now) {
+    String serverZone = candidate.upstream().zone();
+    return PredictedResponseCost.of(
+        pacing.serverState(
+            criteria.service(),
+            candidate.row(),
+            slotsOf(candidate),
+            serverZone.equals(zone) ? "" : serverZone,
+            isAvoided(candidate, now),
+            now),
+        criteria.goalMillis());
+  }
+
+  private static int slotsOf(Candidate candidate) {
+    return Math.max(1, candidate.upstream().slots());
+  }
+
+  private boolean isAvoided(Candidate candidate, Instant now) {
     boolean otherZone = !candidate.upstream().zone().equals(zone);
     boolean unreachable = otherZone && zones.isUnreachable(candidate.upstream().zone(), now);
+    return unreachable || candidate.row().isEjected(now) || hasSuspect.test(candidate.name());
+  }
+
+  private PlacementCost.UpstreamState upstreamState(
+      Candidate candidate, FirstTokenForecast forecast, Instant now) {
     return new PlacementCost.UpstreamState(
         forecast,
         tables.upstreamTable().estimatedLoad(candidate.row()),
-        Math.max(1, candidate.upstream().slots()),
-        otherZone,
+        slotsOf(candidate),
+        !candidate.upstream().zone().equals(zone),
         candidate.row().failureShare(now),
         candidate.row().isCold(now),
-        unreachable || candidate.row().isEjected(now) || hasSuspect.test(candidate.name()));
+        isAvoided(candidate, now));
   }
 
   /**
--- a/org.oatlug/src/org/oatlug/internal/routing/PlacementCost.java
+++ b/org.oatlug/src/org/oatlug/internal/routing/PlacementCost.java
@@ -82,10 +82,20 @@
    * @param bodyBytes the size of the request body, in bytes
    */
   public static double of(UpstreamState state, int bodyBytes) {
+    return of(state, bodyBytes, 1);
+  }
+
+  /**
+   * Returns the cost of sending a request to an upstream of a lasting pace, in milliseconds. The
+   * forecast includes the pace.
+   *
+   * @param pace the factor by which the upstream takes longer than its peers
+   */
+  public static double of(UpstreamState state, int bodyBytes, double pace) {
     FirstTokenForecast forecast = state.forecast();
     double cost = forecast.waitingMillis() + PREFILL_WEIGHT * forecast.prefillMillis();
-    cost += FULL_LOAD_MILLIS * state.load() / state.slots();
-    cost += QUEUED_MILLIS * Math.max(0, state.load() + 1 - state.slots());
+    cost += pace * FULL_LOAD_MILLIS * state.load() / state.slots();
+    cost += pace * QUEUED_MILLIS * Math.max(0, state.load() + 1 - state.slots());
     cost += FAILING_MILLIS * state.failureShare();
     if (state.cold()) {
       cost += COLD_MILLIS;
