Draw few candidates by capacity before their costs are computed

Two draws by the whole pace gave engines that are 2.18 times as fast 2.5 times the requests, because the cost of those drawn follows the pace as well, and failing upstreams could be drawn together. Costs of all upstreams were computed although few are compared.

Candidates are drawn first, by slots over the square root of the pace and the share of successes; costs are computed for those drawn. The median of a pace is computed once per change.

--- a/org.oatlug/src/org/oatlug/internal/engine/RecentSamples.java
+++ b/org.oatlug/src/org/oatlug/internal/engine/RecentSamples.java
@@ -25,6 +25,9 @@
 
   private final Deque<Sample> samples = new ArrayDeque<>();
 
+  /** The median of all samples, computed once until they change: it is read for each request. */
+  private OptionalDouble median = OptionalDouble.empty();
+
   private record Sample(double value, Instant at) {}
 
   /** Adds a sample. */
@@ -33,21 +36,24 @@
       samples.removeFirst();
     }
     samples.addLast(new Sample(value, now));
+    median = OptionalDouble.empty();
   }
 
   /** Returns the number of samples within the window. */
   int count(Instant now) {
     while (!samples.isEmpty() && !isFresh(samples.peekFirst().at(), now)) {
       samples.removeFirst();
+      median = OptionalDouble.empty();
     }
     return samples.size();
   }
 
   /** Returns the median of the samples within the window, empty if there are none. */
   OptionalDouble median(Instant now) {
-    return count(now) == 0
-        ? OptionalDouble.empty()
-        : OptionalDouble.of(medianOf(samples.stream().mapToDouble(Sample::value).toArray()));
+    if (count(now) > 0 && median.isEmpty()) {
+      median = OptionalDouble.of(medianOf(samples.stream().mapToDouble(Sample::value).toArray()));
+    }
+    return median;
   }
 
   /** Returns whether a sample of this time is within the window. */
--- a/org.oatlug/src/org/oatlug/internal/gateway/UpstreamSelection.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/UpstreamSelection.java
@@ -5,6 +5,7 @@
 
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
@@ -38,6 +39,12 @@
   /** Maximum random cost, in milliseconds, that distributes requests over equal upstreams. */
   private static final double JITTER_MILLIS = 5;
 
+  /** The success share that an upstream is assumed to have, so that it is still tried. */
+  private static final double MINIMUM_SUCCESS = 0.05;
+
+  /** The share of its capacity that a cold upstream is assumed to have. */
+  private static final double COLD_WEIGHT = 0.25;
+
   private final String zone;
   private final GatewayTables tables;
   private final PrefillEstimates prefillEstimates;
@@ -162,34 +169,65 @@
     Comparator<CostedUpstream> byCost = Comparator.comparingDouble(CostedUpstream::costMillis);
     Comparator<CostedUpstream> order =
         criteria.isolated() ? byLowestLoad(now).thenComparing(byCost) : byCost;
-    List<CostedUpstream> costs = costs(criteria, now);
     boolean sampled = !criteria.isolated() && pacing.isActive(criteria.service());
-    return sampled ? chooseSampled(costs, criteria, now) : costs.stream().min(order);
+    return sampled ? chooseSampled(criteria, now) : costs(criteria, now).stream().min(order);
   }
 
-  private Optional<CostedUpstream> chooseSampled(
-      List<CostedUpstream> costs, Criteria criteria, Instant now) {
-    int promptTokens = criteria.generation().map(Generation::promptTokens).orElse(0);
-    double fewestUncached =
-        costs.stream()
-            .mapToDouble(cost -> cost.forecast().uncachedTokens())
-            .min()
-            .orElse(promptTokens);
+  /** Computes the costs of the drawn candidates only, which saves most of the processor time. */
+  private Optional<CostedUpstream> chooseSampled(Criteria criteria, Instant now) {
+    List<Candidate> candidates = candidates(criteria, now);
+    String home = homeOf(criteria, candidates);
+    List<Candidate> drawn = SampledChoice.draw(drawable(criteria, candidates, home, now), random);
     List<SampledChoice.Option<CostedUpstream>> options = new ArrayList<>();
-    for (CostedUpstream cost : costs) {
+    for (CostedUpstream costed : costsOf(criteria, drawn, home, now)) {
       options.add(
           new SampledChoice.Option<>(
-              cost,
-              cost.costMillis(),
-              Math.max(1, cost.upstream().slots()) / cost.applied().lasting(),
-              pacing.momentarySlowdownOf(cost.row(), now),
-              !cost.upstream().zone().equals(zone),
-              fewestUncached < promptTokens && cost.forecast().uncachedTokens() <= fewestUncached));
+              costed,
+              costed.costMillis(),
+              costed.applied().slowdown(),
+              !costed.upstream().zone().equals(zone)));
     }
-    return SampledChoice.choose(options, random)
+    return SampledChoice.best(options)
         .map(choice -> choice.tieBroken() ? choice.value().withTieBroken() : choice.value());
   }
 
+  private List<SampledChoice.Candidate<Candidate>> drawable(
+      Criteria criteria, List<Candidate> candidates, String home, Instant now) {
+    Optional<Prompt> prompt = promptOf(criteria);
+    double[] uncached =
+        candidates.stream()
+            .mapToDouble(
+                candidate ->
+                    prompt.map(value -> value.uncachedAt(candidate, home).tokens()).orElse(0.0))
+            .toArray();
+    double fewest = Arrays.stream(uncached).min().orElse(0);
+    int promptTokens = criteria.generation().map(Generation::promptTokens).orElse(0);
+    List<SampledChoice.Candidate<Candidate>> drawable = new ArrayList<>();
+    for (int index = 0; index < uncached.length; index++) {
+      Candidate candidate = candidates.get(index);
+      drawable.add(
+          new SampledChoice.Candidate<>(
+              candidate,
+              weightOf(candidate, now),
+              !candidate.upstream().zone().equals(zone),
+              fewest < promptTokens && uncached[index] <= fewest,
+              isAvoided(candidate, now)));
+    }
+    return drawable;
+  }
+
+  /**
+   * Returns the relative probability that an upstream is drawn, reduced for failures and a cold
+   * start, so that two failing upstreams are seldom drawn together. It follows the square root of
+   * the pace, because the cost of those drawn follows the pace as well: by the whole pace, engines
+   * that are 2.18 times as fast got 2.5 times the requests.
+   */
+  private double weightOf(Candidate candidate, Instant now) {
+    double success = Math.max(MINIMUM_SUCCESS, 1 - candidate.row().failureShare(now));
+    double capacity = slotsOf(candidate) / Math.sqrt(pacing.lastingPaceOf(candidate.row(), now));
+    return capacity * success * success * (candidate.row().isCold(now) ? COLD_WEIGHT : 1);
+  }
+
   private Comparator<CostedUpstream> byLowestLoad(Instant now) {
     return Comparator.<CostedUpstream, Boolean>comparing(
             candidate -> candidate.row().isEjected(now))
@@ -200,9 +238,18 @@
   /** Returns the upstreams that can be selected, with their costs, in no particular order. */
   List<CostedUpstream> costs(Criteria criteria, Instant now) {
     List<Candidate> candidates = candidates(criteria, now);
-    String home = homeOf(criteria, candidates);
-    Optional<Prompt> prompt =
-        criteria.generation().map(generation -> Prompt.of(criteria.model().orElse(""), generation));
+    return costsOf(criteria, candidates, homeOf(criteria, candidates), now);
+  }
+
+  private static Optional<Prompt> promptOf(Criteria criteria) {
+    return criteria
+        .generation()
+        .map(generation -> Prompt.of(criteria.model().orElse(""), generation));
+  }
+
+  private List<CostedUpstream> costsOf(
+      Criteria criteria, List<Candidate> candidates, String home, Instant now) {
+    Optional<Prompt> prompt = promptOf(criteria);
     boolean paced = pacing.isActive(criteria.service());
     List<CostedUpstream> costs = new ArrayList<>();
     for (Candidate candidate : candidates) {
