Test that paces keep cache homes and bound a false load report

A candidate that is drawn at random could keep a shared prompt prefix from its home, and an engine that reports no load could attract all instances.

--- a/org.oatlug.test/tst/org/oatlug/internal/gateway/GatewayDecisionTest.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/gateway/GatewayDecisionTest.java
@@ -58,14 +58,22 @@
   private Instant now = Instant.parse("2026-12-02T12:00:00Z");
   private final InstantSource clock = () -> now;
   private GatewayTables tables;
+  private UpstreamPacing pacing;
+  private Random random;
   private long revision;
 
   @BeforeMethod
   void setUp() {
     tables = GatewayTables.create(clock);
+    pacing = pacing(GatewaySettings.Switch.OFF);
+    random = new Random(1);
     revision = 0;
   }
 
+  private UpstreamPacing pacing(GatewaySettings.Switch state) {
+    return UpstreamPacing.create(state, tables, Meters.of(new MetricRegistry()));
+  }
+
   /** Returns a streaming route with a cascade of three models. */
   static Route route(String host, String prefix) {
     return route(host, prefix, 2000);
@@ -132,28 +140,31 @@
         "pool", preference, Optional.empty(), Optional.empty(), 0, excluded, false, 2000);
   }
 
-  /** Returns bounds on retries and exposure. */
-  static GatewaySettings.Bounds bounds() {
-    return new GatewaySettings.Bounds(
-        Duration.ofSeconds(8),
-        0.9,
-        52,
-        0.15,
-        Duration.ofSeconds(5),
-        1.5,
-        5,
-        Duration.ofSeconds(2),
-        Duration.ofSeconds(2));
+  private UpstreamRateLimits noRateLimits() {
+    return noRateLimits(tables, clock);
   }
 
-  private UpstreamRateLimits noRateLimits() {
-    return rateLimits(AdvertisedLimits.create(clock), RateSenders.alone());
+  /** Returns rate limits of an instance without peers, to which no upstream advertises a limit. */
+  static UpstreamRateLimits noRateLimits(GatewayTables tables, InstantSource clock) {
+    return rateLimits(tables, clock, AdvertisedLimits.create(clock), RateSenders.alone());
   }
 
-  private UpstreamRateLimits rateLimits(AdvertisedLimits limits, RateSenders senders) {
+  private static UpstreamRateLimits rateLimits(
+      GatewayTables tables, InstantSource clock, AdvertisedLimits limits, RateSenders senders) {
+    GatewaySettings.Bounds bounds =
+        new GatewaySettings.Bounds(
+            Duration.ofSeconds(8),
+            0.9,
+            52,
+            0.15,
+            Duration.ofSeconds(5),
+            1.5,
+            5,
+            Duration.ofSeconds(2),
+            Duration.ofSeconds(2));
     BrittleShares shares =
         BrittleShares.create(AdvertisedLimits.ofRejections(clock), senders.ofBrittle());
-    return UpstreamRateLimits.create(tables, bounds(), limits, shares, senders);
+    return UpstreamRateLimits.create(tables, bounds, limits, shares, senders);
   }
 
   /**
@@ -171,7 +182,7 @@
         new RateSenders(
             SenderSelection.ALONE, (upstream, zone, maximum, rotation) -> 0, SenderSelection.ALONE);
     UpstreamEligibility eligibility =
-        UpstreamEligibility.of(tables, rateLimits(limits, notAmongSenders));
+        UpstreamEligibility.of(tables, rateLimits(tables, clock, limits, notAmongSenders));
     for (int connection = 0; connection < 100; connection++) {
       tables.row("i-2").reserve();
     }
@@ -191,7 +202,7 @@
         PrefillBacklog.create(),
         ZoneReachability.create(),
         noRateLimits(),
-        UpstreamPacing.create(GatewaySettings.Switch.OFF, tables, Meters.of(new MetricRegistry())),
+        pacing,
         unused -> false,
         new Random(1));
   }
@@ -374,10 +385,9 @@
             prefillBacklog,
             zones,
             noRateLimits(),
-            UpstreamPacing.create(
-                GatewaySettings.Switch.OFF, tables, Meters.of(new MetricRegistry())),
+            pacing,
             unused -> false,
-            new Random(1));
+            random);
     List<PromptPart> parts = List.of(new PromptPart(7, 13_000), new PromptPart(8, 4000));
     Generation generation = new Generation("*", 17_000, 300, parts, OptionalInt.empty());
     UpstreamSelection.Criteria criteria =
@@ -425,6 +435,22 @@
     }
   }
 
+  /**
+   * Candidates are drawn at random while paces are in use. Guards against a shared prompt prefix
+   * that is read at many upstreams because its home is seldom drawn.
+   */
+  @Test
+  public void testHomeOfSharedPrefixIsUsedWithPaces() {
+    upstreamsOfThreeZones();
+    pacing = pacing(GatewaySettings.Switch.ON);
+    Set<String> selected = new HashSet<>();
+    for (int request = 0; request < 50; request++) {
+      String zone = List.of("a", "b", "c").get(request % 3);
+      selected.add(selectedInZone(zone, 0.5, PrefillBacklog.create(), ZoneReachability.create()));
+    }
+    assertEquals(selected.size(), 1, "selected " + selected);
+  }
+
   @Test
   public void testSharedPrefixHasOneHomeForAllZonesIfPrefillIsSlow() {
     upstreamsOfThreeZones();
--- a/org.oatlug.test/tst/org/oatlug/internal/gateway/PaceFleetTest.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/gateway/PaceFleetTest.java
@@ -60,17 +60,20 @@
 
   /** Guards against engines that attract or avoid work by what they report about themselves. */
   @Test
-  public void testFalseSlowdownIsOutweighedByObservedTimes() {
+  public void testFalseReportsAreOutweighedByObservedTimes() {
     PaceSimulation simulation = new PaceSimulation(61, Switch.AUTO, SEED);
     PaceSimulation.Engine boasting = simulation.engines.get(1);
     PaceSimulation.Engine complaining = simulation.engines.get(2);
     boasting.falseSlowdown = OptionalDouble.of(0.05);
     complaining.falseSlowdown = OptionalDouble.of(20);
+    PaceSimulation.Engine idle = simulation.engines.get(3);
+    idle.reportsNoLoad = true;
     simulation.load(0.9, WARM_UP);
     simulation.resetMeasurements();
     simulation.load(0.9, MEASURED);
     double honest = simulation.meanArrivals(PaceSimulation.SLOW);
     assertTrue(boasting.arrivals.size() < 1.5 * honest, boasting.arrivals.size() + " " + honest);
+    assertTrue(idle.arrivals.size() < 1.5 * honest, idle.arrivals.size() + " " + honest);
     assertTrue(complaining.arrivals.size() > honest / 2, "" + complaining.arrivals.size());
   }
 
--- a/org.oatlug.test/tst/org/oatlug/internal/gateway/PaceSimulation.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/gateway/PaceSimulation.java
@@ -30,9 +30,6 @@
 import org.oatlug.internal.engine.PrefillBacklog;
 import org.oatlug.internal.engine.PrefillEstimates;
 import org.oatlug.internal.gather.LoadReport.PaceObservation;
-import org.oatlug.internal.limit.AdvertisedLimits;
-import org.oatlug.internal.limit.BrittleShares;
-import org.oatlug.internal.limit.RateSenders;
 import org.oatlug.internal.metrics.Meters;
 import org.oatlug.internal.routing.ZoneReachability;
 import org.oatlug.internal.util.Json;
@@ -87,6 +84,7 @@
     final double pace;
     final List<Long> arrivals = new ArrayList<>();
     OptionalDouble falseSlowdown = OptionalDouble.empty();
+    boolean reportsNoLoad;
     double runningSum;
     private final int phase = random.nextInt(MOMENTARY_PERIOD);
     private int running;
@@ -104,7 +102,8 @@
 
     private ResponseHead.Load load() {
       double reported = falseSlowdown.orElse(duration(millis()));
-      return new ResponseHead.Load(running, 0, SLOTS, OptionalDouble.of(reported));
+      return new ResponseHead.Load(
+          reportsNoLoad ? 0 : running, 0, SLOTS, OptionalDouble.of(reported));
     }
 
     /** Returns the time at which the prompt that arrives now has been read. */
@@ -142,7 +141,6 @@
             target.name,
             UpstreamRecord.of("pool", "127.0.0.1", 1, "here", "v1", SLOTS, false));
       }
-      RateSenders senders = RateSenders.alone();
       selection =
           UpstreamSelection.create(
               "here",
@@ -150,12 +148,7 @@
               estimates,
               backlog,
               ZoneReachability.create(),
-              UpstreamRateLimits.create(
-                  tables,
-                  GatewayDecisionTest.bounds(),
-                  AdvertisedLimits.create(time),
-                  BrittleShares.create(AdvertisedLimits.ofRejections(time), senders.ofBrittle()),
-                  senders),
+              GatewayDecisionTest.noRateLimits(tables, time),
               pacing,
               unused -> false,
               new Random(random.nextLong()));
