--- a/org.oatlug.test/tst/org/oatlug/internal/routing/PredictedResponseCostTest.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/routing/PredictedResponseCostTest.java
@@ -59,7 +59,7 @@
             times.serviceMillisOf("desk", server, 1, NOW),
             load,
             SLOTS,
-            times.networkMillisTo(zone),
+            times.networkMillisTo("desk", zone),
             !zone.isEmpty(),
             0,
             false,
@@ -74,7 +74,7 @@
       times.record("desk", "own", "", WORK_MILLIS, 1, NOW);
       times.record("desk", "other", "zone-b", WORK_MILLIS + 12, 1, NOW);
     }
-    assertEquals(times.networkMillisTo("zone-b"), 12, 0.5);
+    assertEquals(times.networkMillisTo("desk", "zone-b"), 12, 0.5);
     assertEquals(times.serviceMillisOf("desk", "other", 1, NOW), WORK_MILLIS, 0.5);
   }
 
--- a/org.oatlug/src/org/oatlug/internal/engine/ServiceTimes.java
+++ b/org.oatlug/src/org/oatlug/internal/engine/ServiceTimes.java
@@ -39,7 +39,7 @@
   private final Map<String, RecentSamples> byService = BoundedMap.withMaximumSize(MAXIMUM_SERVICES);
   private final Map<String, Double> shortestInOwnZone =
       BoundedMap.withMaximumSize(MAXIMUM_SERVICES);
-  private final Map<String, Double> networkByZone = BoundedMap.withMaximumSize(MAXIMUM_SERVICES);
+  private final Map<String, Double> networkMillis = BoundedMap.withMaximumSize(MAXIMUM_SERVICES);
 
   private ServiceTimes() {}
 
@@ -71,10 +71,12 @@
       OptionalDouble own = shortestOf(service);
       own.ifPresent(
           shortest ->
-              networkByZone.merge(
-                  otherZone, Math.max(0, elapsedMillis - shortest), ServiceTimes::lowerSmoothed));
+              networkMillis.merge(
+                  networkKey(service, otherZone),
+                  Math.max(0, elapsedMillis - shortest),
+                  ServiceTimes::lowerSmoothed));
     }
-    double millis = Math.max(1, (elapsedMillis - networkMillisTo(otherZone)) / loadFactor);
+    double millis = Math.max(1, (elapsedMillis - networkMillisTo(service, otherZone)) / loadFactor);
     byServer.computeIfAbsent(server, unused -> new RecentSamples()).add(millis, now);
     byService.computeIfAbsent(service, unused -> new RecentSamples()).add(millis, now);
     return millis;
@@ -90,11 +92,15 @@
     return value < previous ? value : previous + LONGER_WEIGHT * (value - previous);
   }
 
-  /** Returns the network time to a zone in milliseconds, 0 for the own zone. */
-  public double networkMillisTo(String otherZone) {
+  /** Returns the network time of a service to a zone in milliseconds, 0 for the own zone. */
+  public double networkMillisTo(String service, String otherZone) {
     return otherZone.isEmpty()
         ? 0
-        : networkByZone.getOrDefault(otherZone, UNMEASURED_NETWORK_MILLIS);
+        : networkMillis.getOrDefault(networkKey(service, otherZone), UNMEASURED_NETWORK_MILLIS);
+  }
+
+  private static String networkKey(String service, String zone) {
+    return service + "/" + zone;
   }
 
   /**
--- a/org.oatlug/src/org/oatlug/internal/engine/UpstreamPaces.java
+++ b/org.oatlug/src/org/oatlug/internal/engine/UpstreamPaces.java
@@ -78,26 +78,29 @@
    */
   public record Change(double before, double after) {}
 
-  /** A slowdown reported by an upstream, relative to its peers, and when it arrived. */
-  private record Slowdown(double factor, Instant at) {}
+  /** A factor and when it was observed. */
+  private record TimedFactor(double factor, Instant at) {}
 
   private static final class Entry {
     private final RecentSamples samples = new RecentSamples();
-    private Optional<Slowdown> slowdown = Optional.empty();
+
+    /** The last slowdown that the upstream reported, relative to its peers. */
+    private Optional<TimedFactor> slowdown = Optional.empty();
+
     private double lastNotable = 1;
   }
 
   /** The newest value of each upstream of a group of comparable ones. */
   private static final class Group {
-    private final Map<String, Slowdown> newest = BoundedMap.withMaximumSize(MAXIMUM_GROUP_SIZE);
+    private final Map<String, TimedFactor> newest = BoundedMap.withMaximumSize(MAXIMUM_GROUP_SIZE);
 
     /** Adds a value; returns the median over the upstreams, empty if there are too few. */
     OptionalDouble add(String upstream, double value, Instant now) {
-      newest.put(upstream, new Slowdown(value, now));
+      newest.put(upstream, new TimedFactor(value, now));
       double[] fresh =
           newest.values().stream()
               .filter(sample -> RecentSamples.isFresh(sample.at(), now))
-              .mapToDouble(Slowdown::factor)
+              .mapToDouble(TimedFactor::factor)
               .toArray();
       return fresh.length < MINIMUM_GROUP_SIZE
           ? OptionalDouble.empty()
@@ -127,7 +130,7 @@
     double usual = group("slowdown", service).add(upstream, factor, now).orElse(1);
     double ratio = bounded(factor / usual);
     Entry entry = entry(upstream);
-    entry.slowdown = Optional.of(new Slowdown(ratio, now));
+    entry.slowdown = Optional.of(new TimedFactor(ratio, now));
     entry.samples.add(ratio, now);
   }
 
@@ -230,7 +233,7 @@
     if (entry == null || entry.slowdown.isEmpty()) {
       return 1;
     }
-    Slowdown slowdown = entry.slowdown.get();
+    TimedFactor slowdown = entry.slowdown.get();
     double age = Math.max(0, Duration.between(slowdown.at(), now).toMillis());
     double rest = Math.max(0, 1 - age / SLOWDOWN_MILLIS);
     return rest == 0 ? 1 : Math.pow(slowdown.factor() / lastingPaceOf(upstream, now), rest);
--- a/org.oatlug/src/org/oatlug/internal/gateway/UpstreamPacing.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/UpstreamPacing.java
@@ -118,7 +118,7 @@
         times.serviceMillisOf(service, row.process(), lastingPaceOf(row, now), now),
         tables.upstreamTable().estimatedLoad(row),
         slots,
-        times.networkMillisTo(otherZone),
+        times.networkMillisTo(service, otherZone),
         !otherZone.isEmpty(),
         row.failureShare(now),
         row.isCold(now),
