--- a/org.oatlug.test/tst/org/oatlug/internal/gateway/GatewayDecisionTest.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/gateway/GatewayDecisionTest.java
@@ -8,6 +8,7 @@
 import static org.testng.Assert.assertNotEquals;
 import static org.testng.Assert.assertTrue;
 
+import com.codahale.metrics.MetricRegistry;
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
@@ -41,6 +42,7 @@
 import org.oatlug.internal.limit.BrittleShares;
 import org.oatlug.internal.limit.RateSenders;
 import org.oatlug.internal.limit.SenderSelection;
+import org.oatlug.internal.metrics.Meters;
 import org.oatlug.internal.routing.ZoneReachability;
 import org.oatlug.internal.util.Json;
 import org.oatlug.platform.StoreRevision;
@@ -56,14 +58,22 @@
   private Instant now = Instant.parse("2026-12-02T12:00:00Z");
   private final InstantSource clock = () -> now;
   private GatewayTables tables;
+  private UpstreamPacing pacing;
+  private Random random;
   private long revision;
 
   @BeforeMethod
   void setUp() {
     tables = GatewayTables.create(clock);
+    pacing = pacing(GatewaySettings.Switch.OFF);
+    random = new Random(1);
     revision = 0;
   }
 
+  private UpstreamPacing pacing(GatewaySettings.Switch state) {
+    return UpstreamPacing.create(state, tables, Meters.of(new MetricRegistry()));
+  }
+
   /** Returns a streaming route with a cascade of three models. */
   static Route route(String host, String prefix) {
     return route(host, prefix, 2000);
@@ -127,14 +137,20 @@
   private UpstreamSelection.Criteria criteria(
       Optional<VersionRule.VersionPreference> preference, Set<String> excluded) {
     return new UpstreamSelection.Criteria(
-        "pool", preference, Optional.empty(), Optional.empty(), 0, excluded, false);
+        "pool", preference, Optional.empty(), Optional.empty(), 0, excluded, false, 2000);
   }
 
   private UpstreamRateLimits noRateLimits() {
-    return rateLimits(AdvertisedLimits.create(clock), RateSenders.alone());
+    return noRateLimits(tables, clock);
+  }
+
+  /** Returns rate limits of an instance without peers, to which no upstream advertises a limit. */
+  static UpstreamRateLimits noRateLimits(GatewayTables tables, InstantSource clock) {
+    return rateLimits(tables, clock, AdvertisedLimits.create(clock), RateSenders.alone());
   }
 
-  private UpstreamRateLimits rateLimits(AdvertisedLimits limits, RateSenders senders) {
+  private static UpstreamRateLimits rateLimits(
+      GatewayTables tables, InstantSource clock, AdvertisedLimits limits, RateSenders senders) {
     GatewaySettings.Bounds bounds =
         new GatewaySettings.Bounds(
             Duration.ofSeconds(8),
@@ -166,7 +182,7 @@
         new RateSenders(
             SenderSelection.ALONE, (upstream, zone, maximum, rotation) -> 0, SenderSelection.ALONE);
     UpstreamEligibility eligibility =
-        UpstreamEligibility.of(tables, rateLimits(limits, notAmongSenders));
+        UpstreamEligibility.of(tables, rateLimits(tables, clock, limits, notAmongSenders));
     for (int connection = 0; connection < 100; connection++) {
       tables.row("i-2").reserve();
     }
@@ -186,6 +202,7 @@
         PrefillBacklog.create(),
         ZoneReachability.create(),
         noRateLimits(),
+        pacing,
         unused -> false,
         new Random(1));
   }
@@ -349,7 +366,8 @@
                     "*", 100, 10, List.of(new PromptPart(7, 90_000)), OptionalInt.empty())),
             100,
             Set.of(),
-            false);
+            false,
+            2000);
     assertEquals(selection.choose(criteria, now).orElseThrow().name(), "i-2");
     assertEquals(generation.prompt().size(), 2);
   }
@@ -367,8 +385,9 @@
             prefillBacklog,
             zones,
             noRateLimits(),
+            pacing,
             unused -> false,
-            new Random(1));
+            random);
     List<PromptPart> parts = List.of(new PromptPart(7, 13_000), new PromptPart(8, 4000));
     Generation generation = new Generation("*", 17_000, 300, parts, OptionalInt.empty());
     UpstreamSelection.Criteria criteria =
@@ -379,7 +398,8 @@
             Optional.of(generation),
             17_000,
             Set.of(),
-            false);
+            false,
+            2000);
     return selection.choose(criteria, now).orElseThrow().name();
   }
 
@@ -415,6 +435,22 @@
     }
   }
 
+  /**
+   * Candidates are drawn at random while paces are in use. Guards against a shared prompt prefix
+   * that is read at many upstreams because its home is seldom drawn.
+   */
+  @Test
+  public void testHomeOfSharedPrefixIsUsedWithPaces() {
+    upstreamsOfThreeZones();
+    pacing = pacing(GatewaySettings.Switch.ON);
+    Set<String> selected = new HashSet<>();
+    for (int request = 0; request < 50; request++) {
+      String zone = List.of("a", "b", "c").get(request % 3);
+      selected.add(selectedInZone(zone, 0.5, PrefillBacklog.create(), ZoneReachability.create()));
+    }
+    assertEquals(selected.size(), 1, "selected " + selected);
+  }
+
   @Test
   public void testSharedPrefixHasOneHomeForAllZonesIfPrefillIsSlow() {
     upstreamsOfThreeZones();
--- a/org.oatlug/src/org/oatlug/internal/gateway/UpstreamChoice.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/UpstreamChoice.java
@@ -86,6 +86,7 @@
             request.body().length(),
             Set.copyOf(excluded),
             requestGuard.isSuspect(),
+            request.route().goalMillis(),
             components.reservations().preferenceOf(request.service(), request.route()));
     return components.selection().choose(criteria, components.clock().instant(), condition);
   }
--- a/org.oatlug/src/org/oatlug/internal/gateway/UpstreamSelection.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/UpstreamSelection.java
@@ -5,6 +5,7 @@
 
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
@@ -20,6 +21,8 @@
 import org.oatlug.internal.engine.PrefillEstimates;
 import org.oatlug.internal.gateway.PlacementPreference.Candidate;
 import org.oatlug.internal.routing.PlacementCost;
+import org.oatlug.internal.routing.PredictedResponseCost;
+import org.oatlug.internal.routing.SampledChoice;
 import org.oatlug.internal.routing.ZoneReachability;
 import org.oatlug.internal.table.UpstreamRow;
 import org.oatlug.internal.util.Hashes;
@@ -38,12 +41,19 @@
   /** Maximum random cost, in milliseconds, that distributes requests over equal upstreams. */
   private static final double JITTER_MILLIS = 5;
 
+  /** The success share that an upstream is assumed to have, so that it is still tried. */
+  private static final double MINIMUM_SUCCESS = 0.05;
+
+  /** The share of its capacity that a cold upstream is assumed to have. */
+  private static final double COLD_WEIGHT = 0.25;
+
   private final String zone;
   private final GatewayTables tables;
   private final PrefillEstimates prefillEstimates;
   private final PrefillBacklog prefillBacklog;
   private final ZoneReachability zones;
   private final UpstreamEligibility eligibility;
+  private final UpstreamPacing pacing;
   private final Predicate<String> hasSuspect;
   private final RandomGenerator random;
 
@@ -54,6 +64,7 @@
       PrefillBacklog prefillBacklog,
       ZoneReachability zones,
       UpstreamRateLimits rates,
+      UpstreamPacing pacing,
       Predicate<String> hasSuspect,
       RandomGenerator random) {
     this.zone = zone;
@@ -62,6 +73,7 @@
     this.prefillBacklog = prefillBacklog;
     this.zones = zones;
     this.eligibility = UpstreamEligibility.of(tables, rates);
+    this.pacing = pacing;
     this.hasSuspect = hasSuspect;
     this.random = random;
   }
@@ -78,10 +90,11 @@
       PrefillBacklog prefillBacklog,
       ZoneReachability zones,
       UpstreamRateLimits rates,
+      UpstreamPacing pacing,
       Predicate<String> hasSuspect,
       RandomGenerator random) {
     return new UpstreamSelection(
-        zone, tables, prefillEstimates, prefillBacklog, zones, rates, hasSuspect, random);
+        zone, tables, prefillEstimates, prefillBacklog, zones, rates, pacing, hasSuspect, random);
   }
 
   /**
@@ -94,6 +107,7 @@
    * @param bodyBytes the size of the request body in bytes
    * @param excluded the upstreams that have already been tried
    * @param isolated whether the request has to run isolated from other requests
+   * @param goalMillis the time within which the response has its full value, in milliseconds
    * @param preference the upstreams that the request prefers
    */
   record Criteria(
@@ -104,6 +118,7 @@
       int bodyBytes,
       Set<String> excluded,
       boolean isolated,
+      long goalMillis,
       PlacementPreference preference) {
     /** Creates criteria without a preference among upstreams. */
     Criteria(
@@ -113,7 +128,8 @@
         Optional<Generation> generation,
         int bodyBytes,
         Set<String> excluded,
-        boolean isolated) {
+        boolean isolated,
+        long goalMillis) {
       this(
           service,
           version,
@@ -122,6 +138,7 @@
           bodyBytes,
           excluded,
           isolated,
+          goalMillis,
           PlacementPreference.NONE);
     }
 
@@ -139,6 +156,7 @@
           bodyBytes,
           excluded,
           isolated,
+          goalMillis,
           preference);
     }
   }
@@ -151,6 +169,7 @@
    * @param row the state that this instance has observed
    * @param forecast the predicted time until the response begins
    * @param costMillis the placement cost in milliseconds
+   * @param applied how its pace entered the cost
    * @param preferred whether the preference of the request adds nothing to its cost
    */
   record CostedUpstream(
@@ -159,12 +178,19 @@
       UpstreamRow row,
       FirstTokenForecast forecast,
       double costMillis,
-      boolean preferred) {}
+      UpstreamPacing.Applied applied,
+      boolean preferred) {
+    private CostedUpstream withTieBroken() {
+      return new CostedUpstream(
+          name, upstream, row, forecast, costMillis, applied.withTieBroken(), preferred);
+    }
+  }
 
   /**
-   * Returns the upstream with the lowest cost, empty if none is eligible. For a request that runs
-   * isolated, upstreams that are not ejected and run no suspect come first, then those with the
-   * lowest load, so that a crash affects few requests.
+   * Returns the upstream with the lowest cost, empty if none is eligible. If the pace of upstreams
+   * is in use, these are the upstreams of a random sample, see {@link SampledChoice}. For a request
+   * that runs isolated, upstreams that are not ejected and run no suspect come first, then those
+   * with the lowest load, so that a crash affects few requests.
    */
   Optional<CostedUpstream> choose(Criteria criteria, Instant now) {
     return choose(criteria, now, unused -> true);
@@ -176,7 +202,82 @@
     Comparator<CostedUpstream> byCost = Comparator.comparingDouble(CostedUpstream::costMillis);
     Comparator<CostedUpstream> order =
         criteria.isolated() ? byLowestLoad(now).thenComparing(byCost) : byCost;
-    return costs(criteria, now).stream().filter(condition).min(order);
+    boolean sampled = !criteria.isolated() && pacing.isActive(criteria.service());
+    return sampled
+        ? chooseSampled(criteria, now, condition)
+        : costs(criteria, now).stream().filter(condition).min(order);
+  }
+
+  /** Computes the costs of the drawn candidates only, which saves most of the processor time. */
+  private Optional<CostedUpstream> chooseSampled(
+      Criteria criteria, Instant now, Predicate<CostedUpstream> condition) {
+    List<Candidate> candidates = candidates(criteria, now);
+    ToDoubleFunction<String> additionalMillis = criteria.preference().additionalMillis(candidates);
+    String home = homeOf(criteria, candidates, additionalMillis);
+    List<Candidate> drawn =
+        SampledChoice.draw(
+            drawable(criteria, preferred(candidates, additionalMillis), home, now), random);
+    List<SampledChoice.Option<CostedUpstream>> options = new ArrayList<>();
+    for (CostedUpstream costed : costsOf(criteria, drawn, home, additionalMillis, now)) {
+      if (!condition.test(costed)) {
+        continue;
+      }
+      options.add(
+          new SampledChoice.Option<>(
+              costed,
+              costed.costMillis(),
+              costed.applied().slowdown(),
+              !costed.upstream().zone().equals(zone)));
+    }
+    return SampledChoice.best(options)
+        .map(choice -> choice.tieBroken() ? choice.value().withTieBroken() : choice.value());
+  }
+
+  /** Returns the candidates that the request prefers, all if there are none. */
+  private static List<Candidate> preferred(
+      List<Candidate> candidates, ToDoubleFunction<String> additionalMillis) {
+    List<Candidate> preferred =
+        candidates.stream()
+            .filter(candidate -> additionalMillis.applyAsDouble(candidate.name()) == 0)
+            .toList();
+    return preferred.isEmpty() ? candidates : preferred;
+  }
+
+  private List<SampledChoice.Candidate<Candidate>> drawable(
+      Criteria criteria, List<Candidate> candidates, String home, Instant now) {
+    Optional<Prompt> prompt = promptOf(criteria);
+    double[] uncached =
+        candidates.stream()
+            .mapToDouble(
+                candidate ->
+                    prompt.map(value -> value.uncachedAt(candidate, home).tokens()).orElse(0.0))
+            .toArray();
+    double fewest = Arrays.stream(uncached).min().orElse(0);
+    int promptTokens = criteria.generation().map(Generation::promptTokens).orElse(0);
+    List<SampledChoice.Candidate<Candidate>> drawable = new ArrayList<>();
+    for (int index = 0; index < uncached.length; index++) {
+      Candidate candidate = candidates.get(index);
+      drawable.add(
+          new SampledChoice.Candidate<>(
+              candidate,
+              weightOf(candidate, now),
+              !candidate.upstream().zone().equals(zone),
+              fewest < promptTokens && uncached[index] <= fewest,
+              isAvoided(candidate, now)));
+    }
+    return drawable;
+  }
+
+  /**
+   * Returns the relative probability that an upstream is drawn, reduced for failures and a cold
+   * start, so that two failing upstreams are seldom drawn together. It follows the square root of
+   * the pace, because the cost of those drawn follows the pace as well: by the whole pace, engines
+   * that are 2.18 times as fast got 2.5 times the requests.
+   */
+  private double weightOf(Candidate candidate, Instant now) {
+    double success = Math.max(MINIMUM_SUCCESS, 1 - candidate.row().failureShare(now));
+    double capacity = slotsOf(candidate) / Math.sqrt(pacing.lastingPaceOf(candidate.row(), now));
+    return capacity * success * success * (candidate.row().isCold(now) ? COLD_WEIGHT : 1);
   }
 
   private Comparator<CostedUpstream> byLowestLoad(Instant now) {
@@ -191,18 +292,37 @@
     List<Candidate> candidates = candidates(criteria, now);
     ToDoubleFunction<String> additionalMillis = criteria.preference().additionalMillis(candidates);
     String home = homeOf(criteria, candidates, additionalMillis);
-    Optional<Prompt> prompt =
-        criteria.generation().map(generation -> Prompt.of(criteria.model().orElse(""), generation));
+    return costsOf(criteria, candidates, home, additionalMillis, now);
+  }
+
+  private static Optional<Prompt> promptOf(Criteria criteria) {
+    return criteria
+        .generation()
+        .map(generation -> Prompt.of(criteria.model().orElse(""), generation));
+  }
+
+  private List<CostedUpstream> costsOf(
+      Criteria criteria,
+      List<Candidate> candidates,
+      String home,
+      ToDoubleFunction<String> additionalMillis,
+      Instant now) {
+    Optional<Prompt> prompt = promptOf(criteria);
+    boolean paced = pacing.isActive(criteria.service());
     List<CostedUpstream> costs = new ArrayList<>();
     for (Candidate candidate : candidates) {
       FirstTokenForecast forecast =
           prompt
-              .map(value -> forecast(candidate, value, home, now))
+              .map(value -> forecast(candidate, value, home, paced, now))
               .orElse(FirstTokenForecast.NONE);
-      double additional = additionalMillis.applyAsDouble(candidate.name());
+      UpstreamPacing.Applied applied =
+          paced ? applied(candidate, now) : UpstreamPacing.Applied.NONE;
       double cost =
-          PlacementCost.of(upstreamState(candidate, forecast, now), criteria.bodyBytes())
-              + additional;
+          paced && prompt.isEmpty() && pacing.isPlain(criteria.service())
+              ? responseCost(candidate, criteria, now)
+              : PlacementCost.of(
+                  upstreamState(candidate, forecast, now), criteria.bodyBytes(), applied.lasting());
+      double additional = additionalMillis.applyAsDouble(candidate.name());
       double jitter = random.nextDouble() * JITTER_MILLIS;
       costs.add(
           new CostedUpstream(
@@ -210,7 +330,8 @@
               candidate.upstream(),
               candidate.row(),
               forecast,
-              cost + jitter,
+              cost + additional + jitter,
+              applied,
               additional == 0));
     }
     return costs;
@@ -222,9 +343,9 @@
   }
 
   private FirstTokenForecast forecast(
-      Candidate candidate, Prompt prompt, String home, Instant now) {
+      Candidate candidate, Prompt prompt, String home, boolean paced, Instant now) {
     Uncached uncached = prompt.uncachedAt(candidate, home);
-    double slowness = prefillEstimates.slownessOf(candidate.row().process(), now);
+    double slowness = slownessOf(candidate, paced, now);
     double queueMillis = prefillBacklog.waitingMillis(candidate.row().process(), now);
     double prefillMillis =
         prefillEstimates.prefillModelOf(prompt.model()).millisFor(uncached.tokens());
@@ -232,18 +353,56 @@
         slowness * queueMillis, slowness * prefillMillis, uncached.tokens(), uncached.certain());
   }
 
-  private PlacementCost.UpstreamState upstreamState(
-      Candidate candidate, FirstTokenForecast forecast, Instant now) {
+  /** Returns the factor by which the times of an upstream exceed those of its models. */
+  private double slownessOf(Candidate candidate, boolean paced, Instant now) {
+    double slowness = prefillEstimates.slownessOf(candidate.row().process(), now);
+    return paced ? slowness * pacing.lastingPaceOf(candidate.row(), now) : slowness;
+  }
+
+  private UpstreamPacing.Applied applied(Candidate candidate, Instant now) {
+    return new UpstreamPacing.Applied(
+        true,
+        pacing.lastingPaceOf(candidate.row(), now),
+        pacing.momentarySlowdownOf(candidate.row(), now),
+        slownessOf(candidate, true, now),
+        PredictedResponseCost.loadFactor(
+            tables.upstreamTable().estimatedLoad(candidate.row()), slotsOf(candidate)),
+        false);
+  }
+
+  private double responseCost(Candidate candidate, Criteria criteria, Instant now) {
+    String serverZone = candidate.upstream().zone();
+    return PredictedResponseCost.of(
+        pacing.serverState(
+            criteria.service(),
+            candidate.row(),
+            slotsOf(candidate),
+            serverZone.equals(zone) ? "" : serverZone,
+            isAvoided(candidate, now),
+            now),
+        criteria.goalMillis());
+  }
+
+  private static int slotsOf(Candidate candidate) {
+    return Math.max(1, candidate.upstream().slots());
+  }
+
+  private boolean isAvoided(Candidate candidate, Instant now) {
     boolean otherZone = !candidate.upstream().zone().equals(zone);
     boolean unreachable = otherZone && zones.isUnreachable(candidate.upstream().zone(), now);
+    return unreachable || candidate.row().isEjected(now) || hasSuspect.test(candidate.name());
+  }
+
+  private PlacementCost.UpstreamState upstreamState(
+      Candidate candidate, FirstTokenForecast forecast, Instant now) {
     return new PlacementCost.UpstreamState(
         forecast,
         tables.upstreamTable().estimatedLoad(candidate.row()),
-        Math.max(1, candidate.upstream().slots()),
-        otherZone,
+        slotsOf(candidate),
+        !candidate.upstream().zone().equals(zone),
         candidate.row().failureShare(now),
         candidate.row().isCold(now),
-        unreachable || candidate.row().isEjected(now) || hasSuspect.test(candidate.name()));
+        isAvoided(candidate, now));
   }
 
   /**
