Split the rates of workspaces by their demand at each instance

Cause: an even split with a minimum rate of 0.5 a second granted 950 requests in 20 s at 95 instances to a workspace of 5 a second (126 allowed), and refused most of a rate whose traffic arrives at one instance.

Change: WorkspaceLimits measures the demand (DemandMeter), and the chat instances exchange it (LimitParticipant, through StateExchange, which they did not run before). The part of an instance is its lowest demand of the last 2 s over the sum. LoadReport counts its reporters, so that a group of instances that hears no majority takes the part of its size.

Run: mvn -B -o -q verify -Dtest='WorkspaceLimits*Test,StateExchangeTest,ReportAggregatorTest,LimitFleetTest': green.

--- a/org.oatlug.entry/src/org/oatlug/entry/EntryInstance.java
+++ b/org.oatlug.entry/src/org/oatlug/entry/EntryInstance.java
@@ -19,9 +19,12 @@
 import org.oatlug.internal.billing.BillingSystem;
 import org.oatlug.internal.cascade.ConfidentStage;
 import org.oatlug.internal.config.ConfigurationSystem;
+import org.oatlug.internal.crash.CrashLedger;
 import org.oatlug.internal.engine.LoadSystem;
 import org.oatlug.internal.engine.RatingClient;
 import org.oatlug.internal.engine.UpstreamCaller;
+import org.oatlug.internal.gather.LimitParticipant;
+import org.oatlug.internal.gather.StateExchange;
 import org.oatlug.internal.http.CallerServer;
 import org.oatlug.internal.http.OperatorServer;
 import org.oatlug.internal.http.Services;
@@ -45,6 +48,7 @@
 import org.oatlug.internal.session.SessionKeys;
 import org.oatlug.internal.table.Freshness;
 import org.oatlug.internal.table.Tables;
+import org.oatlug.internal.util.IntervalSystem;
 import org.oatlug.internal.util.MonotonicClock;
 import org.oatlug.internal.util.PauseDetector;
 import org.oatlug.internal.util.TickSystem;
@@ -62,6 +66,10 @@
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final long TICK_MILLIS = 20;
   private static final long SHUTDOWN_POLL_MILLIS = 20;
+
+  /** The minimum interval between reports to the collector of the zone. */
+  private static final Duration EXCHANGE_INTERVAL = Duration.ofMillis(100);
+
   private static final Duration LEDGER_FLUSH_TIMEOUT = Duration.ofSeconds(5);
   private static final Duration CONFIRM_RETRY = Duration.ofSeconds(1);
   private static final Duration LEAVING_TIMEOUT = Duration.ofMillis(500);
@@ -126,9 +134,20 @@
                 clock, random, meters, List.of(Kinds.ALL), freshness.bound()));
     final RolloutGuard guard =
         RolloutGuard.create(tables, platform, membership, network, clock, meters);
+    final WorkspaceLimits limits = WorkspaceLimits.create(() -> membership.live().size(), random);
+    final StateExchange exchange =
+        StateExchange.create(
+            membership,
+            network,
+            clock,
+            meters,
+            LimitParticipant.of(limits, clock),
+            CrashLedger.create(clock));
     deferredHandler.setDelegate(
         new SharedStateHandler(
-            membership, configuration, new PeerMessageDispatcher(tables, ledger, billing, guard)));
+            membership,
+            configuration,
+            new PeerMessageDispatcher(tables, ledger, billing, guard, exchange)));
     network
         .listen()
         .onFailure(
@@ -162,7 +181,7 @@
             RatingClient.create(vertx, settings.rating(), meters),
             new SessionKeys(settings.sessions().signing(), settings.sessions().keys()),
             OpenRequests.withBound(settings.limits().openRequests()),
-            WorkspaceLimits.create(() -> membership.live().size()),
+            limits,
             queue,
             RetryBudget.create(),
             pause,
@@ -177,7 +196,8 @@
             ledger::tick,
             claims,
             billing,
-            guard);
+            guard,
+            IntervalSystem.every(EXCHANGE_INTERVAL, clock, exchange));
   }
 
   private Router router() {
--- a/org.oatlug.entry/src/org/oatlug/entry/PeerMessageDispatcher.java
+++ b/org.oatlug.entry/src/org/oatlug/entry/PeerMessageDispatcher.java
@@ -5,6 +5,7 @@
 
 import io.smallrye.mutiny.Uni;
 import org.oatlug.internal.billing.BillingSystem;
+import org.oatlug.internal.gather.StateExchange;
 import org.oatlug.internal.ledger.Ledger;
 import org.oatlug.internal.peer.Member;
 import org.oatlug.internal.peer.PeerHandler;
@@ -20,9 +21,10 @@
  * @param ledger receives ledger entries
  * @param billing receives bills
  * @param guard receives roll-out evidence
+ * @param exchange receives the demand of workspaces; handles all other messages
  */
 record PeerMessageDispatcher(
-    Tables tables, Ledger ledger, BillingSystem billing, RolloutGuard guard)
+    Tables tables, Ledger ledger, BillingSystem billing, RolloutGuard guard, StateExchange exchange)
     implements PeerHandler {
 
   @Override
@@ -49,6 +51,6 @@
       guard.handle(from, evidence);
       return new PeerMessage.Done();
     }
-    return new PeerMessage.Failed("unexpected message");
+    return exchange.handle(from, message);
   }
 }
--- a/org.oatlug.test/tst/org/oatlug/internal/gather/StateExchangeFleet.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/gather/StateExchangeFleet.java
@@ -14,6 +14,8 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.oatlug.errors.PeerUnavailableException;
 import org.oatlug.internal.crash.CrashLedger;
 import org.oatlug.internal.limit.AdvertisedLimits;
@@ -64,6 +66,8 @@
     long worse;
     boolean refuted;
     StateReport others = StateReport.EMPTY;
+    Supplier<LoadReport> load = () -> LoadReport.EMPTY;
+    Consumer<StateReport> listener = report -> {};
 
     private Instance(Member self) {
       membership = Membership.create(self, time, new Random(random.nextLong()));
@@ -122,7 +126,7 @@
               SERVICE, VERSION, StoreRevision.ofNumber(1), pairs, worse, refuted, 0, 1);
       List<VersionEvidence> entries = worse > 0 || refuted ? List.of(evidence) : List.of();
       return new StateReport(
-          Map.copyOf(openMillis), entries, Map.of(), limits.observed(), Map.of());
+          Map.copyOf(openMillis), entries, Map.of(), limits.observed(), Map.of(), load.get());
     }
 
     @Override
@@ -146,6 +150,7 @@
     @Override
     public void applyReported(StateReport report) {
       others = report;
+      listener.accept(report);
       limits.applyReported(report.limits());
       refuted |= report.refuted() > 0;
     }
--- a/org.oatlug/src/org/oatlug/internal/gather/LoadReport.java
+++ b/org.oatlug/src/org/oatlug/internal/gather/LoadReport.java
@@ -3,6 +3,8 @@
 
 package org.oatlug.internal.gather;
 
+import java.math.BigDecimal;
+import java.math.MathContext;
 import java.util.Comparator;
 import java.util.Map;
 import java.util.Optional;
@@ -20,11 +22,13 @@
  * @param paces the lasting pace of upstreams, by upstream process
  * @param workspaces the load of workspaces by name; the empty name stands for all others
  * @param workByRank the prefill work that arrives, in milliseconds per second, by {@link #rankKey}
+ * @param reporters the number of instances that report the load of workspaces
  */
 public record LoadReport(
     Map<String, PaceObservation> paces,
     Map<String, WorkspaceLoad> workspaces,
-    Map<String, Integer> workByRank) {
+    Map<String, Integer> workByRank,
+    int reporters) {
   /** A report without observations. */
   public static final LoadReport EMPTY = new LoadReport(Map.of(), Map.of(), Map.of());
 
@@ -35,6 +39,9 @@
   static final int MAXIMUM_WORKSPACES = 64;
   static final int MAXIMUM_RANKS = 256;
 
+  /** Several times the number of instances at the design size. */
+  private static final int MAXIMUM_REPORTERS = 10_000;
+
   /** Replaces missing components, as sent by an instance of an earlier version, by empty maps. */
   public LoadReport {
     paces = paces == null ? Map.of() : paces;
@@ -42,6 +49,14 @@
     workByRank = workByRank == null ? Map.of() : workByRank;
   }
 
+  /** Creates a report without the load of workspaces, or with that of instances not counted. */
+  public LoadReport(
+      Map<String, PaceObservation> paces,
+      Map<String, WorkspaceLoad> workspaces,
+      Map<String, Integer> workByRank) {
+    this(paces, workspaces, workByRank, 0);
+  }
+
   /**
    * Pace of an upstream process.
    *
@@ -68,6 +83,17 @@
    * @param usual the work that they usually ask for
    */
   public record WorkspaceLoad(double demand, double usual) {
+    private static final MathContext PRECISION = new MathContext(3);
+
+    /** Returns a load with three significant digits, to keep reports short. */
+    public static WorkspaceLoad rounded(double demand, double usual) {
+      return new WorkspaceLoad(round(demand), round(usual));
+    }
+
+    private static double round(double value) {
+      return new BigDecimal(value).round(PRECISION).doubleValue();
+    }
+
     /** Returns the sum of both loads. */
     public WorkspaceLoad plus(WorkspaceLoad other) {
       return new WorkspaceLoad(demand + other.demand, usual + other.usual);
@@ -88,7 +114,8 @@
     return new LoadReport(
             merge(paces, other.paces, PaceObservation::join),
             merge(workspaces, other.workspaces, WorkspaceLoad::plus),
-            merge(workByRank, other.workByRank, Integer::sum))
+            merge(workByRank, other.workByRank, Integer::sum),
+            reporters + other.reporters)
         .bounded();
   }
 
@@ -100,7 +127,8 @@
     return new LoadReport(
         highest(paces, MAXIMUM_PACES, entry -> Math.abs(Math.log(entry.pace()))),
         boundedWorkspaces(),
-        highest(workByRank, MAXIMUM_RANKS, Integer::doubleValue));
+        highest(workByRank, MAXIMUM_RANKS, Integer::doubleValue),
+        reporters);
   }
 
   private Map<String, WorkspaceLoad> boundedWorkspaces() {
@@ -145,9 +173,9 @@
     return kept;
   }
 
-  /** Returns whether nothing is observed. */
+  /** Returns whether nothing is observed and no instance is counted. */
   boolean isEmpty() {
-    return paces.isEmpty() && workspaces.isEmpty() && workByRank.isEmpty();
+    return reporters == 0 && paces.isEmpty() && workspaces.isEmpty() && workByRank.isEmpty();
   }
 
   /** Validates a report of a peer: returns the reason to reject it, empty if it is valid. */
@@ -160,7 +188,9 @@
     boolean valid =
         paces.values().stream().allMatch(pace -> pace != null && pace.isValid())
             && workspaces.values().stream().allMatch(load -> load != null && load.isValid())
-            && workByRank.values().stream().allMatch(millis -> millis != null && millis >= 0);
+            && workByRank.values().stream().allMatch(millis -> millis != null && millis >= 0)
+            && reporters >= 0
+            && reporters <= MAXIMUM_REPORTERS;
     return valid ? Optional.empty() : Optional.of("an entry of the load report is invalid");
   }
 }
--- a/org.oatlug/src/org/oatlug/internal/gather/StateReport.java
+++ b/org.oatlug/src/org/oatlug/internal/gather/StateReport.java
@@ -61,6 +61,11 @@
     this(openMillis, evidence, speeds, limits, brittle, LoadReport.EMPTY);
   }
 
+  /** Returns a report of load only. */
+  static StateReport ofLoad(LoadReport load) {
+    return new StateReport(Map.of(), List.of(), Map.of(), Map.of(), Map.of(), load);
+  }
+
   /** Returns the aggregate of reports of different instances. */
   static StateReport sumOf(Iterable<StateReport> reports) {
     Map<String, Integer> open = new TreeMap<>();
--- a/org.oatlug/src/org/oatlug/internal/limit/TokenBucket.java
+++ b/org.oatlug/src/org/oatlug/internal/limit/TokenBucket.java
@@ -15,6 +15,9 @@
 public final class TokenBucket {
   private static final double NANOS_PER_SECOND = 1e9;
 
+  /** A bucket is rested once this many tokens more than it holds would have been added. */
+  private static final double RESTED_TOKENS = 3;
+
   private double tokens;
   private Instant refilledAt;
 
@@ -23,20 +26,29 @@
     this.refilledAt = refilledAt;
   }
 
-  /** Returns a full bucket. */
+  /** Returns a full bucket that was last used at {@code now}. */
   public static TokenBucket full(double rate, Instant now) {
     return new TokenBucket(burst(rate), now);
   }
 
   /** Refills the bucket at {@code rate} tokens a second and takes one; returns whether it could. */
   public boolean take(double rate, Instant now) {
+    return take(rate, now, 0);
+  }
+
+  /**
+   * Does the same, but takes {@code extra} tokens in addition from a rested bucket. With random
+   * numbers, buckets of different instances that are used at the same time do not stay in phase.
+   */
+  boolean take(double rate, Instant now, double extra) {
     double seconds = Duration.between(refilledAt, now).toNanos() / NANOS_PER_SECOND;
-    tokens = Math.min(burst(rate), tokens + seconds * rate);
+    double refilled = tokens + seconds * rate;
+    tokens = Math.min(burst(rate), refilled);
     refilledAt = now;
     if (tokens < 1) {
       return false;
     }
-    tokens -= 1;
+    tokens -= refilled >= burst(rate) + RESTED_TOKENS ? 1 + extra : 1;
     return true;
   }
 
