Share short capacity between workspaces by their usual demand

Cause: nothing shares capacity between workspaces when it is short.

Change: WorkspaceShares joins the own demand and usual demand of workspaces with those of all other instances (LoadReport.workspaces) and says which workspace is beyond its share (FairShares, weighted max-min). A workspace may have a weight in the configuration. The suppliers that say whether capacity is short and whether a route is deferrable are constant until the queue supplies them, so that nothing is held back yet.

--- a/org.oatlug/src/org/oatlug/internal/gateway/Exchange.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/Exchange.java
@@ -93,11 +93,25 @@
     // A forwarded request is counted by the instance that admitted it.
     if (request.forwarded().isEmpty()) {
       components.budgets().of(request.service()).recordTry();
+      recordDemand();
     }
     stage = firstStage();
     components.dispatchQueue().enqueue(this);
   }
 
+  private void recordDemand() {
+    request
+        .workspace()
+        .ifPresent(
+            workspace ->
+                components
+                    .shares()
+                    .recordDemand(
+                        workspace.name(),
+                        components.work().expected(request),
+                        components.clock().instant()));
+  }
+
   private int firstStage() {
     if (!route.isCascade()) {
       return 0;
@@ -438,6 +452,7 @@
   /** Records the outcome of the request; called before its response ends. */
   void finish(String outcome) {
     components.deadlines().cancel(deadlineTimer);
+    components.work().recordGenerated(request, relay.eventCount());
     Duration duration = elapsed();
     components.meters().time("request." + route.kind().name().toLowerCase(Locale.ROOT), duration);
     log()
--- a/org.oatlug/src/org/oatlug/internal/gateway/GatewayComponents.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/GatewayComponents.java
@@ -6,6 +6,7 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpClient;
 import java.time.InstantSource;
+import java.util.function.BooleanSupplier;
 import java.util.function.IntSupplier;
 import java.util.random.RandomGenerator;
 import org.oatlug.gateway.DeploymentAdapter;
@@ -18,6 +19,7 @@
 import org.oatlug.internal.limit.BrittleShares;
 import org.oatlug.internal.limit.DispatchQueue;
 import org.oatlug.internal.limit.RateSenders;
+import org.oatlug.internal.limit.WorkspaceShares;
 import org.oatlug.internal.metrics.Meters;
 import org.oatlug.internal.routing.ZoneReachability;
 
@@ -41,6 +43,8 @@
  * @param rates limits the rate of all instances together to cold or rate-limited upstreams
  * @param crashes isolates requests that are suspected of crashing upstreams
  * @param selection chooses upstreams
+ * @param shares the shares of workspaces while capacity is short
+ * @param work the work of requests, by which capacity is shared
  * @param stages chooses models of cascades
  * @param versions chooses versions during a roll-out
  * @param budgets the retry budgets
@@ -69,6 +73,8 @@
     UpstreamRateLimits rates,
     CrashGuard crashes,
     UpstreamSelection selection,
+    WorkspaceShares shares,
+    RequestWork work,
     StageRule stages,
     VersionRule versions,
     RetryBudgets budgets,
@@ -90,6 +96,22 @@
     return !paths.isLost(service) && !rates.lacksShareOf(service);
   }
 
+  /** Returns the shares, which no request is held back by while nothing waits for capacity. */
+  private static WorkspaceShares shares(
+      GatewaySettings settings, GatewayTables tables, Meters meters) {
+    BooleanSupplier hasDeferrableRoute = () -> false;
+    BooleanSupplier isCapacityShort = () -> false;
+    return WorkspaceShares.create(
+        () ->
+            settings
+                .loadManagement()
+                .shares()
+                .isOn(tables.keys().isRequired() && hasDeferrableRoute.getAsBoolean()),
+        isCapacityShort,
+        name -> tables.keys().weightOf(name),
+        meters);
+  }
+
   /** Returns the ledger of requests that crashed upstreams, as seen by all instances. */
   public CrashLedger crashLedger() {
     return crashes.ledger();
@@ -151,6 +173,8 @@
             rates,
             crashes::runsSuspect,
             random),
+        shares(settings, tables, meters),
+        RequestWork.create(),
         ExpectedValueRule.create(tables, times),
         versions,
         RetryBudgets.within(settings.bounds(), instances),
--- a/org.oatlug/src/org/oatlug/internal/gateway/KeyIndex.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/KeyIndex.java
@@ -13,24 +13,29 @@
 public final class KeyIndex {
   private final boolean required;
   private final Map<String, WorkspaceKeys> byKey;
+  private final Map<String, Double> weights;
 
-  private KeyIndex(boolean required, Map<String, WorkspaceKeys> byKey) {
+  private KeyIndex(
+      boolean required, Map<String, WorkspaceKeys> byKey, Map<String, Double> weights) {
     this.required = required;
     this.byKey = byKey;
+    this.weights = weights;
   }
 
   /** Returns an index for a deployment that requires no keys. */
   static KeyIndex notRequired() {
-    return new KeyIndex(false, Map.of());
+    return new KeyIndex(false, Map.of(), Map.of());
   }
 
   /** Returns an index of the keys of the workspaces. */
   public static KeyIndex of(List<WorkspaceKeys> workspaces) {
     Map<String, WorkspaceKeys> byKey = new HashMap<>();
+    Map<String, Double> weights = new HashMap<>();
     for (WorkspaceKeys workspace : workspaces) {
+      workspace.weight().ifPresent(weight -> weights.put(workspace.name(), weight));
       workspace.keys().forEach(key -> byKey.put(key, workspace));
     }
-    return new KeyIndex(true, byKey);
+    return new KeyIndex(true, byKey, weights);
   }
 
   /** Returns whether requests need a key. */
@@ -43,6 +48,11 @@
     return byKey.values().stream().filter(workspace -> workspace.name().equals(name)).findFirst();
   }
 
+  /** Returns the weight of a workspace when capacity is shared, 1 if none is configured. */
+  double weightOf(String name) {
+    return weights.getOrDefault(name, 1.0);
+  }
+
   /** Returns the workspace of the key, empty if the key is unknown. */
   public Optional<WorkspaceKeys> find(String key) {
     return Optional.ofNullable(byKey.get(key));
