--- a/org.oatlug/src/org/oatlug/internal/limit/DemandMeter.java
+++ b/org.oatlug/src/org/oatlug/internal/limit/DemandMeter.java
@@ -11,6 +11,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
 
 /**
@@ -33,6 +34,12 @@
   /** The time constant of the usual demand. */
   private static final Duration USUAL_SPAN = Duration.ofSeconds(30);
 
+  /**
+   * The time constant of the usual demand of a workspace beyond its share. With half a minute, a
+   * jump to six times the demand is within the tolerance of twice the share after 20 s.
+   */
+  private static final Duration JUMP_SPAN = Duration.ofSeconds(120);
+
   private static final int HISTORY = (int) REPORT_DELAY.dividedBy(STEP);
 
   /** Four times the workspaces of a report; a deployment has a few dozen. */
@@ -44,6 +51,7 @@
   private static final double STEP_SECONDS = STEP.toMillis() / 1000.0;
   private static final double DEMAND_DECAY = decay(DEMAND_SPAN);
   private static final double USUAL_DECAY = decay(USUAL_SPAN);
+  private static final double JUMP_DECAY = decay(JUMP_SPAN);
 
   private final Map<String, Meter> meters = new HashMap<>();
   private Optional<Instant> stepStart = Optional.empty();
@@ -67,9 +75,17 @@
     private double demand;
     private double usual;
 
+    /** The part of the usual mean that the time since the first step covers. */
+    private double covered;
+
+    Meter(double covered) {
+      this.covered = covered;
+    }
+
     void inherit(Meter other) {
       demand = other.demand;
       usual = other.usual;
+      covered = other.covered;
       System.arraycopy(other.history, 0, history, 0, HISTORY);
     }
 
@@ -78,23 +94,26 @@
     }
 
     /** Ends a step with the pending work, and {@code idleSteps} further ones without any. */
-    void end(long step, long idleSteps) {
+    void end(long step, long idleSteps, double usualDecay) {
       double work = pending / STEP_SECONDS;
       pending = 0;
       demand += (1 - DEMAND_DECAY) * (work - demand);
-      usual += (1 - USUAL_DECAY) * (work - usual);
+      usual += (1 - usualDecay) * (work - usual);
+      covered += (1 - usualDecay) * (1 - covered);
       history[(int) (step % HISTORY)] = demand;
       if (idleSteps > 0) {
         demand *= Math.pow(DEMAND_DECAY, idleSteps);
-        usual *= Math.pow(USUAL_DECAY, idleSteps);
+        usual *= Math.pow(usualDecay, idleSteps);
+        covered = 1 - (1 - covered) * Math.pow(usualDecay, idleSteps);
         for (long index = 1; index <= Math.min(idleSteps, HISTORY); index++) {
           history[(int) ((step + index) % HISTORY)] = demand;
         }
       }
     }
 
-    Demand read(double elapsedPart) {
-      return new Demand(demand, usual / elapsedPart, Arrays.stream(history).min().orElseThrow());
+    Demand read() {
+      double mean = covered > 0 ? usual / covered : 0;
+      return new Demand(demand, mean, Arrays.stream(history).min().orElseThrow());
     }
   }
 
@@ -120,7 +139,7 @@
   }
 
   private Meter add(String workspace) {
-    Meter added = new Meter();
+    Meter added = new Meter(1 - Math.pow(USUAL_DECAY, steps));
     if (meters.size() >= MAXIMUM_WORKSPACES) {
       String lowest =
           Collections.min(
@@ -134,14 +153,20 @@
 
   /** Ends the steps that have passed; returns whether there were any. */
   boolean advance(Instant now) {
+    return advance(now, Set.of());
+  }
+
+  /** Does the same; the demand of the {@code jumping} workspaces becomes usual more slowly. */
+  boolean advance(Instant now, Set<String> jumping) {
     Instant start = stepStart.orElse(now);
     long passed = Duration.between(start, now).dividedBy(STEP);
     stepStart = Optional.of(passed > 0 ? start.plus(STEP.multipliedBy(passed)) : start);
     if (passed <= 0) {
       return false;
     }
-    for (Meter meter : meters.values()) {
-      meter.end(steps, passed - 1);
+    for (Map.Entry<String, Meter> entry : meters.entrySet()) {
+      double usualDecay = jumping.contains(entry.getKey()) ? JUMP_DECAY : USUAL_DECAY;
+      entry.getValue().end(steps, passed - 1, usualDecay);
     }
     steps += passed;
     meters.values().removeIf(meter -> meter.demand < NEGLIGIBLE && meter.usual < NEGLIGIBLE);
@@ -151,13 +176,13 @@
   /** Returns the demand of a workspace at the end of the last step. */
   Demand demandOf(String workspace) {
     Meter meter = meters.get(workspace);
-    return meter == null ? Demand.NONE : meter.read(elapsedPart());
+    return meter == null ? Demand.NONE : meter.read();
   }
 
   /** Returns the demand of all workspaces at the end of the last step. */
   Map<String, Demand> demands() {
     Map<String, Demand> demands = new TreeMap<>();
-    meters.forEach((name, meter) -> demands.put(name, meter.read(elapsedPart())));
+    meters.forEach((name, meter) -> demands.put(name, meter.read()));
     return demands;
   }
 
@@ -165,9 +190,4 @@
   Duration measuredFor() {
     return STEP.multipliedBy(steps);
   }
-
-  /** Returns the part of the usual mean that the time since the first step covers. */
-  private double elapsedPart() {
-    return steps == 0 ? 1 : 1 - Math.pow(USUAL_DECAY, steps);
-  }
 }
--- a/org.oatlug/src/org/oatlug/internal/limit/WorkspaceShares.java
+++ b/org.oatlug/src/org/oatlug/internal/limit/WorkspaceShares.java
@@ -3,6 +3,7 @@
 
 package org.oatlug.internal.limit;
 
+import com.google.common.collect.Maps;
 import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
 import java.time.Instant;
@@ -34,6 +35,9 @@
   /** The time for which the demand of the others is valid: a few message intervals. */
   private static final Duration VALIDITY = Duration.ofSeconds(3);
 
+  /** The time for which the usual demand of others is remembered once they are not heard. */
+  private static final Duration REMEMBERED = Duration.ofMinutes(1);
+
   /** The time after the start in which the usual demand is not known well enough. */
   private static final Duration LEARNING = Duration.ofSeconds(5);
 
@@ -149,12 +153,15 @@
 
   /** Computes which workspaces are beyond their share, if a step of the demand has ended. */
   private void update(Instant now) {
-    if (!meter.advance(now)) {
+    if (!meter.advance(now, beyond)) {
       return;
     }
     boolean isHeard = others.instances() > 0 && !now.isAfter(others.at().plus(VALIDITY));
-    joined = join(isHeard);
-    Map<String, Double> shares = FairShares.of(joined, weights);
+    joined = isHeard ? joinOthers() : ownAgainstLastUsual(now);
+    // At one instance alone most workspaces have no request in the last seconds, so what they seem
+    // to leave is no measure of what others may take.
+    Map<String, Double> shares =
+        isHeard ? FairShares.of(joined, weights) : Maps.transformValues(joined, Demand::usual);
     if (meter.measuredFor().compareTo(LEARNING) < 0) {
       return;
     }
@@ -163,23 +170,41 @@
     joined.forEach((name, demand) -> judge(name, demand, shares.get(name), isHeard, age));
   }
 
-  private Map<String, Demand> join(boolean isHeard) {
+  /** Returns the demand at all instances together. */
+  private Map<String, Demand> joinOthers() {
     Map<String, Demand> sum = meter.demands();
-    if (isHeard) {
-      others
-          .loads()
-          .forEach(
-              (name, load) ->
-                  sum.merge(
-                      name,
-                      new Demand(load.demand(), load.usual(), 0),
-                      (own, other) ->
-                          new Demand(
-                              own.demand() + other.demand(), own.usual() + other.usual(), 0)));
-    }
+    others
+        .loads()
+        .forEach(
+            (name, load) ->
+                sum.merge(
+                    name,
+                    new Demand(load.demand(), load.usual(), 0),
+                    (own, other) ->
+                        new Demand(own.demand() + other.demand(), own.usual() + other.usual(), 0)));
     return sum;
   }
 
+  /**
+   * Returns the own demand, with a usual demand that is split between workspaces as that of all
+   * instances was when they were last heard: the requests of a workspace at one instance alone may
+   * be too few to tell what is usual.
+   */
+  private Map<String, Demand> ownAgainstLastUsual(Instant now) {
+    Map<String, Demand> own = meter.demands();
+    if (others.instances() == 0 || now.isAfter(others.at().plus(REMEMBERED))) {
+      return own;
+    }
+    Map<String, Demand> all = joinOthers();
+    double part = totalUsual(own) / Math.max(Double.MIN_NORMAL, totalUsual(all));
+    own.replaceAll((name, demand) -> new Demand(demand.demand(), all.get(name).usual() * part, 0));
+    return own;
+  }
+
+  private static double totalUsual(Map<String, Demand> demands) {
+    return demands.values().stream().mapToDouble(Demand::usual).sum();
+  }
+
   private void judge(String name, Demand demand, double share, boolean isHeard, String age) {
     double tolerance = tolerance(share, isHeard);
     boolean wasBeyond = beyond.contains(name);
