Sum the load of large zones once for a while, and describe shares

Cause: a collector added up the load of all instances for each response: 24 million additions a second at 433 instances with 64 workspaces.

Change: above 64 instances the collector keeps the sum for 300 ms and subtracts the load of the instance that asks (LoadTotals).

Run: mvn -B -o -q verify -Dtest='FairSharesTest,Workspace*Test,StateExchangeTest, ReportAggregatorTest': green.

--- a/org.oatlug.test/tst/org/oatlug/internal/gather/ReportAggregatorTest.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/gather/ReportAggregatorTest.java
@@ -25,6 +25,8 @@
 class ReportAggregatorTest {
   private static final String SEED = "20261202";
 
+  private static final LoadReport.WorkspaceLoad LOAD = new LoadReport.WorkspaceLoad(3, 4);
+
   private final Instant now = Instant.parse("2026-12-02T12:00:00Z");
 
   private static StateReport report(long orderedAt, long worse, int openMillis) {
@@ -88,4 +90,22 @@
     aggregator.putInstance("a", report(9, 1, 0), now);
     assertEquals(aggregator.sumOfZone(now).worsePairs(), 3);
   }
+
+  /** Guards against a sum at a collector of many instances that is not that of all others. */
+  @Example
+  void testLoadOfManyInstancesExcludesTheRequester() {
+    ReportAggregator aggregator = ReportAggregator.create();
+    for (int number = 0; number < 100; number++) {
+      Map<String, LoadReport.WorkspaceLoad> workspaces =
+          Map.of("desk", new LoadReport.WorkspaceLoad(1, 2), "only-" + number % 50, LOAD);
+      LoadReport load = new LoadReport(Map.of(), workspaces, Map.of("pool/0", 5), 1);
+      aggregator.putInstance("p-" + number, StateReport.ofLoad(load), now);
+    }
+    LoadReport others = aggregator.sumExcept("p-7", now).load();
+    assertEquals(others.workspaces().get("desk"), new LoadReport.WorkspaceLoad(99, 198));
+    assertEquals(others.workspaces().get("only-7"), LOAD);
+    assertEquals(others.workspaces().get("only-8"), LOAD.plus(LOAD));
+    assertEquals(others.workByRank(), Map.of("pool/0", 495));
+    assertEquals(others.reporters(), 99);
+  }
 }
--- a/org.oatlug.test/tst/org/oatlug/internal/gather/ShareSimulation.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/gather/ShareSimulation.java
@@ -4,7 +4,6 @@
 package org.oatlug.internal.gather;
 
 import com.codahale.metrics.MetricRegistry;
-import com.google.common.collect.Maps;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayDeque;
@@ -14,9 +13,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
-import java.util.TreeMap;
 import java.util.function.IntPredicate;
-import org.oatlug.internal.gather.LoadReport.WorkspaceLoad;
 import org.oatlug.internal.gather.StateExchangeFleet.Instance;
 import org.oatlug.internal.limit.WorkspaceShares;
 import org.oatlug.internal.metrics.Meters;
@@ -88,24 +85,8 @@
             name -> 1,
             Meters.of(new MetricRegistry()));
     shares.put(instance, own);
-    instance.load = () -> reportOf(own);
-    instance.listener =
-        report ->
-            own.applyReported(
-                Maps.transformValues(
-                    report.load().workspaces(),
-                    load -> new WorkspaceShares.Load(load.demand(), load.usual())),
-                report.load().reporters(),
-                fleet.clock().instant());
-  }
-
-  private LoadReport reportOf(WorkspaceShares own) {
-    Map<String, WorkspaceLoad> workspaces = new TreeMap<>();
-    own.observed(fleet.clock().instant())
-        .forEach(
-            (name, load) ->
-                workspaces.put(name, WorkspaceLoad.rounded(load.demand(), load.usual())));
-    return new LoadReport(Map.of(), workspaces, Map.of(), 1).bounded();
+    instance.load = () -> ShareReports.reportOf(own, fleet.clock().instant());
+    instance.listener = report -> ShareReports.apply(report.load(), own, fleet.clock().instant());
   }
 
   /** Ends the reports to all instances. */
--- a/org.oatlug.test/tst/org/oatlug/internal/gather/WorkspaceLimitsFleetTest.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/gather/WorkspaceLimitsFleetTest.java
@@ -75,7 +75,7 @@
   /** Zones, instances in each, and the rate of the workspace. */
   @DataProvider
   public Object[][] sizes() {
-    return new Object[][] {{3, 2, 10.0}, {1, 61, 5.0}, {5, 19, 5.0}};
+    return new Object[][] {{3, 2, 10.0}, {1, 61, 5.0}, {1, 95, 5.0}};
   }
 
   private static double allowed(double rate) {
--- a/org.oatlug/src/org/oatlug/internal/gateway/GatewayParticipant.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/GatewayParticipant.java
@@ -3,19 +3,15 @@
 
 package org.oatlug.internal.gateway;
 
-import com.google.common.collect.Maps;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
 import java.util.Map;
-import java.util.TreeMap;
 import org.oatlug.internal.engine.PrefillTimeModel;
 import org.oatlug.internal.gather.ExchangeParticipant;
-import org.oatlug.internal.gather.LoadReport;
-import org.oatlug.internal.gather.LoadReport.WorkspaceLoad;
 import org.oatlug.internal.gather.SessionObservation;
+import org.oatlug.internal.gather.ShareReports;
 import org.oatlug.internal.gather.StateReport;
-import org.oatlug.internal.limit.WorkspaceShares;
 
 /**
  * Exchanges the gateway's state with other instances: prompts waiting for prefill, prefill models,
@@ -57,21 +53,7 @@
         prefillModels,
         components.limits().observed(),
         components.brittle().observed(),
-        localLoad(now));
-  }
-
-  private LoadReport localLoad(Instant now) {
-    if (!components.shares().isInUse()) {
-      return LoadReport.EMPTY;
-    }
-    Map<String, WorkspaceLoad> workspaces = new TreeMap<>();
-    components
-        .shares()
-        .observed(now)
-        .forEach(
-            (name, load) ->
-                workspaces.put(name, WorkspaceLoad.rounded(load.demand(), load.usual())));
-    return new LoadReport(Map.of(), workspaces, Map.of(), 1).bounded();
+        ShareReports.reportOf(components.shares(), now));
   }
 
   @Override
@@ -96,14 +78,7 @@
     remote.evidence().forEach(rollouts::applyReported);
     components.limits().applyReported(remote.limits());
     components.brittle().applyReported(remote.brittle());
-    components
-        .shares()
-        .applyReported(
-            Maps.transformValues(
-                remote.load().workspaces(),
-                load -> new WorkspaceShares.Load(load.demand(), load.usual())),
-            remote.load().reporters(),
-            components.clock().instant());
+    ShareReports.apply(remote.load(), components.shares(), components.clock().instant());
   }
 
   @Override
--- a/org.oatlug/src/org/oatlug/internal/gather/LoadReport.java
+++ b/org.oatlug/src/org/oatlug/internal/gather/LoadReport.java
@@ -94,6 +94,11 @@
       return new BigDecimal(value).round(PRECISION).doubleValue();
     }
 
+    private WorkspaceLoad minus(WorkspaceLoad other) {
+      return new WorkspaceLoad(
+          Math.max(0, demand - other.demand), Math.max(0, usual - other.usual));
+    }
+
     /** Returns the sum of both loads. */
     public WorkspaceLoad plus(WorkspaceLoad other) {
       return new WorkspaceLoad(demand + other.demand, usual + other.usual);
@@ -119,6 +124,23 @@
         .bounded();
   }
 
+  /**
+   * Returns this sum without one of the reports that it consists of. Paces, which are means, keep
+   * that report's part.
+   */
+  LoadReport minus(LoadReport part) {
+    Map<String, WorkspaceLoad> others = new TreeMap<>(workspaces);
+    part.workspaces.forEach(
+        (name, load) ->
+            others.computeIfPresent(
+                workspaces.containsKey(name) ? name : OTHER_WORKSPACES,
+                (unused, sum) -> sum.minus(load)));
+    Map<String, Integer> ranks = new TreeMap<>(workByRank);
+    part.workByRank.forEach(
+        (key, millis) -> ranks.computeIfPresent(key, (unused, sum) -> Math.max(0, sum - millis)));
+    return new LoadReport(paces, others, ranks, Math.max(0, reporters - part.reporters));
+  }
+
   /**
    * Returns this report with at most the entries that a message may hold: the paces farthest from 1
    * and the workspaces of the highest demand, the others summed.
--- a/org.oatlug/src/org/oatlug/internal/gather/ReportAggregator.java
+++ b/org.oatlug/src/org/oatlug/internal/gather/ReportAggregator.java
@@ -3,9 +3,11 @@
 
 package org.oatlug.internal.gather;
 
+import com.google.common.collect.Maps;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import org.oatlug.internal.engine.PrefillBacklog;
@@ -38,6 +40,14 @@
   private final Map<String, Received> instances = BoundedMap.withMaximumSize(MAXIMUM_INSTANCES);
   private final Map<String, Received> zones = BoundedMap.withMaximumSize(MAXIMUM_ZONES);
 
+  /**
+   * Up to this number of instances, the load is added up for each response, which takes little time
+   * and has no age.
+   */
+  private static final int MAXIMUM_ADDED = 64;
+
+  private final LoadTotals loads = LoadTotals.create();
+
   private record Received(StateReport report, Instant receivedAt) {
     StateReport asOf(Instant now) {
       if (now.isAfter(receivedAt.plus(EVIDENCE_VALIDITY))) {
@@ -73,19 +83,31 @@
 
   /** Returns the aggregate of this zone. */
   StateReport sumOfZone(Instant now) {
-    return StateReport.sumOf(
-        instances.values().stream().map(received -> received.asOf(now)).toList());
+    return sumOfInstancesExcept("", now);
   }
 
   /** Returns the aggregate of all zones without the given process. */
   StateReport sumExcept(String process, Instant now) {
+    List<StateReport> reports = new ArrayList<>();
+    reports.add(sumOfInstancesExcept(process, now));
+    zones.values().forEach(received -> reports.add(received.asOf(now)));
+    return StateReport.sumOf(reports);
+  }
+
+  private StateReport sumOfInstancesExcept(String process, Instant now) {
+    boolean addsLoads = instances.size() <= MAXIMUM_ADDED;
     List<StateReport> reports = new ArrayList<>();
     for (Map.Entry<String, Received> entry : instances.entrySet()) {
       if (!entry.getKey().equals(process)) {
-        reports.add(entry.getValue().asOf(now));
+        StateReport report = entry.getValue().asOf(now);
+        reports.add(addsLoads ? report : report.withLoad(LoadReport.EMPTY));
       }
     }
-    zones.values().forEach(received -> reports.add(received.asOf(now)));
-    return StateReport.sumOf(reports);
+    StateReport sum = StateReport.sumOf(reports);
+    return addsLoads ? sum : sum.withLoad(loads.except(process, () -> loadsAsOf(now), now));
+  }
+
+  private Map<String, LoadReport> loadsAsOf(Instant now) {
+    return new HashMap<>(Maps.transformValues(instances, received -> received.asOf(now).load()));
   }
 }
--- a/org.oatlug/src/org/oatlug/internal/gather/StateReport.java
+++ b/org.oatlug/src/org/oatlug/internal/gather/StateReport.java
@@ -149,6 +149,11 @@
     return Maps.transformValues(limits, AdvertisedLimit::requestsPerSecond);
   }
 
+  /** Returns this report with another load. */
+  StateReport withLoad(LoadReport replacement) {
+    return new StateReport(openMillis, evidence, speeds, limits, brittle, replacement);
+  }
+
   /** Returns this report without the pending prompts and the load. */
   StateReport withoutPendingPrompts() {
     return new StateReport(Map.of(), evidence, speeds, limits, brittle, LoadReport.EMPTY);
--- a/org.oatlug/src/org/oatlug/internal/limit/FairShares.java
+++ b/org.oatlug/src/org/oatlug/internal/limit/FairShares.java
@@ -13,8 +13,8 @@
 
 /**
  * Shares the usual demand of all workspaces between them by weighted max-min fairness: each has its
- * own usual demand, and what the others leave of theirs is split in parts of equal size per weight,
- * none larger than the demand. Pure functions.
+ * own usual demand, and what some leave of theirs is split in parts of equal size per weight; a
+ * workspace that needs less than its part leaves the rest to the others. Pure functions.
  */
 final class FairShares {
   /** With fewer workspaces, the growth of the others is unknown when one grows. */
