Encode the load of a workspace as an array

Cause: a report of 64 workspaces took over 2 KB, the budget of an instance for a second.

Change: WorkspaceLoad has two floats, encoded as an array without field names.

Run: mvn -B -o -q verify -Dtest='FairSharesTest,Workspace*Test,StateExchangeTest, ReportAggregatorTest': green; the report of 64 workspaces is asserted to be under 2048 bytes.

--- a/org.oatlug.test/tst/org/oatlug/internal/gather/ReportAggregatorTest.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/gather/ReportAggregatorTest.java
@@ -4,13 +4,16 @@
 package org.oatlug.internal.gather;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
 
+import java.io.IOException;
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.TreeMap;
 import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
@@ -19,6 +22,7 @@
 import org.oatlug.internal.rollout.ComparedPairs;
 import org.oatlug.internal.rollout.PairCounts;
 import org.oatlug.internal.rollout.VersionEvidence;
+import org.oatlug.internal.util.Json;
 import org.oatlug.platform.StoreRevision;
 
 /** Verifies that aggregates do not depend on the order or repetition of reports. */
@@ -108,4 +112,19 @@
     assertEquals(others.workByRank(), Map.of("pool/0", 495));
     assertEquals(others.reporters(), 99);
   }
+
+  /** Guards against reports that take more than 2 KB, or that the receiver cannot decode. */
+  @Example
+  void testReportOfManyWorkspacesIsShort() throws IOException {
+    Map<String, LoadReport.WorkspaceLoad> workspaces = new TreeMap<>();
+    for (int number = 0; number < 100; number++) {
+      workspaces.put("workspace-" + number, LoadReport.WorkspaceLoad.rounded(12_345.6, number));
+    }
+    LoadReport report = new LoadReport(Map.of(), workspaces, Map.of(), 1).bounded();
+    byte[] encoded = Json.MESSAGE_PACK.writeValueAsBytes(report);
+    assertTrue(encoded.length < 2048, encoded.length + " bytes");
+    assertEquals(Json.MESSAGE_PACK.readValue(encoded, LoadReport.class), report);
+    byte[] earlier = Json.MESSAGE_PACK.writeValueAsBytes(Map.of("workspaces", Map.of()));
+    assertEquals(Json.MESSAGE_PACK.readValue(earlier, LoadReport.class), LoadReport.EMPTY);
+  }
 }
--- a/org.oatlug/src/org/oatlug/internal/gather/LimitParticipant.java
+++ b/org.oatlug/src/org/oatlug/internal/gather/LimitParticipant.java
@@ -44,7 +44,7 @@
     Instant now = clock.instant();
     Map<String, WorkspaceLoad> workspaces = others.load().workspaces();
     limits.applyReported(
-        Maps.transformValues(workspaces, WorkspaceLoad::demand),
+        Maps.transformValues(workspaces, load -> (double) load.demand()),
         !workspaces.containsKey(LoadReport.OTHER_WORKSPACES),
         others.load().reporters(),
         now);
--- a/org.oatlug/src/org/oatlug/internal/gather/LoadReport.java
+++ b/org.oatlug/src/org/oatlug/internal/gather/LoadReport.java
@@ -3,6 +3,7 @@
 
 package org.oatlug.internal.gather;
 
+import com.fasterxml.jackson.annotation.JsonFormat;
 import java.math.BigDecimal;
 import java.math.MathContext;
 import java.util.Comparator;
@@ -77,12 +78,14 @@
   }
 
   /**
-   * Load of a workspace, in units of work per second.
+   * Load of a workspace, in units of work per second. Encoded as an array, since a report may have
+   * many of these.
    *
    * @param demand the work that its callers ask for now
    * @param usual the work that they usually ask for
    */
-  public record WorkspaceLoad(double demand, double usual) {
+  @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+  public record WorkspaceLoad(float demand, float usual) {
     private static final MathContext PRECISION = new MathContext(3);
 
     /** Returns a load with three significant digits, to keep reports short. */
@@ -90,8 +93,8 @@
       return new WorkspaceLoad(round(demand), round(usual));
     }
 
-    private static double round(double value) {
-      return new BigDecimal(value).round(PRECISION).doubleValue();
+    private static float round(double value) {
+      return new BigDecimal(value).round(PRECISION).floatValue();
     }
 
     private WorkspaceLoad minus(WorkspaceLoad other) {
@@ -105,7 +108,7 @@
     }
 
     private boolean isValid() {
-      return Double.isFinite(demand) && demand >= 0 && Double.isFinite(usual) && usual >= 0;
+      return Float.isFinite(demand) && demand >= 0 && Float.isFinite(usual) && usual >= 0;
     }
   }
 
