Merge the shares of workspaces

Capacity counts as short at a service from half of its engines' time spent on prefills on, by the work that all instances report; requests of a workspace beyond its share then wait like deferrable ones.

--- a/org.oatlug.test/tst/org/oatlug/internal/gather/ReportAggregatorTest.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/gather/ReportAggregatorTest.java
@@ -4,13 +4,16 @@
 package org.oatlug.internal.gather;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
 
+import java.io.IOException;
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.TreeMap;
 import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
@@ -19,12 +22,15 @@
 import org.oatlug.internal.rollout.ComparedPairs;
 import org.oatlug.internal.rollout.PairCounts;
 import org.oatlug.internal.rollout.VersionEvidence;
+import org.oatlug.internal.util.Json;
 import org.oatlug.platform.StoreRevision;
 
 /** Verifies that aggregates do not depend on the order or repetition of reports. */
 class ReportAggregatorTest {
   private static final String SEED = "20261202";
 
+  private static final LoadReport.WorkspaceLoad LOAD = new LoadReport.WorkspaceLoad(3, 4);
+
   private final Instant now = Instant.parse("2026-12-02T12:00:00Z");
 
   private static StateReport report(long orderedAt, long worse, int openMillis) {
@@ -88,4 +94,37 @@
     aggregator.putInstance("a", report(9, 1, 0), now);
     assertEquals(aggregator.sumOfZone(now).worsePairs(), 3);
   }
+
+  /** Guards against a sum at a collector of many instances that is not that of all others. */
+  @Example
+  void testLoadOfManyInstancesExcludesTheRequester() {
+    ReportAggregator aggregator = ReportAggregator.create();
+    for (int number = 0; number < 100; number++) {
+      Map<String, LoadReport.WorkspaceLoad> workspaces =
+          Map.of("desk", new LoadReport.WorkspaceLoad(1, 2), "only-" + number % 50, LOAD);
+      LoadReport load = new LoadReport(Map.of(), workspaces, Map.of("pool/0", 5), 1);
+      aggregator.putInstance("p-" + number, StateReport.ofLoad(load), now);
+    }
+    LoadReport others = aggregator.sumExcept("p-7", now).load();
+    assertEquals(others.workspaces().get("desk"), new LoadReport.WorkspaceLoad(99, 198));
+    assertEquals(others.workspaces().get("only-7"), LOAD);
+    assertEquals(others.workspaces().get("only-8"), LOAD.plus(LOAD));
+    assertEquals(others.workByRank(), Map.of("pool/0", 495));
+    assertEquals(others.reporters(), 99);
+  }
+
+  /** Guards against reports that take more than 2 KB, or that the receiver cannot decode. */
+  @Example
+  void testReportOfManyWorkspacesIsShort() throws IOException {
+    Map<String, LoadReport.WorkspaceLoad> workspaces = new TreeMap<>();
+    for (int number = 0; number < 100; number++) {
+      workspaces.put("workspace-" + number, LoadReport.WorkspaceLoad.rounded(12_345.6, number));
+    }
+    LoadReport report = new LoadReport(Map.of(), workspaces, Map.of(), 1).bounded();
+    byte[] encoded = Json.MESSAGE_PACK.writeValueAsBytes(report);
+    assertTrue(encoded.length < 2048, encoded.length + " bytes");
+    assertEquals(Json.MESSAGE_PACK.readValue(encoded, LoadReport.class), report);
+    byte[] earlier = Json.MESSAGE_PACK.writeValueAsBytes(Map.of("workspaces", Map.of()));
+    assertEquals(Json.MESSAGE_PACK.readValue(earlier, LoadReport.class), LoadReport.EMPTY);
+  }
 }
--- a/org.oatlug/src/org/oatlug/internal/gateway/Exchange.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/Exchange.java
@@ -97,11 +97,25 @@
     // A forwarded request is counted by the instance that admitted it.
     if (request.forwarded().isEmpty()) {
       components.budgets().of(request.service()).recordTry();
+      recordDemand();
     }
     stage = firstStage();
     components.dispatchQueue().enqueue(this);
   }
 
+  private void recordDemand() {
+    request
+        .workspace()
+        .ifPresent(
+            workspace ->
+                components
+                    .shares()
+                    .recordDemand(
+                        workspace.name(),
+                        components.work().expected(request),
+                        components.clock().instant()));
+  }
+
   private int firstStage() {
     if (!route.isCascade()) {
       return 0;
@@ -462,6 +476,7 @@
   void finish(String outcome) {
     components.deadlines().cancel(deadlineTimer);
     wait.ifPresent(RequestWait::exchangeEnded);
+    components.work().recordGenerated(request, relay.eventCount());
     Duration duration = elapsed();
     components.meters().time("request." + route.kind().name().toLowerCase(Locale.ROOT), duration);
     log()
--- a/org.oatlug/src/org/oatlug/internal/gateway/GatewayComponents.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/GatewayComponents.java
@@ -19,6 +19,7 @@
 import org.oatlug.internal.limit.BrittleShares;
 import org.oatlug.internal.limit.DispatchQueue;
 import org.oatlug.internal.limit.RateSenders;
+import org.oatlug.internal.limit.WorkspaceShares;
 import org.oatlug.internal.metrics.Meters;
 import org.oatlug.internal.routing.ZoneReachability;
 
@@ -46,6 +47,8 @@
  * @param crashes isolates requests that are suspected of crashing upstreams
  * @param pacing the pace of upstreams
  * @param selection chooses upstreams
+ * @param shares the shares of workspaces while capacity is short
+ * @param work the work of requests, by which capacity is shared
  * @param stages chooses models of cascades
  * @param versions chooses versions during a roll-out
  * @param budgets the retry budgets
@@ -79,6 +82,8 @@
     CrashGuard crashes,
     UpstreamPacing pacing,
     UpstreamSelection selection,
+    WorkspaceShares shares,
+    RequestWork work,
     StageRule stages,
     VersionRule versions,
     RetryBudgets budgets,
@@ -102,6 +107,19 @@
     return !paths.isLost(service) && !rates.lacksShareOf(service);
   }
 
+  private static WorkspaceShares shares(
+      GatewaySettings settings, GatewayTables tables, ServiceWorkMeter workMeter, Meters meters) {
+    return WorkspaceShares.create(
+        () ->
+            settings
+                .loadManagement()
+                .shares()
+                .isOn(tables.keys().isRequired() && !tables.deferrableRoutes().isEmpty()),
+        workMeter::isCapacityShort,
+        name -> tables.keys().weightOf(name),
+        meters);
+  }
+
   /** Returns the ledger of requests that crashed upstreams, as seen by all instances. */
   public CrashLedger crashLedger() {
     return crashes.ledger();
@@ -140,9 +158,16 @@
             limits,
             BrittleShares.create(brittle, senders.ofBrittle()),
             senders);
+    WorkspaceShares shares = shares(settings, tables, workMeter, meters);
     RequestQueue requestQueue =
         RequestQueue.create(
-            vertx, clock, settings.loadManagement().queue(), tables, WorkspaceShareRule.NEVER);
+            vertx,
+            clock,
+            settings.loadManagement().queue(),
+            tables,
+            (service, workspace) ->
+                workMeter.isCapacityShortAt(service)
+                    && shares.isBeyondShare(workspace, clock.instant()));
     UpstreamPacing pacing = UpstreamPacing.create(settings.loadManagement().pace(), tables, meters);
     CrashGuard crashes = CrashGuard.create(vertx, clock, meters, tables);
     return new GatewayComponents(
@@ -176,6 +201,8 @@
             pacing,
             crashes::runsSuspect,
             random),
+        shares,
+        RequestWork.create(),
         ExpectedValueRule.create(tables, times, workMeter::escalationDelayWeight),
         versions,
         RetryBudgets.within(settings.bounds(), instances),
--- a/org.oatlug/src/org/oatlug/internal/gateway/GatewayParticipant.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/GatewayParticipant.java
@@ -11,12 +11,13 @@
 import org.oatlug.internal.gather.ExchangeParticipant;
 import org.oatlug.internal.gather.LoadReport;
 import org.oatlug.internal.gather.SessionObservation;
+import org.oatlug.internal.gather.ShareReports;
 import org.oatlug.internal.gather.StateReport;
 
 /**
  * Exchanges the gateway's state with other instances: prompts waiting for prefill, prefill models,
- * evidence about versions under roll-out, rate limits and paces of upstreams. Owned by one event
- * loop, not thread-safe.
+ * evidence about versions under roll-out, rate limits and paces of upstreams, and the demand of
+ * workspaces. Owned by one event loop, not thread-safe.
  */
 public final class GatewayParticipant implements ExchangeParticipant {
   /**
@@ -55,7 +56,14 @@
         prefillModels,
         components.limits().observed(),
         components.brittle().observed(),
-        new LoadReport(paces, Map.of(), components.prefillWork().own(now)).bounded());
+        localLoad(now));
+  }
+
+  private LoadReport localLoad(Instant now) {
+    LoadReport demand = ShareReports.reportOf(components.shares(), now);
+    return new LoadReport(
+            paces, demand.workspaces(), components.prefillWork().own(now), demand.reporters())
+        .bounded();
   }
 
   @Override
@@ -84,6 +92,7 @@
     components
         .prefillWork()
         .applyReported(remote.load().workByRank(), components.clock().instant());
+    ShareReports.apply(remote.load(), components.shares(), components.clock().instant());
     components.requestQueue().roomMayBeFree();
   }
 
--- a/org.oatlug/src/org/oatlug/internal/gateway/ServiceWorkMeter.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/ServiceWorkMeter.java
@@ -22,6 +22,9 @@
 final class ServiceWorkMeter {
   private static final double MILLIS_PER_SECOND = 1000;
 
+  /** The utilization from which the mean wait of a prefill exceeds half of a prefill. */
+  private static final double SHORT_UTILIZATION = 0.5;
+
   private final LoadManagement settings;
   private final GatewayTables tables;
   private final PrefillWork work;
@@ -81,7 +84,9 @@
   void recordAttempt(AdmittedRequest request, double prefillMillis) {
     String service = request.service();
     boolean needed =
-        applies(settings.reservation(), service) || applies(settings.escalation(), service);
+        applies(settings.reservation(), service)
+            || applies(settings.escalation(), service)
+            || applies(settings.shares(), service);
     if (needed && prefillMillis > 0) {
       String key = LoadReport.rankKey(service, request.route().priority());
       work.record(key, prefillMillis, clock.instant());
@@ -119,6 +124,24 @@
         .orElse(0);
   }
 
+  /**
+   * Returns whether the engines of the service prefill for so much of the time that requests often
+   * wait for each other.
+   */
+  boolean isCapacityShortAt(String service) {
+    double millis = 0;
+    for (Integer rank : tables.deferrableRoutes().ranksOf(service).keySet()) {
+      millis += work.total(LoadReport.rankKey(service, rank), clock.instant());
+    }
+    int engines = Math.max(1, tables.remainingUpstreamsOf(service).size());
+    return millis / (engines * MILLIS_PER_SECOND) >= SHORT_UTILIZATION;
+  }
+
+  /** Returns whether capacity is short at any service with a deferrable route. */
+  boolean isCapacityShort() {
+    return tables.deferrableRoutes().services().stream().anyMatch(this::isCapacityShortAt);
+  }
+
   /** Returns the age of the last report of the other instances. */
   Duration ageOfReport() {
     return work.ageOfReport(clock.instant());
--- a/org.oatlug/src/org/oatlug/internal/gather/StateReport.java
+++ b/org.oatlug/src/org/oatlug/internal/gather/StateReport.java
@@ -61,6 +61,11 @@
     this(openMillis, evidence, speeds, limits, brittle, LoadReport.EMPTY);
   }
 
+  /** Returns a report of load only. */
+  static StateReport ofLoad(LoadReport load) {
+    return new StateReport(Map.of(), List.of(), Map.of(), Map.of(), Map.of(), load);
+  }
+
   /** Returns the aggregate of reports of different instances. */
   static StateReport sumOf(Iterable<StateReport> reports) {
     Map<String, Integer> open = new TreeMap<>();
@@ -144,6 +149,11 @@
     return Maps.transformValues(limits, AdvertisedLimit::requestsPerSecond);
   }
 
+  /** Returns this report with another load. */
+  StateReport withLoad(LoadReport replacement) {
+    return new StateReport(openMillis, evidence, speeds, limits, brittle, replacement);
+  }
+
   /** Returns this report without the pending prompts and the load. */
   StateReport withoutPendingPrompts() {
     return new StateReport(Map.of(), evidence, speeds, limits, brittle, LoadReport.EMPTY);
