--- a/org.oatlug.test/tst/org/oatlug/internal/gateway/GatewayDecisionTest.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/gateway/GatewayDecisionTest.java
@@ -6,8 +6,10 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertNotEquals;
+import static org.testng.Assert.assertThrows;
 import static org.testng.Assert.assertTrue;
 
+import com.fasterxml.jackson.core.JsonProcessingException;
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
@@ -151,6 +153,19 @@
     return UpstreamRateLimits.create(tables, bounds, limits, shares, senders);
   }
 
+  /** Guards against configurations of earlier versions, without weights, being rejected. */
+  @Test
+  public void testWeightOfWorkspaceIsOptionalAndPositive() throws JsonProcessingException {
+    String keys = "{\"name\": \"desk\", \"keys\": [\"key\"]";
+    WorkspaceKeys plain = Json.STRICT.readValue(keys + "}", WorkspaceKeys.class);
+    WorkspaceKeys heavy = Json.STRICT.readValue(keys + ", \"weight\": 2.5}", WorkspaceKeys.class);
+    assertEquals(KeyIndex.of(List.of(plain)).weightOf("desk"), 1.0);
+    assertEquals(KeyIndex.of(List.of(heavy)).weightOf("desk"), 2.5);
+    assertThrows(
+        JsonProcessingException.class,
+        () -> Json.STRICT.readValue(keys + ", \"weight\": 0}", WorkspaceKeys.class));
+  }
+
   /**
    * One upstream is limited, and the other is full but has a free connection soon: callers must not
    * be told the long wait for the limited one.
--- a/org.oatlug.test/tst/org/oatlug/internal/gather/WorkspaceSharesFleetTest.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/gather/WorkspaceSharesFleetTest.java
@@ -47,6 +47,9 @@
     assertOthersKept(simulation);
     assertEquals(simulation.lostOf(LARGE), 0.0);
     assertTrue(simulation.heldOf(LARGE) <= MAXIMUM_LOSS, "held " + simulation.heldOf(LARGE));
+    // The simulation without shares loses most in this span.
+    simulation.run(Duration.ofSeconds(10), JUMP_FACTOR);
+    assertOthersKept(simulation);
   }
 
   /** Shows that the simulation loses requests without shares. */
@@ -54,6 +57,7 @@
   public void testWithoutSharesOthersLose() {
     ShareSimulation simulation = new ShareSimulation(3, 2, false, 1.05, SEED);
     simulation.run(USUAL, 1);
+    simulation.run(Duration.ofSeconds(10), JUMP_FACTOR);
     simulation.run(JUMP, JUMP_FACTOR);
     assertTrue(simulation.lostOf(OTHERS) > 2 * MAXIMUM_LOSS, "" + simulation.lostOf(OTHERS));
   }
