--- a/org.oatlug.test/tst/org/oatlug/internal/gateway/RequestQueueTest.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/gateway/RequestQueueTest.java
@@ -83,7 +83,7 @@
     assertFalse(routes.contains("engines", CHAT) || routes.contains("engines", TAGS));
     assertEquals(routes.services(), Set.of("engines"));
     assertEquals(routes.shortestUrgentGoalMillis("engines", DIGESTS), OptionalLong.of(2000));
-    Route between = route("between", 1, 7001, "engines");
+    Route between = route("between", 1, 7251, "engines");
     assertFalse(DeferrableRoutes.of(List.of(DIGESTS, CHAT, between)).contains("engines", DIGESTS));
     Route other = route("other", 2, 8000, "others");
     assertTrue(DeferrableRoutes.of(List.of(CHAT, other)).isEmpty());
