Give urgent requests their engines first when capacity is short

Urgent requests now get engines up to the same utilization first, deferrable ones keep half of their part; the version with most engines counts; unknown lengths follow the reports of the others.

--- a/org.oatlug.test/tst/org/oatlug/internal/gateway/EngineReservationsTest.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/gateway/EngineReservationsTest.java
@@ -170,6 +170,30 @@
     assertSame(reservations(Switch.AUTO).preferenceOf("pool", DIGESTS), PlacementPreference.NONE);
   }
 
+  /** An instance that sends no deferrable requests must avoid the engines that take them. */
+  @Test
+  public void testInstanceWithoutDeferrableRequestsFollowsTheReports() {
+    work.applyReported(Map.of("pool/2", 4000, "pool/0", 600), now);
+    assertTrue(preferred(additionalMillis(reservations(Switch.AUTO), CHAT)).size() < 12);
+  }
+
+  /** The engines of a candidate version hardly get requests, so they are no capacity. */
+  @Test
+  public void testEnginesOfCandidateVersionAreNoCapacity() {
+    reportDigests();
+    Set<String> before = preferred(additionalMillis(reservations(Switch.AUTO), DIGESTS));
+    for (int engine = 20; engine < 32; engine++) {
+      String zone = "zone-" + engine % 3;
+      put(
+          GatewayKinds.UPSTREAM,
+          "i-" + engine,
+          UpstreamRecord.of("pool", "127.0.0.1", 1, zone, "v2", 8, false));
+    }
+    Set<String> both = preferred(additionalMillis(reservations(Switch.AUTO), DIGESTS));
+    // The share is the same; each of the three zones rounds to whole engines.
+    assertEquals(both.size(), 2.0 * before.size(), 3.0);
+  }
+
   @Test
   public void testReservationEndsWhenReportsStop() {
     reportDigests();
--- a/org.oatlug.test/tst/org/oatlug/internal/routing/EngineReservationTest.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/routing/EngineReservationTest.java
@@ -127,6 +127,13 @@
     assertEquals(reservation(1, 63_000, 2).reservedOf(2), 1);
   }
 
+  /** When capacity is short, urgent requests must get theirs first, and none may starve. */
+  @Test
+  public void testShortCapacityGoesToUrgentRequestsFirst() {
+    assertEquals(reservation(50_000, 16_000, 63).share(), 1 - 2 * 16.0 / 63, 0.01);
+    assertEquals(reservation(50_000, 50_000, 63).share(), 0.25, 0.01);
+  }
+
   /** A share that follows every fluctuation would move cached prompts all the time. */
   @Test
   public void testSmallChangesKeepTheShare() {
--- a/org.oatlug/src/org/oatlug/internal/gateway/ServiceWorkMeter.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/ServiceWorkMeter.java
@@ -5,13 +5,16 @@
 
 import java.time.Duration;
 import java.time.InstantSource;
+import java.util.HashMap;
 import java.util.Map;
+import java.util.OptionalDouble;
 import org.oatlug.gateway.GatewaySettings.LoadManagement;
 import org.oatlug.gateway.GatewaySettings.Switch;
 import org.oatlug.gateway.Route;
 import org.oatlug.internal.cascade.EscalationDelay;
 import org.oatlug.internal.engine.PrefillWork;
 import org.oatlug.internal.gather.LoadReport;
+import org.oatlug.internal.routing.EngineReservation;
 
 /**
  * Measures the prefill work that arrives at the engines of services with deferrable routes.
@@ -104,24 +107,40 @@
       other += rank.getValue() ? 0 : millis;
       urgent += rank.getKey() <= route.priority() ? millis : 0;
     }
-    int engines = tables.remainingUpstreamsOf(service).size();
+    int engines = enginesOf(service);
     return new ServiceWork(deferrable, other, urgent, engines, lengthRatioOf(service));
   }
 
+  /**
+   * Returns the number of engines of the version that has most: during a roll-out nearly all
+   * requests go to one version, although each has its own engines.
+   */
+  private int enginesOf(String service) {
+    Map<String, Integer> byVersion = new HashMap<>();
+    for (String name : tables.remainingUpstreamsOf(service)) {
+      tables
+          .upstream(name)
+          .ifPresent(upstream -> byVersion.merge(upstream.version(), 1, Integer::sum));
+    }
+    return byVersion.values().stream().mapToInt(Integer::intValue).max().orElse(0);
+  }
+
   private double lengthRatioOf(String service) {
-    double deferrable = meanMillisOf(service, true);
-    double other = meanMillisOf(service, false);
-    return other > 0 ? deferrable / other : 1;
+    OptionalDouble deferrable = meanMillisOf(service, true);
+    OptionalDouble other = meanMillisOf(service, false);
+    // An instance without requests of both classes follows the reports of the others.
+    return deferrable.isPresent() && other.isPresent()
+        ? deferrable.getAsDouble() / other.getAsDouble()
+        : EngineReservation.MINIMUM_LENGTH_RATIO;
   }
 
-  /** Returns the mean over the ranks that are deferrable or not, 0 if no request was sent. */
-  private double meanMillisOf(String service, boolean deferrable) {
+  /** Returns the mean over the ranks that are deferrable or not, empty if no request was sent. */
+  private OptionalDouble meanMillisOf(String service, boolean deferrable) {
     return tables.deferrableRoutes().ranksOf(service).entrySet().stream()
         .filter(rank -> rank.getValue() == deferrable)
         .flatMapToDouble(
             rank -> work.meanMillis(LoadReport.rankKey(service, rank.getKey())).stream())
-        .average()
-        .orElse(0);
+        .average();
   }
 
   /**
@@ -133,7 +152,7 @@
     for (Integer rank : tables.deferrableRoutes().ranksOf(service).keySet()) {
       millis += work.total(LoadReport.rankKey(service, rank), clock.instant());
     }
-    int engines = Math.max(1, tables.remainingUpstreamsOf(service).size());
+    int engines = Math.max(1, enginesOf(service));
     return millis / (engines * MILLIS_PER_SECOND) >= SHORT_UTILIZATION;
   }
 
--- a/org.oatlug/src/org/oatlug/internal/routing/EngineReservation.java
+++ b/org.oatlug/src/org/oatlug/internal/routing/EngineReservation.java
@@ -12,16 +12,17 @@
  * to avoid the engine. With engines of their own, long prompts queue behind each other, for which
  * their goal leaves time, and the others find engines without long prompts.
  *
- * <p>Invariant: a reservation leaves at least {@link #MINIMUM_SHARE} of the engines to either class
- * of requests. Not thread-safe.
+ * <p>Invariants: a reservation leaves at least {@link #MINIMUM_SHARE} of the engines to either
+ * class of requests, and to the deferrable ones at least half of the share that their work has in
+ * all work, so that they are not starved. Not thread-safe.
  */
 public final class EngineReservation {
   /**
-   * Utilization of the reserved engines by deferrable prefills. An engine that prefills most of the
+   * Utilization of the engines of either class by prefills. An engine that prefills most of the
    * time delays each token of the streams that it generates, and streams then pause for longer than
    * their callers accept.
    */
-  static final double RESERVED_UTILIZATION = 0.5;
+  static final double MAXIMUM_UTILIZATION = 0.5;
 
   /** Share of the capacity of all engines below which long prompts rarely delay other requests. */
   static final double BUSY_UTILIZATION = 0.25;
@@ -30,7 +31,7 @@
    * How much longer deferrable prefills have to be than others. Short ones hardly delay others, so
    * that a reservation would only leave fewer engines to each class.
    */
-  static final double MINIMUM_LENGTH_RATIO = 2;
+  public static final double MINIMUM_LENGTH_RATIO = 2;
 
   /** Share of the engines that either class keeps. */
   static final double MINIMUM_SHARE = 0.1;
@@ -83,11 +84,11 @@
     }
     double deferrable = work.deferrableMillis() / (work.engines() * MILLIS_PER_SECOND);
     double other = work.otherMillis() / (work.engines() * MILLIS_PER_SECOND);
-    double need = deferrable / RESERVED_UTILIZATION;
-    // Beyond the capacity of all engines, both classes are equally short of it.
-    double fairShare = deferrable / (deferrable + other);
-    double maximum = Math.max(1 - MINIMUM_SHARE - other / RESERVED_UTILIZATION, fairShare);
-    return Math.max(MINIMUM_SHARE, Math.min(need, Math.min(maximum, 1 - MINIMUM_SHARE)));
+    // What is short goes to the other requests first; deferrable ones keep half of their part.
+    double leftByOthers = 1 - other / MAXIMUM_UTILIZATION;
+    double guaranteed = deferrable / (deferrable + other) / 2;
+    double maximum = Math.min(Math.max(leftByOthers, guaranteed), 1 - MINIMUM_SHARE);
+    return Math.max(MINIMUM_SHARE, Math.min(deferrable / MAXIMUM_UTILIZATION, maximum));
   }
 
   /** Returns the share of the engines that is reserved, 0 for no reservation. */
