Bound the sums of load reports, and send no report for load alone

Sums of many instances could overflow or exceed the limits that receivers check, so that a whole report was rejected. The load differs at every comparison, so each instance sent a report at every chance; a refresh is soon enough for it.

--- a/org.oatlug/src/org/oatlug/internal/gather/LoadReport.java
+++ b/org.oatlug/src/org/oatlug/internal/gather/LoadReport.java
@@ -40,6 +40,15 @@
   static final int MAXIMUM_WORKSPACES = 64;
   static final int MAXIMUM_RANKS = 256;
 
+  /** The weight of a pace that further samples hardly change. */
+  private static final int MAXIMUM_SAMPLES = 1_000_000;
+
+  /** More work per second than all engines of the design size can do. */
+  private static final int MAXIMUM_MILLIS = 100_000_000;
+
+  /** More work per second than the callers of the design size can ask for, in tokens. */
+  private static final float MAXIMUM_LOAD = 1e12f;
+
   /** Several times the number of instances at the design size. */
   private static final int MAXIMUM_REPORTERS = 10_000;
 
@@ -67,13 +76,15 @@
   public record PaceObservation(double pace, int samples) {
     /** Returns the mean of both paces, weighted by their samples. */
     PaceObservation join(PaceObservation other) {
-      int sum = samples + other.samples;
-      double logarithm = (samples * Math.log(pace) + other.samples * Math.log(other.pace)) / sum;
+      int sum = Math.min(MAXIMUM_SAMPLES, samples + other.samples);
+      double logarithm =
+          (samples * Math.log(pace) + other.samples * Math.log(other.pace))
+              / (samples + other.samples);
       return new PaceObservation(Math.exp(logarithm), sum);
     }
 
     private boolean isValid() {
-      return Double.isFinite(pace) && pace > 0 && samples > 0 && samples < Integer.MAX_VALUE / 4096;
+      return Double.isFinite(pace) && pace > 0 && samples > 0 && samples <= MAXIMUM_SAMPLES;
     }
   }
 
@@ -104,11 +115,13 @@
 
     /** Returns the sum of both loads. */
     public WorkspaceLoad plus(WorkspaceLoad other) {
-      return new WorkspaceLoad(demand + other.demand, usual + other.usual);
+      return new WorkspaceLoad(
+          Math.min(MAXIMUM_LOAD, demand + other.demand),
+          Math.min(MAXIMUM_LOAD, usual + other.usual));
     }
 
     private boolean isValid() {
-      return Float.isFinite(demand) && demand >= 0 && Float.isFinite(usual) && usual >= 0;
+      return demand >= 0 && demand <= MAXIMUM_LOAD && usual >= 0 && usual <= MAXIMUM_LOAD;
     }
   }
 
@@ -122,8 +135,8 @@
     return new LoadReport(
             merge(paces, other.paces, PaceObservation::join),
             merge(workspaces, other.workspaces, WorkspaceLoad::plus),
-            merge(workByRank, other.workByRank, Integer::sum),
-            reporters + other.reporters)
+            merge(workByRank, other.workByRank, LoadReport::saturatedSum),
+            Math.min(MAXIMUM_REPORTERS, reporters + other.reporters))
         .bounded();
   }
 
@@ -149,6 +162,11 @@
    * and the workspaces of the highest demand, the others summed.
    */
   public LoadReport bounded() {
+    if (paces.size() <= MAXIMUM_PACES
+        && workspaces.size() <= MAXIMUM_WORKSPACES
+        && workByRank.size() <= MAXIMUM_RANKS) {
+      return this;
+    }
     return new LoadReport(
         highest(paces, MAXIMUM_PACES, entry -> Math.abs(Math.log(entry.pace()))),
         boundedWorkspaces(),
@@ -171,6 +189,10 @@
     return kept;
   }
 
+  private static int saturatedSum(int left, int right) {
+    return Math.min(MAXIMUM_MILLIS, left + right);
+  }
+
   private static <T> Map<String, T> merge(
       Map<String, T> left, Map<String, T> right, BinaryOperator<T> sum) {
     if (left.isEmpty() || right.isEmpty()) {
@@ -213,7 +235,8 @@
     boolean valid =
         paces.values().stream().allMatch(pace -> pace != null && pace.isValid())
             && workspaces.values().stream().allMatch(load -> load != null && load.isValid())
-            && workByRank.values().stream().allMatch(millis -> millis != null && millis >= 0)
+            && workByRank.values().stream()
+                .allMatch(millis -> millis != null && millis >= 0 && millis <= MAXIMUM_MILLIS)
             && reporters >= 0
             && reporters <= MAXIMUM_REPORTERS;
     return valid ? Optional.empty() : Optional.of("an entry of the load report is invalid");
--- a/org.oatlug/src/org/oatlug/internal/gather/StateReport.java
+++ b/org.oatlug/src/org/oatlug/internal/gather/StateReport.java
@@ -131,13 +131,15 @@
         load);
   }
 
-  /** Returns whether the reports are equal apart from ages. */
+  /**
+   * Returns whether the reports are equal apart from ages and load. The load changes all the time,
+   * and a refresh is soon enough for it.
+   */
   boolean equalsIgnoringAges(StateReport other) {
     return openMillis.equals(other.openMillis)
         && speeds.equals(other.speeds)
         && withoutAge(limits).equals(withoutAge(other.limits))
         && withoutAge(brittle).equals(withoutAge(other.brittle))
-        && load.equals(other.load)
         && withoutAge(evidence).equals(withoutAge(other.evidence));
   }
 
