--- a/org.oatlug/src/org/oatlug/internal/engine/UpstreamPaces.java
+++ b/org.oatlug/src/org/oatlug/internal/engine/UpstreamPaces.java
@@ -127,11 +127,14 @@
    */
   public void recordReported(String service, String upstream, double factor, Instant now) {
     reportingServices.put(service, Boolean.TRUE);
-    double usual = group("slowdown", service).add(upstream, factor, now).orElse(1);
-    double ratio = bounded(factor / usual);
+    OptionalDouble usual = group("slowdown", service).add(upstream, factor, now);
+    double ratio = bounded(factor / usual.orElse(1));
     Entry entry = entry(upstream);
     entry.slowdown = Optional.of(new TimedFactor(ratio, now));
-    entry.samples.add(ratio, now);
+    // Without peers to compare with, a false report would set the lasting pace.
+    if (usual.isPresent()) {
+      entry.samples.add(ratio, now);
+    }
   }
 
   /**
