Put workspaces beyond their share behind others of their rank

Also: a time without room is no interval between releases (requests were refused as late for minutes after it), a replacement of the cascade is sent at once, since its value was computed for now, and routes without a goal are not compared with others.

--- a/org.oatlug.test/tst/org/oatlug/internal/limit/AdmissionQueueTest.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/limit/AdmissionQueueTest.java
@@ -169,6 +169,33 @@
     assertEquals(enqueue("in time", 1), Optional.empty());
   }
 
+  /** Guards against refusing all requests for ever after a time without room. */
+  @Test
+  public void testTimeWithoutRoomDoesNotRefuseLaterRequests() {
+    for (int second = 0; second < 300; second++) {
+      queue.enqueue(request("waits", 1, GOAL, GOAL.dividedBy(2)), time.instant());
+      time.run(Duration.ofSeconds(1));
+      release(0);
+    }
+    assertEquals(enqueue("next", 1), Optional.empty());
+    release(1);
+    assertEquals(
+        queue.enqueue(request("in time", 1, GOAL, GOAL), time.instant()), Optional.empty());
+  }
+
+  /** Guards against a workspace beyond its share that goes before others of its rank. */
+  @Test
+  public void testWorkspaceBeyondItsShareGoesBehindOthersOfItsRank() {
+    Instant now = time.instant();
+    Instant goal = now.plus(GOAL);
+    Urgency beyond = new Urgency(1, true, goal, goal);
+    queue.enqueue(request("beyond", beyond, goal, goal), now);
+    enqueue("within", 1);
+    enqueue("lower", 2);
+    release(3);
+    assertEquals(events, List.of("within", "beyond", "lower"));
+  }
+
   /**
    * Room for half of the demand, which three kinds of requests share evenly; each waits for an
    * eighth of its goal at most and is refused then. Guards against serving a kind less often than a
--- a/org.oatlug/src/org/oatlug/internal/gateway/DeferrableRoutes.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/DeferrableRoutes.java
@@ -26,7 +26,8 @@
 public final class DeferrableRoutes {
   /**
    * The minimum difference between the goals of a deferrable route and a more urgent one. Reports
-   * are refreshed every 500 ms in a zone and every 250 ms between zones.
+   * are refreshed every 500 ms in a zone and every 300 ms between zones; the requests in between
+   * count.
    */
   static final long MINIMUM_SLACK_MILLIS = 750;
 
@@ -61,13 +62,17 @@
 
   private static boolean isDeferrable(Route route, List<Route> routes) {
     List<Route> moreUrgent =
-        routes.stream().filter(other -> other.priority() < route.priority()).toList();
+        routes.stream()
+            .filter(other -> other.priority() < route.priority() && other.goalMillis() > 0)
+            .toList();
     return !moreUrgent.isEmpty()
         && moreUrgent.stream()
             .allMatch(other -> route.goalMillis() - other.goalMillis() >= MINIMUM_SLACK_MILLIS);
   }
 
-  /** Returns the ranks of the routes of a service, with those of deferrable routes only as true. */
+  /**
+   * Returns the ranks of the routes of a service, and whether all routes of each are deferrable.
+   */
   Map<Integer, Boolean> ranksOf(String service) {
     Map<Integer, Boolean> ranks = new TreeMap<>();
     for (Route route : byService.getOrDefault(service, List.of())) {
@@ -113,7 +118,7 @@
   private OptionalLong goalsOf(String service, int lowestPriority) {
     return Optional.ofNullable(byService.get(service)).stream()
         .flatMap(List::stream)
-        .filter(other -> other.priority() <= lowestPriority)
+        .filter(other -> other.priority() <= lowestPriority && other.goalMillis() > 0)
         .mapToLong(Route::goalMillis)
         .min();
   }
--- a/org.oatlug/src/org/oatlug/internal/gateway/Exchange.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/Exchange.java
@@ -418,7 +418,8 @@
       return;
     }
     stage = replacement.stage();
-    sendOrWait(replacement.chosen());
+    // A response was dropped for this one, and its value was computed for a request sent now.
+    startAttempt(replacement.chosen());
   }
 
   /**
--- a/org.oatlug/src/org/oatlug/internal/gateway/GatewayComponents.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/GatewayComponents.java
@@ -166,7 +166,8 @@
             settings.loadManagement().queue(),
             tables,
             (service, workspace) ->
-                workMeter.isCapacityShortAt(service)
+                shares.isInUse()
+                    && workMeter.isCapacityShortAt(service)
                     && shares.isBeyondShare(workspace, clock.instant()));
     UpstreamPacing pacing = UpstreamPacing.create(settings.loadManagement().pace(), tables, meters);
     CrashGuard crashes = CrashGuard.create(vertx, clock, meters, tables);
--- a/org.oatlug/src/org/oatlug/internal/gateway/RequestQueue.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/RequestQueue.java
@@ -88,8 +88,9 @@
    * @param bound the time until which it may wait
    * @param urgentGoalMillis the shortest goal of the requests that it must not delay, in
    *     milliseconds; empty if the pending prefill does not matter
+   * @param beyondShare whether its workspace is beyond its share
    */
-  record Terms(Instant bound, OptionalLong urgentGoalMillis) {}
+  record Terms(Instant bound, OptionalLong urgentGoalMillis, boolean beyondShare) {}
 
   /** Returns whether requests may wait, by the settings and the configuration in force. */
   boolean isUsed() {
@@ -135,16 +136,19 @@
     Duration timeout = Duration.between(arrived, deadline);
     Duration shorter = goal.compareTo(timeout) < 0 ? goal : timeout;
     Instant deferrableBound = arrived.plus(shorter.dividedBy(DEFERRABLE_WAIT_DIVISOR));
+    boolean beyondShare = workspace.filter(name -> shares.isBeyondShare(service, name)).isPresent();
     if (routes.contains(service, route)) {
       return Optional.of(
-          new Terms(deferrableBound, routes.shortestUrgentGoalMillis(service, route)));
+          new Terms(deferrableBound, routes.shortestUrgentGoalMillis(service, route), beyondShare));
     }
-    if (workspace.filter(name -> shares.isBeyondShare(service, name)).isPresent()) {
-      return Optional.of(new Terms(deferrableBound, routes.shortestGoalMillisUpTo(service, route)));
+    if (beyondShare) {
+      return Optional.of(
+          new Terms(deferrableBound, routes.shortestGoalMillisUpTo(service, route), true));
     }
     return setting == Switch.ON
         ? Optional.of(
-            new Terms(arrived.plus(goal.dividedBy(BRIEF_WAIT_DIVISOR)), OptionalLong.empty()))
+            new Terms(
+                arrived.plus(goal.dividedBy(BRIEF_WAIT_DIVISOR)), OptionalLong.empty(), false))
         : Optional.empty();
   }
 
@@ -196,8 +200,11 @@
   private void serve() {
     timer = NO_TIMER;
     servedAt = clock.instant();
-    queue.serve(servedAt);
-    scheduleNext();
+    try {
+      queue.serve(servedAt);
+    } finally {
+      scheduleNext();
+    }
   }
 
   private void scheduleNext() {
--- a/org.oatlug/src/org/oatlug/internal/gateway/RequestWait.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/RequestWait.java
@@ -64,7 +64,7 @@
     return exchange.request().service() + "/" + exchange.model().orElse("");
   }
 
-  /** A request that waits leaves the engines that are not reserved for it to urgent requests. */
+  /** Returns whether the upstream has room and is one that the request may wait for. */
   private boolean hasRoom(UpstreamSelection.CostedUpstream upstream) {
     if (!upstream.preferred()) {
       return false;
@@ -80,9 +80,14 @@
     QueuedRequest request =
         new QueuedRequest(
             target(),
-            new Urgency(urgency.rank(), urgency.goalEnd(), urgency.goalEnd().minus(prefill)),
+            new Urgency(
+                urgency.rank(),
+                terms.beyondShare(),
+                urgency.goalEnd(),
+                urgency.goalEnd().minus(prefill)),
             terms.bound(),
-            exchange.request().deadline(),
+            // It is sent at its bound whatever the load, so it never starts too late.
+            Instant.MAX,
             this::proceed,
             this::boundReached,
             predictedWait -> refuseUnlessSent("displaced", predictedWait));
--- a/org.oatlug/src/org/oatlug/internal/limit/AdmissionQueue.java
+++ b/org.oatlug/src/org/oatlug/internal/limit/AdmissionQueue.java
@@ -125,7 +125,8 @@
     Entry entry = new Entry(request, ++lastNumber);
     List<Entry> ofTarget = ofTarget(request.target());
     Duration wait = predictedWait(entry, ofTarget, now);
-    if (now.plus(wait).isAfter(request.latestStart())) {
+    // With an empty queue the request is the next one, whatever earlier intervals were.
+    if (!ofTarget.isEmpty() && wait.compareTo(Duration.between(now, request.latestStart())) > 0) {
       return Optional.of(new Rejection(RejectionReason.LATE, wait));
     }
     if (ofTarget.size() >= MAXIMUM_WAITING) {
@@ -153,6 +154,8 @@
   public void serve(Instant now) {
     for (Entry entry : List.copyOf(entries)) {
       if (!now.isBefore(entry.request().bound()) && entries.remove(entry)) {
+        // A time without room is no interval between releases.
+        releasesOf(entry.target()).intervalStart = now;
         entry.request().boundReached().run();
       }
     }
