Reserve engines by name, and avoid ejected ones among the reserved

Crashed engines stay registered for seconds; requests that prefer reserved engines waited for them. The reservation and the work of a service are computed every 250 ms instead of for each request.

--- a/org.oatlug.test/tst/org/oatlug/internal/gateway/EngineReservationsTest.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/gateway/EngineReservationsTest.java
@@ -15,7 +15,6 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeSet;
-import java.util.function.ToDoubleFunction;
 import java.util.stream.Collectors;
 import org.oatlug.api.ObjectKey;
 import org.oatlug.config.Kinds;
@@ -94,18 +93,9 @@
   }
 
   private Map<String, Double> additionalMillis(EngineReservations reservations, Route route) {
-    List<PlacementPreference.Candidate> candidates =
-        tables.upstreamsOf("pool").stream()
-            .map(
-                name ->
-                    new PlacementPreference.Candidate(
-                        name, tables.upstream(name).orElseThrow(), tables.row(name)))
-            .toList();
-    ToDoubleFunction<String> millis =
-        reservations.preferenceOf("pool", route).additionalMillis(candidates);
+    PlacementPreference preference = reservations.preferenceOf("pool", route);
     Map<String, Double> byName = new HashMap<>();
-    candidates.forEach(
-        candidate -> byName.put(candidate.name(), millis.applyAsDouble(candidate.name())));
+    tables.upstreamsOf("pool").forEach(name -> byName.put(name, preference.additionalMillis(name)));
     return byName;
   }
 
@@ -150,14 +140,42 @@
     EngineReservations reservations = reservations(Switch.AUTO);
     Set<String> before = preferred(additionalMillis(reservations, DIGESTS));
     before.stream().limit(before.size() - 2).forEach(this::remove);
+    now = now.plusSeconds(1);
+    reportDigests();
     Set<String> after = preferred(additionalMillis(reservations, DIGESTS));
     assertTrue(after.size() > 2, "no other engine is reserved: " + after);
     List.copyOf(tables.upstreamsOf("pool")).stream().skip(1).forEach(this::remove);
+    now = now.plusSeconds(1);
+    reportDigests();
     for (Route route : List.of(CHAT, DIGESTS)) {
       assertEquals(List.copyOf(additionalMillis(reservations, route).values()), List.of(0.0));
     }
   }
 
+  /** Crashed engines stay registered for seconds; requests must not wait for them. */
+  @Test
+  public void testRequestsPreferOtherEnginesWhileReservedOnesAreEjected() {
+    reportDigests();
+    EngineReservations reservations = reservations(Switch.AUTO);
+    Set<String> reserved = preferred(additionalMillis(reservations, DIGESTS));
+    reserved.forEach(name -> tables.row(name).recordCrash(now));
+    UpstreamSelection.Criteria criteria =
+        new UpstreamSelection.Criteria(
+            "pool",
+            Optional.empty(),
+            Optional.empty(),
+            Optional.empty(),
+            0,
+            Set.of(),
+            false,
+            8000,
+            reservations.preferenceOf("pool", DIGESTS));
+    UpstreamSelection selection = GatewayDecisionTest.selectionOf(tables, () -> now);
+    UpstreamSelection.CostedUpstream chosen =
+        selection.choose(criteria, now, UpstreamSelection.CostedUpstream::preferred).orElseThrow();
+    assertTrue(!reserved.contains(chosen.name()), "an ejected engine was chosen");
+  }
+
   private void remove(String upstream) {
     put(GatewayKinds.UPSTREAM, upstream, Kinds.tombstone());
   }
--- a/org.oatlug.test/tst/org/oatlug/internal/gateway/GatewayDecisionTest.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/gateway/GatewayDecisionTest.java
@@ -209,6 +209,20 @@
     assertEquals(eligibility.refusalReason("pool", now), RefusalReason.UPSTREAMS_LIMITED);
   }
 
+  /** Returns a selection without limits, measurements and paces. */
+  static UpstreamSelection selectionOf(GatewayTables tables, InstantSource clock) {
+    return UpstreamSelection.create(
+        "here",
+        tables,
+        PrefillEstimates.create(),
+        PrefillBacklog.create(),
+        ZoneReachability.create(),
+        rateLimits(tables, clock, AdvertisedLimits.create(clock), RateSenders.alone()),
+        UpstreamPacing.create(GatewaySettings.Switch.OFF, tables, Meters.of(new MetricRegistry())),
+        unused -> false,
+        new Random(1));
+  }
+
   private UpstreamSelection selection() {
     return UpstreamSelection.create(
         "here",
--- a/org.oatlug/src/org/oatlug/internal/gateway/EngineReservations.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/EngineReservations.java
@@ -8,13 +8,13 @@
 import java.time.Instant;
 import java.time.InstantSource;
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import org.oatlug.gateway.GatewaySettings;
 import org.oatlug.gateway.Route;
+import org.oatlug.gateway.UpstreamRecord;
 import org.oatlug.internal.metrics.Meters;
 import org.oatlug.internal.routing.EngineReservation;
 import org.oatlug.internal.util.Hashes;
@@ -68,9 +68,10 @@
     return new EngineReservations(mode, tables, work, clock, meters);
   }
 
-  /** The reservation of one service and the time of its last update. */
+  /** The reservation of one service, its engines by name, and the time of its last update. */
   private static final class ServiceReservation {
     private final EngineReservation reservation = EngineReservation.create();
+    private Map<String, Boolean> reserved = Map.of();
     private Instant updatedAt = Instant.EPOCH;
   }
 
@@ -79,31 +80,30 @@
     if (!work.applies(mode, service)) {
       return PlacementPreference.NONE;
     }
-    EngineReservation reservation = updated(service, route);
-    if (reservation.share() == 0) {
+    ServiceReservation state = updated(service);
+    if (state.reservation.share() == 0) {
       return PlacementPreference.NONE;
     }
     boolean deferrable = tables.deferrableRoutes().contains(service, route);
     double crossingMillis = CROSSING_SHARE_OF_GOAL * route.goalMillis();
-    return upstreams -> {
-      Map<String, Boolean> reserved = reservedOf(service, reservation, upstreams);
-      return name -> reserved.getOrDefault(name, deferrable) == deferrable ? 0 : crossingMillis;
-    };
+    return name -> state.reserved.getOrDefault(name, deferrable) == deferrable ? 0 : crossingMillis;
   }
 
-  private EngineReservation updated(String service, Route route) {
+  private ServiceReservation updated(String service) {
     ServiceReservation state =
         services.computeIfAbsent(service, unused -> new ServiceReservation());
     Instant now = clock.instant();
     if (!now.isBefore(state.updatedAt.plus(UPDATE_INTERVAL))) {
       state.updatedAt = now;
-      update(service, route, state.reservation);
+      update(service, state.reservation);
+      state.reserved =
+          state.reservation.share() == 0 ? Map.of() : reservedOf(service, state.reservation);
     }
-    return state.reservation;
+    return state;
   }
 
-  private void update(String service, Route route, EngineReservation reservation) {
-    ServiceWorkMeter.ServiceWork sum = work.workOf(service, route);
+  private void update(String service, EngineReservation reservation) {
+    ServiceWorkMeter.ServiceWork sum = work.workOf(service);
     EngineReservation.Work arriving =
         new EngineReservation.Work(
             sum.deferrableMillis(), sum.otherMillis(), sum.engines(), sum.lengthRatio());
@@ -121,27 +121,25 @@
   }
 
   /**
-   * Returns for each upstream whether it is reserved, without those of availability zones that have
-   * too few engines for a reservation.
+   * Returns for each upstream that is not leaving whether it is reserved, without those of
+   * availability zones that have too few engines of a version for a reservation.
    */
-  private static Map<String, Boolean> reservedOf(
-      String service,
-      EngineReservation reservation,
-      Collection<PlacementPreference.Candidate> upstreams) {
-    Map<String, List<PlacementPreference.Candidate>> byZone = new HashMap<>();
-    for (PlacementPreference.Candidate candidate : upstreams) {
-      byZone
-          .computeIfAbsent(candidate.upstream().zone(), unused -> new ArrayList<>())
-          .add(candidate);
+  private Map<String, Boolean> reservedOf(String service, EngineReservation reservation) {
+    Map<String, List<String>> byZoneAndVersion = new HashMap<>();
+    for (String name : tables.remainingUpstreamsOf(service)) {
+      UpstreamRecord upstream = tables.upstream(name).orElseThrow();
+      byZoneAndVersion
+          .computeIfAbsent(upstream.zone() + "/" + upstream.version(), unused -> new ArrayList<>())
+          .add(name);
     }
     long serviceHash = Hashes.hash64(service);
     Map<String, Boolean> reserved = new HashMap<>();
-    for (List<PlacementPreference.Candidate> zone : byZone.values()) {
-      int count = reservation.reservedOf(zone.size());
+    for (List<String> names : byZoneAndVersion.values()) {
+      int count = reservation.reservedOf(names.size());
       if (count > 0) {
-        zone.sort(Comparator.comparingLong(candidate -> candidate.row().rankFor(serviceHash)));
-        for (int index = 0; index < zone.size(); index++) {
-          reserved.put(zone.get(index).name(), index < count);
+        names.sort(Comparator.comparingLong(name -> tables.row(name).rankFor(serviceHash)));
+        for (int index = 0; index < names.size(); index++) {
+          reserved.put(names.get(index), index < count);
         }
       }
     }
--- a/org.oatlug/src/org/oatlug/internal/gateway/ServiceWorkMeter.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/ServiceWorkMeter.java
@@ -4,6 +4,7 @@
 package org.oatlug.internal.gateway;
 
 import java.time.Duration;
+import java.time.Instant;
 import java.time.InstantSource;
 import java.util.HashMap;
 import java.util.Map;
@@ -25,6 +26,9 @@
 final class ServiceWorkMeter {
   private static final double MILLIS_PER_SECOND = 1000;
 
+  /** The interval between measurements; each reads all engines of a service. */
+  private static final Duration INTERVAL = Duration.ofMillis(250);
+
   /** The utilization from which the mean wait of a prefill exceeds half of a prefill. */
   private static final double SHORT_UTILIZATION = 0.5;
 
@@ -32,6 +36,7 @@
   private final GatewayTables tables;
   private final PrefillWork work;
   private final InstantSource clock;
+  private final Map<String, ServiceWork> measured = new HashMap<>();
 
   private ServiceWorkMeter(
       LoadManagement settings, GatewayTables tables, PrefillWork work, InstantSource clock) {
@@ -50,19 +55,21 @@
   /**
    * The prefill work that arrives at a service.
    *
+   * @param millisByRank the work by rank, in milliseconds per second
    * @param deferrableMillis the work of deferrable requests, in milliseconds per second
    * @param otherMillis the work of the other requests, in milliseconds per second
-   * @param urgentMillis the work of the requests that are at least as urgent as a given route
    * @param engines the number of engines
    * @param lengthRatio the mean prefill time of a deferrable request at this instance, relative to
    *     that of another
+   * @param at the time of the measurement
    */
   record ServiceWork(
+      Map<Integer, Double> millisByRank,
       double deferrableMillis,
       double otherMillis,
-      double urgentMillis,
       int engines,
-      double lengthRatio) {
+      double lengthRatio,
+      Instant at) {
     private double totalMillis() {
       return deferrableMillis + otherMillis;
     }
@@ -72,9 +79,14 @@
       return engines > 0 ? totalMillis() / (engines * MILLIS_PER_SECOND) : 0;
     }
 
-    /** Returns the share of the work that is at least as urgent as the route, 1 without work. */
-    double urgentShare() {
-      return totalMillis() > 0 ? urgentMillis / totalMillis() : 1;
+    /** Returns the share of the work that is at least as urgent as a rank, 1 without work. */
+    double urgentShare(int rank) {
+      double urgent =
+          millisByRank.entrySet().stream()
+              .filter(entry -> entry.getKey() <= rank)
+              .mapToDouble(Map.Entry::getValue)
+              .sum();
+      return totalMillis() > 0 ? urgent / totalMillis() : 1;
     }
   }
 
@@ -96,19 +108,29 @@
     }
   }
 
-  /** Returns the work of a service; its urgency is compared to that of the route. */
-  ServiceWork workOf(String service, Route route) {
+  /** Returns the work of a service, measured within the last {@link #INTERVAL}. */
+  ServiceWork workOf(String service) {
+    Instant now = clock.instant();
+    ServiceWork last = measured.get(service);
+    if (last == null || !now.isBefore(last.at().plus(INTERVAL))) {
+      last = measure(service, now);
+      measured.put(service, last);
+    }
+    return last;
+  }
+
+  private ServiceWork measure(String service, Instant now) {
     double deferrable = 0;
     double other = 0;
-    double urgent = 0;
+    Map<Integer, Double> millisByRank = new HashMap<>();
     for (Map.Entry<Integer, Boolean> rank : tables.deferrableRoutes().ranksOf(service).entrySet()) {
-      double millis = work.total(LoadReport.rankKey(service, rank.getKey()), clock.instant());
+      double millis = work.total(LoadReport.rankKey(service, rank.getKey()), now);
       deferrable += rank.getValue() ? millis : 0;
       other += rank.getValue() ? 0 : millis;
-      urgent += rank.getKey() <= route.priority() ? millis : 0;
+      millisByRank.put(rank.getKey(), millis);
     }
-    int engines = enginesOf(service);
-    return new ServiceWork(deferrable, other, urgent, engines, lengthRatioOf(service));
+    return new ServiceWork(
+        millisByRank, deferrable, other, enginesOf(service), lengthRatioOf(service), now);
   }
 
   /**
@@ -148,12 +170,8 @@
    * wait for each other.
    */
   boolean isCapacityShortAt(String service) {
-    double millis = 0;
-    for (Integer rank : tables.deferrableRoutes().ranksOf(service).keySet()) {
-      millis += work.total(LoadReport.rankKey(service, rank), clock.instant());
-    }
-    int engines = Math.max(1, enginesOf(service));
-    return millis / (engines * MILLIS_PER_SECOND) >= SHORT_UTILIZATION;
+    return tables.deferrableRoutes().hasAny(service)
+        && workOf(service).utilization() >= SHORT_UTILIZATION;
   }
 
   /** Returns whether capacity is short at any service with a deferrable route. */
@@ -171,7 +189,7 @@
     if (!applies(settings.escalation(), service)) {
       return 1;
     }
-    ServiceWork arriving = workOf(service, route);
-    return EscalationDelay.weight(arriving.utilization(), arriving.urgentShare());
+    ServiceWork arriving = workOf(service);
+    return EscalationDelay.weight(arriving.utilization(), arriving.urgentShare(route.priority()));
   }
 }
--- a/org.oatlug/src/org/oatlug/internal/gateway/UpstreamChoice.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/UpstreamChoice.java
@@ -67,7 +67,10 @@
     Optional<UpstreamSelection.CostedUpstream> untried =
         chooseExcluding(model, triedUpstreams, condition);
     boolean triedBefore = lastUpstream.isPresent() || request.forwarded().isPresent();
-    if (untried.isPresent() || !triedBefore || !request.route().isRepeatable()) {
+    if (untried.isPresent()
+        || !triedBefore
+        || !request.route().isRepeatable()
+        || chooseExcluding(model, triedUpstreams, unused -> true).isPresent()) {
       return untried;
     }
     return chooseExcluding(model, lastUpstream.map(Set::of).orElse(Set.of()), condition);
--- a/org.oatlug/src/org/oatlug/internal/gateway/UpstreamSelection.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/UpstreamSelection.java
@@ -8,18 +8,19 @@
 import java.util.Arrays;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Predicate;
 import java.util.function.ToDoubleFunction;
 import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
 import org.oatlug.gateway.Generation;
 import org.oatlug.gateway.PromptPart;
 import org.oatlug.gateway.UpstreamRecord;
 import org.oatlug.internal.engine.FirstTokenForecast;
 import org.oatlug.internal.engine.PrefillBacklog;
 import org.oatlug.internal.engine.PrefillEstimates;
-import org.oatlug.internal.gateway.PlacementPreference.Candidate;
 import org.oatlug.internal.routing.PlacementCost;
 import org.oatlug.internal.routing.PredictedResponseCost;
 import org.oatlug.internal.routing.SampledChoice;
@@ -41,6 +42,9 @@
   /** Maximum random cost, in milliseconds, that distributes requests over equal upstreams. */
   private static final double JITTER_MILLIS = 5;
 
+  /** The candidates drawn besides the preferred ones, so that these are left when overloaded. */
+  private static final int MAXIMUM_OTHERS_DRAWN = 2;
+
   /** The success share that an upstream is assumed to have, so that it is still tried. */
   private static final double MINIMUM_SUCCESS = 0.05;
 
@@ -161,6 +165,9 @@
     }
   }
 
+  /** An eligible upstream of a service and the state that this instance has observed. */
+  private record Candidate(String name, UpstreamRecord upstream, UpstreamRow row) {}
+
   /**
    * An upstream that can be selected, with its cost.
    *
@@ -170,7 +177,7 @@
    * @param forecast the predicted time until the response begins
    * @param costMillis the placement cost in milliseconds
    * @param applied how its pace entered the cost
-   * @param preferred whether the preference of the request adds nothing to its cost
+   * @param preferred whether the request prefers it and it is not avoided
    */
   record CostedUpstream(
       String name,
@@ -212,16 +219,26 @@
   private Optional<CostedUpstream> chooseSampled(
       Criteria criteria, Instant now, Predicate<CostedUpstream> condition) {
     List<Candidate> candidates = candidates(criteria, now);
-    ToDoubleFunction<String> additionalMillis = criteria.preference().additionalMillis(candidates);
+    ToDoubleFunction<String> additionalMillis = additionalMillis(criteria, candidates, now);
     String home = homeOf(criteria, candidates, additionalMillis);
-    List<Candidate> drawn =
-        SampledChoice.draw(
-            drawable(criteria, preferred(candidates, additionalMillis), home, now), random);
+    Map<Boolean, List<Candidate>> byPreference =
+        candidates.stream()
+            .collect(
+                Collectors.partitioningBy(
+                    candidate -> isPreferred(candidate, additionalMillis, now)));
+    List<Candidate> drawn = new ArrayList<>(draw(criteria, byPreference.get(true), home, now));
+    draw(criteria, byPreference.get(false), home, now).stream()
+        .limit(drawn.isEmpty() ? Long.MAX_VALUE : MAXIMUM_OTHERS_DRAWN)
+        .forEach(drawn::add);
+    List<CostedUpstream> satisfying =
+        costsOf(criteria, drawn, home, additionalMillis, now).stream().filter(condition).toList();
+    if (satisfying.isEmpty()) {
+      return costsOf(criteria, candidates, home, additionalMillis, now).stream()
+          .filter(condition)
+          .min(Comparator.comparingDouble(CostedUpstream::costMillis));
+    }
     List<SampledChoice.Option<CostedUpstream>> options = new ArrayList<>();
-    for (CostedUpstream costed : costsOf(criteria, drawn, home, additionalMillis, now)) {
-      if (!condition.test(costed)) {
-        continue;
-      }
+    for (CostedUpstream costed : satisfying) {
       options.add(
           new SampledChoice.Option<>(
               costed,
@@ -233,14 +250,35 @@
         .map(choice -> choice.tieBroken() ? choice.value().withTieBroken() : choice.value());
   }
 
-  /** Returns the candidates that the request prefers, all if there are none. */
-  private static List<Candidate> preferred(
-      List<Candidate> candidates, ToDoubleFunction<String> additionalMillis) {
-    List<Candidate> preferred =
+  private List<Candidate> draw(
+      Criteria criteria, List<Candidate> candidates, String home, Instant now) {
+    return candidates.isEmpty()
+        ? List.of()
+        : SampledChoice.draw(drawable(criteria, candidates, home, now), random);
+  }
+
+  private boolean isPreferred(
+      Candidate candidate, ToDoubleFunction<String> additionalMillis, Instant now) {
+    return additionalMillis.applyAsDouble(candidate.name()) <= 0 && !isAvoided(candidate, now);
+  }
+
+  /**
+   * Returns the additional cost of each candidate by the preference of the request, relative to the
+   * most preferred one that is not avoided.
+   */
+  private ToDoubleFunction<String> additionalMillis(
+      Criteria criteria, List<Candidate> candidates, Instant now) {
+    PlacementPreference preference = criteria.preference();
+    if (preference == PlacementPreference.NONE) {
+      return preference::additionalMillis;
+    }
+    double lowest =
         candidates.stream()
-            .filter(candidate -> additionalMillis.applyAsDouble(candidate.name()) == 0)
-            .toList();
-    return preferred.isEmpty() ? candidates : preferred;
+            .filter(candidate -> !isAvoided(candidate, now))
+            .mapToDouble(candidate -> preference.additionalMillis(candidate.name()))
+            .min()
+            .orElse(0);
+    return name -> Math.max(0, preference.additionalMillis(name) - lowest);
   }
 
   private List<SampledChoice.Candidate<Candidate>> drawable(
@@ -271,8 +309,8 @@
   /**
    * Returns the relative probability that an upstream is drawn, reduced for failures and a cold
    * start, so that two failing upstreams are seldom drawn together. It follows the square root of
-   * the pace, because the cost of those drawn follows the pace as well: by the whole pace, engines
-   * that are 2.18 times as fast got 2.5 times the requests.
+   * the pace, because the cost of those drawn follows the pace as well: the whole pace would assign
+   * too many requests to fast engines.
    */
   private double weightOf(Candidate candidate, Instant now) {
     double success = Math.max(MINIMUM_SUCCESS, 1 - candidate.row().failureShare(now));
@@ -290,7 +328,7 @@
   /** Returns the upstreams that can be selected, with their costs, in no particular order. */
   List<CostedUpstream> costs(Criteria criteria, Instant now) {
     List<Candidate> candidates = candidates(criteria, now);
-    ToDoubleFunction<String> additionalMillis = criteria.preference().additionalMillis(candidates);
+    ToDoubleFunction<String> additionalMillis = additionalMillis(criteria, candidates, now);
     String home = homeOf(criteria, candidates, additionalMillis);
     return costsOf(criteria, candidates, home, additionalMillis, now);
   }
@@ -332,7 +370,7 @@
               forecast,
               cost + additional + jitter,
               applied,
-              additional == 0));
+              isPreferred(candidate, additionalMillis, now)));
     }
     return costs;
   }
