Ask again for what an instance misses because its own event loop lagged

A restarted instance sent requests with a convicted prompt part (5, 3 are allowed) in a run of the whole tests beside load. Its queries for crash records had timed out after 0.6 to 1.2 s instead of 0.4 s, because its event loop lagged while it started, and it concluded that nobody responds. Such a timeout shows nothing: the query is sent again, within the bound of 1.5 s for the start. The same for the question whether others are in sync, at most three times more.

StartupCrashQueryTest fails without the change.

--- a/org.oatlug/src/org/oatlug/internal/config/ConfigurationSystem.java
+++ b/org.oatlug/src/org/oatlug/internal/config/ConfigurationSystem.java
@@ -43,7 +43,7 @@
    * process that has just started is slow, and so are its first connections. Where no process
    * listens, the connection is refused at once.
    */
-  private static final Duration SYNC_TIMEOUT = Duration.ofMillis(1500);
+  static final Duration SYNC_TIMEOUT = Duration.ofMillis(1500);
 
   /** Minimum time between log lines about failed digest comparisons. */
   private static final int FAILED_DIGEST_LOG_INTERVAL_SECONDS = 1;
--- a/org.oatlug/src/org/oatlug/internal/config/StartupSync.java
+++ b/org.oatlug/src/org/oatlug/internal/config/StartupSync.java
@@ -24,10 +24,11 @@
  * instance that relied on the store alone would serve an older state than theirs. So a few peers
  * are asked whether they are in sync. If none of these answers in time, all are asked: many may
  * have been lost or be slow, and their silence does not show that no instance runs; where none
- * listens, connections are refused at once. Once this instance has read the store, it compares
- * digests with a peer that is in sync, and fetches the objects that it lacks. If no peer is in
- * sync, the store is the only source. Invariant: an instance that is in sync remains so. Owned by
- * one event loop, not thread-safe.
+ * listens, connections are refused at once. If the event loop of this instance lagged meanwhile,
+ * which is frequent at a start on a busy machine, the timeouts show nothing either, and all are
+ * asked again. Once this instance has read the store, it compares digests with a peer that is in
+ * sync, and fetches the objects that it lacks. If no peer is in sync, the store is the only source.
+ * Invariant: an instance that is in sync remains so. Owned by one event loop, not thread-safe.
  */
 final class StartupSync {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
@@ -38,6 +39,13 @@
   /** The time within which a connection is refused where no process listens. */
   private static final Duration REFUSAL_TIME = Duration.ofMillis(500);
 
+  /** The delay of a timeout from which it is attributed to the event loop of this instance. */
+  private static final Duration LATE_TIMEOUT =
+      ConfigurationSystem.SYNC_TIMEOUT.plus(ConfigurationSystem.SYNC_TIMEOUT.dividedBy(4));
+
+  /** Bounds the delay of a start whose event loop never catches up. */
+  private static final int MAXIMUM_REPETITIONS = 3;
+
   private final Membership membership;
   private final RandomGenerator random;
   private final InstantSource clock;
@@ -45,6 +53,7 @@
   private final Deque<Member> sources = new ArrayDeque<>();
   private Optional<Instant> askedAt = Optional.empty();
   private boolean askedAll;
+  private int repetitions;
   private boolean anyAnswered;
   private int pendingAnswers;
   private boolean fetching;
@@ -123,17 +132,23 @@
 
   private void handleNoAnswer() {
     pendingAnswers--;
-    if (pendingAnswers == 0 && !anyAnswered && !askedAll && isLaterThanRefusal()) {
-      askedAll = true;
+    if (pendingAnswers == 0 && !anyAnswered && mayAskAgain()) {
       logger.atInfo().log("no instance answered whether it is in sync, asking all");
       ask(membership.addressablePeers());
     }
     proceed();
   }
 
-  private boolean isLaterThanRefusal() {
-    Instant refusedBy = askedAt.orElseThrow().plus(REFUSAL_TIME);
-    return clock.instant().isAfter(refusedBy);
+  private boolean mayAskAgain() {
+    if (!askedAll && hasAskedFor(REFUSAL_TIME)) {
+      askedAll = true;
+      return true;
+    }
+    return hasAskedFor(LATE_TIMEOUT) && ++repetitions <= MAXIMUM_REPETITIONS;
+  }
+
+  private boolean hasAskedFor(Duration duration) {
+    return clock.instant().isAfter(askedAt.orElseThrow().plus(duration));
   }
 
   private void proceed() {
--- a/org.oatlug/src/org/oatlug/internal/gather/StartupCrashQuery.java
+++ b/org.oatlug/src/org/oatlug/internal/gather/StartupCrashQuery.java
@@ -5,6 +5,8 @@
 
 import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
 import java.util.HashSet;
 import java.util.Set;
 import org.oatlug.internal.crash.CrashLedger;
@@ -18,8 +20,9 @@
  * to.
  *
  * <p>Invariants: an instance is asked again only if it did not respond, and at most {@link
- * #MAXIMUM_QUERIES} queries are sent; none once an instance that has all records has responded.
- * Owned by one event loop, not thread-safe.
+ * #MAXIMUM_QUERIES} queries are sent; none once an instance that has all records has responded. A
+ * query that timed out late, because the event loop of this instance lagged, does not show that the
+ * other one does not respond. Owned by one event loop, not thread-safe.
  */
 final class StartupCrashQuery {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
@@ -32,23 +35,34 @@
 
   private static final Duration TIMEOUT = Duration.ofMillis(400);
 
+  /** The delay of a timeout from which it is attributed to the event loop of this instance. */
+  private static final Duration LATE_TIMEOUT = TIMEOUT.plus(TIMEOUT.dividedBy(4));
+
   private final Membership membership;
   private final PeerNetwork network;
+  private final InstantSource clock;
   private final CrashLedger ledger;
   private final Set<String> asked = new HashSet<>();
+
+  /** The addresses whose last query timed out late. */
+  private final Set<String> timedOutLate = new HashSet<>();
+
   private int queries;
   private int outstanding;
   private boolean informed;
 
-  private StartupCrashQuery(Membership membership, PeerNetwork network, CrashLedger ledger) {
+  private StartupCrashQuery(
+      Membership membership, PeerNetwork network, InstantSource clock, CrashLedger ledger) {
     this.membership = membership;
     this.network = network;
+    this.clock = clock;
     this.ledger = ledger;
   }
 
   /** Returns a query that has sent no messages yet. */
-  static StartupCrashQuery create(Membership membership, PeerNetwork network, CrashLedger ledger) {
-    return new StartupCrashQuery(membership, network, ledger);
+  static StartupCrashQuery create(
+      Membership membership, PeerNetwork network, InstantSource clock, CrashLedger ledger) {
+    return new StartupCrashQuery(membership, network, clock, ledger);
   }
 
   /** Returns whether an instance that has all records has responded. */
@@ -58,7 +72,7 @@
 
   /** Returns whether an instance that was asked may still respond. */
   boolean isOutstanding() {
-    return outstanding > 0;
+    return outstanding > 0 || !timedOutLate.isEmpty();
   }
 
   /** Asks instances that were not asked before, or did not respond. */
@@ -73,6 +87,8 @@
   }
 
   private void ask(Member peer, String address) {
+    final Instant sentAt = clock.instant();
+    timedOutLate.remove(address);
     queries++;
     outstanding++;
     network
@@ -83,6 +99,9 @@
             failure -> {
               outstanding--;
               asked.remove(address);
+              if (clock.instant().isAfter(sentAt.plus(LATE_TIMEOUT))) {
+                timedOutLate.add(address);
+              }
               logger.atFine().log(
                   "no crash records from %s: %s", peer.name(), failure.getMessage());
             });
--- a/org.oatlug/src/org/oatlug/internal/gather/StateExchange.java
+++ b/org.oatlug/src/org/oatlug/internal/gather/StateExchange.java
@@ -98,7 +98,7 @@
     this.participant = participant;
     this.ledger = ledger;
     this.crashReplication = CrashReplication.of(ledger);
-    this.crashQuery = StartupCrashQuery.create(membership, network, ledger);
+    this.crashQuery = StartupCrashQuery.create(membership, network, clock, ledger);
     this.collectors = ZoneCollectors.of(membership, clock);
   }
 
