--- a/org.oatlug/src/org/oatlug/gateway/GatewaySettings.java
+++ b/org.oatlug/src/org/oatlug/gateway/GatewaySettings.java
@@ -141,19 +141,26 @@
   }
 
   /**
-   * The parts of load management that are in use; see docs/design/load-management.md.
+   * The parts of load management that are in use; see docs/design/load-management.md and
+   * docs/design/instance-overload.md.
    *
    * @param queue the queue of requests that may wait
    * @param pace the pace of upstreams
    * @param shares the shares of workspaces
    * @param reservation the reservation of engines for deferrable requests
    * @param escalation the weight of load and urgency when a larger model is considered
+   * @param connections the admission of new connections while the instance is overloaded
    */
   public record LoadManagement(
-      Switch queue, Switch pace, Switch shares, Switch reservation, Switch escalation) {
+      Switch queue,
+      Switch pace,
+      Switch shares,
+      Switch reservation,
+      Switch escalation,
+      Switch connections) {
     /** No part is in use. */
     public static final LoadManagement OFF =
-        new LoadManagement(Switch.OFF, Switch.OFF, Switch.OFF, Switch.OFF, Switch.OFF);
+        new LoadManagement(Switch.OFF, Switch.OFF, Switch.OFF, Switch.OFF, Switch.OFF, Switch.OFF);
   }
 
   /**
