Excuse idle and peer timeouts while the event loop lags

A lagging instance took silent responses, unanswered requests to other instances and unrefuted suspicions for failures of the other side, though what arrived in time had only not been read.

Idle timeouts of responses are extended by the lag, once in an idle period, and count as failures only if the loop did not lag again. The check of a response that ended with its connection gets another 100 ms.

--- a/org.oatlug.entry/src/org/oatlug/entry/GatewayInstance.java
+++ b/org.oatlug.entry/src/org/oatlug/entry/GatewayInstance.java
@@ -217,6 +217,8 @@
             configuration,
             (from, message) ->
                 Uni.createFrom().item(handle(message, from, stateExchange, components))));
+    peerListener.judgeTimeouts(components.timeouts());
+    membership.judgeTimeouts(components.timeouts());
     readinessGate =
         ReadinessGate.create(
             clock,
--- a/org.oatlug.test/tst/org/oatlug/internal/forward/ReceiversTest.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/forward/ReceiversTest.java
@@ -76,6 +76,19 @@
     assertEquals(fleet.withoutReceiver, 0);
   }
 
+  /**
+   * Guards against requests refused as unreachable because this instance read no answer in time.
+   */
+  @Test(dataProvider = "sizes")
+  public void testAnswersUnreadDuringOwnLagAreAskedForAgain(int size, long seed) {
+    ReceiverFleet fleet = ReceiverFleet.create(size, seed);
+    fleet.loseService("hall-a", fleet.sizeOf("hall-a"));
+    fleet.lagFor(Duration.ofMillis(300));
+    fleet.run(MEASURED);
+    assertEquals(fleet.withoutReceiver, 0);
+    assertTrue(!fleet.requestsByReceiver.isEmpty());
+  }
+
   @Test(dataProvider = "sizes")
   public void testInstanceLearnedLaterIsAskedAtOnce(int size, long seed) {
     ReceiverFleet fleet = ReceiverFleet.createUnacquainted(size, seed, SHORT);
--- a/org.oatlug.test/tst/org/oatlug/internal/gateway/GatewayServerFixture.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/gateway/GatewayServerFixture.java
@@ -101,6 +101,11 @@
     put(GatewayKinds.UPSTREAM, name, record(port, "hall-a", false));
   }
 
+  /** Returns the components of the server; they are owned by its event loop. */
+  GatewayComponents components() {
+    return components;
+  }
+
   /** Returns the value of a counter. */
   long count(String name) {
     return components.meters().registry().counter(name).getCount();
--- a/org.oatlug.test/tst/org/oatlug/internal/gateway/InstanceOverloadTest.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/gateway/InstanceOverloadTest.java
@@ -16,6 +16,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -172,6 +173,34 @@
     }
   }
 
+  /**
+   * Runs an idle timeout while the clock is faster than timers by a factor; returns its outcome.
+   */
+  private boolean idleTimeoutIsEvidence(int clockFactor) throws Exception {
+    Duration timeout = Duration.ofMillis(200);
+    CompletableFuture<Boolean> outcome = new CompletableFuture<>();
+    server
+        .components()
+        .vertx()
+        .runOnContext(
+            unused ->
+                IdleTimeout.create(server.components(), () -> timeout, outcome::complete).start());
+    while (!outcome.isDone()) {
+      Thread.sleep(5);
+      server.suspend(Duration.ofMillis(5L * (clockFactor - 1)));
+    }
+    return outcome.get();
+  }
+
+  @Test
+  public void testIdleTimeoutIsExtendedOnceAndNoEvidenceDuringLag() throws Exception {
+    server.listen();
+    assertTrue(idleTimeoutIsEvidence(1));
+    assertEquals(server.count("timeout.own-delay"), 0);
+    assertFalse(idleTimeoutIsEvidence(3));
+    assertEquals(server.count("timeout.own-delay"), 2, "one extension, then the timeout");
+  }
+
   private static void sleep(long millis) {
     try {
       Thread.sleep(millis);
--- a/org.oatlug.test/tst/org/oatlug/test/SilentConnectionTest.java
+++ b/org.oatlug.test/tst/org/oatlug/test/SilentConnectionTest.java
@@ -4,6 +4,7 @@
 package org.oatlug.test;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 import io.smallrye.mutiny.Uni;
@@ -16,7 +17,9 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.oatlug.config.Settings;
+import org.oatlug.errors.PeerUnavailableException;
 import org.oatlug.internal.peer.Member;
 import org.oatlug.internal.peer.PeerMessage;
 import org.oatlug.internal.peer.TcpPeerNetwork;
@@ -140,6 +143,30 @@
     assertTrue(silencers.size() > 1, "no other connection was opened");
   }
 
+  /** Guards against closing connections whose data this instance has not read in time itself. */
+  @Test
+  public void testSilenceDuringOwnLagIsNoEvidence() throws Exception {
+    AtomicBoolean late = new AtomicBoolean();
+    callerNetwork.judgeTimeouts(timeout -> () -> !late.get());
+    Await.until("the first ping is answered", this::isPingAnswered);
+    final int connections = silencers.size();
+    late.set(true);
+    silencers.forEach(Runnable::run);
+    for (int ping = 0; ping < 3; ping++) {
+      CompletableFuture<Throwable> failure = new CompletableFuture<>();
+      vertx.runOnContext(
+          unused ->
+              callerNetwork
+                  .sendRequest(relayedPeer, new PeerMessage.Ping(List.of()), REQUEST_TIMEOUT)
+                  .subscribe()
+                  .with(message -> failure.complete(null), failure::complete));
+      assertFalse(PeerUnavailableException.isEvidence(failure.get(WAIT_SECONDS, TimeUnit.SECONDS)));
+    }
+    assertEquals(silencers.size(), connections, "the connection is kept");
+    late.set(false);
+    Await.until("a ping is answered on another connection", this::isPingAnswered);
+  }
+
   private Member startRelayedPeer(String name) throws Exception {
     int port = Ports.free();
     int relayPort = Ports.free();
--- a/org.oatlug/src/org/oatlug/internal/forward/Receivers.java
+++ b/org.oatlug/src/org/oatlug/internal/forward/Receivers.java
@@ -20,6 +20,7 @@
 import java.util.function.Consumer;
 import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
+import org.oatlug.errors.PeerUnavailableException;
 import org.oatlug.internal.membership.Membership;
 import org.oatlug.internal.metrics.Meters;
 import org.oatlug.internal.peer.Member;
@@ -103,9 +104,23 @@
     private final Map<String, Instant> unservedUntil = new HashMap<>();
     private final List<Pending> pending = new ArrayList<>();
     private final Set<String> askedProcesses = new HashSet<>();
+
+    /** The processes whose answers may have arrived unread, because this instance was late. */
+    private final Set<String> unheardProcesses = new HashSet<>();
+
     private Set<String> logged = Set.of();
     private Instant askedAt = Instant.MIN;
     private int questionsOpen;
+    private boolean askedAgain;
+
+    /** Allows to ask the processes again that were not heard, once for each refresh. */
+    void askUnheardAgain() {
+      if (!unheardProcesses.isEmpty() && !askedAgain) {
+        askedAgain = true;
+        askedProcesses.removeAll(unheardProcesses);
+      }
+      unheardProcesses.clear();
+    }
   }
 
   /** A request that waits for the first statements. */
@@ -123,6 +138,7 @@
     if (receivers.questionsOpen == 0) {
       if (isRefreshDue(receivers)) {
         receivers.askedAt = clock.instant();
+        receivers.askedAgain = false;
         receivers.askedProcesses.removeIf(membership::isGone);
         ask(service, receivers, sample(receivers, member -> true));
       } else if (best(receivers, excluded, VALIDITY).isEmpty()) {
@@ -162,6 +178,9 @@
               answer -> answered(service, receivers, member, answer),
               failure -> {
                 logger.atFine().log("%s does not answer whether it reaches it", member.name());
+                if (!PeerUnavailableException.isEvidence(failure)) {
+                  receivers.unheardProcesses.add(member.process());
+                }
                 questionEnded(service, receivers);
               });
     }
@@ -228,6 +247,7 @@
   private void questionEnded(String service, ServiceReceivers receivers) {
     receivers.questionsOpen--;
     if (receivers.questionsOpen == 0 && lacksReceiver(receivers)) {
+      receivers.askUnheardAgain();
       askOthers(service, receivers);
     }
     boolean allAnswered = receivers.questionsOpen == 0;
--- a/org.oatlug/src/org/oatlug/internal/gateway/ExchangeAttempt.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/ExchangeAttempt.java
@@ -12,6 +12,7 @@
 import java.util.Locale;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.function.BooleanSupplier;
 import org.oatlug.api.RefusalReason;
 import org.oatlug.errors.ErrorText;
 import org.oatlug.errors.UpstreamFailedException.Progress;
@@ -36,7 +37,7 @@
   private static final int FIRST_SERVER_ERROR = 500;
 
   /** The time for which the end of a response waits until the state of the upstream is known. */
-  private static final long MAXIMUM_CHECK_MILLIS = 100;
+  private static final Duration MAXIMUM_CHECK_TIME = Duration.ofMillis(100);
 
   /** The time after the first data in which a prompt may still crash the upstream. */
   private static final Duration BEGINNING = Duration.ofMillis(500);
@@ -60,6 +61,7 @@
   private boolean written;
   private Optional<Instant> firstDataAt = Optional.empty();
   private boolean hasBegun;
+  private long checkTimer;
 
   ExchangeAttempt(
       Exchange exchange, UpstreamSelection.CostedUpstream chosen, Optional<String> model) {
@@ -141,14 +143,18 @@
 
   /**
    * Abandons the attempt after the idle timeout, if the request may be sent to another upstream.
+   *
+   * @param isEvidence whether the silence counts as a failure of the upstream and its version
    */
-  private void retryOnAnotherUpstream() {
+  private void retryOnAnotherUpstream(boolean isEvidence) {
     if (!responseRelay.isForwarded() && exchange.tryAcquireRetry("upstream-silent")) {
       abandon();
       logEvent("silent");
-      feedback.recordFailure();
       exchange.markMayHaveRun();
-      recordOutcome(true);
+      if (isEvidence) {
+        feedback.recordFailure();
+        recordOutcome(true);
+      }
       relay.resetForNextUpstream();
       exchange.sendToNextUpstream();
     }
@@ -397,18 +403,34 @@
       complete();
       return;
     }
-    long timer =
-        components.vertx().setTimer(MAXIMUM_CHECK_MILLIS, unused -> complete(ProcessState.UNKNOWN));
+    limitCheck(true);
     components
         .crashes()
         .checkProcess(
             chosen,
             state -> {
-              components.vertx().cancelTimer(timer);
+              components.vertx().cancelTimer(checkTimer);
               complete(state);
             });
   }
 
+  /** Limits the time of the check; extends it once if the event loop lagged meanwhile. */
+  private void limitCheck(boolean extensible) {
+    BooleanSupplier counts = components.timeouts().start(MAXIMUM_CHECK_TIME);
+    checkTimer =
+        components
+            .vertx()
+            .setTimer(
+                MAXIMUM_CHECK_TIME.toMillis(),
+                unused -> {
+                  if (extensible && !released && !counts.getAsBoolean()) {
+                    limitCheck(false);
+                  } else {
+                    complete(ProcessState.UNKNOWN);
+                  }
+                });
+  }
+
   private void complete(ProcessState state) {
     if (released) {
       return;
--- a/org.oatlug/src/org/oatlug/internal/gateway/ForwardedAttempt.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/ForwardedAttempt.java
@@ -133,12 +133,14 @@
     return atUpstream.multipliedBy(forwarded.maximumAttempts() + 1L);
   }
 
-  private void retryElsewhere() {
+  private void retryElsewhere(boolean isEvidence) {
     if (!responseRelay.isForwarded() && exchange.tryAcquireRetry("instance-silent")) {
       abandon();
       logEvent("silent");
       exchange.markMayHaveRun();
-      components.forwarding().receivers().recordUnserved(request.service(), receiver);
+      if (isEvidence) {
+        components.forwarding().receivers().recordUnserved(request.service(), receiver);
+      }
       exchange.relay().resetForNextUpstream();
       exchange.sendToNextUpstream();
     }
--- a/org.oatlug/src/org/oatlug/internal/gateway/IdleTimeout.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/IdleTimeout.java
@@ -7,33 +7,51 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
+import java.util.Optional;
 import java.util.function.Supplier;
+import org.oatlug.internal.util.TimeoutEvidence;
 
 /**
  * Detects when the upstream of one attempt sends nothing for too long.
  *
  * <p>Time during which this instance does not read, because the caller reads slowly, does not count
- * as idle. Invariants: the timeout is reported at most once, and never after {@link #stop}. Used
- * from one event loop.
+ * as idle. If the event loop lagged, the data may have arrived without having been read: the
+ * timeout is extended by the lag, once in an idle period. Invariants: the timeout is reported at
+ * most once, and never after {@link #stop}. Used from one event loop.
  */
 final class IdleTimeout {
   private static final long NO_TIMER = -1;
 
   private final Vertx vertx;
   private final InstantSource clock;
+  private final TimeoutEvidence timeouts;
   private final Supplier<Duration> timeout;
-  private final Runnable onTimeout;
+  private final Listener listener;
   private long timer = NO_TIMER;
+  private Instant timerDueAt = Instant.EPOCH;
   private Instant lastActivity;
+  private Optional<Instant> extendedAt = Optional.empty();
   private boolean paused;
   private boolean stopped;
 
-  private IdleTimeout(
-      GatewayComponents components, Supplier<Duration> timeout, Runnable onTimeout) {
+  /** Receives the timeout. */
+  @FunctionalInterface
+  interface Listener {
+    /**
+     * Called when the upstream has been idle for the timeout.
+     *
+     * @param isEvidence whether this says something about the upstream; false if the event loop
+     *     lagged again after the extension
+     */
+    void timedOut(boolean isEvidence);
+  }
+
+  private IdleTimeout(GatewayComponents components, Supplier<Duration> timeout, Listener listener) {
     this.vertx = components.vertx();
     this.clock = components.clock();
+    this.timeouts = components.timeouts();
     this.timeout = timeout;
-    this.onTimeout = onTimeout;
+    this.listener = listener;
     this.lastActivity = clock.instant();
   }
 
@@ -41,17 +59,21 @@
    * Returns a timeout that measures idle time from now on and reports none before {@link #start}.
    *
    * @param timeout returns the current timeout, called at each check
-   * @param onTimeout called when the upstream has been idle for the timeout
    */
   static IdleTimeout create(
-      GatewayComponents components, Supplier<Duration> timeout, Runnable onTimeout) {
-    return new IdleTimeout(components, timeout, onTimeout);
+      GatewayComponents components, Supplier<Duration> timeout, Listener listener) {
+    return new IdleTimeout(components, timeout, listener);
   }
 
   /** Starts to report idle time that reaches the timeout. */
   void start() {
-    long remainingMillis = timeout.get().minus(idleTime()).toMillis();
-    timer = vertx.setTimer(Math.max(1, remainingMillis), unused -> check());
+    schedule(timeout.get().minus(idleTime()));
+  }
+
+  private void schedule(Duration remaining) {
+    long millis = Math.max(1, remaining.toMillis());
+    timerDueAt = clock.instant().plusMillis(millis);
+    timer = vertx.setTimer(millis, unused -> check());
   }
 
   /** Stops the timeout; nothing is reported afterwards. */
@@ -65,6 +87,7 @@
     Instant now = clock.instant();
     Duration pause = Duration.between(lastActivity, now);
     lastActivity = now;
+    extendedAt = Optional.empty();
     return pause;
   }
 
@@ -77,19 +100,32 @@
   void resume() {
     paused = false;
     lastActivity = clock.instant();
+    extendedAt = Optional.empty();
   }
 
   private Duration idleTime() {
     return Duration.between(lastActivity, clock.instant());
   }
 
+  private void timedOut(Duration limit) {
+    Duration lag = timeouts.lagSince(extendedAt.orElse(lastActivity), timerDueAt);
+    boolean isEvidence = timeouts.counts(lag, limit);
+    if (isEvidence || extendedAt.isPresent()) {
+      listener.timedOut(isEvidence);
+      return;
+    }
+    extendedAt = Optional.of(clock.instant());
+    // Bounded, because the lag after a suspension of the host may be hours.
+    schedule(lag.compareTo(limit) < 0 ? lag : limit);
+  }
+
   private void check() {
     timer = NO_TIMER;
     if (stopped) {
       return;
     }
     if (!paused && idleTime().compareTo(timeout.get()) >= 0) {
-      onTimeout.run();
+      timedOut(timeout.get());
       return;
     }
     if (paused) {
--- a/org.oatlug/src/org/oatlug/internal/membership/Membership.java
+++ b/org.oatlug/src/org/oatlug/internal/membership/Membership.java
@@ -16,12 +16,15 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import java.util.function.BooleanSupplier;
 import java.util.random.RandomGenerator;
 import org.oatlug.config.Settings;
+import org.oatlug.errors.PeerUnavailableException;
 import org.oatlug.internal.peer.Member;
 import org.oatlug.internal.peer.PeerMessage;
 import org.oatlug.internal.peer.PeerNetwork;
 import org.oatlug.internal.util.Hashes;
+import org.oatlug.internal.util.TimeoutRule;
 import org.oatlug.platform.Platform;
 
 /**
@@ -71,7 +74,7 @@
   private final InstantSource clock;
   private final RandomGenerator random;
   private final Map<String, Member> members = new TreeMap<>();
-  private final Map<String, Instant> suspectedSince = new HashMap<>();
+  private final Map<String, Suspicion> suspectedSince = new HashMap<>();
   private final Map<String, Instant> unreachableUntil = new HashMap<>();
   private final Map<String, Instant> unresponsiveSince = new HashMap<>();
   private final Map<String, Instant> watchedUntil = new HashMap<>();
@@ -82,9 +85,13 @@
   private Member self;
   private Optional<MemberView> view = Optional.empty();
   private PeerNetwork network;
+  private TimeoutRule timeouts = TimeoutRule.ALWAYS;
   private Instant nextSeed = Instant.EPOCH;
   private Instant nextProbe = Instant.EPOCH;
 
+  /** The start of a suspicion, and whether its timeout is evidence once it has passed. */
+  private record Suspicion(Instant since, BooleanSupplier counts) {}
+
   private Membership(Member self, InstantSource clock, RandomGenerator random) {
     this.self = self;
     this.clock = clock;
@@ -106,6 +113,14 @@
     network = peers;
   }
 
+  /**
+   * Sets the rule by which a suspicion that was not refuted in time is evidence. That of requests
+   * is applied by the network, whose failures tell whether they are evidence.
+   */
+  public void judgeTimeouts(TimeoutRule rule) {
+    timeouts = rule;
+  }
+
   /** Returns the record of this instance. */
   public Member self() {
     return self;
@@ -182,7 +197,7 @@
     }
     put(received);
     if (received.state() == Member.State.SUSPECT) {
-      suspectedSince.putIfAbsent(received.name(), clock.instant());
+      suspectedSince.putIfAbsent(received.name(), newSuspicion());
     } else {
       suspectedSince.remove(received.name());
     }
@@ -389,13 +404,24 @@
   }
 
   private void expireSuspicions(Instant now) {
-    for (Map.Entry<String, Instant> entry : Map.copyOf(suspectedSince).entrySet()) {
-      if (now.isAfter(entry.getValue().plus(SUSPICION_TIMEOUT))) {
+    for (Map.Entry<String, Suspicion> entry : Map.copyOf(suspectedSince).entrySet()) {
+      Suspicion suspicion = entry.getValue();
+      if (!now.isAfter(suspicion.since().plus(SUSPICION_TIMEOUT))) {
+        continue;
+      }
+      if (suspicion.counts().getAsBoolean()) {
         merge(members.get(entry.getKey()).withState(Member.State.DEAD));
+      } else {
+        // A refutation may have arrived without having been read.
+        suspectedSince.put(entry.getKey(), newSuspicion());
       }
     }
   }
 
+  private Suspicion newSuspicion() {
+    return new Suspicion(clock.instant(), timeouts.start(SUSPICION_TIMEOUT));
+  }
+
   private Optional<Member> nextTarget() {
     if (probeOrder.isEmpty()) {
       zonePeers()
@@ -409,17 +435,23 @@
 
   private void probe(Member target) {
     ping(target)
-        .onFailure()
+        .onFailure(PeerUnavailableException::isEvidence)
         .recoverWithUni(() -> probeThroughHelpers(target))
         .subscribe()
-        .with(response -> {}, failure -> suspect(target));
+        .with(
+            response -> {},
+            failure -> {
+              if (PeerUnavailableException.isEvidence(failure)) {
+                suspect(target);
+              }
+            });
   }
 
   private Uni<PeerMessage> ping(Member target) {
     return network
         .sendRequest(target, new PeerMessage.Ping(takeUpdates()), PROBE_TIMEOUT)
         .invoke(response -> handleResponse(target, response))
-        .onFailure()
+        .onFailure(PeerUnavailableException::isEvidence)
         .invoke(unused -> markUnreachable(target));
   }
 
--- a/org.oatlug/src/org/oatlug/internal/membership/PredecessorProbes.java
+++ b/org.oatlug/src/org/oatlug/internal/membership/PredecessorProbes.java
@@ -7,6 +7,7 @@
 import io.smallrye.mutiny.Uni;
 import java.util.List;
 import java.util.function.Function;
+import org.oatlug.errors.PeerUnavailableException;
 import org.oatlug.internal.peer.Member;
 
 /**
@@ -51,7 +52,13 @@
     List<Member> others = predecessors.subList(0, Math.min(nearest, MAXIMUM_PROBED));
     ping.apply(predecessors.get(nearest))
         .subscribe()
-        .with(response -> {}, failure -> others.forEach(this::probeOne));
+        .with(
+            response -> {},
+            failure -> {
+              if (PeerUnavailableException.isEvidence(failure)) {
+                others.forEach(this::probeOne);
+              }
+            });
   }
 
   private void probeOne(Member member) {
--- a/org.oatlug/src/org/oatlug/internal/peer/PeerConnection.java
+++ b/org.oatlug/src/org/oatlug/internal/peer/PeerConnection.java
@@ -12,9 +12,11 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.oatlug.errors.MalformedFrameException;
 import org.oatlug.errors.PeerUnavailableException;
+import org.oatlug.internal.util.TimeoutRule;
 
 /**
  * Exchanges requests and responses over a connection after the handshake.
@@ -34,6 +36,7 @@
   private final NetSocket socket;
   private final Member peer;
   private final PeerHandler handler;
+  private final TimeoutRule timeouts;
   private final Map<Long, Consumer<PeerMessage>> pendingRequests = new HashMap<>();
   private final Runnable onSilent;
   private long lastId;
@@ -44,14 +47,21 @@
   /**
    * Creates an established connection.
    *
+   * @param timeouts decides which timeouts are evidence about the peer
    * @param onSilent runs when the connection is closed because it is silent
    */
   PeerConnection(
-      Vertx vertx, NetSocket socket, Member peer, PeerHandler handler, Runnable onSilent) {
+      Vertx vertx,
+      NetSocket socket,
+      Member peer,
+      PeerHandler handler,
+      TimeoutRule timeouts,
+      Runnable onSilent) {
     this.vertx = vertx;
     this.socket = socket;
     this.peer = peer;
     this.handler = handler;
+    this.timeouts = timeouts;
     this.onSilent = onSilent;
   }
 
@@ -89,12 +99,15 @@
     }
     long id = ++lastId;
     long received = receivedFrames;
+    BooleanSupplier counts = timeouts.start(timeout);
     long timer = vertx.setTimer(timeout.toMillis(), unused -> timedOut(id, received));
     pendingRequests.put(
         id,
         response -> {
           vertx.cancelTimer(timer);
-          if (response == null || response instanceof PeerMessage.Failed) {
+          if (response == null && !counts.getAsBoolean()) {
+            emitter.fail(PeerUnavailableException.duringOwnDelay(peer.name()));
+          } else if (response == null || response instanceof PeerMessage.Failed) {
             emitter.fail(new PeerUnavailableException(peer.name()));
           } else {
             emitter.complete(response);
@@ -110,22 +123,31 @@
     }
   }
 
-  /** Closes the connection if it receives nothing within the probe timeout. */
+  /**
+   * Closes the connection if it receives nothing within the probe timeout; probes it again if this
+   * instance was late itself.
+   */
   void probe() {
     if (closed || probing) {
       return;
     }
     probing = true;
     long received = receivedFrames;
-    vertx.setTimer(PROBE_TIMEOUT.toMillis(), unused -> endProbe(received));
+    BooleanSupplier counts = timeouts.start(PROBE_TIMEOUT);
+    vertx.setTimer(PROBE_TIMEOUT.toMillis(), unused -> endProbe(received, counts));
     sendRequest(new PeerMessage.Ping(List.of()), PROBE_TIMEOUT.multipliedBy(2))
         .subscribe()
         .with(response -> {}, failure -> logger.atFine().log("probe of %s failed", peer.name()));
   }
 
-  private void endProbe(long receivedBefore) {
+  private void endProbe(long receivedBefore, BooleanSupplier counts) {
     probing = false;
-    if (receivedFrames == receivedBefore && !closed) {
+    if (receivedFrames != receivedBefore || closed) {
+      return;
+    }
+    if (!counts.getAsBoolean()) {
+      probe();
+    } else {
       logger.atInfo().log(
           "closing the silent connection to %s, pending=%d", peer.name(), pendingRequests.size());
       closed();
--- a/org.oatlug/src/org/oatlug/internal/peer/PeerNetwork.java
+++ b/org.oatlug/src/org/oatlug/internal/peer/PeerNetwork.java
@@ -13,7 +13,8 @@
    * Sends a message and returns its response.
    *
    * <p>Fails with {@link org.oatlug.errors.PeerUnavailableException} when the peer cannot be
-   * reached, reports a failure, or does not respond within {@code timeout}.
+   * reached, reports a failure, or does not respond within {@code timeout}. The exception tells
+   * whether the failure is evidence, which a timeout during lag of the own event loop is not.
    */
   Uni<PeerMessage> sendRequest(Member peer, PeerMessage message, Duration timeout);
 }
--- a/org.oatlug/src/org/oatlug/internal/peer/TcpPeerNetwork.java
+++ b/org.oatlug/src/org/oatlug/internal/peer/TcpPeerNetwork.java
@@ -4,6 +4,7 @@
 package org.oatlug.internal.peer;
 
 import com.google.common.flogger.FluentLogger;
+import io.netty.channel.ConnectTimeoutException;
 import io.smallrye.mutiny.Uni;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
@@ -21,10 +22,13 @@
 import java.util.Optional;
 import java.util.UUID;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import org.oatlug.config.Settings;
 import org.oatlug.errors.MalformedFrameException;
 import org.oatlug.errors.PeerUnavailableException;
+import org.oatlug.internal.util.TimeoutRule;
 import org.oatlug.internal.util.TlsFiles;
 import org.oatlug.internal.util.Unis;
 
@@ -39,8 +43,8 @@
  */
 public final class TcpPeerNetwork implements PeerNetwork {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
-  private static final int CONNECT_TIMEOUT_MILLIS = 1000;
-  private static final long HANDSHAKE_TIMEOUT_MILLIS = 2000;
+  private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(1000);
+  private static final Duration HANDSHAKE_TIMEOUT = Duration.ofMillis(2000);
 
   /** The minimum time between probes of all connections. */
   private static final long PROBE_INTERVAL_MILLIS = 1000;
@@ -54,6 +58,7 @@
   private final Map<String, Future<PeerConnection>> connections = new HashMap<>();
   private boolean probedRecently;
   private Runnable onSilentConnection = () -> {};
+  private TimeoutRule timeouts = TimeoutRule.ALWAYS;
 
   private TcpPeerNetwork(
       Vertx vertx, Settings.Peers settings, Supplier<Member> self, PeerHandler handler) {
@@ -81,6 +86,11 @@
     onSilentConnection = action;
   }
 
+  /** Sets the rule by which timeouts are evidence; called before the first request. */
+  public void judgeTimeouts(TimeoutRule rule) {
+    timeouts = rule;
+  }
+
   /** Starts to accept connections of peers. */
   public Future<NetServer> listen() {
     NetServerOptions options =
@@ -102,9 +112,26 @@
    * unresponsive instance takes two seconds regardless of its timeout.
    */
   private Future<PeerConnection> connectionWithin(Member peer, Duration timeout) {
+    BooleanSupplier counts = timeouts.start(timeout);
     return connection(peer)
         .timeout(timeout.toMillis(), TimeUnit.MILLISECONDS)
-        .recover(failure -> Future.failedFuture(new PeerUnavailableException(peer.name())));
+        .recover(failure -> Future.failedFuture(unavailable(peer, failure, counts)));
+  }
+
+  /**
+   * Returns the failure of a request to the peer.
+   *
+   * @param counts returns whether a timeout is evidence
+   */
+  private static PeerUnavailableException unavailable(
+      Member peer, Throwable failure, BooleanSupplier counts) {
+    boolean timedOut =
+        failure instanceof TimeoutException || failure instanceof ConnectTimeoutException;
+    boolean isEvidence =
+        timedOut ? counts.getAsBoolean() : PeerUnavailableException.isEvidence(failure);
+    return isEvidence
+        ? new PeerUnavailableException(peer.name())
+        : PeerUnavailableException.duringOwnDelay(peer.name());
   }
 
   private Future<PeerConnection> connection(Member peer) {
@@ -116,11 +143,12 @@
     if (existing != null && existing.succeeded() && existing.result().isOpen()) {
       return existing;
     }
+    BooleanSupplier counts = timeouts.start(CONNECT_TIMEOUT);
     Future<PeerConnection> opened =
         client
             .connect(peer.peerPort(), peer.host())
             .compose(socket -> startHandshake(socket, peer))
-            .recover(failure -> Future.failedFuture(new PeerUnavailableException(peer.name())));
+            .recover(failure -> Future.failedFuture(unavailable(peer, failure, counts)));
     connections.put(address, opened);
     return opened;
   }
@@ -159,7 +187,7 @@
   private Future<PeerConnection> startHandshake(NetSocket socket, Member dialed) {
     Promise<PeerConnection> promise = Promise.promise();
     CallerHandshake handshake = new CallerHandshake(socket, dialed, promise);
-    limitHandshake(socket, promise.future());
+    limitHandshake(socket, promise);
     socket.closeHandler(unused -> handshake.closed());
     Frames.read(socket, handshake);
     return promise.future();
@@ -168,15 +196,25 @@
   private void accept(NetSocket socket) {
     Promise<PeerConnection> promise = Promise.promise();
     AcceptorHandshake handshake = new AcceptorHandshake(socket, promise);
-    limitHandshake(socket, promise.future());
+    limitHandshake(socket, promise);
     socket.closeHandler(unused -> handshake.closed());
     Frames.read(socket, handshake);
     send(socket, new PeerMessage.Challenge(handshake.nonce));
   }
 
-  private void limitHandshake(NetSocket socket, Future<PeerConnection> connection) {
-    long timer = vertx.setTimer(HANDSHAKE_TIMEOUT_MILLIS, unused -> socket.close());
-    connection.onComplete(unused -> vertx.cancelTimer(timer));
+  private void limitHandshake(NetSocket socket, Promise<PeerConnection> connection) {
+    BooleanSupplier counts = timeouts.start(HANDSHAKE_TIMEOUT);
+    long timer =
+        vertx.setTimer(
+            HANDSHAKE_TIMEOUT.toMillis(),
+            unused -> {
+              if (!counts.getAsBoolean()) {
+                String address = String.valueOf(socket.remoteAddress());
+                connection.tryFail(PeerUnavailableException.duringOwnDelay(address));
+              }
+              socket.close();
+            });
+    connection.future().onComplete(unused -> vertx.cancelTimer(timer));
   }
 
   private static void send(NetSocket socket, PeerMessage message) {
@@ -186,7 +224,7 @@
   private static NetClientOptions clientOptions(Settings.Peers settings) {
     NetClientOptions options =
         new NetClientOptions()
-            .setConnectTimeout(CONNECT_TIMEOUT_MILLIS)
+            .setConnectTimeout((int) CONNECT_TIMEOUT.toMillis())
             .setLocalAddress(settings.host())
             .setTcpNoDelay(true);
     Optional<Settings.Tls> tls = settings.tls();
@@ -234,7 +272,7 @@
     }
 
     void established(Member peer, Runnable onSilent) {
-      connection = new PeerConnection(vertx, socket, peer, handler, onSilent);
+      connection = new PeerConnection(vertx, socket, peer, handler, timeouts, onSilent);
       promise.complete(connection);
     }
 
--- a/org.oatlug/src/org/oatlug/internal/util/TimeoutEvidence.java
+++ b/org.oatlug/src/org/oatlug/internal/util/TimeoutEvidence.java
@@ -9,6 +9,7 @@
 import java.time.Instant;
 import java.time.InstantSource;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import org.oatlug.internal.metrics.Meters;
 
 /**
@@ -19,7 +20,7 @@
  * the timer itself show. Refused and reset connections always count. Owned by one event loop, not
  * thread-safe.
  */
-public final class TimeoutEvidence {
+public final class TimeoutEvidence implements TimeoutRule {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
   /** The part of a timeout that lag may take: what is left is enough for several round trips. */
@@ -41,6 +42,12 @@
     return new TimeoutEvidence(eventLoopDelay, clock, meters);
   }
 
+  @Override
+  public BooleanSupplier start(Duration timeout) {
+    Instant startedAt = clock.instant();
+    return () -> counts(startedAt, timeout);
+  }
+
   /**
    * Returns whether the failure to open a connection is evidence; counts it if it is not.
    *
@@ -59,7 +66,16 @@
    * @param timeout the limit
    */
   public boolean counts(Instant startedAt, Duration timeout) {
-    Duration lag = lagSince(startedAt, timeout);
+    return counts(lagSince(startedAt, startedAt.plus(timeout)), timeout);
+  }
+
+  /**
+   * Returns whether a timeout is evidence after this lag; counts it if it is not.
+   *
+   * @param lag the lag since the start of the time that was limited
+   * @param timeout the limit
+   */
+  public boolean counts(Duration lag, Duration timeout) {
     if (lag.compareTo(timeout.dividedBy(TOLERATED_PART)) < 0) {
       return true;
     }
@@ -70,9 +86,14 @@
     return false;
   }
 
-  /** Returns the lag since the start of a timeout that has just fired. */
-  public Duration lagSince(Instant startedAt, Duration timeout) {
-    Duration late = Duration.between(startedAt, clock.instant()).minus(timeout);
+  /**
+   * Returns the lag since the start of a timeout that has just fired.
+   *
+   * @param startedAt the start of the time that was limited
+   * @param dueAt when the timer should have fired
+   */
+  public Duration lagSince(Instant startedAt, Instant dueAt) {
+    Duration late = Duration.between(dueAt, clock.instant());
     Duration probed = eventLoopDelay.maximumSince(startedAt);
     return late.compareTo(probed) > 0 ? late : probed;
   }
