Refuse connections in the accepting thread while overloaded

To set up a connection in the event loop takes about as long as to serve a short request, so an instance that refuses hundreds a second has no time left for the others. While the instance is overloaded, the thread that accepts connections closes them with two system calls; one passes every 250 ms. The event loop opens the gate at the first tick without overload.

--- a/org.oatlug.entry/src/org/oatlug/entry/GatewayInstance.java
+++ b/org.oatlug.entry/src/org/oatlug/entry/GatewayInstance.java
@@ -36,6 +36,7 @@
 import org.oatlug.internal.gateway.ReadinessGate;
 import org.oatlug.internal.gateway.RolloutDirector;
 import org.oatlug.internal.gather.StateExchange;
+import org.oatlug.internal.limit.AcceptGate;
 import org.oatlug.internal.limit.RankedSenders;
 import org.oatlug.internal.membership.Membership;
 import org.oatlug.internal.metrics.Meters;
@@ -88,6 +89,7 @@
   private final RandomGenerator random = RandomGenerator.getDefault();
   private final GatewayTables tables = GatewayTables.create(clock);
   private final Instant startedAt = clock.instant();
+  private final AcceptGate acceptGate = AcceptGate.create(clock);
   private Instant lastTick = startedAt;
   private GatewaySettings settings;
   private Membership membership;
@@ -105,6 +107,11 @@
     this.adapter = adapter;
   }
 
+  /** Returns the gate for new connections of callers; the transport has to ask it. */
+  AcceptGate acceptGate() {
+    return acceptGate;
+  }
+
   @Override
   public Future<?> start() {
     GatewaySettings.Endpoint peer = settings.peers().listen();
@@ -229,7 +236,7 @@
                     || stateExchange.hasCompletedInitialExchange()
                     || stateExchange.hasSessionRecords() && rollouts.knowsOrderAges(),
             () -> !membership.hasKnownPeers() || stateExchange.hasCrashRecords());
-    server = GatewayServer.create(components, random, readinessGate::isOpen);
+    server = GatewayServer.create(components, random, readinessGate::isOpen, acceptGate);
     PauseDetector pause = PauseDetector.create(clock, components::handleProcessPause);
     systems =
         List.of(
--- a/org.oatlug.entry/src/org/oatlug/entry/Oatlugd.java
+++ b/org.oatlug.entry/src/org/oatlug/entry/Oatlugd.java
@@ -84,7 +84,9 @@
             .orElseThrow(() -> new SettingsInvalidException(List.of("no adapter is installed")));
     GatewayInstance instance = new GatewayInstance(settings, adapter);
     SettingsWatcher.start(file, instance);
-    run(instance, socket.map(PreboundSocket::transport).orElse(Transport.NIO));
+    run(
+        instance,
+        socket.map(bound -> bound.transport(instance.acceptGate())).orElse(Transport.NIO));
   }
 
   /** Returns the path of the settings file, from the option or an environment variable. */
--- a/org.oatlug.entry/src/org/oatlug/entry/PreboundSocket.java
+++ b/org.oatlug.entry/src/org/oatlug/entry/PreboundSocket.java
@@ -10,15 +10,19 @@
 import io.netty.channel.ChannelFactory;
 import io.netty.channel.ServerChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
 import io.vertx.core.impl.transports.NioTransport;
 import io.vertx.core.transport.Transport;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
 import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.Optional;
 import org.oatlug.gateway.GatewaySettings.Endpoint;
+import org.oatlug.internal.limit.AcceptGate;
 
 /**
  * A server socket for callers that is opened before the rest of the process starts.
@@ -91,9 +95,13 @@
     }
   }
 
-  /** Returns a transport whose first server uses the socket. */
-  Transport transport() {
-    io.vertx.core.spi.transport.Transport preboundTransport = new PreboundTransport(channel);
+  /**
+   * Returns a transport whose first server uses the socket.
+   *
+   * @param gate decides which connections the first server accepts
+   */
+  Transport transport(AcceptGate gate) {
+    io.vertx.core.spi.transport.Transport preboundTransport = new PreboundTransport(channel, gate);
     return new Transport() {
       @Override
       public String name() {
@@ -124,10 +132,12 @@
 
   /** The default transport, except for its first server socket. Used by event loops. */
   private static final class PreboundTransport extends NioTransport {
+    private final AcceptGate gate;
     private Optional<ServerSocketChannel> prebound;
 
-    PreboundTransport(ServerSocketChannel prebound) {
+    PreboundTransport(ServerSocketChannel prebound, AcceptGate gate) {
       this.prebound = Optional.of(prebound);
+      this.gate = gate;
     }
 
     @Override
@@ -135,7 +145,9 @@
       ChannelFactory<? extends ServerChannel> defaultFactory =
           super.serverChannelFactory(domainSocket);
       return () ->
-          take().<ServerChannel>map(PreboundChannel::new).orElseGet(defaultFactory::newChannel);
+          take()
+              .<ServerChannel>map(channel -> new PreboundChannel(channel, gate))
+              .orElseGet(defaultFactory::newChannel);
     }
 
     private synchronized Optional<ServerSocketChannel> take() {
@@ -147,10 +159,35 @@
 
   /** A server channel with a bound socket; it accepts no connection until {@link #doBind}. */
   private static final class PreboundChannel extends NioServerSocketChannel {
+    /** The connections that are refused in one go, before other events are handled. */
+    private static final int MAXIMUM_REFUSED_AT_ONCE = 64;
+
+    private final AcceptGate gate;
     private boolean bindCalled;
 
-    PreboundChannel(ServerSocketChannel prebound) {
+    PreboundChannel(ServerSocketChannel prebound, AcceptGate gate) {
       super(prebound);
+      this.gate = gate;
+    }
+
+    /** Accepts a connection; closes those that the gate refuses before anything is read. */
+    @Override
+    protected int doReadMessages(List<Object> accepted) throws Exception {
+      if (!gate.isClosed()) {
+        return super.doReadMessages(accepted);
+      }
+      for (int count = 0; count < MAXIMUM_REFUSED_AT_ONCE; count++) {
+        SocketChannel connection = javaChannel().accept();
+        if (connection == null) {
+          return 0;
+        }
+        if (gate.passes()) {
+          accepted.add(new NioSocketChannel(this, connection));
+          return 1;
+        }
+        connection.close();
+      }
+      return 0;
     }
 
     @Override
--- a/org.oatlug.test/tst/org/oatlug/entry/PreboundSocketTest.java
+++ b/org.oatlug.test/tst/org/oatlug/entry/PreboundSocketTest.java
@@ -14,10 +14,13 @@
 import java.io.InputStreamReader;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.time.Instant;
 import java.util.concurrent.CompletionException;
+import org.oatlug.internal.limit.AcceptGate;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -29,6 +32,8 @@
 public class PreboundSocketTest {
   private static final String HOST = "127.0.0.1";
 
+  private volatile Instant now = Instant.EPOCH;
+  private final AcceptGate gate = AcceptGate.create(() -> now);
   private Path settings;
   private int port;
   private Vertx vertx;
@@ -87,7 +92,7 @@
   public void testCallerConnectedBeforeServerStartIsServed() throws IOException {
     PreboundSocket socket = open();
     Socket caller = sendRequest();
-    vertx = Vertx.builder().withTransport(socket.transport()).build();
+    vertx = Vertx.builder().withTransport(socket.transport(gate)).build();
     serve(port);
     assertServed(caller);
     assertServed(sendRequest());
@@ -95,10 +100,37 @@
     assertTrue(secondPort != port, "a second server has its own socket");
   }
 
+  private static boolean isClosedUnread(Socket caller) throws IOException {
+    try (caller) {
+      return caller.getInputStream().read() == -1;
+    } catch (SocketException e) {
+      // A connection that is closed with unread bytes is reset.
+      return true;
+    }
+  }
+
+  /** Guards against an overloaded instance that spends its time on connections that it refuses. */
+  @Test
+  public void testClosedGateRefusesConnectionsBeforeTheServerSeesThem() throws IOException {
+    vertx = Vertx.builder().withTransport(open().transport(gate)).build();
+    serve(port);
+    assertServed(sendRequest());
+    gate.close();
+    for (int attempt = 0; attempt < 5; attempt++) {
+      assertTrue(isClosedUnread(sendRequest()), "attempt " + attempt);
+    }
+    assertEquals(gate.takeRefused(), 5);
+    now = now.plusMillis(250);
+    assertServed(sendRequest());
+    assertTrue(isClosedUnread(sendRequest()), "within 250 ms of the one that passed");
+    gate.open();
+    assertServed(sendRequest());
+  }
+
   @Test
   public void testServerForAnotherAddressFailsToBind() throws IOException {
     PreboundSocket socket = open();
-    vertx = Vertx.builder().withTransport(socket.transport()).build();
+    vertx = Vertx.builder().withTransport(socket.transport(gate)).build();
     assertThrows(CompletionException.class, () -> serve(0));
   }
 
--- a/org.oatlug.test/tst/org/oatlug/internal/gateway/GatewayServerFixture.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/gateway/GatewayServerFixture.java
@@ -33,6 +33,7 @@
 import org.oatlug.gateway.UpstreamRecord;
 import org.oatlug.internal.forward.ForwardingProtocol;
 import org.oatlug.internal.forward.Receivers;
+import org.oatlug.internal.limit.AcceptGate;
 import org.oatlug.internal.limit.RateSenders;
 import org.oatlug.internal.membership.Membership;
 import org.oatlug.internal.metrics.Meters;
@@ -191,7 +192,7 @@
             () -> 1,
             interruptedChoice,
             Meters.of(new MetricRegistry()));
-    GatewayServer.create(components, new Random(1), () -> true)
+    GatewayServer.create(components, new Random(1), () -> true, AcceptGate.create(this::now))
         .listen()
         .toCompletionStage()
         .toCompletableFuture()
--- a/org.oatlug/src/org/oatlug/internal/gateway/GatewayServer.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/GatewayServer.java
@@ -30,6 +30,7 @@
 import org.oatlug.gateway.Route;
 import org.oatlug.internal.forward.ForwardedRequest;
 import org.oatlug.internal.forward.ForwardingProtocol;
+import org.oatlug.internal.limit.AcceptGate;
 import org.oatlug.internal.limit.ConnectionAdmission;
 import org.oatlug.internal.limit.DispatchQueue;
 
@@ -74,13 +75,18 @@
   private final Admission admission;
   private final ForwardedAdmission forwardedAdmission;
   private final ConnectionAdmission connectionAdmission = ConnectionAdmission.create();
+  private final AcceptGate acceptGate;
   private int openRequests;
 
   private GatewayServer(
-      GatewayComponents components, RandomGenerator random, BooleanSupplier ready) {
+      GatewayComponents components,
+      RandomGenerator random,
+      BooleanSupplier ready,
+      AcceptGate acceptGate) {
     this.components = components;
     this.random = random;
     this.ready = ready;
+    this.acceptGate = acceptGate;
     this.admission = Admission.create(components, ready);
     this.forwardedAdmission = ForwardedAdmission.create(components, admission);
   }
@@ -89,10 +95,15 @@
    * Returns a server that does not listen yet.
    *
    * @param ready returns whether the instance is ready to serve
+   * @param acceptGate closed while the instance is overloaded; the transport may ask it before it
+   *     sets up a connection
    */
   public static GatewayServer create(
-      GatewayComponents components, RandomGenerator random, BooleanSupplier ready) {
-    return new GatewayServer(components, random, ready);
+      GatewayComponents components,
+      RandomGenerator random,
+      BooleanSupplier ready,
+      AcceptGate acceptGate) {
+    return new GatewayServer(components, random, ready, acceptGate);
   }
 
   /** Starts to accept connections. */
@@ -150,9 +161,12 @@
   private void callerConnected(HttpConnection connection) {
     components.eventLoopDelay().probe();
     ConnectionAdmission.Decision decision =
-        connectionAdmission.decide(
-            load(), components.goalToProtect(), components.clock().instant());
+        acceptGate.takePassed()
+            ? ConnectionAdmission.Decision.ADMITTED_OVERLOADED
+            : connectionAdmission.decide(
+                load(), components.goalToProtect(), components.clock().instant());
     if (decision == ConnectionAdmission.Decision.REFUSED) {
+      acceptGate.close();
       components.meters().count("connections.refused");
       // Closes the channel itself, because the library would first complete its HTTP connection.
       ((ConnectionBase) connection).channel().close();
@@ -173,9 +187,19 @@
         openRequests);
   }
 
-  /** Logs the end of an overload even if no further connection arrives. */
+  /** Opens the gate and logs the end of an overload, even if no further connection arrives. */
   public void checkOverload() {
-    connectionAdmission.endOverloadIfOver(components.clock().instant());
+    Instant now = components.clock().instant();
+    if (acceptGate.isClosed()) {
+      components.eventLoopDelay().probe();
+      long refused = acceptGate.takeRefused();
+      components.meters().count("connections.refused", refused);
+      connectionAdmission.recordRefused(refused);
+      if (!connectionAdmission.isOverloaded(load(), components.goalToProtect(), now)) {
+        acceptGate.open();
+      }
+    }
+    connectionAdmission.endOverloadIfOver(now);
   }
 
   private void connected(HttpConnection connection) {
--- a/org.oatlug/src/org/oatlug/internal/limit/ConnectionAdmission.java
+++ b/org.oatlug/src/org/oatlug/internal/limit/ConnectionAdmission.java
@@ -78,13 +78,11 @@
    * @param shortestGoal the shortest goal of the routes in force, empty if none has a goal
    */
   public Decision decide(Load load, Optional<Duration> shortestGoal, Instant now) {
-    Optional<Duration> bound = shortestGoal.map(goal -> goal.dividedBy(GOAL_DIVISOR));
-    if (bound.isEmpty() || load.predictedDelay().compareTo(bound.get()) <= 0) {
+    if (!isOverloaded(load, shortestGoal, now)) {
       endOverloadIfOver(now);
       admittedAt = Optional.of(now);
       return Decision.ADMITTED;
     }
-    recordOverload(load, bound.get(), now);
     if (admittedAt.isEmpty() || !now.isBefore(admittedAt.get().plus(ADMISSION_INTERVAL))) {
       admittedAt = Optional.of(now);
       return Decision.ADMITTED_OVERLOADED;
@@ -93,6 +91,21 @@
     return Decision.REFUSED;
   }
 
+  /** Returns whether connections are to be refused, and records that they are. */
+  public boolean isOverloaded(Load load, Optional<Duration> shortestGoal, Instant now) {
+    Optional<Duration> bound = shortestGoal.map(goal -> goal.dividedBy(GOAL_DIVISOR));
+    if (bound.isEmpty() || load.predictedDelay().compareTo(bound.get()) <= 0) {
+      return false;
+    }
+    recordOverload(load, bound.get(), now);
+    return true;
+  }
+
+  /** Records connections that were refused in the thread that accepts them. */
+  public void recordRefused(long connections) {
+    refusedInOverload += connections;
+  }
+
   private void recordOverload(Load load, Duration bound, Instant now) {
     lastOverloaded = now;
     if (overloadedSince.isEmpty()) {
--- a/org.oatlug/src/org/oatlug/internal/metrics/Meters.java
+++ b/org.oatlug/src/org/oatlug/internal/metrics/Meters.java
@@ -33,6 +33,11 @@
     registry.counter(name).inc();
   }
 
+  /** Adds to the counter of the given name. */
+  public void count(String name, long events) {
+    registry.counter(name).inc(events);
+  }
+
   /** Increments the counter of the refusal reason. */
   public void refused(RefusalReason reason) {
     registry.counter(refusalName(reason)).inc();
