--- a/org.oatlug.entry/src/org/oatlug/entry/GatewayInstance.java
+++ b/org.oatlug.entry/src/org/oatlug/entry/GatewayInstance.java
@@ -36,6 +36,7 @@
 import org.oatlug.internal.gateway.ReadinessGate;
 import org.oatlug.internal.gateway.RolloutDirector;
 import org.oatlug.internal.gather.StateExchange;
+import org.oatlug.internal.limit.AcceptGate;
 import org.oatlug.internal.limit.RankedSenders;
 import org.oatlug.internal.membership.Membership;
 import org.oatlug.internal.metrics.Meters;
@@ -88,6 +89,8 @@
   private final RandomGenerator random = RandomGenerator.getDefault();
   private final GatewayTables tables = GatewayTables.create(clock);
   private final Instant startedAt = clock.instant();
+  private final AcceptGate acceptGate = AcceptGate.create(clock);
+  private Instant lastTick = startedAt;
   private GatewaySettings settings;
   private Membership membership;
   private GatewayServer server;
@@ -104,6 +107,11 @@
     this.adapter = adapter;
   }
 
+  /** Returns the gate for new connections of callers; the transport has to ask it. */
+  AcceptGate acceptGate() {
+    return acceptGate;
+  }
+
   @Override
   public Future<?> start() {
     GatewaySettings.Endpoint peer = settings.peers().listen();
@@ -216,6 +224,8 @@
             configuration,
             (from, message) ->
                 Uni.createFrom().item(handle(message, from, stateExchange, components))));
+    peerListener.judgeTimeouts(components.timeouts());
+    membership.judgeTimeouts(components.timeouts());
     readinessGate =
         ReadinessGate.create(
             clock,
@@ -226,21 +236,38 @@
                     || stateExchange.hasCompletedInitialExchange()
                     || stateExchange.hasSessionRecords() && rollouts.knowsOrderAges(),
             () -> !membership.hasKnownPeers() || stateExchange.hasCrashRecords());
-    server = GatewayServer.create(components, random, readinessGate::isOpen);
+    server = GatewayServer.create(components, random, readinessGate::isOpen, acceptGate);
     PauseDetector pause = PauseDetector.create(clock, components::handleProcessPause);
     systems =
         List.of(
+            () -> recordTickDelay(components),
             pause::check,
             configuration,
             membership::tick,
             rollouts,
             stateExchange,
             senders,
-            PathProbes.create(vertx, components.paths(), tables::addressesOf, clock, random),
+            PathProbes.create(
+                vertx,
+                components.paths(),
+                components.timeouts(),
+                tables::addressesOf,
+                clock,
+                random),
+            server::checkOverload,
             this::openGateWhenReady);
     return components;
   }
 
+  /** Records by how much this tick is late, which costs no wake-up of its own. */
+  private void recordTickDelay(GatewayComponents components) {
+    Instant now = clock.instant();
+    components
+        .eventLoopDelay()
+        .recordTimerDelay(Duration.between(lastTick, now).minusMillis(TICK_MILLIS));
+    lastTick = now;
+  }
+
   private PeerMessage handle(
       PeerMessage message, Member from, StateExchange stateExchange, GatewayComponents components) {
     return message instanceof PeerMessage.PathQuery query
--- a/org.oatlug.test/tst/org/oatlug/internal/gateway/GatewayServerFixture.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/gateway/GatewayServerFixture.java
@@ -6,6 +6,7 @@
 import com.codahale.metrics.MetricRegistry;
 import io.smallrye.mutiny.Uni;
 import io.vertx.core.Vertx;
+import io.vertx.core.json.JsonObject;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -32,6 +33,7 @@
 import org.oatlug.gateway.UpstreamRecord;
 import org.oatlug.internal.forward.ForwardingProtocol;
 import org.oatlug.internal.forward.Receivers;
+import org.oatlug.internal.limit.AcceptGate;
 import org.oatlug.internal.limit.RateSenders;
 import org.oatlug.internal.membership.Membership;
 import org.oatlug.internal.metrics.Meters;
@@ -95,6 +97,28 @@
     return upstream;
   }
 
+  /** Registers an upstream whose address is served by the test, or by nobody. */
+  void addAddress(String name, int port) {
+    put(GatewayKinds.UPSTREAM, name, record(port, "hall-a", false));
+  }
+
+  /** Returns the components of the server; they are owned by its event loop. */
+  GatewayComponents components() {
+    return components;
+  }
+
+  /** Returns the value of a counter. */
+  long count(String name) {
+    return components.meters().registry().counter(name).getCount();
+  }
+
+  /** Returns whether the instance takes the service for unreachable, or the upstream as ejected. */
+  boolean infersFailureOf(String upstream) {
+    return components.paths().isLost(SampleObjects.SERVICE)
+        || components.paths().hasFailed(SampleObjects.SERVICE, upstream)
+        || tables.row(upstream).failureShare(now()) > 0;
+  }
+
   private static UpstreamRecord record(int port, String zone, boolean leaving) {
     return UpstreamRecord.of(SampleObjects.SERVICE, HOST, port, zone, "v1", 8, leaving);
   }
@@ -143,7 +167,12 @@
     List<Integer> ports = List.of(1, 1, Ports.free(), 1, 1, 1);
     Path file = Files.createTempFile("settings", ".json");
     file.toFile().deleteOnExit();
-    Files.writeString(file, SampleObjects.settings("entry-0", ports, List.of()).encode());
+    JsonObject loadManagement = new JsonObject().put("connections", "auto");
+    Files.writeString(
+        file,
+        SampleObjects.settings("entry-0", ports, List.of())
+            .put("loadManagement", loadManagement)
+            .encode());
     GatewaySettings settings = SettingsFile.readGateway(file);
     RandomGenerator interruptedChoice =
         () -> {
@@ -163,7 +192,7 @@
             () -> 1,
             interruptedChoice,
             Meters.of(new MetricRegistry()));
-    GatewayServer.create(components, new Random(1), () -> true)
+    GatewayServer.create(components, new Random(1), () -> true, AcceptGate.create(this::now))
         .listen()
         .toCompletionStage()
         .toCompletableFuture()
--- a/org.oatlug/src/org/oatlug/internal/gateway/GatewayServer.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/GatewayServer.java
@@ -10,6 +10,7 @@
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.net.impl.ConnectionBase;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.HashMap;
@@ -29,6 +30,9 @@
 import org.oatlug.gateway.Route;
 import org.oatlug.internal.forward.ForwardedRequest;
 import org.oatlug.internal.forward.ForwardingProtocol;
+import org.oatlug.internal.limit.AcceptGate;
+import org.oatlug.internal.limit.ConnectionAdmission;
+import org.oatlug.internal.limit.DispatchQueue;
 
 /**
  * The HTTP server for callers: reads requests, refuses those that are not admitted, and starts an
@@ -70,13 +74,19 @@
   private final BooleanSupplier ready;
   private final Admission admission;
   private final ForwardedAdmission forwardedAdmission;
+  private final ConnectionAdmission connectionAdmission = ConnectionAdmission.create();
+  private final AcceptGate acceptGate;
   private int openRequests;
 
   private GatewayServer(
-      GatewayComponents components, RandomGenerator random, BooleanSupplier ready) {
+      GatewayComponents components,
+      RandomGenerator random,
+      BooleanSupplier ready,
+      AcceptGate acceptGate) {
     this.components = components;
     this.random = random;
     this.ready = ready;
+    this.acceptGate = acceptGate;
     this.admission = Admission.create(components, ready);
     this.forwardedAdmission = ForwardedAdmission.create(components, admission);
   }
@@ -85,10 +95,15 @@
    * Returns a server that does not listen yet.
    *
    * @param ready returns whether the instance is ready to serve
+   * @param acceptGate closed while the instance is overloaded; the transport may ask it before it
+   *     sets up a connection
    */
   public static GatewayServer create(
-      GatewayComponents components, RandomGenerator random, BooleanSupplier ready) {
-    return new GatewayServer(components, random, ready);
+      GatewayComponents components,
+      RandomGenerator random,
+      BooleanSupplier ready,
+      AcceptGate acceptGate) {
+    return new GatewayServer(components, random, ready, acceptGate);
   }
 
   /** Starts to accept connections. */
@@ -97,7 +112,7 @@
     return components
         .vertx()
         .createHttpServer(options)
-        .connectionHandler(this::connected)
+        .connectionHandler(this::callerConnected)
         .requestHandler(this::received)
         .listen(endpoint.port(), endpoint.host());
   }
@@ -142,6 +157,51 @@
     List.copyOf(connections.values()).forEach(CallerConnection::close);
   }
 
+  /** Serves a new connection of a caller, or closes it before anything is read from it. */
+  private void callerConnected(HttpConnection connection) {
+    components.eventLoopDelay().probe();
+    ConnectionAdmission.Decision decision =
+        acceptGate.takePassed()
+            ? ConnectionAdmission.Decision.ADMITTED_OVERLOADED
+            : connectionAdmission.decide(
+                load(), components.goalToProtect(), components.clock().instant());
+    if (decision == ConnectionAdmission.Decision.REFUSED) {
+      acceptGate.close();
+      components.meters().count("connections.refused");
+      // Closes the channel itself, because the library would first complete its HTTP connection.
+      ((ConnectionBase) connection).channel().close();
+      return;
+    }
+    if (decision == ConnectionAdmission.Decision.ADMITTED_OVERLOADED) {
+      components.meters().count("connections.admitted-overloaded");
+    }
+    connected(connection);
+  }
+
+  private ConnectionAdmission.Load load() {
+    DispatchQueue<Exchange> queue = components.dispatchQueue();
+    return new ConnectionAdmission.Load(
+        components.eventLoopDelay().minimumDelay(components.clock().instant()),
+        queue.oldestWait(),
+        queue.size(),
+        openRequests);
+  }
+
+  /** Opens the gate and logs the end of an overload, even if no further connection arrives. */
+  public void checkOverload() {
+    Instant now = components.clock().instant();
+    if (acceptGate.isClosed()) {
+      components.eventLoopDelay().probe();
+      long refused = acceptGate.takeRefused();
+      components.meters().count("connections.refused", refused);
+      connectionAdmission.recordRefused(refused);
+      if (!connectionAdmission.isOverloaded(load(), components.goalToProtect(), now)) {
+        acceptGate.open();
+      }
+    }
+    connectionAdmission.endOverloadIfOver(now);
+  }
+
   private void connected(HttpConnection connection) {
     CallerConnection callerConnection =
         CallerConnection.watch(components.vertx(), connection, () -> components.tables().limits());
@@ -155,6 +215,7 @@
   }
 
   private void received(HttpServerRequest request) {
+    components.eventLoopDelay().probe();
     CallerConnection callerConnection = connections.get(request.connection());
     if (callerConnection != null && callerConnection.isFramingInvalid()) {
       callerConnection.close();
@@ -172,6 +233,7 @@
   }
 
   private void receivedForwarded(HttpServerRequest request) {
+    components.eventLoopDelay().probe();
     OpenRequest openRequest =
         new OpenRequest(
             request,
