Start requests and run probes in the next iteration of the event loop

Actions submitted by Vertx#runOnContext while actions run are run among these, so the DispatchQueue started all its requests before anything was read. Connects to upstreams timed out meanwhile, and the probes of the lag measured only the actions behind them.

NextIteration schedules an action for after the next input and output. A probe delayed by 20 ms or more is followed by another one, because a long iteration without a connection looked like idle time.

--- a/org.oatlug.test/tst/org/oatlug/internal/util/EventLoopDelayTest.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/util/EventLoopDelayTest.java
@@ -16,6 +16,7 @@
 import java.util.Deque;
 import org.oatlug.internal.metrics.Meters;
 import org.oatlug.test.VirtualTime;
+import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
 /**
@@ -27,31 +28,42 @@
 public class EventLoopDelayTest {
   private static final Duration TIMEOUT = Duration.ofMillis(400);
 
-  private final VirtualTime time = new VirtualTime();
-  private final Deque<Runnable> tasks = new ArrayDeque<>();
-  private final EventLoopDelay delay = EventLoopDelay.create(time, tasks::add, sample -> {});
-  private final Meters meters = Meters.of(new MetricRegistry());
-  private final TimeoutEvidence timeouts = TimeoutEvidence.create(delay, time, meters);
+  private VirtualTime time;
+  private Deque<Runnable> tasks;
+  private EventLoopDelay delay;
+  private Meters meters;
+  private TimeoutEvidence timeouts;
 
-  private void reset() {
-    time.run(Duration.ofSeconds(10));
-    assertTrue(tasks.isEmpty());
+  @BeforeMethod
+  void setUp() {
+    time = new VirtualTime();
+    tasks = new ArrayDeque<>();
+    delay = EventLoopDelay.create(time, tasks::add, sample -> {});
+    meters = Meters.of(new MetricRegistry());
+    timeouts = TimeoutEvidence.create(delay, time, meters);
   }
 
-  /** Submits a probe and lets the event loop run it after this time. */
+  /** Submits a probe unless one is pending, and lets the event loop run it after this time. */
   private void sample(int millis) {
     delay.probe();
     time.run(Duration.ofMillis(millis));
     tasks.remove().run();
   }
 
+  /** Takes a sample and lets the event loop run the probe that follows it without delay. */
+  private void sampleAndRecover(int millis) {
+    sample(millis);
+    while (!tasks.isEmpty()) {
+      tasks.remove().run();
+    }
+  }
+
   private long minimumMillis() {
     return delay.minimumDelay(time.instant()).toMillis();
   }
 
   @Test
   public void testMinimumIgnoresOneLongIteration() {
-    reset();
     sample(2);
     sample(150);
     assertEquals(minimumMillis(), 2, "one long iteration");
@@ -67,7 +79,6 @@
 
   @Test
   public void testPendingProbeCountsWithItsAge() {
-    reset();
     delay.probe();
     delay.probe();
     assertEquals(tasks.size(), 1, "one probe at a time");
@@ -81,30 +92,42 @@
 
   @Test
   public void testMaximumIsThatSinceStartOfAttempt() {
-    reset();
-    sample(300);
+    sampleAndRecover(300);
     time.run(Duration.ofMillis(1));
     final Instant startedAt = time.instant();
-    sample(20);
-    sample(70);
-    sample(10);
+    sampleAndRecover(20);
+    sampleAndRecover(70);
+    sampleAndRecover(10);
     assertEquals(delay.maximumSince(startedAt), Duration.ofMillis(70));
     assertEquals(delay.maximumSince(Instant.EPOCH), Duration.ofMillis(300));
     time.run(Duration.ofSeconds(5));
-    sample(1);
+    sampleAndRecover(1);
     assertEquals(delay.maximumSince(Instant.EPOCH), Duration.ofMillis(1), "older than 5 s");
   }
 
+  /**
+   * Guards against long iterations in which no connection arrives, and which look like idle time.
+   */
+  @Test
+  public void testProbesFollowEachOtherDuringLag() {
+    sample(300);
+    assertEquals(tasks.size(), 1);
+    time.run(Duration.ofMillis(250));
+    assertEquals(minimumMillis(), 250);
+    tasks.remove().run();
+    sample(19);
+    assertEquals(tasks.size(), 0, "nothing is measured once the lag has ended");
+  }
+
   @Test
   public void testConnectTimeoutDuringLagIsNoEvidence() {
-    reset();
     Throwable timeout = new ConnectTimeoutException();
     Instant startedAt = time.instant();
-    sample(99);
+    sampleAndRecover(99);
     time.run(TIMEOUT.minusMillis(99));
     assertTrue(timeouts.counts(timeout, startedAt, TIMEOUT), "lag below a quarter");
     startedAt = time.instant();
-    sample(100);
+    sampleAndRecover(100);
     time.run(TIMEOUT.minusMillis(100));
     assertFalse(timeouts.counts(timeout, startedAt, TIMEOUT), "lag of a quarter");
     assertTrue(timeouts.counts(new ConnectException(), startedAt, TIMEOUT), "refused");
--- a/org.oatlug/src/org/oatlug/internal/gateway/GatewayComponents.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/GatewayComponents.java
@@ -26,6 +26,7 @@
 import org.oatlug.internal.metrics.Meters;
 import org.oatlug.internal.routing.ZoneReachability;
 import org.oatlug.internal.util.EventLoopDelay;
+import org.oatlug.internal.util.NextIteration;
 import org.oatlug.internal.util.TimeoutEvidence;
 
 /**
@@ -193,7 +194,7 @@
                     && workMeter.isCapacityShortAt(service)
                     && shares.isBeyondShare(workspace, clock.instant()));
     UpstreamPacing pacing = UpstreamPacing.create(settings.loadManagement().pace(), tables, meters);
-    Executor eventLoop = task -> vertx.runOnContext(unused -> task.run());
+    Executor eventLoop = NextIteration.of(vertx);
     EventLoopDelay eventLoopDelay =
         EventLoopDelay.create(clock, eventLoop, delay -> meters.time("event-loop.delay", delay));
     TimeoutEvidence timeouts = TimeoutEvidence.create(eventLoopDelay, clock, meters);
--- a/org.oatlug/src/org/oatlug/internal/util/EventLoopDelay.java
+++ b/org.oatlug/src/org/oatlug/internal/util/EventLoopDelay.java
@@ -15,11 +15,12 @@
 /**
  * Measures the lag of an event loop: how long an action waits until the loop runs it.
  *
- * <p>A probe is an action submitted to the loop; its delay is a sample. Connections and requests
- * submit the probes, so nothing is measured, and no loop is woken, while there are none.
- * Invariants: at most one probe is pending; at most one sample is kept for each delay in whole
- * milliseconds, and none that is older than {@link #HISTORY}. Owned by one event loop, not
- * thread-safe.
+ * <p>A probe is an action for the next iteration of the loop; its delay is a sample. Connections
+ * and requests submit the probes, so nothing is measured, and no loop is woken, while there are
+ * none. While the loop lags, a probe follows the other at once: long iterations without a
+ * connection would look like idle time. Invariants: at most one probe is pending; at most one
+ * sample is kept for each delay in whole milliseconds, and none that is older than {@link
+ * #HISTORY}. Owned by one event loop, not thread-safe.
  */
 public final class EventLoopDelay {
   /**
@@ -31,6 +32,9 @@
   /** The time for which samples are kept. */
   private static final Duration HISTORY = Duration.ofSeconds(5);
 
+  /** The delay that counts as lag: several usual iterations. */
+  private static final Duration LAG_THRESHOLD = Duration.ofMillis(20);
+
   private final InstantSource clock;
   private final Executor eventLoop;
   private final Consumer<Duration> onSample;
@@ -56,7 +60,7 @@
   /**
    * Returns a measurement without samples.
    *
-   * @param eventLoop runs an action after those that the event loop has to run already
+   * @param eventLoop runs an action in the next iteration of the event loop
    * @param onSample called with each sample
    */
   public static EventLoopDelay create(
@@ -78,6 +82,9 @@
     pendingSince = Optional.empty();
     record(delay, now);
     onSample.accept(delay);
+    if (delay.compareTo(LAG_THRESHOLD) >= 0) {
+      probe();
+    }
   }
 
   /**
