--- a/org.oatlug.test/tst/org/oatlug/internal/util/EventLoopDelayTest.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/util/EventLoopDelayTest.java
@@ -3,17 +3,23 @@
 
 package org.oatlug.internal.util;
 
+import static java.util.concurrent.TimeUnit.SECONDS;
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 import com.codahale.metrics.MetricRegistry;
 import io.netty.channel.ConnectTimeoutException;
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
 import java.net.ConnectException;
+import java.net.ServerSocket;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.concurrent.Executor;
 import org.oatlug.internal.metrics.Meters;
 import org.oatlug.test.VirtualTime;
 import org.testng.annotations.BeforeMethod;
@@ -136,4 +142,29 @@
     assertFalse(timeouts.counts(timeout, startedAt, TIMEOUT), "the timer itself is late");
     assertEquals(meters.registry().counter("timeout.own-delay").getCount(), 2);
   }
+
+  private static void runUntil(Future<?> end, int steps, Executor loop, Promise<Boolean> outcome) {
+    if (end.isComplete() || steps == 0) {
+      outcome.complete(end.isComplete());
+    } else {
+      loop.execute(() -> runUntil(end, steps - 1, loop, outcome));
+    }
+  }
+
+  /** Guards against queues of the event loop whose actions all run before any connection opens. */
+  @Test
+  public void testConnectionsOpenBetweenIterations() throws Exception {
+    Vertx vertx = Vertx.vertx();
+    try (ServerSocket server = new ServerSocket(0)) {
+      Promise<Boolean> outcome = Promise.promise();
+      vertx.runOnContext(
+          unused -> {
+            Future<?> opened = vertx.createNetClient().connect(server.getLocalPort(), "127.0.0.1");
+            runUntil(opened, 100_000, NextIteration.of(vertx), outcome);
+          });
+      assertTrue(outcome.future().toCompletionStage().toCompletableFuture().get(20, SECONDS));
+    } finally {
+      vertx.close();
+    }
+  }
 }
