--- a/org.oatlug/src/org/oatlug/internal/gateway/UpstreamSelection.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/UpstreamSelection.java
@@ -21,6 +21,7 @@
 import org.oatlug.internal.engine.FirstTokenForecast;
 import org.oatlug.internal.engine.PrefillBacklog;
 import org.oatlug.internal.engine.PrefillEstimates;
+import org.oatlug.internal.engine.PrefillTimeModel;
 import org.oatlug.internal.routing.PlacementCost;
 import org.oatlug.internal.routing.PredictedResponseCost;
 import org.oatlug.internal.routing.SampledChoice;
@@ -346,12 +347,15 @@
       ToDoubleFunction<String> additionalMillis,
       Instant now) {
     Optional<Prompt> prompt = promptOf(criteria);
+    // The same for all candidates; finding it reads the samples of all models.
+    PrefillTimeModel prefillModel =
+        prefillEstimates.prefillModelOf(prompt.map(Prompt::model).orElse(""));
     boolean paced = pacing.isActive(criteria.service());
     List<CostedUpstream> costs = new ArrayList<>();
     for (Candidate candidate : candidates) {
       FirstTokenForecast forecast =
           prompt
-              .map(value -> forecast(candidate, value, home, paced, now))
+              .map(value -> forecast(candidate, value, prefillModel, home, paced, now))
               .orElse(FirstTokenForecast.NONE);
       UpstreamPacing.Applied applied =
           paced ? applied(candidate, now) : UpstreamPacing.Applied.NONE;
@@ -381,12 +385,16 @@
   }
 
   private FirstTokenForecast forecast(
-      Candidate candidate, Prompt prompt, String home, boolean paced, Instant now) {
+      Candidate candidate,
+      Prompt prompt,
+      PrefillTimeModel prefillModel,
+      String home,
+      boolean paced,
+      Instant now) {
     Uncached uncached = prompt.uncachedAt(candidate, home);
     double slowness = slownessOf(candidate, paced, now);
     double queueMillis = prefillBacklog.waitingMillis(candidate.row().process(), now);
-    double prefillMillis =
-        prefillEstimates.prefillModelOf(prompt.model()).millisFor(uncached.tokens());
+    double prefillMillis = prefillModel.millisFor(uncached.tokens());
     return new FirstTokenForecast(
         slowness * queueMillis, slowness * prefillMillis, uncached.tokens(), uncached.certain());
   }
--- a/org.oatlug/src/org/oatlug/internal/table/UpstreamRow.java
+++ b/org.oatlug/src/org/oatlug/internal/table/UpstreamRow.java
@@ -159,6 +159,9 @@
    * there are no responses.
    */
   public double failureShare(Instant now) {
+    if (failureShare == 0) {
+      return 0;
+    }
     double age = Duration.between(failureShareUpdatedAt, now).toMillis();
     return failureShare * Math.exp(-Math.max(0, age) / FAILURE_DECAY_MILLIS);
   }
