Aggregate only what a tick of a collector needs

A collector summed the reports of all instances on each tick only to count refuted versions, and those of its zone also when there is no other zone. The sum has a refuted version only if a report has one, so it is computed only then, and the sum of the zone only for other zones.

--- a/org.oatlug.test/tst/org/oatlug/internal/gather/ReportAggregatorTest.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/gather/ReportAggregatorTest.java
@@ -127,4 +127,29 @@
     byte[] earlier = Json.MESSAGE_PACK.writeValueAsBytes(Map.of("workspaces", Map.of()));
     assertEquals(Json.MESSAGE_PACK.readValue(earlier, LoadReport.class), LoadReport.EMPTY);
   }
+
+  /** Without this a refuted version would not be pushed, or be pushed again on each tick. */
+  @Example
+  void testNumberOfRefutedVersionsIsThatOfTheAggregate() {
+    ReportAggregator aggregator = ReportAggregator.create();
+    assertEquals(aggregator.refuted(now), 0);
+    aggregator.putInstance("p-1", report(1, 2, 0), now);
+    aggregator.putZone("z", report(1, 2, 0), now);
+    assertEquals(aggregator.refuted(now), 0);
+    aggregator.putInstance("p-2", refuted(1), now);
+    assertEquals(aggregator.refuted(now), 1);
+    aggregator.putZone("z", refuted(1), now);
+    assertEquals(aggregator.refuted(now), 1);
+    Instant expired = now.plus(ReportAggregator.EVIDENCE_VALIDITY).plusMillis(1);
+    assertEquals(aggregator.refuted(expired), 0);
+    aggregator.putInstance("p-3", report(2, 1, 0), now);
+    assertEquals(aggregator.refuted(now), 0, "a later order replaces the refuted one");
+  }
+
+  private static StateReport refuted(long orderedAt) {
+    VersionEvidence evidence =
+        new VersionEvidence(
+            "pool", "v2", StoreRevision.ofNumber(orderedAt), ComparedPairs.NONE, 0, true, 0, 1);
+    return new StateReport(Map.of(), List.of(evidence), Map.of(), Map.of(), Map.of());
+  }
 }
--- a/org.oatlug/src/org/oatlug/internal/gather/ReportAggregator.java
+++ b/org.oatlug/src/org/oatlug/internal/gather/ReportAggregator.java
@@ -81,6 +81,21 @@
     return new Received(current.report().joinEarlier(previous.report()), current.receivedAt());
   }
 
+  /** Returns the number of refuted versions in the aggregate of all zones. */
+  long refuted(Instant now) {
+    // The aggregate has a refuted version only if a report has one; it takes long to compute.
+    return anyRefuted(instances) || anyRefuted(zones) ? sumExcept("", now).refuted() : 0;
+  }
+
+  private static boolean anyRefuted(Map<String, Received> reports) {
+    for (Received received : reports.values()) {
+      if (received.report().refuted() > 0) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   /** Returns the aggregate of this zone. */
   StateReport sumOfZone(Instant now) {
     return sumOfInstancesExcept("", now);
--- a/org.oatlug/src/org/oatlug/internal/gather/StateExchange.java
+++ b/org.oatlug/src/org/oatlug/internal/gather/StateExchange.java
@@ -303,8 +303,12 @@
   }
 
   private void replicateToZones(Instant now) {
+    List<Member> remoteCollectors = collectors.ofOtherZones();
+    if (remoteCollectors.isEmpty()) {
+      return;
+    }
     StateReport own = aggregator.sumOfZone(now);
-    for (Member peer : collectors.ofOtherZones()) {
+    for (Member peer : remoteCollectors) {
       zoneReplication
           .updateFor(peer, own, crashReplication.isBehind(peer), now)
           .ifPresent(update -> replicateToZone(peer, update));
@@ -334,7 +338,7 @@
 
   /** Gives the aggregate to the whole zone at once when another version is refuted. */
   private void pushRefuted(Instant now) {
-    long refuted = aggregator.sumExcept("", now).refuted();
+    long refuted = aggregator.refuted(now);
     if (refuted > pushedRefuted) {
       participant.applyReported(aggregator.sumExcept(membership.self().process(), now));
       for (Member peer : membership.zonePeers()) {
