--- a/org.oatlug.test/tst/org/oatlug/test/SettingsTemplateTest.java
+++ b/org.oatlug.test/tst/org/oatlug/test/SettingsTemplateTest.java
@@ -163,10 +163,14 @@
         SettingsFile.checkGateway(fileWith("")).loadManagement(),
         GatewaySettings.LoadManagement.OFF);
     assertEquals(read(values()).loadManagement().queue(), GatewaySettings.Switch.AUTO);
-    Path invalid = fileWith("\"graceSeconds\": 1}, \"loadManagement\": {\"queue\": \"sometimes\"");
-    SettingsInvalidException refusal =
-        expectThrows(SettingsInvalidException.class, () -> SettingsFile.readGateway(invalid));
-    assertTrue(refusal.problems().toString().contains("loadManagement.queue"), "" + refusal);
+    assertEquals(read(values()).loadManagement().readers(), GatewaySettings.Switch.AUTO);
+    for (String part : new String[] {"queue", "readers"}) {
+      String loadManagement = "\"loadManagement\": {\"%s\": \"sometimes\"".formatted(part);
+      Path invalid = fileWith("\"graceSeconds\": 1}, " + loadManagement);
+      SettingsInvalidException refusal =
+          expectThrows(SettingsInvalidException.class, () -> SettingsFile.readGateway(invalid));
+      assertTrue(refusal.problems().toString().contains("loadManagement." + part), "" + refusal);
+    }
   }
 
   private static Path fileWith(String bound) throws IOException {
