Read responses ahead of callers that stop reading

ResponseRelay stopped reading from the upstream once the write queue of the caller was full; measured with small sockets, that queue holds 128 KB (64 KB of Netty and as much of Vert.x), and an upstream was left with the rest. A ReadAheadBuffer now holds what the caller has not read, joined into one part, with at most one part in the write queue, so all of it is counted. The upstream finishes, and its slot is free, although the response stays open until its caller has read it.

A stalled caller is reset past the pipeline: a close by Vert.x waits until the caller has read the write queue, so it would free neither connection nor memory. Before a caller counts as stalled, its socket is tried once more, since the event loop is told of room only once a third of the send buffer is free.

--- a/org.oatlug.test/tst/org/oatlug/entry/GatewayFleet.java
+++ b/org.oatlug.test/tst/org/oatlug/entry/GatewayFleet.java
@@ -118,6 +118,7 @@
     Path file = Files.createTempFile("oatlug-partitioned", ".json");
     file.toFile().deleteOnExit();
     settings.put("zone", instance.zone());
+    settings.put("loadManagement", new JsonObject().put("readers", "auto"));
     settings.getJsonObject("peers").put("forwarding", instance.ports().get(1));
     Files.writeString(file, settings.encode());
     GatewayInstance verticle =
--- a/org.oatlug.test/tst/org/oatlug/internal/gateway/GatewayServerFixture.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/gateway/GatewayServerFixture.java
@@ -6,6 +6,7 @@
 import com.codahale.metrics.MetricRegistry;
 import io.smallrye.mutiny.Uni;
 import io.vertx.core.Vertx;
+import io.vertx.core.json.JsonObject;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -16,6 +17,7 @@
 import java.util.Random;
 import java.util.random.RandomGenerator;
 import org.oatlug.adapter.PlatformAdapter;
+import org.oatlug.adapter.standin.PacedUpstream;
 import org.oatlug.adapter.standin.SampleObjects;
 import org.oatlug.adapter.standin.UpstreamStandin;
 import org.oatlug.api.ObjectKey;
@@ -53,10 +55,58 @@
 
   private volatile Duration suspendedTime = Duration.ZERO;
   private final GatewayTables tables = GatewayTables.create(this::now);
-  private final Vertx vertx = Vertx.vertx();
+  private final MetricRegistry registry = new MetricRegistry();
+  private final Vertx vertx;
+  private final JsonObject loadManagement;
   private volatile Runnable onChoice = () -> {};
   private long revision;
   private GatewayComponents components;
+  private GatewayServer server;
+
+  GatewayServerFixture() {
+    this(Vertx.vertx(), new JsonObject());
+  }
+
+  private GatewayServerFixture(Vertx vertx, JsonObject loadManagement) {
+    this.vertx = vertx;
+    this.loadManagement = loadManagement;
+  }
+
+  /** Returns a server whose sockets buffer little, with a state of the switch "readers". */
+  static GatewayServerFixture withReaders(String state) {
+    return new GatewayServerFixture(
+        Vertx.builder().withTransport(new SmallSocketTransport()).build(),
+        new JsonObject().put("readers", state));
+  }
+
+  /** Starts an upstream with the given events per stream and registers it. */
+  PacedUpstream addPacedUpstream(int events, long pauseMillis) {
+    PacedUpstream upstream = PacedUpstream.create(vertx, events, pauseMillis);
+    int port = Ports.free();
+    upstream.listen(HOST, port).toCompletionStage().toCompletableFuture().join();
+    put(GatewayKinds.UPSTREAM, "paced", record(port, "hall-a", false));
+    return upstream;
+  }
+
+  /** Returns the bytes that wait for callers. */
+  long readAheadBytes() {
+    return components.readAhead().heldBytes();
+  }
+
+  /** Returns the bytes that are reserved for bodies, including those that wait for callers. */
+  long reservedBytes() {
+    return components.bodyMemory().reservedBytes();
+  }
+
+  /** Returns the number of open requests. */
+  int openRequests() {
+    return server.openRequests();
+  }
+
+  /** Returns the value of a counter. */
+  long count(String name) {
+    return registry.counter(name).getCount();
+  }
 
   /** Sets an action to run on the event loop during each choice among candidate upstreams. */
   void onChoice(Runnable action) {
@@ -112,26 +162,30 @@
     tables.row(name).extendBackOff(now().plus(time));
   }
 
+  private static Route route(String name, String pathPrefix, RouteKind kind) {
+    return new Route(
+        name,
+        HOST,
+        pathPrefix,
+        kind,
+        TIMEOUT_MILLIS,
+        500,
+        1,
+        1,
+        true,
+        false,
+        false,
+        0,
+        List.of(),
+        List.of(new Route.WeightedTarget(SampleObjects.SERVICE, 1)));
+  }
+
   private static RoutingConfiguration configuration() {
-    Route route =
-        new Route(
-            "stock",
-            HOST,
-            SampleObjects.ONCE,
-            RouteKind.AT_MOST_ONCE,
-            TIMEOUT_MILLIS,
-            500,
-            1,
-            1,
-            true,
-            false,
-            false,
-            0,
-            List.of(),
-            List.of(new Route.WeightedTarget(SampleObjects.SERVICE, 1)));
     return new RoutingConfiguration(
         1,
-        List.of(route),
+        List.of(
+            route("stock", SampleObjects.ONCE, RouteKind.AT_MOST_ONCE),
+            route("ask", SampleObjects.STREAM, RouteKind.STREAM)),
         List.of(ServiceDefinition.of(SampleObjects.SERVICE, 100, Optional.empty())),
         CallerLimits.DEFAULT,
         Optional.empty());
@@ -143,7 +197,11 @@
     List<Integer> ports = List.of(1, 1, Ports.free(), 1, 1, 1);
     Path file = Files.createTempFile("settings", ".json");
     file.toFile().deleteOnExit();
-    Files.writeString(file, SampleObjects.settings("entry-0", ports, List.of()).encode());
+    Files.writeString(
+        file,
+        SampleObjects.settings("entry-0", ports, List.of())
+            .put("loadManagement", loadManagement)
+            .encode());
     GatewaySettings settings = SettingsFile.readGateway(file);
     RandomGenerator interruptedChoice =
         () -> {
@@ -162,12 +220,9 @@
             RateSenders.alone(),
             () -> 1,
             interruptedChoice,
-            Meters.of(new MetricRegistry()));
-    GatewayServer.create(components, new Random(1), () -> true)
-        .listen()
-        .toCompletionStage()
-        .toCompletableFuture()
-        .join();
+            Meters.of(registry));
+    server = GatewayServer.create(components, new Random(1), () -> true);
+    server.listen().toCompletionStage().toCompletableFuture().join();
     return ports.get(2);
   }
 
--- a/org.oatlug/src/org/oatlug/internal/gateway/BufferedResponse.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/BufferedResponse.java
@@ -27,6 +27,7 @@
   private final CallerResponse callerResponse;
   private final Function<HttpClientResponse, MultiMap> headersOf;
   private final Buffer body = Buffer.buffer();
+  private long reservedBytes;
   private boolean forwarded;
 
   private BufferedResponse(
@@ -59,11 +60,16 @@
     boolean fits = body.length() + part.length() <= MAXIMUM_BUFFERED_BYTES;
     if (!callerResponse.isBegun() && fits && components.bodyMemory().tryReserve(part.length())) {
       body.appendBuffer(part);
+      reservedBytes += part.length();
       return;
     }
     if (!callerResponse.isBegun()) {
       forwarded = true;
       callerResponse.begin(response.statusCode(), headersOf.apply(response));
+      if (callerResponse.mayStayUnread(body)) {
+        // From now on, the bytes count as read ahead.
+        release();
+      }
       writer.accept(body);
     }
     writer.accept(part);
@@ -74,6 +80,17 @@
     return forwarded;
   }
 
+  /**
+   * Writes a complete answer that its caller may not read soon; called before {@link #finish}, so
+   * that the unread bytes are known before the answer ends.
+   */
+  void writeUnread(HttpClientResponse response) {
+    if (!callerResponse.isBegun() && callerResponse.mayStayUnread(body)) {
+      callerResponse.beginWhole(response.statusCode(), headersOf.apply(response), body.length());
+      callerResponse.write(body, () -> {});
+    }
+  }
+
   /** Ends the caller's answer, sending the buffered bytes if no part was forwarded. */
   void finish(HttpClientResponse response) {
     if (callerResponse.isBegun()) {
@@ -83,8 +100,9 @@
     callerResponse.sendWhole(response.statusCode(), headersOf.apply(response), body);
   }
 
-  /** Returns the buffered bytes to the shared limit; to be called once. */
+  /** Returns the buffered bytes to the shared limit. */
   void release() {
-    components.bodyMemory().releaseBytes(body.length());
+    components.bodyMemory().releaseBytes(reservedBytes);
+    reservedBytes = 0;
   }
 }
--- a/org.oatlug/src/org/oatlug/internal/gateway/CallerResponse.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/CallerResponse.java
@@ -9,6 +9,7 @@
 import io.vertx.core.http.HttpServerResponse;
 import java.time.Duration;
 import java.util.Locale;
+import java.util.Optional;
 import org.oatlug.api.Refusal;
 import org.oatlug.internal.forward.ForwardingProtocol;
 import org.oatlug.internal.http.Problem;
@@ -17,15 +18,21 @@
  * Writes the answer to a caller's request.
  *
  * <p>Invariants: nothing is written after the end; an answer that was begun and cannot be completed
- * is aborted by closing the connection, so that it never looks complete. Used from one event loop.
+ * is aborted by closing the connection, so that it never looks complete. With read-ahead, an answer
+ * that was ended stays open until its caller has read it. Used from one event loop.
  */
 final class CallerResponse {
   private static final String CONTENT_LENGTH = "Content-Length";
   private static final double MILLIS_PER_SECOND = 1000;
 
+  /** The size up to which a body is within the initial send buffer of a socket, in bytes. */
+  private static final int SMALL_BODY_BYTES = 16 * 1024;
+
   private final HttpServerRequest request;
   private final HttpServerResponse response;
   private final boolean toInstance;
+  private Optional<ReadAheadBuffer> readAhead = Optional.empty();
+  private Runnable onDisconnect = () -> {};
   private boolean ended;
 
   private CallerResponse(HttpServerRequest request, boolean toInstance) {
@@ -46,17 +53,51 @@
 
   /** Sets the handler to call if the caller disconnects before the answer ends. */
   void onDisconnect(Runnable handler) {
-    response.exceptionHandler(failure -> disconnected(handler));
-    response.closeHandler(unused -> disconnected(handler));
+    onDisconnect = handler;
+    response.exceptionHandler(failure -> disconnected());
+    response.closeHandler(unused -> disconnected());
   }
 
-  private void disconnected(Runnable handler) {
+  private void disconnected() {
+    readAhead.ifPresent(ReadAheadBuffer::close);
     if (!ended) {
       ended = true;
-      handler.run();
+      onDisconnect.run();
     }
   }
 
+  /** Buffers what the caller does not read, if read-ahead is in use; called before the answer. */
+  void bufferUnread(ReadAheadBuffers buffers, AdmittedRequest admitted) {
+    readAhead = buffers.open(request, admitted, this::disconnectStalled);
+  }
+
+  /** Resets the connection of a caller that does not read. */
+  private void disconnectStalled() {
+    CallerSocket.reset(request.connection());
+    disconnected();
+  }
+
+  /** Returns the number of buffered bytes that the caller has not read. */
+  long unreadBytes() {
+    return readAhead.map(ReadAheadBuffer::heldBytes).orElse(0L);
+  }
+
+  /**
+   * Returns whether a body that is sent as a whole may wait for its caller, so that it has to be
+   * written with {@link #write} to be counted.
+   */
+  boolean mayStayUnread(Buffer body) {
+    return readAhead.isPresent()
+        && body.length() > 0
+        && (body.length() > SMALL_BODY_BYTES
+            || CallerSocket.unwrittenBytes(request.connection()) > 0);
+  }
+
+  /** Begins an answer of the given length. */
+  void beginWhole(int status, MultiMap headers, int length) {
+    begin(status, headers.set(CONTENT_LENGTH, Integer.toString(length)));
+  }
+
   /** Returns whether the caller disconnected, even if that was not reported yet. */
   boolean isCallerDisconnected() {
     return ended || CallerSocket.isClosed(request.connection());
@@ -92,6 +133,9 @@
     if (ended) {
       return false;
     }
+    if (readAhead.isPresent()) {
+      return readAhead.get().write(data, onDrained);
+    }
     response.write(data);
     if (!response.writeQueueFull()) {
       return false;
@@ -104,7 +148,7 @@
   void end() {
     if (!ended) {
       ended = true;
-      response.end();
+      readAhead.ifPresentOrElse(buffer -> buffer.complete(response::end), response::end);
     }
   }
 
@@ -146,7 +190,8 @@
   /** Closes the connection, so that a partial answer does not look complete. */
   void abort() {
     ended = true;
-    request.connection().close();
+    Runnable close = request.connection()::close;
+    readAhead.ifPresentOrElse(buffer -> buffer.abort(close), close);
   }
 
   private static String formatSeconds(Duration duration) {
--- a/org.oatlug/src/org/oatlug/internal/gateway/CallerSocket.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/CallerSocket.java
@@ -4,12 +4,14 @@
 package org.oatlug.internal.gateway;
 
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.nio.AbstractNioChannel;
 import io.vertx.core.http.HttpConnection;
 import io.vertx.core.net.impl.ConnectionBase;
 
 /**
- * Checks the socket of a caller ahead of the event loop.
+ * Reads, writes and resets the socket of a caller ahead of the event loop.
  *
  * <p>The event loop reads each socket once per iteration, and an iteration of a busy instance takes
  * seconds. Stateless; used from the event loop of the connection, and not while bytes of the same
@@ -30,4 +32,34 @@
     }
     return !channel.isActive();
   }
+
+  /** Returns the bytes that were written to the connection and that the socket has not taken. */
+  static long unwrittenBytes(HttpConnection connection) {
+    ChannelOutboundBuffer queue = ((ConnectionBase) connection).channel().unsafe().outboundBuffer();
+    return queue == null ? 0 : queue.totalPendingWriteBytes() - queue.currentProgress();
+  }
+
+  /**
+   * Passes waiting bytes to the socket. The event loop does so only once a third of the send buffer
+   * is free, which takes long if the caller reads slowly. Costs a system call.
+   */
+  static void flush(HttpConnection connection) {
+    if (((ConnectionBase) connection).channel().unsafe()
+        instanceof AbstractNioChannel.NioUnsafe socket) {
+      socket.forceFlush();
+    }
+  }
+
+  /**
+   * Closes the connection at once with a reset, past the pipeline: an orderly close, and any close
+   * through the pipeline, waits until the caller has read what is in the write queue. It could also
+   * look like the end of a response without a length.
+   */
+  static void reset(HttpConnection connection) {
+    Channel channel = ((ConnectionBase) connection).channel();
+    if (channel.isActive()) {
+      channel.config().setOption(ChannelOption.SO_LINGER, 0);
+    }
+    channel.unsafe().close(channel.newPromise());
+  }
 }
--- a/org.oatlug/src/org/oatlug/internal/gateway/Exchange.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/Exchange.java
@@ -93,6 +93,7 @@
     }
     deadlineTimer = components.deadlines().schedule(request.deadline(), this::deadlinePassed);
     callerResponse.onDisconnect(this::callerDisconnected);
+    callerResponse.bufferUnread(components.readAhead(), request);
     // A forwarded request is counted by the instance that admitted it.
     if (request.forwarded().isEmpty()) {
       components.budgets().of(request.service()).recordTry();
@@ -476,8 +477,20 @@
     components.meters().time("request." + route.kind().name().toLowerCase(Locale.ROOT), duration);
     log()
         .log(
-            "request ended route=%s outcome=%s sent=%d stage=%d events=%d millis=%d",
-            route.name(), outcome, attemptsSent, stage, relay.eventCount(), duration.toMillis());
+            "request ended route=%s outcome=%s sent=%d stage=%d events=%d millis=%d%s",
+            route.name(),
+            outcome,
+            attemptsSent,
+            stage,
+            relay.eventCount(),
+            duration.toMillis(),
+            unreadField());
+  }
+
+  /** Returns the log field for the bytes that still wait for the caller, empty for none. */
+  private String unreadField() {
+    long unreadBytes = callerResponse.unreadBytes();
+    return unreadBytes > 0 ? " unreadBytes=" + unreadBytes : "";
   }
 
   /** Returns a log statement for the request, subject to the rate limit of such statements. */
--- a/org.oatlug/src/org/oatlug/internal/gateway/GatewayComponents.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/GatewayComponents.java
@@ -58,6 +58,7 @@
  * @param retryAfterJitter computes the retry delays of refused callers
  * @param times the measured times of responses
  * @param bodyMemory the memory budget of request and response bodies
+ * @param readAhead the responses that callers have not read yet
  * @param logLimit limits the rate of log lines about requests
  * @param meters the counters
  */
@@ -93,6 +94,7 @@
     RetryAfterJitter retryAfterJitter,
     ResponseTimes times,
     BodyMemoryBudget bodyMemory,
+    ReadAheadBuffers readAhead,
     LogRateLimit logLimit,
     Meters meters) {
   /** Handles a pause of the process, which its timers may not have counted. */
@@ -171,6 +173,8 @@
                     && shares.isBeyondShare(workspace, clock.instant()));
     UpstreamPacing pacing = UpstreamPacing.create(settings.loadManagement().pace(), tables, meters);
     CrashGuard crashes = CrashGuard.create(vertx, clock, meters, tables);
+    BodyMemoryBudget bodyMemory = BodyMemoryBudget.create();
+    LogRateLimit logLimit = LogRateLimit.create(clock, meters);
     return new GatewayComponents(
         vertx,
         settings,
@@ -216,8 +220,10 @@
         requestQueue,
         RetryAfterJitter.create(random, instances),
         times,
-        BodyMemoryBudget.create(),
-        LogRateLimit.create(clock, meters),
+        bodyMemory,
+        ReadAheadBuffers.create(
+            vertx, clock, settings.loadManagement().readers(), bodyMemory, logLimit, meters),
+        logLimit,
         meters);
   }
 }
--- a/org.oatlug/src/org/oatlug/internal/gateway/ResponseRelay.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/ResponseRelay.java
@@ -138,6 +138,7 @@
   /** Ends the caller's response; returns the mean time between the last events, if it is known. */
   OptionalDouble finish() {
     if (!streaming) {
+      bufferedResponse.writeUnread(response);
       exchange.finish("status " + response.statusCode());
       bufferedResponse.finish(response);
       return OptionalDouble.empty();
--- a/org.oatlug/src/org/oatlug/internal/metrics/Meters.java
+++ b/org.oatlug/src/org/oatlug/internal/metrics/Meters.java
@@ -6,6 +6,7 @@
 import com.codahale.metrics.MetricRegistry;
 import java.time.Duration;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 import org.oatlug.api.RefusalReason;
 
 /** Records counters and timers in a metric registry. Immutable, thread-safe. */
@@ -33,6 +34,11 @@
     registry.counter(name).inc();
   }
 
+  /** Shows the value of a gauge, read when the metrics are; the first one of a name stays. */
+  public void gauge(String name, Supplier<Long> value) {
+    registry.gauge(name, () -> value::get);
+  }
+
   /** Increments the counter of the refusal reason. */
   public void refused(RefusalReason reason) {
     registry.counter(refusalName(reason)).inc();
