--- a/org.oatlug.test/tst/org/oatlug/test/SettingsTemplateTest.java
+++ b/org.oatlug.test/tst/org/oatlug/test/SettingsTemplateTest.java
@@ -164,12 +164,13 @@
         GatewaySettings.LoadManagement.OFF);
     assertEquals(read(values()).loadManagement().queue(), GatewaySettings.Switch.AUTO);
     assertEquals(read(values()).loadManagement().connections(), GatewaySettings.Switch.AUTO);
-    for (String field : new String[] {"queue", "connections"}) {
-      Path invalid =
-          fileWith("\"graceSeconds\": 1}, \"loadManagement\": {\"" + field + "\": \"sometimes\"");
+    assertEquals(read(values()).loadManagement().readers(), GatewaySettings.Switch.AUTO);
+    for (String part : new String[] {"queue", "connections", "readers"}) {
+      String loadManagement = "\"loadManagement\": {\"%s\": \"sometimes\"".formatted(part);
+      Path invalid = fileWith("\"graceSeconds\": 1}, " + loadManagement);
       SettingsInvalidException refusal =
           expectThrows(SettingsInvalidException.class, () -> SettingsFile.readGateway(invalid));
-      assertTrue(refusal.problems().toString().contains("loadManagement." + field), "" + refusal);
+      assertTrue(refusal.problems().toString().contains("loadManagement." + part), "" + refusal);
     }
   }
 
--- a/org.oatlug/src/org/oatlug/config/GatewaySettingsReader.java
+++ b/org.oatlug/src/org/oatlug/config/GatewaySettingsReader.java
@@ -51,7 +51,8 @@
         switchOf(tree, "shares"),
         switchOf(tree, "reservation"),
         switchOf(tree, "escalation"),
-        switchOf(tree, "connections"));
+        switchOf(tree, "connections"),
+        switchOf(tree, "readers"));
   }
 
   private static GatewaySettings.Switch switchOf(JsonNode tree, String field) {
--- a/org.oatlug/src/org/oatlug/gateway/GatewaySettings.java
+++ b/org.oatlug/src/org/oatlug/gateway/GatewaySettings.java
@@ -150,6 +150,7 @@
    * @param reservation the reservation of engines for deferrable requests
    * @param escalation the weight of load and urgency when a larger model is considered
    * @param connections the admission of new connections while the instance is overloaded
+   * @param readers the buffers for callers that stop reading
    */
   public record LoadManagement(
       Switch queue,
@@ -157,10 +158,12 @@
       Switch shares,
       Switch reservation,
       Switch escalation,
-      Switch connections) {
+      Switch connections,
+      Switch readers) {
     /** No part is in use. */
     public static final LoadManagement OFF =
-        new LoadManagement(Switch.OFF, Switch.OFF, Switch.OFF, Switch.OFF, Switch.OFF, Switch.OFF);
+        new LoadManagement(
+            Switch.OFF, Switch.OFF, Switch.OFF, Switch.OFF, Switch.OFF, Switch.OFF, Switch.OFF);
   }
 
   /**
--- a/org.oatlug/src/org/oatlug/internal/gateway/GatewayComponents.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/GatewayComponents.java
@@ -66,6 +66,7 @@
  * @param retryAfterJitter computes the retry delays of refused callers
  * @param times the measured times of responses
  * @param bodyMemory the memory budget of request and response bodies
+ * @param readAhead the responses that callers have not read yet
  * @param logLimit limits the rate of log lines about requests
  * @param meters the counters
  */
@@ -103,6 +104,7 @@
     RetryAfterJitter retryAfterJitter,
     ResponseTimes times,
     BodyMemoryBudget bodyMemory,
+    ReadAheadBuffers readAhead,
     LogRateLimit logLimit,
     Meters meters) {
   /** Handles a pause of the process, which its timers may not have counted. */
@@ -199,6 +201,8 @@
         EventLoopDelay.create(clock, eventLoop, delay -> meters.time("event-loop.delay", delay));
     TimeoutEvidence timeouts = TimeoutEvidence.create(eventLoopDelay, clock, meters);
     CrashGuard crashes = CrashGuard.create(vertx, clock, meters, tables, timeouts);
+    BodyMemoryBudget bodyMemory = BodyMemoryBudget.create();
+    LogRateLimit logLimit = LogRateLimit.create(clock, meters);
     return new GatewayComponents(
         vertx,
         settings,
@@ -249,8 +253,10 @@
         requestQueue,
         RetryAfterJitter.create(random, instances),
         times,
-        BodyMemoryBudget.create(),
-        LogRateLimit.create(clock, meters),
+        bodyMemory,
+        ReadAheadBuffers.create(
+            vertx, clock, settings.loadManagement().readers(), bodyMemory, logLimit, meters),
+        logLimit,
         meters);
   }
 }
