Exchange the latest refusals between instances

Cause: the retry of a refused caller usually reaches another instance, which takes it for a new request.

LoadReport has a component refused: at most 64 entries of an instance and 256 of several, the newest, checked on receipt, aged at the collector, and empty if an earlier version omits it. Collectors add up refusals once in 100 ms, whatever the size of the zone. Refusals do not make a report due.

--- a/org.oatlug/src/org/oatlug/internal/gather/LoadReport.java
+++ b/org.oatlug/src/org/oatlug/internal/gather/LoadReport.java
@@ -6,16 +6,23 @@
 import com.fasterxml.jackson.annotation.JsonFormat;
 import java.math.BigDecimal;
 import java.math.MathContext;
+import java.time.Duration;
+import java.util.Collection;
 import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.BinaryOperator;
 import java.util.function.ToDoubleFunction;
+import java.util.stream.Collectors;
+import org.oatlug.internal.limit.RefusalRecords;
 
 /**
  * Load that one instance or several together observe: the pace of upstreams, the demand of
- * workspaces and the work by rank. Immutable, thread-safe.
+ * workspaces, the work by rank and the latest refusals. Immutable, thread-safe.
  *
  * <p>Invariant: the number of entries is bounded, whatever the number of instances, upstreams and
  * workspaces.
@@ -24,12 +31,14 @@
  * @param workspaces the load of workspaces by name; the empty name stands for all others
  * @param workByRank the prefill work that arrives, in milliseconds per second, by {@link #rankKey}
  * @param reporters the number of instances that report the load of workspaces
+ * @param refused the latest refusals, the newest first
  */
 public record LoadReport(
     Map<String, PaceObservation> paces,
     Map<String, WorkspaceLoad> workspaces,
     Map<String, Integer> workByRank,
-    int reporters) {
+    int reporters,
+    List<RefusedRequest> refused) {
   /** A report without observations. */
   public static final LoadReport EMPTY = new LoadReport(Map.of(), Map.of(), Map.of());
 
@@ -40,6 +49,12 @@
   static final int MAXIMUM_WORKSPACES = 64;
   static final int MAXIMUM_RANKS = 256;
 
+  /** The maximum number of refusals that an instance reports of its own. */
+  static final int MAXIMUM_OWN_REFUSED = 64;
+
+  /** The maximum number of refusals of several instances. */
+  static final int MAXIMUM_REFUSED = 256;
+
   /** The weight of a pace that further samples hardly change. */
   private static final int MAXIMUM_SAMPLES = 1_000_000;
 
@@ -52,11 +67,12 @@
   /** Several times the number of instances at the design size. */
   private static final int MAXIMUM_REPORTERS = 10_000;
 
-  /** Replaces missing components, as sent by an instance of an earlier version, by empty maps. */
+  /** Replaces missing components, as sent by an instance of an earlier version, by empty ones. */
   public LoadReport {
     paces = paces == null ? Map.of() : paces;
     workspaces = workspaces == null ? Map.of() : workspaces;
     workByRank = workByRank == null ? Map.of() : workByRank;
+    refused = refused == null ? List.of() : refused;
   }
 
   /** Creates a report without the load of workspaces, or with that of instances not counted. */
@@ -67,6 +83,93 @@
     this(paces, workspaces, workByRank, 0);
   }
 
+  /** Creates a report without refusals. */
+  public LoadReport(
+      Map<String, PaceObservation> paces,
+      Map<String, WorkspaceLoad> workspaces,
+      Map<String, Integer> workByRank,
+      int reporters) {
+    this(paces, workspaces, workByRank, reporters, List.of());
+  }
+
+  /**
+   * A refused request whose caller may return. Encoded as an array, since a report may have many of
+   * these.
+   *
+   * @param content the hash of its content
+   * @param untilMillis the time until the caller may return; negative afterwards
+   * @param ageMillis the time since the refusal
+   */
+  @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+  public record RefusedRequest(long content, int untilMillis, int ageMillis) {
+    private static final int VALID_MILLIS = (int) RefusalRecords.VALIDITY.toMillis();
+    private static final int MAXIMUM_DELAY_MILLIS = (int) RefusalRecords.MAXIMUM_DELAY.toMillis();
+
+    private RefusedRequest aged(int millis) {
+      return new RefusedRequest(content, untilMillis - millis, ageMillis + millis);
+    }
+
+    private boolean isExpired() {
+      return untilMillis < -VALID_MILLIS;
+    }
+
+    private boolean isValid() {
+      return untilMillis >= -VALID_MILLIS
+          && untilMillis <= MAXIMUM_DELAY_MILLIS
+          && ageMillis >= 0
+          && ageMillis <= MAXIMUM_DELAY_MILLIS + VALID_MILLIS;
+    }
+  }
+
+  /** Returns refusals in the order of reports. */
+  static List<RefusedRequest> newestFirst(Collection<RefusedRequest> refusals) {
+    return refusals.stream().sorted(Comparator.comparingInt(RefusedRequest::ageMillis)).toList();
+  }
+
+  /** Merges two lists in linear time; of two refusals of the same content the newer one counts. */
+  private static List<RefusedRequest> mergeRefused(
+      List<RefusedRequest> left, List<RefusedRequest> right) {
+    if (left.isEmpty() || right.isEmpty()) {
+      return left.isEmpty() ? right : left;
+    }
+    Map<Long, RefusedRequest> merged = new LinkedHashMap<>();
+    int leftIndex = 0;
+    int rightIndex = 0;
+    while (merged.size() < MAXIMUM_REFUSED
+        && (leftIndex < left.size() || rightIndex < right.size())) {
+      boolean takesLeft =
+          rightIndex >= right.size()
+              || leftIndex < left.size()
+                  && left.get(leftIndex).ageMillis() <= right.get(rightIndex).ageMillis();
+      RefusedRequest next = takesLeft ? left.get(leftIndex++) : right.get(rightIndex++);
+      merged.putIfAbsent(next.content(), next);
+    }
+    return List.copyOf(merged.values());
+  }
+
+  /** Returns this report with the ages of refusals increased, and without expired ones. */
+  LoadReport aged(Duration elapsed) {
+    if (refused.isEmpty()) {
+      return this;
+    }
+    int millis = (int) Math.min(Integer.MAX_VALUE / 2, elapsed.toMillis());
+    return withRefused(
+        refused.stream()
+            .map(entry -> entry.aged(millis))
+            .filter(entry -> !entry.isExpired())
+            .toList());
+  }
+
+  /** Returns this report with other refusals. */
+  public LoadReport withRefused(List<RefusedRequest> replacement) {
+    return new LoadReport(paces, workspaces, workByRank, reporters, replacement);
+  }
+
+  /** Returns a report of refusals only. */
+  static LoadReport ofRefused(List<RefusedRequest> refused) {
+    return EMPTY.withRefused(refused);
+  }
+
   /**
    * Pace of an upstream process.
    *
@@ -136,7 +239,8 @@
             merge(paces, other.paces, PaceObservation::join),
             merge(workspaces, other.workspaces, WorkspaceLoad::plus),
             merge(workByRank, other.workByRank, LoadReport::saturatedSum),
-            Math.min(MAXIMUM_REPORTERS, reporters + other.reporters))
+            Math.min(MAXIMUM_REPORTERS, reporters + other.reporters),
+            mergeRefused(refused, other.refused))
         .bounded();
   }
 
@@ -154,24 +258,35 @@
     Map<String, Integer> ranks = new TreeMap<>(workByRank);
     part.workByRank.forEach(
         (key, millis) -> ranks.computeIfPresent(key, (unused, sum) -> Math.max(0, sum - millis)));
-    return new LoadReport(paces, others, ranks, Math.max(0, reporters - part.reporters));
+    return new LoadReport(
+        paces, others, ranks, Math.max(0, reporters - part.reporters), refusedExcept(part));
+  }
+
+  private List<RefusedRequest> refusedExcept(LoadReport part) {
+    if (refused.isEmpty() || part.refused.isEmpty()) {
+      return refused;
+    }
+    Set<Long> own = part.refused.stream().map(RefusedRequest::content).collect(Collectors.toSet());
+    return refused.stream().filter(entry -> !own.contains(entry.content())).toList();
   }
 
   /**
    * Returns this report with at most the entries that a message may hold: the paces farthest from 1
-   * and the workspaces of the highest demand, the others summed.
+   * and the workspaces of the highest demand, the others summed; the newest refusals.
    */
   public LoadReport bounded() {
     if (paces.size() <= MAXIMUM_PACES
         && workspaces.size() <= MAXIMUM_WORKSPACES
-        && workByRank.size() <= MAXIMUM_RANKS) {
+        && workByRank.size() <= MAXIMUM_RANKS
+        && refused.size() <= MAXIMUM_REFUSED) {
       return this;
     }
     return new LoadReport(
         highest(paces, MAXIMUM_PACES, entry -> Math.abs(Math.log(entry.pace()))),
         boundedWorkspaces(),
         highest(workByRank, MAXIMUM_RANKS, Integer::doubleValue),
-        reporters);
+        reporters,
+        refused.stream().limit(MAXIMUM_REFUSED).toList());
   }
 
   private Map<String, WorkspaceLoad> boundedWorkspaces() {
@@ -220,7 +335,10 @@
     return kept;
   }
 
-  /** Returns whether nothing is observed and no instance is counted. */
+  /**
+   * Returns whether nothing is observed and no instance is counted. Refusals do not matter, as
+   * reports are not sent more often because of them.
+   */
   boolean isEmpty() {
     return reporters == 0 && paces.isEmpty() && workspaces.isEmpty() && workByRank.isEmpty();
   }
@@ -229,7 +347,8 @@
   Optional<String> problem() {
     if (paces.size() > MAXIMUM_PACES
         || workspaces.size() > MAXIMUM_WORKSPACES
-        || workByRank.size() > MAXIMUM_RANKS) {
+        || workByRank.size() > MAXIMUM_RANKS
+        || refused.size() > MAXIMUM_REFUSED) {
       return Optional.of("the load report has too many entries");
     }
     boolean valid =
@@ -237,6 +356,7 @@
             && workspaces.values().stream().allMatch(load -> load != null && load.isValid())
             && workByRank.values().stream()
                 .allMatch(millis -> millis != null && millis >= 0 && millis <= MAXIMUM_MILLIS)
+            && refused.stream().allMatch(entry -> entry != null && entry.isValid())
             && reporters >= 0
             && reporters <= MAXIMUM_REPORTERS;
     return valid ? Optional.empty() : Optional.of("an entry of the load report is invalid");
--- a/org.oatlug/src/org/oatlug/internal/gather/LoadTotals.java
+++ b/org.oatlug/src/org/oatlug/internal/gather/LoadTotals.java
@@ -16,18 +16,23 @@
  * response takes 24 million additions a second. Owned by one event loop, not thread-safe.
  */
 final class LoadTotals {
-  /** The time for which a sum is used; no longer than the interval between zones. */
-  private static final Duration INTERVAL = Duration.ofMillis(300);
-
+  private final Duration interval;
   private Map<String, LoadReport> summed = Map.of();
   private LoadReport total = LoadReport.EMPTY;
+  private Instant summedAt = Instant.EPOCH;
   private Instant nextSum = Instant.EPOCH;
 
-  private LoadTotals() {}
+  private LoadTotals(Duration interval) {
+    this.interval = interval;
+  }
 
-  /** Returns totals of no instance. */
-  static LoadTotals create() {
-    return new LoadTotals();
+  /**
+   * Returns totals of no instance.
+   *
+   * @param interval the time for which a sum is used
+   */
+  static LoadTotals create(Duration interval) {
+    return new LoadTotals(interval);
   }
 
   /**
@@ -37,11 +42,13 @@
    */
   LoadReport except(String process, Supplier<Map<String, LoadReport>> current, Instant now) {
     if (!now.isBefore(nextSum)) {
-      nextSum = now.plus(INTERVAL);
+      summedAt = now;
+      nextSum = now.plus(interval);
       summed = current.get();
       total = summed.values().stream().reduce(LoadReport.EMPTY, LoadReport::plus);
     }
     LoadReport own = summed.get(process);
-    return own == null ? total : total.minus(own);
+    LoadReport others = own == null ? total : total.minus(own);
+    return others.aged(Duration.between(summedAt, now));
   }
 }
--- a/org.oatlug/src/org/oatlug/internal/gather/ReportAggregator.java
+++ b/org.oatlug/src/org/oatlug/internal/gather/ReportAggregator.java
@@ -46,7 +46,17 @@
    */
   private static final int MAXIMUM_ADDED = 64;
 
-  private final LoadTotals loads = LoadTotals.create();
+  /** No longer than the interval between zones. */
+  private static final Duration LOAD_SUM_INTERVAL = Duration.ofMillis(300);
+
+  /**
+   * Refusals are never added up for each response: in 100 responses a second of a zone of 64
+   * instances with 64 refusals each, that would take 1.6 million operations a second.
+   */
+  private static final Duration REFUSAL_SUM_INTERVAL = Duration.ofMillis(100);
+
+  private final LoadTotals loads = LoadTotals.create(LOAD_SUM_INTERVAL);
+  private final LoadTotals refusals = LoadTotals.create(REFUSAL_SUM_INTERVAL);
 
   private record Received(StateReport report, Instant receivedAt) {
     StateReport asOf(Instant now) {
@@ -100,14 +110,26 @@
     for (Map.Entry<String, Received> entry : instances.entrySet()) {
       if (!entry.getKey().equals(process)) {
         StateReport report = entry.getValue().asOf(now);
-        reports.add(addsLoads ? report : report.withLoad(LoadReport.EMPTY));
+        LoadReport added = addsLoads ? report.load().withRefused(List.of()) : LoadReport.EMPTY;
+        reports.add(report.withLoad(added));
       }
     }
     StateReport sum = StateReport.sumOf(reports);
-    return addsLoads ? sum : sum.withLoad(loads.except(process, () -> loadsAsOf(now), now));
+    LoadReport load =
+        addsLoads ? sum.load() : loads.except(process, () -> loadsAsOf(now, false), now);
+    LoadReport refused = refusals.except(process, () -> loadsAsOf(now, true), now);
+    return sum.withLoad(load.withRefused(refused.refused()));
   }
 
-  private Map<String, LoadReport> loadsAsOf(Instant now) {
-    return new HashMap<>(Maps.transformValues(instances, received -> received.asOf(now).load()));
+  private Map<String, LoadReport> loadsAsOf(Instant now, boolean onlyRefused) {
+    return new HashMap<>(
+        Maps.transformValues(
+            instances,
+            received -> {
+              LoadReport load = received.asOf(now).load();
+              return onlyRefused
+                  ? LoadReport.ofRefused(load.refused())
+                  : load.withRefused(List.of());
+            }));
   }
 }
--- a/org.oatlug/src/org/oatlug/internal/gather/StateReport.java
+++ b/org.oatlug/src/org/oatlug/internal/gather/StateReport.java
@@ -119,7 +119,7 @@
 
   /** Returns this report with all ages increased by the elapsed time. */
   StateReport aged(Duration elapsed) {
-    if (evidence.isEmpty() && limits.isEmpty() && brittle.isEmpty()) {
+    if (evidence.isEmpty() && limits.isEmpty() && brittle.isEmpty() && load.refused().isEmpty()) {
       return this;
     }
     return new StateReport(
@@ -128,7 +128,7 @@
         speeds,
         Maps.transformValues(limits, limit -> limit.aged(elapsed)),
         Maps.transformValues(brittle, limit -> limit.aged(elapsed)),
-        load);
+        load.aged(elapsed));
   }
 
   /**
