Pace refused callers and let their retries precede new requests

Cause: nothing distinguished the retry of a refused caller from a new request, though a second refusal is the most expensive one.

Change: RefusedCallers joins the pacing and the records; it is used by the setting loadManagement.retries (auto: deployments with a deferrable route, missing: off). Urgency has a component retry, after the share and before the goal; the admission queue and the overloaded dispatch queue use it, and a retry displaces the newest new request of its rank from a full queue. An early retry is told the same time again and takes no turn. The content is hashed only for a refusal or while there are records. Retry-After has milliseconds, because rounding to 10 ms told callers a time up to 5 ms before their turn. Refusals for crashes and those of forwarded requests are not recorded.

--- a/org.oatlug.test/tst/org/oatlug/internal/limit/AdmissionQueueTest.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/limit/AdmissionQueueTest.java
@@ -188,7 +188,7 @@
   public void testWorkspaceBeyondItsShareGoesBehindOthersOfItsRank() {
     Instant now = time.instant();
     Instant goal = now.plus(GOAL);
-    Urgency beyond = new Urgency(1, true, goal, goal);
+    Urgency beyond = new Urgency(1, true, false, goal, goal);
     queue.enqueue(request("beyond", beyond, goal, goal), now);
     enqueue("within", 1);
     enqueue("lower", 2);
@@ -196,6 +196,37 @@
     assertEquals(events, List.of("within", "beyond", "lower"));
   }
 
+  private Urgency retry(int rank) {
+    Instant goal = time.instant().plus(GOAL);
+    return new Urgency(rank, false, true, goal, goal);
+  }
+
+  /** Guards against a retry behind new requests of its rank, or before those of a higher rank. */
+  @Test
+  public void testRetryGoesBeforeNewRequestsOfItsRankOnly() {
+    Instant end = time.instant().plus(GOAL);
+    enqueue("lower", 2);
+    queue.enqueue(request("lower retry", retry(2), end, end), time.instant());
+    enqueue("new", 1);
+    queue.enqueue(request("retry", retry(1), end, end), time.instant());
+    release(4);
+    assertEquals(events, List.of("retry", "new", "lower retry", "lower"));
+  }
+
+  /** Guards against a second refusal of a caller while new requests of its rank wait. */
+  @Test
+  public void testRetryDisplacesNewestNewRequestOfItsRankFromFullQueue() {
+    Instant end = time.instant().plus(GOAL);
+    for (int number = 1; number < AdmissionQueue.MAXIMUM_WAITING; number++) {
+      enqueue("new " + number, 1);
+    }
+    queue.enqueue(request("retry 1", retry(1), end, end), time.instant());
+    assertTrue(enqueue("rejected", 1).isPresent());
+    queue.enqueue(request("retry 2", retry(1), end, end), time.instant());
+    assertEquals(events, List.of("new " + (AdmissionQueue.MAXIMUM_WAITING - 1) + " displaced"));
+    assertTrue(queue.enqueue(request("low", retry(2), end, end), time.instant()).isPresent());
+  }
+
   /**
    * Room for half of the demand, which three kinds of requests share evenly; each waits for an
    * eighth of its goal at most and is refused then. Guards against serving a kind less often than a
--- a/org.oatlug.test/tst/org/oatlug/internal/limit/DispatchQueueTest.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/limit/DispatchQueueTest.java
@@ -167,6 +167,30 @@
     assertEquals(queue.size(), 0);
   }
 
+  /** Guards against a retry behind new requests of its rank at an overloaded instance. */
+  @Test
+  public void testRetryStartsBeforeNewRequestsOfItsRankInOverload() {
+    Instant goal = time.instant().plusSeconds(2);
+    Urgency higher = new Urgency(0, goal, goal);
+    Urgency retry = new Urgency(1, false, true, goal, goal);
+    Urgency lowerRetry = new Urgency(2, false, true, goal, goal);
+    Urgency fresh = new Urgency(1, goal.minusSeconds(1), goal);
+    List<Urgency> started = new ArrayList<>();
+    Iterations iterations = new Iterations();
+    DispatchQueue<Urgency> queue =
+        DispatchQueue.create(
+            time,
+            iterations.scheduled::add,
+            started::add,
+            () -> Optional.of(Urgency.order(time.instant())));
+    List.of(fresh, lowerRetry, fresh, retry, higher).forEach(queue::enqueue);
+    time.run(Duration.ofMillis(200));
+    for (int count = 0; count < 5; count++) {
+      iterations.next();
+    }
+    assertEquals(started, List.of(fresh, higher, retry, fresh, lowerRetry));
+  }
+
   /** Holds actions until the test runs the next iteration. */
   private static final class Iterations {
     private final List<Runnable> scheduled = new ArrayList<>();
--- a/org.oatlug.test/tst/org/oatlug/test/SettingsTemplateTest.java
+++ b/org.oatlug.test/tst/org/oatlug/test/SettingsTemplateTest.java
@@ -12,6 +12,7 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -163,10 +164,14 @@
         SettingsFile.checkGateway(fileWith("")).loadManagement(),
         GatewaySettings.LoadManagement.OFF);
     assertEquals(read(values()).loadManagement().queue(), GatewaySettings.Switch.AUTO);
-    Path invalid = fileWith("\"graceSeconds\": 1}, \"loadManagement\": {\"queue\": \"sometimes\"");
-    SettingsInvalidException refusal =
-        expectThrows(SettingsInvalidException.class, () -> SettingsFile.readGateway(invalid));
-    assertTrue(refusal.problems().toString().contains("loadManagement.queue"), "" + refusal);
+    assertEquals(read(values()).loadManagement().retries(), GatewaySettings.Switch.AUTO);
+    for (String field : List.of("queue", "retries")) {
+      String invalid = "\"graceSeconds\": 1}, \"loadManagement\": {\"%s\": \"sometimes\"";
+      Path file = fileWith(invalid.formatted(field));
+      SettingsInvalidException refusal =
+          expectThrows(SettingsInvalidException.class, () -> SettingsFile.readGateway(file));
+      assertTrue(refusal.problems().toString().contains("loadManagement." + field), "" + refusal);
+    }
   }
 
   private static Path fileWith(String bound) throws IOException {
--- a/org.oatlug/src/org/oatlug/config/GatewaySettingsReader.java
+++ b/org.oatlug/src/org/oatlug/config/GatewaySettingsReader.java
@@ -50,7 +50,8 @@
         switchOf(tree, "pace"),
         switchOf(tree, "shares"),
         switchOf(tree, "reservation"),
-        switchOf(tree, "escalation"));
+        switchOf(tree, "escalation"),
+        switchOf(tree, "retries"));
   }
 
   private static GatewaySettings.Switch switchOf(JsonNode tree, String field) {
--- a/org.oatlug/src/org/oatlug/gateway/GatewaySettings.java
+++ b/org.oatlug/src/org/oatlug/gateway/GatewaySettings.java
@@ -148,12 +148,18 @@
    * @param shares the shares of workspaces
    * @param reservation the reservation of engines for deferrable requests
    * @param escalation the weight of load and urgency when a larger model is considered
+   * @param retries the return times of refused callers, and the precedence of their retries
    */
   public record LoadManagement(
-      Switch queue, Switch pace, Switch shares, Switch reservation, Switch escalation) {
+      Switch queue,
+      Switch pace,
+      Switch shares,
+      Switch reservation,
+      Switch escalation,
+      Switch retries) {
     /** No part is in use. */
     public static final LoadManagement OFF =
-        new LoadManagement(Switch.OFF, Switch.OFF, Switch.OFF, Switch.OFF, Switch.OFF);
+        new LoadManagement(Switch.OFF, Switch.OFF, Switch.OFF, Switch.OFF, Switch.OFF, Switch.OFF);
   }
 
   /**
--- a/org.oatlug/src/org/oatlug/internal/crash/RequestFingerprint.java
+++ b/org.oatlug/src/org/oatlug/internal/crash/RequestFingerprint.java
@@ -38,6 +38,11 @@
     return fingerprint.startsWith(PART_PREFIX);
   }
 
+  /** Returns the first 64 bits of a fingerprint. */
+  public static long shortened(String fingerprint) {
+    return Long.parseUnsignedLong(fingerprint.substring(0, LENGTH / 2), 16);
+  }
+
   /**
    * Returns the fingerprint of a request, in hexadecimal.
    *
--- a/org.oatlug/src/org/oatlug/internal/gateway/AdmittedRequest.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/AdmittedRequest.java
@@ -64,10 +64,16 @@
   /**
    * Returns the urgency of the request. Half of its goal is left for its way and its run: a request
    * that starts later is likely to miss its goal.
+   *
+   * @param retry whether its caller was refused and returns as it was told
    */
-  Urgency urgency() {
+  Urgency urgency(boolean retry) {
     return new Urgency(
-        rank(), arrived.plusMillis(route.goalMillis()), arrived.plusMillis(route.goalMillis() / 2));
+        rank(),
+        false,
+        retry,
+        arrived.plusMillis(route.goalMillis()),
+        arrived.plusMillis(route.goalMillis() / 2));
   }
 
   /** Returns the number of the last event that the caller has, if it resumes a stream. */
@@ -80,6 +86,11 @@
     return RequestFingerprint.of(head.host(), uri, workspaceName(), body.getBytes());
   }
 
+  /** Returns 64 bits of the fingerprint. */
+  long contentHash() {
+    return RequestFingerprint.shortened(fingerprint());
+  }
+
   /**
    * Returns the parts of the prompt that other requests may share: all but the last, which belongs
    * to the request or its session; empty if the request generates nothing.
--- a/org.oatlug/src/org/oatlug/internal/gateway/CallerResponse.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/CallerResponse.java
@@ -150,6 +150,6 @@
   }
 
   private static String formatSeconds(Duration duration) {
-    return String.format(Locale.ROOT, "%.2f", duration.toMillis() / MILLIS_PER_SECOND);
+    return String.format(Locale.ROOT, "%.3f", duration.toMillis() / MILLIS_PER_SECOND);
   }
 }
--- a/org.oatlug/src/org/oatlug/internal/gateway/Exchange.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/Exchange.java
@@ -14,6 +14,7 @@
 import java.util.Set;
 import java.util.function.Function;
 import java.util.function.Predicate;
+import java.util.function.Supplier;
 import org.oatlug.api.Refusal;
 import org.oatlug.api.RefusalReason;
 import org.oatlug.errors.ErrorText;
@@ -23,6 +24,7 @@
 import org.oatlug.internal.engine.FirstTokenForecast;
 import org.oatlug.internal.forward.ForwardedRequest;
 import org.oatlug.internal.forward.Receiver;
+import org.oatlug.internal.limit.Urgency;
 
 /**
  * Handles one admitted request: sends it to upstreams in turn until one of them responds.
@@ -58,6 +60,7 @@
   private final CrashGuard.RequestGuard requestGuard;
   private final UpstreamChoice upstreams;
   private final Optional<RequestWait> wait;
+  private final RefusedCallers.Try callerTry;
   private long deadlineTimer = NO_TIMER;
   private int attemptsSent;
   private int attemptsNotSent;
@@ -74,7 +77,8 @@
     this.callerResponse = callerResponse;
     this.request = request;
     this.route = request.route();
-    this.refusals = new ServiceRefusals(components);
+    this.callerTry = components.refusedCallers().tryOf(request);
+    this.refusals = new ServiceRefusals(components, callerTry);
     this.relay = StreamRelay.after(request.resumeAfter());
     this.requestGuard = components.crashes().guard(request);
     this.upstreams = UpstreamChoice.of(components, request, requestGuard);
@@ -91,6 +95,7 @@
     if (refuseIfCrashing()) {
       return;
     }
+    callerTry.arrive();
     deadlineTimer = components.deadlines().schedule(request.deadline(), this::deadlinePassed);
     callerResponse.onDisconnect(this::callerDisconnected);
     // A forwarded request is counted by the instance that admitted it.
@@ -154,6 +159,11 @@
     return request;
   }
 
+  /** Returns the urgency of the request among those that wait. */
+  Urgency urgency() {
+    return request.urgency(callerTry.isReturnedInTime());
+  }
+
   /** Returns the relay of the event stream, which all attempts share. */
   StreamRelay relay() {
     return relay;
@@ -190,7 +200,7 @@
     RefusalReason reason = RefusalReason.CRASHES_UPSTREAMS;
     hold.retryAfter()
         .ifPresentOrElse(
-            delay -> giveUp(reason, text, delay),
+            delay -> giveUp(reason, text, () -> delay),
             () -> refuse(mayHaveRun ? failed(text) : Refusal.notRun(reason, text)));
   }
 
@@ -286,12 +296,27 @@
   }
 
   private void giveUpWithoutUpstream() {
-    Refusal refusal = refusals.withoutUpstream(request.service());
-    if (refusal.reason() == RefusalReason.UPSTREAMS_BRITTLE && mayWait()) {
+    RefusalReason reason = refusals.reasonWithoutUpstream(request.service());
+    if (reason == RefusalReason.UPSTREAMS_BRITTLE && mayWait()) {
       components.vertx().setTimer(PLACE_POLL_MILLIS, unused -> sendAfterWait());
       return;
     }
-    giveUp(refusal.reason(), refusal.detail(), refusal.retryAfter().orElseThrow());
+    giveUp(
+        reason,
+        ServiceRefusals.textWithoutUpstream(reason, request.service()),
+        () -> refusals.retryAfter(reason, request.service()));
+  }
+
+  /**
+   * Refuses the request because it cannot wait for room.
+   *
+   * @param predictedWait the time until there would be room for it
+   */
+  void giveUpForRoom(Duration predictedWait) {
+    giveUp(
+        RefusalReason.OVERLOADED,
+        ErrorText.get().overloaded,
+        () -> refusals.returnDelay(predictedWait));
   }
 
   /** Returns whether the wait for a place is short compared to the time of a useful answer. */
@@ -443,13 +468,12 @@
 
   /** Refuses the request; states "not run" only while no upstream may have run it. */
   void giveUp(RefusalReason reason, String text) {
-    giveUp(reason, text, refusals.retryAfter(request.service()));
+    giveUp(reason, text, () -> refusals.retryAfter(request.service()));
   }
 
   /** Refuses the request with a retry delay; states "not run" only while that is true. */
-  void giveUp(RefusalReason reason, String text, Duration retryAfter) {
-    Refusal refusal = mayHaveRun ? failed(text) : Refusal.retryAfter(reason, text, retryAfter);
-    refuse(refusal);
+  private void giveUp(RefusalReason reason, String text, Supplier<Duration> retryAfter) {
+    refuse(mayHaveRun ? failed(text) : Refusal.retryAfter(reason, text, retryAfter.get()));
   }
 
   /** Refuses the request after the last upstream refused it. */
@@ -462,9 +486,21 @@
   }
 
   private void refuse(Refusal refusal) {
-    finish("refused " + refusal.reason().text() + ": " + refusal.detail());
-    components.meters().refused(refusal.reason());
-    callerResponse.refuse(refusal, request.head().id());
+    Refusal recorded = callerTry.record(refusal);
+    finish(
+        "refused "
+            + recorded.reason().text()
+            + ": "
+            + recorded.detail()
+            + callerTry.describe(recorded));
+    components.meters().refused(recorded.reason());
+    callerResponse.refuse(recorded, request.head().id());
+  }
+
+  /** Records that the response was delivered; called before it ends. */
+  void finishServed(String outcome) {
+    components.refusedCallers().recordCompleted(request.service());
+    finish(outcome);
   }
 
   /** Records the outcome of the request; called before its response ends. */
@@ -523,7 +559,7 @@
         possiblyRan
             ? Refusal.unknown(RefusalReason.DEADLINE_PASSED, text)
             : Refusal.retryAfter(
-                RefusalReason.OVERLOADED, text, ServiceRefusals.DEFAULT_RETRY_AFTER));
+                RefusalReason.OVERLOADED, text, refusals.returnDelay(Duration.ZERO)));
   }
 
   private void callerDisconnected() {
--- a/org.oatlug/src/org/oatlug/internal/gateway/GatewayComponents.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/GatewayComponents.java
@@ -56,6 +56,7 @@
  * @param dispatchQueue the queue of requests that have not started
  * @param requestQueue the queue of requests that wait for room at an upstream
  * @param retryAfterJitter computes the retry delays of refused callers
+ * @param refusedCallers tells refused callers when to return, and recognizes their retries
  * @param times the measured times of responses
  * @param bodyMemory the memory budget of request and response bodies
  * @param logLimit limits the rate of log lines about requests
@@ -91,6 +92,7 @@
     DispatchQueue<Exchange> dispatchQueue,
     RequestQueue requestQueue,
     RetryAfterJitter retryAfterJitter,
+    RefusedCallers refusedCallers,
     ResponseTimes times,
     BodyMemoryBudget bodyMemory,
     LogRateLimit logLimit,
@@ -215,6 +217,11 @@
             requestQueue::startOrder),
         requestQueue,
         RetryAfterJitter.create(random, instances),
+        RefusedCallers.create(
+            () -> settings.loadManagement().retries().isOn(!tables.deferrableRoutes().isEmpty()),
+            clock,
+            random,
+            meters),
         times,
         BodyMemoryBudget.create(),
         LogRateLimit.create(clock, meters),
--- a/org.oatlug/src/org/oatlug/internal/gateway/GatewayParticipant.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/GatewayParticipant.java
@@ -10,14 +10,15 @@
 import org.oatlug.internal.engine.PrefillTimeModel;
 import org.oatlug.internal.gather.ExchangeParticipant;
 import org.oatlug.internal.gather.LoadReport;
+import org.oatlug.internal.gather.RefusalReports;
 import org.oatlug.internal.gather.SessionObservation;
 import org.oatlug.internal.gather.ShareReports;
 import org.oatlug.internal.gather.StateReport;
 
 /**
  * Exchanges the gateway's state with other instances: prompts waiting for prefill, prefill models,
- * evidence about versions under roll-out, rate limits and paces of upstreams, and the demand of
- * workspaces. Owned by one event loop, not thread-safe.
+ * evidence about versions under roll-out, rate limits and paces of upstreams, the demand of
+ * workspaces, and the latest refusals. Owned by one event loop, not thread-safe.
  */
 public final class GatewayParticipant implements ExchangeParticipant {
   /**
@@ -62,7 +63,11 @@
   private LoadReport localLoad(Instant now) {
     LoadReport demand = ShareReports.reportOf(components.shares(), now);
     return new LoadReport(
-            paces, demand.workspaces(), components.prefillWork().own(now), demand.reporters())
+            paces,
+            demand.workspaces(),
+            components.prefillWork().own(now),
+            demand.reporters(),
+            RefusalReports.reportOf(components.refusedCallers().records(), now))
         .bounded();
   }
 
@@ -93,6 +98,8 @@
         .prefillWork()
         .applyReported(remote.load().workByRank(), components.clock().instant());
     ShareReports.apply(remote.load(), components.shares(), components.clock().instant());
+    RefusalReports.apply(
+        remote.load(), components.refusedCallers().records(), components.clock().instant());
     components.requestQueue().roomMayBeFree();
   }
 
--- a/org.oatlug/src/org/oatlug/internal/gateway/RequestQueue.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/RequestQueue.java
@@ -106,8 +106,7 @@
       return Optional.empty();
     }
     Comparator<Urgency> order = Urgency.order(clock.instant());
-    return Optional.of(
-        (left, right) -> order.compare(left.request().urgency(), right.request().urgency()));
+    return Optional.of((left, right) -> order.compare(left.urgency(), right.urgency()));
   }
 
   /** Returns the wait of a request, empty if it may not wait. */
--- a/org.oatlug/src/org/oatlug/internal/gateway/RequestWait.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/RequestWait.java
@@ -7,8 +7,6 @@
 import java.time.Instant;
 import java.util.Locale;
 import java.util.Optional;
-import org.oatlug.api.RefusalReason;
-import org.oatlug.errors.ErrorText;
 import org.oatlug.internal.limit.AdmissionQueue.QueuedRequest;
 import org.oatlug.internal.limit.AdmissionQueue.Rejection;
 import org.oatlug.internal.limit.Urgency;
@@ -75,7 +73,7 @@
   }
 
   private void enqueue(UpstreamSelection.CostedUpstream best) {
-    Urgency urgency = exchange.request().urgency();
+    Urgency urgency = exchange.urgency();
     Duration prefill = Duration.ofMillis((long) best.forecast().prefillMillis());
     QueuedRequest request =
         new QueuedRequest(
@@ -83,6 +81,7 @@
             new Urgency(
                 urgency.rank(),
                 terms.beyondShare(),
+                urgency.retry(),
                 urgency.goalEnd(),
                 urgency.goalEnd().minus(prefill)),
             terms.bound(),
@@ -139,11 +138,7 @@
     }
     exchange.components().meters().count("queue.refused-" + reason);
     end("refused-" + reason);
-    Duration shortest = ServiceRefusals.DEFAULT_RETRY_AFTER;
-    exchange.giveUp(
-        RefusalReason.OVERLOADED,
-        ErrorText.get().overloaded,
-        predictedWait.compareTo(shortest) < 0 ? shortest : predictedWait);
+    exchange.giveUpForRoom(predictedWait);
   }
 
   /** Sends the request whatever the load of the upstreams, or refuses it if none is eligible. */
@@ -166,10 +161,11 @@
     queued = Optional.empty();
     Optional<Duration> reportAge = exchange.components().prefillBacklog().reportAge(now());
     exchange.log().log(
-        "queued for %d ms rank=%d position=%d target=%s age=%d boundMillis=%d"
+        "queued for %d ms rank=%d retry=%b position=%d target=%s age=%d boundMillis=%d"
             + " reportAge=%d outcome=%s",
         wait.toMillis(),
-        exchange.request().urgency().rank(),
+        exchange.urgency().rank(),
+        exchange.urgency().retry(),
         position,
         target(),
         exchange.elapsed().toMillis(),
--- a/org.oatlug/src/org/oatlug/internal/gateway/ResponseRelay.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/ResponseRelay.java
@@ -138,13 +138,13 @@
   /** Ends the caller's response; returns the mean time between the last events, if it is known. */
   OptionalDouble finish() {
     if (!streaming) {
-      exchange.finish("status " + response.statusCode());
+      exchange.finishServed("status " + response.statusCode());
       bufferedResponse.finish(response);
       return OptionalDouble.empty();
     }
     final OptionalDouble interval = eventInterval.end();
     beginStream();
-    exchange.finish("stream");
+    exchange.finishServed("stream");
     callerResponse.end();
     return interval;
   }
--- a/org.oatlug/src/org/oatlug/internal/gateway/ServiceRefusals.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/ServiceRefusals.java
@@ -5,24 +5,30 @@
 
 import java.time.Duration;
 import java.util.Optional;
-import org.oatlug.api.Refusal;
 import org.oatlug.api.RefusalReason;
 import org.oatlug.errors.ErrorText;
 
 /**
- * Composes the refusals of requests for a service of which no upstream can take them now. Used from
- * one event loop.
+ * Determines the reason and the retry delay of the refusal of a request for a service of which no
+ * upstream can take it now. Used from one event loop.
  *
  * @param components the components that know the state of the service
+ * @param callerTry the try that is refused
  */
-record ServiceRefusals(GatewayComponents components) {
-  /** The default retry delay: about the time until a connection slot frees up. */
-  static final Duration DEFAULT_RETRY_AFTER = Duration.ofMillis(300);
+record ServiceRefusals(GatewayComponents components, RefusedCallers.Try callerTry) {
+  /** The retry delay unless retries are managed: about the time until a slot becomes free. */
+  private static final Duration DEFAULT_RETRY_AFTER = Duration.ofMillis(300);
 
-  /** Returns the refusal of a request for which no upstream is eligible. */
-  Refusal withoutUpstream(String service) {
-    RefusalReason reason =
-        components.selection().eligibility().refusalReason(service, components.clock().instant());
+  /** Returns the reason to refuse a request for which no upstream is eligible. */
+  RefusalReason reasonWithoutUpstream(String service) {
+    return components
+        .selection()
+        .eligibility()
+        .refusalReason(service, components.clock().instant());
+  }
+
+  /** Returns the text of a refusal for this reason. */
+  static String textWithoutUpstream(RefusalReason reason, String service) {
     String pattern =
         switch (reason) {
           case ZONES_EMPTIED -> ErrorText.get().zonesEmptied;
@@ -32,23 +38,30 @@
           case UPSTREAMS_LIMITED -> ErrorText.get().upstreamsLimited;
           default -> ErrorText.get().noUpstream;
         };
-    Duration retryAfter =
-        reason == RefusalReason.UPSTREAMS_LIMITED
-            ? retryAfterAtAdvertisedRate(service)
-            : retryAfter(service);
-    return Refusal.retryAfter(reason, ErrorText.format(pattern, service), retryAfter);
+    return ErrorText.format(pattern, service);
   }
 
-  private Duration retryAfterAtAdvertisedRate(String service) {
-    double advertisedRate = components.rates().totalAdvertisedRate(service);
-    return components
-        .retryAfterJitter()
-        .spacedDelay(service, advertisedRate, components.clock().instant());
+  /** Returns the retry delay of a request for the service that is refused for this reason. */
+  Duration retryAfter(RefusalReason reason, String service) {
+    return reason == RefusalReason.UPSTREAMS_LIMITED
+        ? retryAfterAtAdvertisedRate(service)
+        : retryAfter(service);
   }
 
   /** Returns the retry delay of a request for the service. */
   Duration retryAfter(String service) {
-    return retryAfterBackOff(service).orElse(DEFAULT_RETRY_AFTER);
+    return retryAfterBackOff(service).orElseGet(() -> returnDelay(Duration.ZERO));
+  }
+
+  /**
+   * Returns the retry delay of the request, which this assigns to its caller.
+   *
+   * @param predictedWait the time before which the service cannot serve it, zero if unknown
+   */
+  Duration returnDelay(Duration predictedWait) {
+    Duration fixed =
+        predictedWait.compareTo(DEFAULT_RETRY_AFTER) < 0 ? DEFAULT_RETRY_AFTER : predictedWait;
+    return callerTry.returnDelay(predictedWait).orElse(fixed);
   }
 
   /**
@@ -62,4 +75,15 @@
         .shortestBackOff(service, components.clock().instant())
         .map(components.retryAfterJitter()::withJitter);
   }
+
+  private Duration retryAfterAtAdvertisedRate(String service) {
+    return callerTry.statedDelay().orElseGet(() -> nextAtAdvertisedRate(service));
+  }
+
+  private Duration nextAtAdvertisedRate(String service) {
+    double advertisedRate = components.rates().totalAdvertisedRate(service);
+    return components
+        .retryAfterJitter()
+        .spacedDelay(service, advertisedRate, components.clock().instant());
+  }
 }
--- a/org.oatlug/src/org/oatlug/internal/limit/AdmissionQueue.java
+++ b/org.oatlug/src/org/oatlug/internal/limit/AdmissionQueue.java
@@ -130,14 +130,15 @@
       return Optional.of(new Rejection(RejectionReason.LATE, wait));
     }
     if (ofTarget.size() >= MAXIMUM_WAITING) {
-      // The requests of the lowest rank, and the newest of those.
+      // The requests of the lowest rank, of those the new ones, and the newest of those.
       Entry last =
           ofTarget.stream()
               .max(
                   Comparator.comparingInt((Entry other) -> other.request().urgency().rank())
+                      .thenComparing(other -> !other.request().urgency().retry())
                       .thenComparingLong(Entry::number))
               .orElseThrow();
-      if (last.request().urgency().rank() <= request.urgency().rank()) {
+      if (!displaces(request.urgency(), last.request().urgency())) {
         return Optional.of(new Rejection(RejectionReason.FULL, wait));
       }
       entries.remove(last);
@@ -150,6 +151,12 @@
     return Optional.empty();
   }
 
+  /** Returns whether a request takes the place of another one in a full queue. */
+  private static boolean displaces(Urgency urgency, Urgency other) {
+    return urgency.rank() < other.rank()
+        || urgency.rank() == other.rank() && urgency.retry() && !other.retry();
+  }
+
   /** Ends the wait of requests that have reached their bound, and tries to send the others. */
   public void serve(Instant now) {
     for (Entry entry : List.copyOf(entries)) {
--- a/org.oatlug/src/org/oatlug/internal/limit/Urgency.java
+++ b/org.oatlug/src/org/oatlug/internal/limit/Urgency.java
@@ -11,23 +11,27 @@
  *
  * @param rank the rank, 0 is the most urgent
  * @param beyondShare whether its workspace is beyond its share of capacity that is short
+ * @param retry whether its caller was refused and returns as it was told
  * @param goalEnd the time until which a response has its full value
  * @param latestTimelyStart the latest start with which the response is expected by that time
  */
-public record Urgency(int rank, boolean beyondShare, Instant goalEnd, Instant latestTimelyStart) {
-  /** Creates the urgency of a request whose workspace is within its share. */
+public record Urgency(
+    int rank, boolean beyondShare, boolean retry, Instant goalEnd, Instant latestTimelyStart) {
+  /** Creates the urgency of a new request whose workspace is within its share. */
   public Urgency(int rank, Instant goalEnd, Instant latestTimelyStart) {
-    this(rank, false, goalEnd, latestTimelyStart);
+    this(rank, false, false, goalEnd, latestTimelyStart);
   }
 
   /**
    * Returns the order in which waiting requests start: by rank; within a rank, those of workspaces
-   * within their share first, then requests that can still meet their goal before those that
-   * cannot, then by the earlier end of the goal.
+   * within their share first, then retries before new requests, because a retry that is refused
+   * again is lost; then requests that can still meet their goal before those that cannot, then by
+   * the earlier end of the goal.
    */
   public static Comparator<Urgency> order(Instant now) {
     return Comparator.comparingInt(Urgency::rank)
         .thenComparing(Urgency::beyondShare)
+        .thenComparing(urgency -> !urgency.retry())
         .thenComparing(urgency -> now.isAfter(urgency.latestTimelyStart()))
         .thenComparing(Urgency::goalEnd);
   }
