--- a/org.oatlug.test/tst/org/oatlug/test/SettingsTemplateTest.java
+++ b/org.oatlug.test/tst/org/oatlug/test/SettingsTemplateTest.java
@@ -12,6 +12,7 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -163,9 +164,11 @@
         SettingsFile.checkGateway(fileWith("")).loadManagement(),
         GatewaySettings.LoadManagement.OFF);
     assertEquals(read(values()).loadManagement().queue(), GatewaySettings.Switch.AUTO);
-    assertEquals(read(values()).loadManagement().connections(), GatewaySettings.Switch.AUTO);
-    assertEquals(read(values()).loadManagement().readers(), GatewaySettings.Switch.AUTO);
-    for (String part : new String[] {"queue", "connections", "readers"}) {
+    GatewaySettings.LoadManagement ofTemplate = read(values()).loadManagement();
+    assertEquals(ofTemplate.connections(), GatewaySettings.Switch.AUTO);
+    assertEquals(ofTemplate.readers(), GatewaySettings.Switch.AUTO);
+    assertEquals(ofTemplate.retries(), GatewaySettings.Switch.AUTO);
+    for (String part : List.of("queue", "connections", "readers", "retries")) {
       String loadManagement = "\"loadManagement\": {\"%s\": \"sometimes\"".formatted(part);
       Path invalid = fileWith("\"graceSeconds\": 1}, " + loadManagement);
       SettingsInvalidException refusal =
--- a/org.oatlug/src/org/oatlug/config/GatewaySettingsReader.java
+++ b/org.oatlug/src/org/oatlug/config/GatewaySettingsReader.java
@@ -52,7 +52,8 @@
         switchOf(tree, "reservation"),
         switchOf(tree, "escalation"),
         switchOf(tree, "connections"),
-        switchOf(tree, "readers"));
+        switchOf(tree, "readers"),
+        switchOf(tree, "retries"));
   }
 
   private static GatewaySettings.Switch switchOf(JsonNode tree, String field) {
--- a/org.oatlug/src/org/oatlug/gateway/GatewaySettings.java
+++ b/org.oatlug/src/org/oatlug/gateway/GatewaySettings.java
@@ -151,6 +151,7 @@
    * @param escalation the weight of load and urgency when a larger model is considered
    * @param connections the admission of new connections while the instance is overloaded
    * @param readers the buffers for callers that stop reading
+   * @param retries the return times of refused callers, and the precedence of their retries
    */
   public record LoadManagement(
       Switch queue,
@@ -159,11 +160,19 @@
       Switch reservation,
       Switch escalation,
       Switch connections,
-      Switch readers) {
+      Switch readers,
+      Switch retries) {
     /** No part is in use. */
     public static final LoadManagement OFF =
         new LoadManagement(
-            Switch.OFF, Switch.OFF, Switch.OFF, Switch.OFF, Switch.OFF, Switch.OFF, Switch.OFF);
+            Switch.OFF,
+            Switch.OFF,
+            Switch.OFF,
+            Switch.OFF,
+            Switch.OFF,
+            Switch.OFF,
+            Switch.OFF,
+            Switch.OFF);
   }
 
   /**
--- a/org.oatlug/src/org/oatlug/internal/gateway/AdmittedRequest.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/AdmittedRequest.java
@@ -64,9 +64,11 @@
   /**
    * Returns the urgency of the request. Half of its goal is left for its way and its run: a request
    * that starts later is likely to miss its goal.
+   *
+   * @param retry whether its caller was refused and returns as it was told
    */
-  Urgency urgency() {
-    return urgencyWithStartBy(route.goalMillis() / 2);
+  Urgency urgency(boolean retry) {
+    return urgencyWithStartBy(route.goalMillis() / 2, retry);
   }
 
   /**
@@ -74,14 +76,20 @@
    * half of the shortest goal. An eighth of the goal is left: with half, the requests that wait
    * when connections begin to be refused would start last (611 of 980 were served in time in {@code
    * ConnectionAdmissionTest}, in place of 859).
+   *
+   * @param retry whether its caller was refused and returns as it was told
    */
-  Urgency urgencyOfBoundedWait() {
-    return urgencyWithStartBy(route.goalMillis() - route.goalMillis() / 8);
+  Urgency urgencyOfBoundedWait(boolean retry) {
+    return urgencyWithStartBy(route.goalMillis() - route.goalMillis() / 8, retry);
   }
 
-  private Urgency urgencyWithStartBy(long timelyStartMillis) {
+  private Urgency urgencyWithStartBy(long timelyStartMillis, boolean retry) {
     return new Urgency(
-        rank(), arrived.plusMillis(route.goalMillis()), arrived.plusMillis(timelyStartMillis));
+        rank(),
+        false,
+        retry,
+        arrived.plusMillis(route.goalMillis()),
+        arrived.plusMillis(timelyStartMillis));
   }
 
   /** Returns the number of the last event that the caller has, if it resumes a stream. */
@@ -94,6 +102,11 @@
     return RequestFingerprint.of(head.host(), uri, workspaceName(), body.getBytes());
   }
 
+  /** Returns 64 bits of the fingerprint. */
+  long contentHash() {
+    return RequestFingerprint.shortened(fingerprint());
+  }
+
   /**
    * Returns the parts of the prompt that other requests may share: all but the last, which belongs
    * to the request or its session; empty if the request generates nothing.
--- a/org.oatlug/src/org/oatlug/internal/gateway/GatewayComponents.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/GatewayComponents.java
@@ -64,6 +64,7 @@
  * @param timeouts decides which timeouts are evidence about the other side
  * @param requestQueue the queue of requests that wait for room at an upstream
  * @param retryAfterJitter computes the retry delays of refused callers
+ * @param refusedCallers tells refused callers when to return, and recognizes their retries
  * @param times the measured times of responses
  * @param bodyMemory the memory budget of request and response bodies
  * @param readAhead the responses that callers have not read yet
@@ -102,6 +103,7 @@
     TimeoutEvidence timeouts,
     RequestQueue requestQueue,
     RetryAfterJitter retryAfterJitter,
+    RefusedCallers refusedCallers,
     ResponseTimes times,
     BodyMemoryBudget bodyMemory,
     ReadAheadBuffers readAhead,
@@ -252,6 +254,11 @@
         timeouts,
         requestQueue,
         RetryAfterJitter.create(random, instances),
+        RefusedCallers.create(
+            () -> settings.loadManagement().retries().isOn(!tables.deferrableRoutes().isEmpty()),
+            clock,
+            random,
+            meters),
         times,
         bodyMemory,
         ReadAheadBuffers.create(
--- a/org.oatlug/src/org/oatlug/internal/gateway/RequestQueue.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/RequestQueue.java
@@ -103,17 +103,16 @@
    * may not wait.
    */
   Optional<Comparator<Exchange>> startOrder() {
-    return isUsed() ? Optional.of(orderBy(AdmittedRequest::urgency)) : Optional.empty();
+    return isUsed() ? Optional.of(orderBy(Exchange::urgency)) : Optional.empty();
   }
 
   /** Returns the order in which requests start while refused connections bound their wait. */
   Comparator<Exchange> startOrderOfBoundedWait() {
-    return orderBy(AdmittedRequest::urgencyOfBoundedWait);
+    return orderBy(Exchange::urgencyOfBoundedWait);
   }
 
-  private Comparator<Exchange> orderBy(Function<AdmittedRequest, Urgency> urgency) {
-    Function<Exchange, Urgency> urgencyOf = exchange -> urgency.apply(exchange.request());
-    return Comparator.comparing(urgencyOf, Urgency.order(clock.instant()));
+  private Comparator<Exchange> orderBy(Function<Exchange, Urgency> urgency) {
+    return Comparator.comparing(urgency, Urgency.order(clock.instant()));
   }
 
   /** Returns the wait of a request, empty if it may not wait. */
--- a/org.oatlug/src/org/oatlug/internal/gateway/ResponseRelay.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/ResponseRelay.java
@@ -139,13 +139,13 @@
   OptionalDouble finish() {
     if (!streaming) {
       bufferedResponse.writeUnread(response);
-      exchange.finish("status " + response.statusCode());
+      exchange.finishServed("status " + response.statusCode());
       bufferedResponse.finish(response);
       return OptionalDouble.empty();
     }
     final OptionalDouble interval = eventInterval.end();
     beginStream();
-    exchange.finish("stream");
+    exchange.finishServed("stream");
     callerResponse.end();
     return interval;
   }
