--- a/org.oatlug/src/org/oatlug/internal/limit/ReadAheadBudget.java
+++ b/org.oatlug/src/org/oatlug/internal/limit/ReadAheadBudget.java
@@ -37,10 +37,10 @@
   private static final Duration STALLED_AFTER = Duration.ofSeconds(2);
 
   /** The minimum time without reading after which a caller is disconnected. */
-  private static final Duration MINIMUM_PATIENCE = Duration.ofSeconds(5);
+  private static final Duration MINIMUM_STALL_TIMEOUT = Duration.ofSeconds(5);
 
   /** The time without reading after which a caller is disconnected, in goals of its route. */
-  private static final int GOALS_OF_PATIENCE = 2;
+  private static final int STALL_TIMEOUT_GOALS = 2;
 
   private final InstantSource clock;
   private final long maximumBytes;
@@ -54,9 +54,9 @@
    * @param deadline the time by which its request is due
    */
   public record Terms(Duration goal, Instant deadline) {
-    private Duration patience() {
-      Duration ofGoal = goal.multipliedBy(GOALS_OF_PATIENCE);
-      return ofGoal.compareTo(MINIMUM_PATIENCE) > 0 ? ofGoal : MINIMUM_PATIENCE;
+    private Duration stallTimeout() {
+      Duration ofGoal = goal.multipliedBy(STALL_TIMEOUT_GOALS);
+      return ofGoal.compareTo(MINIMUM_STALL_TIMEOUT) > 0 ? ofGoal : MINIMUM_STALL_TIMEOUT;
     }
   }
 
@@ -179,7 +179,7 @@
     boolean halfUsed = heldBytes > maximumBytes / 2;
     return select(
         entry ->
-            unreadFor(entry).compareTo(entry.terms.patience()) > 0
+            unreadFor(entry).compareTo(entry.terms.stallTimeout()) > 0
                 && (!entry.complete && halfUsed || now.isAfter(entry.terms.deadline())));
   }
 
