--- a/org.oatlug.entry/src/org/oatlug/entry/GatewayInstance.java
+++ b/org.oatlug.entry/src/org/oatlug/entry/GatewayInstance.java
@@ -224,8 +224,8 @@
             configuration,
             (from, message) ->
                 Uni.createFrom().item(handle(message, from, stateExchange, components))));
-    peerListener.judgeTimeouts(components.timeouts());
-    membership.judgeTimeouts(components.timeouts());
+    peerListener.useTimeoutRule(components.timeouts());
+    membership.useTimeoutRule(components.timeouts());
     readinessGate =
         ReadinessGate.create(
             clock,
--- a/org.oatlug/src/org/oatlug/internal/config/StartupSync.java
+++ b/org.oatlug/src/org/oatlug/internal/config/StartupSync.java
@@ -25,9 +25,9 @@
  * are asked whether they are in sync. If none of these answers in time, all are asked: many may
  * have been lost or be slow, and their silence does not show that no instance runs; where none
  * listens, connections are refused at once. If the event loop of this instance lagged meanwhile,
- * which is frequent at a start on a busy machine, the timeouts show nothing either, and all are
- * asked again. Once this instance has read the store, it compares digests with a peer that is in
- * sync, and fetches the objects that it lacks. If no peer is in sync, the store is the only source.
+ * which is frequent at a start on a busy host, the timeouts show nothing either, and all are asked
+ * again. Once this instance has read the store, it compares digests with a peer that is in sync,
+ * and fetches the objects that it lacks. If no peer is in sync, the store is the only source.
  * Invariant: an instance that is in sync remains so. Owned by one event loop, not thread-safe.
  */
 final class StartupSync {
--- a/org.oatlug/src/org/oatlug/internal/gateway/AdmittedRequest.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/AdmittedRequest.java
@@ -65,7 +65,7 @@
    * Returns the urgency of the request. Half of its goal is left for its way and its run: a request
    * that starts later is likely to miss its goal.
    *
-   * @param retry whether its caller was refused and returns as it was told
+   * @param retry whether it is a retry that observes its return time
    */
   Urgency urgency(boolean retry) {
     return urgencyWithStartBy(route.goalMillis() / 2, retry);
@@ -77,7 +77,7 @@
    * when connections begin to be refused would start last (611 of 980 were served in time in {@code
    * ConnectionAdmissionTest}, in place of 859).
    *
-   * @param retry whether its caller was refused and returns as it was told
+   * @param retry whether it is a retry that observes its return time
    */
   Urgency urgencyOfBoundedWait(boolean retry) {
     return urgencyWithStartBy(route.goalMillis() - route.goalMillis() / 8, retry);
--- a/org.oatlug/src/org/oatlug/internal/gateway/RefusedCallers.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/RefusedCallers.java
@@ -18,7 +18,7 @@
 import org.oatlug.internal.metrics.Meters;
 
 /**
- * Tells refused callers when to return, and recognizes those that return as told.
+ * Assigns return times to refused callers, and recognizes the retries that observe them.
  *
  * <p>{@link RetryPacing} and {@link RefusalRecords} decide. Invariant: the content of a request is
  * hashed only if the request is refused or there are records, because hashing each body costs
@@ -87,7 +87,9 @@
       return content.get();
     }
 
-    /** Determines whether the caller returns as an earlier refusal told it; to be called once. */
+    /**
+     * Determines whether the request is a retry that observes its return time; to be called once.
+     */
     void arrive() {
       Instant now = clock.instant();
       if (!inUse.getAsBoolean() || records.isEmpty(now)) {
@@ -104,14 +106,14 @@
       }
     }
 
-    /** Returns whether the caller returned as an earlier refusal told it. */
+    /** Returns whether the request is a retry that observes its return time. */
     boolean isReturnedInTime() {
       return returnedInTime;
     }
 
     /**
      * Returns the delay until the caller may return, empty if retries are not managed. It is
-     * assigned once; a caller that returned early is told the same time again.
+     * assigned once; a caller that returned early gets the same time again.
      *
      * @param predictedWait the time before which the service cannot serve it, zero if unknown
      */
@@ -129,7 +131,7 @@
       return assigned.map(RetryPacing.ReturnTime::delay);
     }
 
-    /** Returns the delay until the time that the caller was told before, empty if it is over. */
+    /** Returns the delay until the return time of an earlier refusal, empty if it is over. */
     Optional<Duration> statedDelay() {
       Instant now = clock.instant();
       if (!inUse.getAsBoolean() || records.isEmpty(now)) {
@@ -159,7 +161,7 @@
           refusal.reason(), refusal.detail(), wholeMillis(Duration.between(now, returnAt)));
     }
 
-    /** Rounds up, as a caller is told milliseconds and would otherwise return too early. */
+    /** Rounds up, because the header has milliseconds and the caller would return too early. */
     private static Duration wholeMillis(Duration delay) {
       return Duration.ofMillis(delay.plusNanos(NANOS_BELOW_MILLI).toMillis());
     }
--- a/org.oatlug/src/org/oatlug/internal/limit/RefusalRecords.java
+++ b/org.oatlug/src/org/oatlug/internal/limit/RefusalRecords.java
@@ -17,7 +17,7 @@
 
 /**
  * Records which requests were refused until when, at this instance and, as reported, at others, so
- * that the retry of a caller who waited as told can precede new requests.
+ * that a retry that observes its return time can precede new requests.
  *
  * <p>Invariants: a record is used at most once at an instance, from its return time until {@link
  * #VALIDITY} after it; it is not replaced before its return time, so that early retries neither
--- a/org.oatlug/src/org/oatlug/internal/limit/RetryPacing.java
+++ b/org.oatlug/src/org/oatlug/internal/limit/RetryPacing.java
@@ -13,12 +13,12 @@
  * Assigns the times at which refused callers may return, one after another, at the rate at which
  * the capacity of their target becomes free at this instance.
  *
- * <p>Load pattern: callers that are all told the same delay return together, and most of them are
+ * <p>Load pattern: callers that all get the same delay return together, and most of them are
  * refused again.
  *
- * <p>Invariants: in any second, at most as many callers are told to return as the target releases
- * in a second, rounded up to a whole number, except callers whose time ends before their turn: they
- * are told that time, but it stays free for the next caller, as they cannot return then. No time is
+ * <p>Invariants: in any second, no more return times are assigned than the target releases in a
+ * second, rounded up to a whole number, except to callers whose deadline is earlier: their refusal
+ * states the time, which stays free for the next caller, as they cannot return then. No time is
  * assigned twice, and none is closer than half of an interval to another. Memory is bounded. Does
  * no I/O and reads no clock. Owned by one event loop, not thread-safe.
  */
--- a/org.oatlug/src/org/oatlug/internal/limit/Urgency.java
+++ b/org.oatlug/src/org/oatlug/internal/limit/Urgency.java
@@ -11,7 +11,7 @@
  *
  * @param rank the rank, 0 is the most urgent
  * @param beyondShare whether its workspace is beyond its share of capacity that is short
- * @param retry whether its caller was refused and returns as it was told
+ * @param retry whether it is a retry that observes the return time of a refusal
  * @param goalEnd the time until which a response has its full value
  * @param latestTimelyStart the latest start with which the response is expected by that time
  */
--- a/org.oatlug/src/org/oatlug/internal/limit/WorkspaceShares.java
+++ b/org.oatlug/src/org/oatlug/internal/limit/WorkspaceShares.java
@@ -167,7 +167,7 @@
     }
     beyond.removeIf(name -> !joined.containsKey(name));
     String age = isHeard ? Duration.between(others.at(), now).toMillis() + "ms" : "none";
-    joined.forEach((name, demand) -> judge(name, demand, shares.get(name), isHeard, age));
+    joined.forEach((name, demand) -> updateState(name, demand, shares.get(name), isHeard, age));
   }
 
   /** Returns the demand at all instances together. */
@@ -205,7 +205,7 @@
     return demands.values().stream().mapToDouble(Demand::usual).sum();
   }
 
-  private void judge(String name, Demand demand, double share, boolean isHeard, String age) {
+  private void updateState(String name, Demand demand, double share, boolean isHeard, String age) {
     double tolerance = tolerance(share, isHeard);
     boolean wasBeyond = beyond.contains(name);
     boolean isBeyond = demand.demand() > share + tolerance * (wasBeyond ? RETURN : 1);
--- a/org.oatlug/src/org/oatlug/internal/membership/Membership.java
+++ b/org.oatlug/src/org/oatlug/internal/membership/Membership.java
@@ -117,7 +117,7 @@
    * Sets the rule by which a suspicion that was not refuted in time is evidence. That of requests
    * is applied by the network, whose failures tell whether they are evidence.
    */
-  public void judgeTimeouts(TimeoutRule rule) {
+  public void useTimeoutRule(TimeoutRule rule) {
     timeouts = rule;
   }
 
--- a/org.oatlug/src/org/oatlug/internal/peer/TcpPeerNetwork.java
+++ b/org.oatlug/src/org/oatlug/internal/peer/TcpPeerNetwork.java
@@ -87,7 +87,7 @@
   }
 
   /** Sets the rule by which timeouts are evidence; called before the first request. */
-  public void judgeTimeouts(TimeoutRule rule) {
+  public void useTimeoutRule(TimeoutRule rule) {
     timeouts = rule;
   }
 
