--- a/org.oatlug.test/tst/org/oatlug/internal/gateway/GatewayServerFixture.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/gateway/GatewayServerFixture.java
@@ -146,7 +146,7 @@
     return upstream;
   }
 
-  /** Registers an upstream whose address is served by the test, or by nobody. */
+  /** Registers an upstream whose address the test serves, or leaves unserved. */
   void addAddress(String name, int port) {
     put(GatewayKinds.UPSTREAM, name, record(port, "hall-a", false));
   }
--- a/org.oatlug/src/org/oatlug/internal/forward/Receivers.java
+++ b/org.oatlug/src/org/oatlug/internal/forward/Receivers.java
@@ -113,7 +113,7 @@
     private int questionsOpen;
     private boolean askedAgain;
 
-    /** Allows to ask the processes again that were not heard, once for each refresh. */
+    /** Allows to ask processes that did not respond again, once for each refresh. */
     void askUnheardAgain() {
       if (!unheardProcesses.isEmpty() && !askedAgain) {
         askedAgain = true;
--- a/org.oatlug/src/org/oatlug/internal/limit/ConnectionAdmission.java
+++ b/org.oatlug/src/org/oatlug/internal/limit/ConnectionAdmission.java
@@ -40,7 +40,7 @@
   private Instant lastOverloaded = Instant.EPOCH;
   private long refusedInOverload;
 
-  /** What happens to a new connection. */
+  /** The decision about a new connection. */
   public enum Decision {
     /** It is served. */
     ADMITTED,
--- a/org.oatlug/src/org/oatlug/internal/routing/EngineReservation.java
+++ b/org.oatlug/src/org/oatlug/internal/routing/EngineReservation.java
@@ -84,7 +84,7 @@
     }
     double deferrable = work.deferrableMillis() / (work.engines() * MILLIS_PER_SECOND);
     double other = work.otherMillis() / (work.engines() * MILLIS_PER_SECOND);
-    // What is short goes to the other requests first; deferrable ones keep half of their part.
+    // Short capacity goes to urgent requests first; deferrable ones keep half of their share.
     double leftByOthers = 1 - other / MAXIMUM_UTILIZATION;
     double guaranteed = deferrable / (deferrable + other) / 2;
     double maximum = Math.min(Math.max(leftByOthers, guaranteed), 1 - MINIMUM_SHARE);
