--- a/org.oatlug.test/tst/org/oatlug/internal/gateway/GatewayServerFixture.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/gateway/GatewayServerFixture.java
@@ -7,6 +7,7 @@
 import io.smallrye.mutiny.Uni;
 import io.vertx.core.Vertx;
 import io.vertx.core.json.JsonObject;
+import io.vertx.core.transport.Transport;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -80,12 +81,23 @@
         new JsonObject().put("readers", state));
   }
 
+  /** Returns a server that uses this transport, without load management. */
+  static GatewayServerFixture withTransport(Transport transport) {
+    return new GatewayServerFixture(
+        Vertx.builder().withTransport(transport).build(), new JsonObject());
+  }
+
   /** Starts an upstream with the given events per stream and registers it. */
   PacedUpstream addPacedUpstream(int events, long pauseMillis) {
+    return addPacedUpstream("paced", events, pauseMillis);
+  }
+
+  /** Starts an upstream with the given events per stream and registers it by this name. */
+  PacedUpstream addPacedUpstream(String name, int events, long pauseMillis) {
     PacedUpstream upstream = PacedUpstream.create(vertx, events, pauseMillis);
     int port = Ports.free();
     upstream.listen(HOST, port).toCompletionStage().toCompletableFuture().join();
-    put(GatewayKinds.UPSTREAM, "paced", record(port, "hall-a", false));
+    put(GatewayKinds.UPSTREAM, name, record(port, "hall-a", false));
     return upstream;
   }
 
