Log connect times and bytes of an instance that is slow itself

ConnectTimes measures by how much all connects to different targets exceed their usual time; one line a second states it beside the lag, the bytes in and out, unwritten bytes and the age of the last byte received.

--- a/org.oatlug.test/tst/org/oatlug/internal/util/EventLoopDelayTest.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/util/EventLoopDelayTest.java
@@ -46,7 +46,7 @@
     tasks = new ArrayDeque<>();
     delay = EventLoopDelay.create(time, tasks::add, sample -> {});
     meters = Meters.of(new MetricRegistry());
-    timeouts = TimeoutEvidence.create(delay, time, meters);
+    timeouts = TimeoutEvidence.create(delay, ConnectTimes.create(time), time, meters);
   }
 
   /** Submits a probe unless one is pending, and lets the event loop run it after this time. */
--- a/org.oatlug/src/org/oatlug/internal/gateway/AttemptFeedback.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/AttemptFeedback.java
@@ -10,6 +10,7 @@
 import org.oatlug.gateway.ResponseHead;
 import org.oatlug.internal.engine.FirstTokenForecast;
 import org.oatlug.internal.table.UpstreamRow;
+import org.oatlug.internal.util.ConnectTimes;
 
 /**
  * Records the progress and outcome of one attempt in the state of upstreams, models and versions.
@@ -33,6 +34,7 @@
   private final Instant started;
   private Optional<UpstreamRateLimits.Reservation> reservation = Optional.empty();
   private Optional<Instant> writtenAt = Optional.empty();
+  private Optional<ConnectTimes.Connect> connect = Optional.empty();
   private boolean promptQueued;
 
   AttemptFeedback(
@@ -65,6 +67,7 @@
   /** Records that the attempt begins, and reserves load, queue time and rate limit permits. */
   void begin() {
     chosen.row().reserve();
+    connect = Optional.of(components.connectTimes().begin(chosen.name()));
     reservation =
         Optional.of(components.rates().reserve(chosen.name(), chosen.upstream(), started));
     promptQueued = true;
@@ -211,6 +214,7 @@
   /** Releases the reservations of the attempt. */
   void end() {
     dequeuePrompt();
+    connect.ifPresent(ConnectTimes.Connect::abandoned);
     chosen.row().release();
     reservation.ifPresent(UpstreamRateLimits.Reservation::release);
     components.requestQueue().roomMayBeFree();
@@ -237,9 +241,21 @@
 
   /** Records that the connection to the upstream has opened. */
   void connected() {
+    connect.ifPresent(ConnectTimes.Connect::opened);
     components.paths().recordOpened(request.service());
   }
 
+  /** Records that bytes of the response were received. */
+  void received() {
+    components.connectTimes().recordReceived();
+  }
+
+  /** Records that the connect timed out, whether or not that is evidence about the upstream. */
+  void connectTimedOut() {
+    components.meters().count("connect.timeout");
+    connect.ifPresent(ConnectTimes.Connect::timedOut);
+  }
+
   /** Records that no connection to the upstream could be opened. */
   void connectFailed() {
     components.paths().recordFailure(request.service(), chosen.name(), started);
--- a/org.oatlug/src/org/oatlug/internal/gateway/ExchangeAttempt.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/ExchangeAttempt.java
@@ -3,6 +3,7 @@
 
 package org.oatlug.internal.gateway;
 
+import io.netty.channel.ConnectTimeoutException;
 import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientResponse;
@@ -226,6 +227,7 @@
     // composed.
     components.adapter().upstreams().addMetadata(headers, metadata());
     written = true;
+    components.meters().count(InstanceLoadLog.TO_UPSTREAMS, request.body().length());
     return true;
   }
 
@@ -245,6 +247,7 @@
   @Override
   public void headReceived(HttpClientResponse received) {
     response = received;
+    feedback.received();
     activityReceived();
     components.crashes().recordResponse(chosen.row().process());
     ResponseHead head = components.adapter().upstreams().read(received);
@@ -356,6 +359,8 @@
 
   @Override
   public void dataReceived(Buffer data) {
+    feedback.received();
+    components.meters().count(InstanceLoadLog.FROM_UPSTREAMS, data.length());
     activityReceived();
     recordBeginning();
     responseRelay.dataReceived(data).ifPresent(feedback::recordEventInterval);
@@ -455,6 +460,9 @@
 
   @Override
   public void notConnected(Throwable failure) {
+    if (failure instanceof ConnectTimeoutException) {
+      feedback.connectTimedOut();
+    }
     release();
     logFailure(Progress.NOT_SENT, UpstreamConnection.describe(failure));
     if (components
--- a/org.oatlug/src/org/oatlug/internal/gateway/GatewayComponents.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/GatewayComponents.java
@@ -25,6 +25,7 @@
 import org.oatlug.internal.limit.WorkspaceShares;
 import org.oatlug.internal.metrics.Meters;
 import org.oatlug.internal.routing.ZoneReachability;
+import org.oatlug.internal.util.ConnectTimes;
 import org.oatlug.internal.util.EventLoopDelay;
 import org.oatlug.internal.util.NextIteration;
 import org.oatlug.internal.util.TimeoutEvidence;
@@ -61,6 +62,7 @@
  * @param deadlines the deadline timers of open requests
  * @param dispatchQueue the queue of requests that have not started
  * @param eventLoopDelay measures the lag of the event loop
+ * @param connectTimes measures how long connects take
  * @param timeouts decides which timeouts are evidence about the other side
  * @param requestQueue the queue of requests that wait for room at an upstream
  * @param retryAfterJitter computes the retry delays of refused callers
@@ -100,6 +102,7 @@
     DeadlineTimers deadlines,
     DispatchQueue<Exchange> dispatchQueue,
     EventLoopDelay eventLoopDelay,
+    ConnectTimes connectTimes,
     TimeoutEvidence timeouts,
     RequestQueue requestQueue,
     RetryAfterJitter retryAfterJitter,
@@ -201,7 +204,8 @@
     Executor eventLoop = NextIteration.of(vertx);
     EventLoopDelay eventLoopDelay =
         EventLoopDelay.create(clock, eventLoop, delay -> meters.time("event-loop.delay", delay));
-    TimeoutEvidence timeouts = TimeoutEvidence.create(eventLoopDelay, clock, meters);
+    ConnectTimes connectTimes = ConnectTimes.create(clock);
+    TimeoutEvidence timeouts = TimeoutEvidence.create(eventLoopDelay, connectTimes, clock, meters);
     CrashGuard crashes = CrashGuard.create(vertx, clock, meters, tables, timeouts);
     BodyMemoryBudget bodyMemory = BodyMemoryBudget.create();
     LogRateLimit logLimit = LogRateLimit.create(clock, meters);
@@ -251,6 +255,7 @@
                     ? Optional.of(requestQueue.startOrderOfBoundedWait())
                     : requestQueue.startOrder()),
         eventLoopDelay,
+        connectTimes,
         timeouts,
         requestQueue,
         RetryAfterJitter.create(random, instances),
--- a/org.oatlug/src/org/oatlug/internal/gateway/GatewayServer.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/GatewayServer.java
@@ -76,6 +76,7 @@
   private final ForwardedAdmission forwardedAdmission;
   private final ConnectionAdmission connectionAdmission = ConnectionAdmission.create();
   private final AcceptGate acceptGate;
+  private final InstanceLoadLog loadLog;
   private int openRequests;
 
   private GatewayServer(
@@ -89,6 +90,7 @@
     this.acceptGate = acceptGate;
     this.admission = Admission.create(components, ready);
     this.forwardedAdmission = ForwardedAdmission.create(components, admission);
+    this.loadLog = InstanceLoadLog.create(components, this::openRequests, this::unwrittenBytes);
   }
 
   /**
@@ -133,6 +135,10 @@
     return openRequests;
   }
 
+  private long unwrittenBytes() {
+    return connections.keySet().stream().mapToLong(CallerSocket::unwrittenBytes).sum();
+  }
+
   /**
    * Begins a planned shutdown: requests are still accepted, and each answer closes its connection.
    *
@@ -200,6 +206,7 @@
       }
     }
     connectionAdmission.endOverloadIfOver(now);
+    loadLog.tick();
   }
 
   private void connected(HttpConnection connection) {
@@ -384,6 +391,7 @@
         admission.checkBodyBytes(body.length() + data.length());
         admission.reserveBodyMemory(data.length());
         reservedBytes += data.length();
+        components.meters().count(InstanceLoadLog.FROM_CALLERS, data.length());
         body.appendBuffer(data);
       } catch (RefusedException e) {
         refuse(e.refusal(), head.id());
--- a/org.oatlug/src/org/oatlug/internal/metrics/Meters.java
+++ b/org.oatlug/src/org/oatlug/internal/metrics/Meters.java
@@ -39,6 +39,11 @@
     registry.counter(name).inc(events);
   }
 
+  /** Returns the value of the counter {@code name}. */
+  public long value(String name) {
+    return registry.counter(name).getCount();
+  }
+
   /** Shows the value of a gauge, read when the metrics are; the first one of a name stays. */
   public void gauge(String name, Supplier<Long> value) {
     registry.gauge(name, () -> value::get);
--- a/org.oatlug/src/org/oatlug/internal/util/TimeoutEvidence.java
+++ b/org.oatlug/src/org/oatlug/internal/util/TimeoutEvidence.java
@@ -15,10 +15,11 @@
 /**
  * Decides whether a timeout is evidence about the other side.
  *
- * <p>While the event loop lags, a timer may fire before the loop has read what arrived in time. So
- * a timeout counts only if the lag since its start is below a quarter of it, as far as probes and
- * the timer itself show. Refused and reset connections always count. Owned by one event loop, not
- * thread-safe.
+ * <p>While the event loop lags, a timer may fire before the loop has read what arrived in time, and
+ * while the link of this instance is full, what was sent in time waits behind other bytes. So a
+ * timeout counts only if the delay of this instance since its start is below a quarter of it, as
+ * far as probes, the timer itself and connects to different targets show. Refused and reset
+ * connections always count. Owned by one event loop, not thread-safe.
  */
 public final class TimeoutEvidence implements TimeoutRule {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
@@ -27,19 +28,28 @@
   private static final int TOLERATED_PART = 4;
 
   private final EventLoopDelay eventLoopDelay;
+  private final ConnectTimes connectTimes;
   private final InstantSource clock;
   private final Meters meters;
 
-  private TimeoutEvidence(EventLoopDelay eventLoopDelay, InstantSource clock, Meters meters) {
+  private TimeoutEvidence(
+      EventLoopDelay eventLoopDelay,
+      ConnectTimes connectTimes,
+      InstantSource clock,
+      Meters meters) {
     this.eventLoopDelay = eventLoopDelay;
+    this.connectTimes = connectTimes;
     this.clock = clock;
     this.meters = meters;
   }
 
   /** Returns the rule for the timeouts of an event loop. */
   public static TimeoutEvidence create(
-      EventLoopDelay eventLoopDelay, InstantSource clock, Meters meters) {
-    return new TimeoutEvidence(eventLoopDelay, clock, meters);
+      EventLoopDelay eventLoopDelay,
+      ConnectTimes connectTimes,
+      InstantSource clock,
+      Meters meters) {
+    return new TimeoutEvidence(eventLoopDelay, connectTimes, clock, meters);
   }
 
   @Override
@@ -81,20 +91,27 @@
     }
     meters.count("timeout.own-delay");
     logger.atInfo().atMostEvery(1, TimeUnit.SECONDS).log(
-        "timeout of %d millis is not counted, event-loop delay=%d millis",
-        timeout.toMillis(), lag.toMillis());
+        "timeout of %d millis is not counted, event-loop delay=%d millis, connects"
+            + " usualMillis=%d delayMillis=%d",
+        timeout.toMillis(),
+        lag.toMillis(),
+        connectTimes.usual().toMillis(),
+        connectTimes.currentDelay().toMillis());
     return false;
   }
 
   /**
-   * Returns the lag since the start of a timeout that has just fired.
+   * Returns the delay of this instance since the start of a timeout that has just fired.
    *
    * @param startedAt the start of the time that was limited
    * @param dueAt when the timer should have fired
    */
   public Duration lagSince(Instant startedAt, Instant dueAt) {
     Duration late = Duration.between(dueAt, clock.instant());
-    Duration probed = eventLoopDelay.maximumSince(startedAt);
-    return late.compareTo(probed) > 0 ? late : probed;
+    return max(late, eventLoopDelay.maximumSince(startedAt));
+  }
+
+  private static Duration max(Duration first, Duration second) {
+    return first.compareTo(second) > 0 ? first : second;
   }
 }
