Do not take a full link of the instance for lost upstreams

Callers of a crowded instance were refused as upstreams-unreachable for seconds. Cause: two connects over 400 ms marked a service as unreachable until a new connection opened, which the full link prevented, although responses of the service kept arriving; only event-loop lag excused a timeout.

Bytes received from a service since an attempt began now disprove its failure, and a timeout is no evidence if all connects to two or more upstreams since its start were slow by a quarter of it while responses arrived. A real loss is found as before: nothing arrives then, or others open in their usual time.

What remains: the link is full of requests that are read, so for up to 4 s nothing of the upstreams arrives at all.

--- a/org.oatlug.test/tst/org/oatlug/internal/routing/ServiceReachabilityTest.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/routing/ServiceReachabilityTest.java
@@ -60,6 +60,21 @@
     assertFalse(reachability.isUnreachable(SERVICE));
   }
 
+  /** Guards against an instance with a full link that takes a service that responds for lost. */
+  @Test
+  public void testBytesReceivedSinceAttemptBeganDisproveItsFailure() {
+    fail("i-1", 0, 400);
+    reachability.recordReceived(SERVICE, at(300));
+    fail("i-2", 200, 600);
+    fail("i-3", 250, 650);
+    assertFalse(reachability.isUnreachable(SERVICE));
+    fail("i-1", 400, 800);
+    fail("i-2", 800, 1200);
+    assertTrue(reachability.isUnreachable(SERVICE), "nothing was received since these began");
+    reachability.recordReceived(SERVICE, at(1300));
+    assertFalse(reachability.isUnreachable(SERVICE));
+  }
+
   @Test
   public void testOnlyUpstreamSuffices() {
     upstreams.retainAll(List.of("i-1"));
--- /dev/null
+++ b/org.oatlug.test/tst/org/oatlug/internal/util/ConnectTimesTest.java
@@ -0,0 +1,124 @@
+// Copyright (c) 2026, the oatlug authors
+// SPDX-License-Identifier: BSD-3-Clause
+
+package org.oatlug.internal.util;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import com.codahale.metrics.MetricRegistry;
+import io.netty.channel.ConnectTimeoutException;
+import java.time.Duration;
+import java.time.Instant;
+import org.oatlug.internal.metrics.Meters;
+import org.oatlug.test.VirtualTime;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/**
+ * Tests which connects show that this instance is slow itself.
+ *
+ * <p>Guards against an instance that takes its own full link for the failure of upstreams, and
+ * against one that takes a real failure for its own delay.
+ */
+public class ConnectTimesTest {
+  private static final Duration TIMEOUT = Duration.ofMillis(400);
+
+  private VirtualTime time;
+  private ConnectTimes connects;
+  private TimeoutEvidence timeouts;
+
+  @BeforeMethod
+  void setUp() {
+    time = new VirtualTime();
+    connects = ConnectTimes.create(time);
+    EventLoopDelay delay = EventLoopDelay.create(time, Runnable::run, sample -> {});
+    timeouts = TimeoutEvidence.create(delay, connects, time, Meters.of(new MetricRegistry()));
+    open("usual", 2);
+    time.run(Duration.ofSeconds(1));
+  }
+
+  private void open(String target, long millis) {
+    ConnectTimes.Connect connect = connects.begin(target);
+    time.run(Duration.ofMillis(millis));
+    connect.opened();
+  }
+
+  /** Lets connects to two targets time out; returns whether the second is evidence. */
+  private boolean timeOut(boolean bytesArrive) {
+    Instant startedAt = time.instant();
+    ConnectTimes.Connect first = connects.begin("i-1");
+    ConnectTimes.Connect second = connects.begin("i-2");
+    time.run(TIMEOUT.dividedBy(2));
+    if (bytesArrive) {
+      connects.recordReceived();
+    }
+    time.run(TIMEOUT.dividedBy(2));
+    first.timedOut();
+    second.timedOut();
+    return timeouts.counts(new ConnectTimeoutException(), startedAt, TIMEOUT);
+  }
+
+  @Test
+  public void testTimeoutOfAllConnectsWhileResponsesArriveIsNoEvidence() {
+    assertFalse(timeOut(true));
+  }
+
+  @Test
+  public void testTimeoutWithoutAnyResponseIsEvidence() {
+    assertTrue(timeOut(false), "the network may be partitioned");
+  }
+
+  @Test
+  public void testTimeoutBesideQuickConnectIsEvidence() {
+    Instant startedAt = time.instant();
+    ConnectTimes.Connect lost = connects.begin("i-1");
+    open("i-2", 3);
+    connects.recordReceived();
+    time.run(TIMEOUT.minusMillis(3));
+    lost.timedOut();
+    assertTrue(timeouts.counts(new ConnectTimeoutException(), startedAt, TIMEOUT));
+  }
+
+  @Test
+  public void testOneSlowTargetShowsNothingUnlessOthersAreSlowAsWell() {
+    ConnectTimes.Connect slow = connects.begin("i-1");
+    time.run(Duration.ofMillis(300));
+    connects.recordReceived();
+    slow.timedOut();
+    assertEquals(connects.currentDelay(), Duration.ZERO);
+    connects.begin("i-2");
+    time.run(Duration.ofMillis(49));
+    assertEquals(connects.currentDelay(), Duration.ZERO, "the other one has just begun");
+    time.run(Duration.ofMillis(1));
+    assertEquals(connects.currentDelay(), Duration.ofMillis(298));
+  }
+
+  @Test
+  public void testDelayIsExcessOverUsualTime() {
+    ConnectTimes.Connect first = connects.begin("i-1");
+    ConnectTimes.Connect second = connects.begin("i-2");
+    time.run(Duration.ofMillis(60));
+    first.opened();
+    time.run(Duration.ofMillis(30));
+    second.opened();
+    connects.recordReceived();
+    assertEquals(connects.usual(), Duration.ofMillis(2));
+    assertEquals(connects.currentDelay(), Duration.ofMillis(58));
+    time.run(Duration.ofSeconds(1));
+    connects.recordReceived();
+    assertEquals(connects.currentDelay(), Duration.ZERO, "nothing is measured while idle");
+  }
+
+  @Test
+  public void testAbandonedConnectShowsNothing() {
+    connects.begin("i-1").abandoned();
+    ConnectTimes.Connect slow = connects.begin("i-2");
+    time.run(Duration.ofMillis(200));
+    connects.recordReceived();
+    slow.opened();
+    slow.timedOut();
+    assertEquals(connects.currentDelay(), Duration.ZERO);
+  }
+}
--- a/org.oatlug/src/org/oatlug/internal/forward/ServicePaths.java
+++ b/org.oatlug/src/org/oatlug/internal/forward/ServicePaths.java
@@ -58,7 +58,7 @@
     return lostServices;
   }
 
-  /** Returns whether a connection to the upstream has failed since the last one that opened. */
+  /** Returns whether a connection to the upstream has failed since the service was last reached. */
   public boolean hasFailed(String service, String upstream) {
     return reachability.hasFailed(service, upstream);
   }
@@ -66,6 +66,16 @@
   /** Records that a connection to an upstream of the service has opened. */
   public void recordOpened(String service) {
     reachability.recordOpened(service, clock.instant());
+    regain(service);
+  }
+
+  /** Records that bytes of a response of the service were received. */
+  public void recordReceived(String service) {
+    reachability.recordReceived(service, clock.instant());
+    regain(service);
+  }
+
+  private void regain(String service) {
     if (lostServices.remove(service)) {
       meters.count("path.regained");
       logger.atInfo().log("service %s is reachable again from this instance", service);
--- a/org.oatlug/src/org/oatlug/internal/gateway/AttemptFeedback.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/AttemptFeedback.java
@@ -248,6 +248,7 @@
   /** Records that bytes of the response were received. */
   void received() {
     components.connectTimes().recordReceived();
+    components.paths().recordReceived(request.service());
   }
 
   /** Records that the connect timed out, whether or not that is evidence about the upstream. */
--- a/org.oatlug/src/org/oatlug/internal/routing/ServiceReachability.java
+++ b/org.oatlug/src/org/oatlug/internal/routing/ServiceReachability.java
@@ -17,10 +17,11 @@
  * Tracks the services of which this instance reaches no upstream.
  *
  * <p>Invariants: a service counts as unreachable once connections to {@link #MINIMUM_UPSTREAMS} of
- * its upstreams, or to its only one, failed with no connection opened in between; an attempt that
- * began before the last connection was opened proves nothing. This ends with the next connection
- * that opens, or once the upstreams that failed have left. Whether the service is down or this
- * instance is partitioned cannot be told from it. Owned by one event loop, not thread-safe.
+ * its upstreams, or to its only one, failed with no connection opened and nothing received in
+ * between; an attempt that began before the last of these proves nothing. This ends with the next
+ * connection that opens or the next bytes received, or once the upstreams that failed have left.
+ * Whether the service is down or this instance is partitioned cannot be told from it. Owned by one
+ * event loop, not thread-safe.
  */
 public final class ServiceReachability {
   /** A single upstream may have crashed. */
@@ -36,6 +37,7 @@
   private static final class Connections {
     private final Set<String> failedUpstreams = new HashSet<>();
     private Instant lastOpened = Instant.MIN;
+    private Instant lastReached = Instant.MIN;
     private Instant lastFailure = Instant.MIN;
   }
 
@@ -60,6 +62,14 @@
   public void recordOpened(String service, Instant now) {
     Connections connections = connectionsTo(service);
     connections.lastOpened = now;
+    connections.lastReached = now;
+    connections.failedUpstreams.clear();
+  }
+
+  /** Records that bytes of a response of the service were received. */
+  public void recordReceived(String service, Instant now) {
+    Connections connections = connectionsTo(service);
+    connections.lastReached = now;
     connections.failedUpstreams.clear();
   }
 
@@ -70,7 +80,7 @@
    */
   public void recordFailure(String service, String upstream, Instant startedAt, Instant now) {
     Connections connections = connectionsTo(service);
-    if (startedAt.isBefore(connections.lastOpened)) {
+    if (startedAt.isBefore(connections.lastReached)) {
       return;
     }
     boolean unrelated =
@@ -94,7 +104,7 @@
     return failed > 0 && failed >= Math.min(MINIMUM_UPSTREAMS, upstreams.size());
   }
 
-  /** Returns whether a connection to the upstream has failed since the last one that opened. */
+  /** Returns whether a connection to the upstream has failed since the service was last reached. */
   public boolean hasFailed(String service, String upstream) {
     Connections connections = byService.get(service);
     return connections != null && connections.failedUpstreams.contains(upstream);
--- a/org.oatlug/src/org/oatlug/internal/util/TimeoutEvidence.java
+++ b/org.oatlug/src/org/oatlug/internal/util/TimeoutEvidence.java
@@ -108,7 +108,8 @@
    */
   public Duration lagSince(Instant startedAt, Instant dueAt) {
     Duration late = Duration.between(dueAt, clock.instant());
-    return max(late, eventLoopDelay.maximumSince(startedAt));
+    Duration lag = max(late, eventLoopDelay.maximumSince(startedAt));
+    return max(lag, connectTimes.delaySince(startedAt));
   }
 
   private static Duration max(Duration first, Duration second) {
