Let the limit of open requests rise by a part

The limit stayed below what the processor and the link could bear: after a decrease to 20 it needed 3 s to reach 50. It rises by a tenth every 100 ms while the delay is below half of its bound, and a decrease keeps at least 0.7.

--- a/org.oatlug/src/org/oatlug/internal/limit/ConcurrencyLimit.java
+++ b/org.oatlug/src/org/oatlug/internal/limit/ConcurrencyLimit.java
@@ -11,7 +11,8 @@
  *
  * <p>The delay that is measured within the instance, whether by its processor or its link, shows a
  * standing queue. The limit then falls to a part of what is open, by how far the delay exceeds its
- * bound, and rises slowly while there is none (additive increase, multiplicative decrease).
+ * bound, and rises while there is none: by a part while the delay is far below its bound, by one
+ * request near it.
  *
  * <p>Invariants: the limit is at least {@link #MINIMUM}; it does not fall again before the open
  * requests have fallen below it, because until then the last decrease has had no effect; without a
@@ -25,10 +26,13 @@
   static final int MAXIMUM = 1024;
 
   /** The least and the largest part of the open requests that is kept by one decrease. */
-  private static final double LEAST_PART = 0.5;
+  private static final double LEAST_PART = 0.7;
 
   private static final double LARGEST_PART = 0.9;
 
+  /** The part by which the limit rises, so that it doubles within a second. */
+  private static final double INCREASE = 0.1;
+
   /** A request passes the instance several times until its response begins. */
   private static final int GOAL_PARTS = 8;
 
@@ -69,7 +73,8 @@
    */
   public int adjust(Duration delay, Duration bound, int occupied) {
     if (delay.compareTo(bound) <= 0) {
-      limit = Math.min(MAXIMUM, limit + 1);
+      boolean isNear = delay.compareTo(bound.dividedBy(2)) > 0;
+      limit = Math.min(MAXIMUM, limit + (isNear ? 1 : Math.max(1, limit * INCREASE)));
     } else if (occupied <= limit) {
       double part = (double) bound.toMillis() / Math.max(1, delay.toMillis());
       limit = occupied * Math.max(LEAST_PART, Math.min(LARGEST_PART, part));
