--- a/org.oatlug.test/tst/org/oatlug/entry/GatewayFleet.java
+++ b/org.oatlug.test/tst/org/oatlug/entry/GatewayFleet.java
@@ -27,6 +27,7 @@
 import org.oatlug.config.SettingsFile;
 import org.oatlug.entry.PartitionableTransport.Partition;
 import org.oatlug.errors.SettingsInvalidException;
+import org.oatlug.internal.limit.AcceptWindow;
 import org.oatlug.test.Await;
 import org.oatlug.test.Http;
 import org.oatlug.test.Ports;
@@ -52,10 +53,79 @@
    * forwarded requests.
    */
   private record Instance(
-      List<Integer> ports, String zone, PartitionableTransport transport, Vertx vertx) {}
+      List<Integer> ports,
+      String zone,
+      PartitionableTransport transport,
+      Vertx vertx,
+      GatewayInstance verticle) {}
 
   private GatewayFleet() {}
 
+  /**
+   * Starts instances of one zone that limit the connections they accept, and upstreams; these
+   * instances cannot be partitioned.
+   */
+  static GatewayFleet startLimited(int instanceCount, int upstreamCount)
+      throws IOException, SettingsInvalidException {
+    GatewayFleet fleet = new GatewayFleet();
+    await(fleet.store.listen(HOST, fleet.storePort));
+    fleet.store.put("config", "main", configuration());
+    for (int number = 1; number <= upstreamCount; number++) {
+      fleet.addUpstream("i-" + number);
+    }
+    List<List<Integer>> ports = new ArrayList<>();
+    for (int index = 0; index < instanceCount; index++) {
+      ports.add(fleet.freePorts());
+    }
+    List<Integer> seeds = ports.stream().map(each -> each.get(4)).toList();
+    for (int index = 0; index < instanceCount; index++) {
+      fleet.startLimitedInstance(index, ports.get(index), seeds);
+    }
+    for (int index = 0; index < instanceCount; index++) {
+      fleet.awaitReady(index);
+    }
+    return fleet;
+  }
+
+  private void startLimitedInstance(int index, List<Integer> ports, List<Integer> seeds)
+      throws IOException, SettingsInvalidException {
+    Path file =
+        settingsFile(index, ports, "hall-a", seeds, new JsonObject().put("accepting", "on"));
+    GatewayInstance verticle =
+        new GatewayInstance(SettingsFile.readGateway(file), new PlatformAdapter());
+    Vertx limited =
+        Vertx.builder()
+            .with(new VertxOptions().setEventLoopPoolSize(1))
+            .withTransport(
+                PreboundSocket.open(file)
+                    .orElseThrow()
+                    .transport(verticle.acceptGate(), verticle.acceptWindow()))
+            .build();
+    instances.add(new Instance(ports, "hall-a", new PartitionableTransport(), limited, verticle));
+    await(limited.deployVerticle(verticle));
+  }
+
+  /** Returns the limit of accepted connections of a limited instance. */
+  AcceptWindow acceptWindow(int index) {
+    return instances.get(index).verticle().acceptWindow();
+  }
+
+  /** Blocks the event loop of an instance again and again; returns an action that ends it. */
+  Runnable slowDown(int index, long blockedMillis) {
+    Vertx slow = instances.get(index).vertx();
+    long timer = slow.setPeriodic(blockedMillis / 4, unused -> Await.pause(blockedMillis));
+    return () -> slow.cancelTimer(timer);
+  }
+
+  /** Returns the port on which an instance serves callers. */
+  int callerPort(int index) {
+    return instances.get(index).ports().get(2);
+  }
+
+  private List<Integer> freePorts() {
+    return List.of(storePort, Ports.free(), Ports.free(), Ports.free(), Ports.free(), Ports.free());
+  }
+
   /** Starts one instance in each of the given zones, and upstreams i-1, i-2, ... of zone hall-a. */
   static GatewayFleet start(List<String> zones, int upstreamCount)
       throws IOException, SettingsInvalidException {
@@ -101,26 +171,37 @@
   private void addInstance(String zone) {
     PartitionableTransport transport = new PartitionableTransport();
     VertxOptions options = new VertxOptions().setEventLoopPoolSize(1);
-    List<Integer> ports =
-        List.of(storePort, Ports.free(), Ports.free(), Ports.free(), Ports.free(), Ports.free());
     instances.add(
         new Instance(
-            ports,
+            freePorts(),
             zone,
             transport,
-            Vertx.builder().with(options).withTransport(transport).build()));
+            Vertx.builder().with(options).withTransport(transport).build(),
+            null));
+  }
+
+  private static Path settingsFile(
+      int index, List<Integer> ports, String zone, List<Integer> seeds, JsonObject loadManagement)
+      throws IOException {
+    JsonObject settings = SampleObjects.settings("entry-" + index, ports, seeds);
+    Path file = Files.createTempFile("oatlug-fleet", ".json");
+    file.toFile().deleteOnExit();
+    settings.put("zone", zone);
+    settings.put("loadManagement", loadManagement);
+    settings.getJsonObject("peers").put("forwarding", ports.get(1));
+    return Files.writeString(file, settings.encode());
   }
 
   private void startInstance(int index) throws IOException, SettingsInvalidException {
     Instance instance = instances.get(index);
     List<Integer> seeds = instances.stream().map(peer -> peer.ports().get(4)).toList();
-    JsonObject settings = SampleObjects.settings("entry-" + index, instance.ports(), seeds);
-    Path file = Files.createTempFile("oatlug-partitioned", ".json");
-    file.toFile().deleteOnExit();
-    settings.put("zone", instance.zone());
-    settings.put("loadManagement", new JsonObject().put("readers", "auto"));
-    settings.getJsonObject("peers").put("forwarding", instance.ports().get(1));
-    Files.writeString(file, settings.encode());
+    Path file =
+        settingsFile(
+            index,
+            instance.ports(),
+            instance.zone(),
+            seeds,
+            new JsonObject().put("readers", "auto"));
     GatewayInstance verticle =
         new GatewayInstance(SettingsFile.readGateway(file), new PlatformAdapter());
     await(instance.vertx().deployVerticle(verticle));
