Release the place of a connection that cannot be accepted

An accept that fails, as without free descriptors, kept its place for good. A server that is closed while it waits for a place is not resumed.

--- a/org.oatlug.entry/src/org/oatlug/entry/PreboundSocket.java
+++ b/org.oatlug.entry/src/org/oatlug/entry/PreboundSocket.java
@@ -256,13 +256,19 @@
         waitForPlace();
         return 0;
       }
-      SocketChannel connection = javaChannel().accept();
-      if (connection == null) {
-        permit.get().release();
+      Optional<SocketChannel> connection = Optional.empty();
+      try {
+        connection = Optional.ofNullable(javaChannel().accept());
+      } finally {
+        if (connection.isEmpty()) {
+          permit.get().release();
+        }
+      }
+      if (connection.isEmpty()) {
         return 0;
       }
       window.recordAccepted();
-      accepted.add(callerChannel(connection, permit.get()));
+      accepted.add(callerChannel(connection.get(), permit.get()));
       return 1;
     }
 
@@ -273,7 +279,14 @@
       resumption =
           eventLoop()
               .schedule(this::resume, AcceptWindow.INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
-      window.whenPlace(() -> eventLoop().execute(this::resume));
+      window.whenPlace(this::resumeOnEventLoop);
+    }
+
+    /** Called from any thread, also after the server has been closed. */
+    private void resumeOnEventLoop() {
+      if (!eventLoop().isShuttingDown()) {
+        eventLoop().execute(this::resume);
+      }
     }
 
     private void resume() {
