--- a/org.oatlug/src/org/oatlug/internal/gateway/GatewayComponents.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/GatewayComponents.java
@@ -134,6 +134,11 @@
     return goalToProtect(settings, tables);
   }
 
+  private static Optional<Duration> goalToProtect(GatewaySettings settings, GatewayTables tables) {
+    Optional<Duration> goal = tables.shortestGoal();
+    return settings.loadManagement().connections().isOn(goal.isPresent()) ? goal : Optional.empty();
+  }
+
   /**
    * Returns the delay of this instance up to which it accepts all connections, empty if it always
    * does.
@@ -153,11 +158,6 @@
             || settings.loadManagement().accepting().isOn(true));
   }
 
-  private static Optional<Duration> goalToProtect(GatewaySettings settings, GatewayTables tables) {
-    Optional<Duration> goal = tables.shortestGoal();
-    return settings.loadManagement().connections().isOn(goal.isPresent()) ? goal : Optional.empty();
-  }
-
   private static WorkspaceShares shares(
       GatewaySettings settings, GatewayTables tables, ServiceWorkMeter workMeter, Meters meters) {
     return WorkspaceShares.create(
