Ask each service for signs of life before its timeouts are excused

If no connect opened, open streams of one service excused the timeouts of another that was lost, so its loss could be found later than before. Now bytes have to arrive from each service whose connects were slow (testTimeoutOfAllConnectsIsEvidenceIfOnlyAnotherServiceResponds). The log line names the delay of the instance in place of event-loop delay.

--- a/org.oatlug.test/tst/org/oatlug/internal/util/ConnectTimesTest.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/util/ConnectTimesTest.java
@@ -40,7 +40,7 @@
   }
 
   private void open(String target, long millis) {
-    ConnectTimes.Connect connect = connects.begin(target);
+    ConnectTimes.Connect connect = connects.begin("pool", target);
     time.run(Duration.ofMillis(millis));
     connect.opened();
   }
@@ -48,11 +48,11 @@
   /** Lets connects to two targets time out; returns whether the second is evidence. */
   private boolean timeOut(boolean bytesArrive) {
     final Instant startedAt = time.instant();
-    final ConnectTimes.Connect first = connects.begin("i-1");
-    final ConnectTimes.Connect second = connects.begin("i-2");
+    final ConnectTimes.Connect first = connects.begin("pool", "i-1");
+    final ConnectTimes.Connect second = connects.begin("pool", "i-2");
     time.run(TIMEOUT.dividedBy(2));
     if (bytesArrive) {
-      connects.recordReceived();
+      connects.recordReceived("pool");
     }
     time.run(TIMEOUT.dividedBy(2));
     first.timedOut();
@@ -70,12 +70,25 @@
     assertTrue(timeOut(false), "the network may be partitioned");
   }
 
+  /** Guards against a lost service that others excuse because their open streams go on. */
+  @Test
+  public void testTimeoutOfAllConnectsIsEvidenceIfOnlyAnotherServiceResponds() {
+    final Instant startedAt = time.instant();
+    final ConnectTimes.Connect first = connects.begin("pool", "i-1");
+    final ConnectTimes.Connect second = connects.begin("pool", "i-2");
+    time.run(TIMEOUT);
+    connects.recordReceived("desk");
+    first.timedOut();
+    second.timedOut();
+    assertTrue(timeouts.counts(new ConnectTimeoutException(), startedAt, TIMEOUT));
+  }
+
   @Test
   public void testTimeoutBesideQuickConnectIsEvidence() {
     final Instant startedAt = time.instant();
-    final ConnectTimes.Connect lost = connects.begin("i-1");
+    final ConnectTimes.Connect lost = connects.begin("pool", "i-1");
     open("i-2", 3);
-    connects.recordReceived();
+    connects.recordReceived("pool");
     time.run(TIMEOUT.minusMillis(3));
     lost.timedOut();
     assertTrue(timeouts.counts(new ConnectTimeoutException(), startedAt, TIMEOUT));
@@ -83,12 +96,12 @@
 
   @Test
   public void testOneSlowTargetShowsNothingUnlessOthersAreSlowAsWell() {
-    ConnectTimes.Connect slow = connects.begin("i-1");
+    ConnectTimes.Connect slow = connects.begin("pool", "i-1");
     time.run(Duration.ofMillis(300));
-    connects.recordReceived();
+    connects.recordReceived("pool");
     slow.timedOut();
     assertEquals(connects.currentDelay(), Duration.ZERO);
-    connects.begin("i-2");
+    connects.begin("pool", "i-2");
     time.run(Duration.ofMillis(49));
     assertEquals(connects.currentDelay(), Duration.ZERO, "the other one has just begun");
     time.run(Duration.ofMillis(1));
@@ -97,26 +110,26 @@
 
   @Test
   public void testDelayIsExcessOverUsualTime() {
-    final ConnectTimes.Connect first = connects.begin("i-1");
-    final ConnectTimes.Connect second = connects.begin("i-2");
+    final ConnectTimes.Connect first = connects.begin("pool", "i-1");
+    final ConnectTimes.Connect second = connects.begin("pool", "i-2");
     time.run(Duration.ofMillis(60));
     first.opened();
     time.run(Duration.ofMillis(30));
     second.opened();
-    connects.recordReceived();
+    connects.recordReceived("pool");
     assertEquals(connects.usual(), Duration.ofMillis(2));
     assertEquals(connects.currentDelay(), Duration.ofMillis(58));
     time.run(Duration.ofSeconds(1));
-    connects.recordReceived();
+    connects.recordReceived("pool");
     assertEquals(connects.currentDelay(), Duration.ZERO, "nothing is measured while idle");
   }
 
   @Test
   public void testAbandonedConnectShowsNothing() {
-    connects.begin("i-1").abandoned();
-    ConnectTimes.Connect slow = connects.begin("i-2");
+    connects.begin("pool", "i-1").abandoned();
+    ConnectTimes.Connect slow = connects.begin("pool", "i-2");
     time.run(Duration.ofMillis(200));
-    connects.recordReceived();
+    connects.recordReceived("pool");
     slow.opened();
     slow.timedOut();
     assertEquals(connects.currentDelay(), Duration.ZERO);
--- a/org.oatlug/src/org/oatlug/internal/gateway/AttemptFeedback.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/AttemptFeedback.java
@@ -67,7 +67,7 @@
   /** Records that the attempt begins, and reserves load, queue time and rate limit permits. */
   void begin() {
     chosen.row().reserve();
-    connect = Optional.of(components.connectTimes().begin(chosen.name()));
+    connect = Optional.of(components.connectTimes().begin(request.service(), chosen.name()));
     reservation =
         Optional.of(components.rates().reserve(chosen.name(), chosen.upstream(), started));
     promptQueued = true;
@@ -247,7 +247,7 @@
 
   /** Records that bytes of the response were received. */
   void received() {
-    components.connectTimes().recordReceived();
+    components.connectTimes().recordReceived(request.service());
     components.paths().recordReceived(request.service());
   }
 
--- a/org.oatlug/src/org/oatlug/internal/util/ConnectTimes.java
+++ b/org.oatlug/src/org/oatlug/internal/util/ConnectTimes.java
@@ -8,9 +8,11 @@
 import java.time.InstantSource;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Iterator;
 import java.util.LinkedHashSet;
+import java.util.Map;
 import java.util.Set;
 
 /**
@@ -18,10 +20,12 @@
  *
  * <p>Connects to different targets share only the link and the processor of this instance. If all
  * of them take long while responses arrive, the instance itself is short of one of these; if some
- * open in their usual time, those that do not have another cause.
+ * open in their usual time, those that do not have another cause. If none opens, responses have to
+ * arrive from each service concerned, because one of them may be lost.
  *
  * <p>Invariants: at most {@link #MAXIMUM_SAMPLES} ended connects are kept, none older than {@link
- * #HISTORY}, and those that are pending. Owned by one event loop, not thread-safe.
+ * #HISTORY}, those that are pending, and one time per service. Owned by one event loop, not
+ * thread-safe.
  */
 public final class ConnectTimes {
   /** The time for which connects are kept, longer than any timeout that they excuse. */
@@ -44,13 +48,15 @@
   private final InstantSource clock;
   private final Deque<Sample> samples = new ArrayDeque<>();
   private final Set<Connect> pending = new LinkedHashSet<>();
-  private Instant lastReceived = Instant.EPOCH;
+  private final Map<String, Instant> lastReceived = new HashMap<>();
+  private Instant lastReceivedOfAll = Instant.EPOCH;
   private Instant usualSince = Instant.EPOCH;
   private long usualMillis = Long.MAX_VALUE;
   private long previousUsualMillis = Long.MAX_VALUE;
 
   /** A connect that ended. */
-  private record Sample(String target, Instant endedAt, long millis) {}
+  private record Sample(
+      String service, String target, Instant endedAt, long millis, boolean opened) {}
 
   private ConnectTimes(InstantSource clock) {
     this.clock = clock;
@@ -61,9 +67,9 @@
     return new ConnectTimes(clock);
   }
 
-  /** Records that a connect to a target begins. */
-  public Connect begin(String target) {
-    Connect connect = new Connect(target, clock.instant());
+  /** Records that a connect to a target of a service begins. */
+  public Connect begin(String service, String target) {
+    Connect connect = new Connect(service, target, clock.instant());
     pending.add(connect);
     return connect;
   }
@@ -77,9 +83,14 @@
     usualMillis = Math.min(usualMillis, millis);
   }
 
-  /** Records that bytes of a response were received. */
-  public void recordReceived() {
-    lastReceived = clock.instant();
+  /** Records that bytes of a response of the service were received. */
+  public void recordReceived(String service) {
+    lastReceivedOfAll = clock.instant();
+    lastReceived.put(service, lastReceivedOfAll);
+  }
+
+  private boolean hasReceivedSince(String service, Instant start) {
+    return !lastReceived.getOrDefault(service, Instant.EPOCH).isBefore(start);
   }
 
   private void add(Sample sample) {
@@ -98,7 +109,7 @@
 
   /** Returns the time since bytes of a response were last received. */
   public Duration sinceReceived() {
-    return Duration.between(lastReceived, clock.instant());
+    return Duration.between(lastReceivedOfAll, clock.instant());
   }
 
   /**
@@ -107,7 +118,7 @@
    * case the network may have been partitioned.
    */
   public Duration delaySince(Instant start) {
-    return lastReceived.isBefore(start) ? Duration.ZERO : minimumExcessSince(start);
+    return lastReceivedOfAll.isBefore(start) ? Duration.ZERO : minimumExcessSince(start);
   }
 
   /** Returns the current delay, zero if connects to fewer than two targets were slow. */
@@ -118,6 +129,8 @@
   private Duration minimumExcessSince(Instant start) {
     long minimumMillis = Long.MAX_VALUE;
     Set<String> targets = new HashSet<>();
+    Set<String> services = new HashSet<>();
+    boolean anyOpened = false;
     Iterator<Sample> newestFirst = samples.descendingIterator();
     while (newestFirst.hasNext()) {
       Sample sample = newestFirst.next();
@@ -126,10 +139,15 @@
       }
       minimumMillis = Math.min(minimumMillis, sample.millis());
       targets.add(sample.target());
+      services.add(sample.service());
+      anyOpened |= sample.opened();
     }
     if (minimumMillis == Long.MAX_VALUE || !reaches(targets, MINIMUM_TARGETS)) {
       return Duration.ZERO;
     }
+    if (!anyOpened && !services.stream().allMatch(service -> hasReceivedSince(service, start))) {
+      return Duration.ZERO;
+    }
     return Duration.ofMillis(Math.max(0, minimumMillis - usual().toMillis()));
   }
 
@@ -149,10 +167,12 @@
 
   /** An attempt to open a connection; it ends once, later calls have no effect. */
   public final class Connect {
+    private final String service;
     private final String target;
     private final Instant startedAt;
 
-    private Connect(String target, Instant startedAt) {
+    private Connect(String service, String target, Instant startedAt) {
+      this.service = service;
       this.target = target;
       this.startedAt = startedAt;
     }
@@ -163,7 +183,7 @@
         Instant now = clock.instant();
         long millis = millisUntil(now);
         recordUsual(millis, now);
-        add(new Sample(target, now, millis));
+        add(new Sample(service, target, now, millis, true));
       }
     }
 
@@ -171,7 +191,7 @@
     public void timedOut() {
       if (pending.remove(this)) {
         Instant now = clock.instant();
-        add(new Sample(target, now, millisUntil(now)));
+        add(new Sample(service, target, now, millisUntil(now), false));
       }
     }
 
--- a/org.oatlug/src/org/oatlug/internal/util/TimeoutEvidence.java
+++ b/org.oatlug/src/org/oatlug/internal/util/TimeoutEvidence.java
@@ -91,7 +91,7 @@
     }
     meters.count("timeout.own-delay");
     logger.atInfo().atMostEvery(1, TimeUnit.SECONDS).log(
-        "timeout of %d millis is not counted, event-loop delay=%d millis, connects"
+        "timeout of %d millis is not counted, own delay=%d millis, connects"
             + " usualMillis=%d delayMillis=%d",
         timeout.toMillis(),
         lag.toMillis(),
