Send new connections elsewhere while few instances are crowded

Callers of a crowded instance wait a second for each connect that is not accepted, although other instances have room: the load balancer goes on to choose it because it is ready.

An instance that has held connections back for 2 s reports itself not ready for 10 s, while at most one in four instances is crowded. Reports of the state exchange carry the number of crowded instances; an instance reports itself crowded from the first held connection on, so those that become crowded together know of each other before any steps back. Without a fresh report it stays ready. A limit that an earlier configuration called for ends with it.

--- a/org.oatlug.entry/src/org/oatlug/entry/GatewayInstance.java
+++ b/org.oatlug.entry/src/org/oatlug/entry/GatewayInstance.java
@@ -137,7 +137,9 @@
     membership.seeds(seedsOf(settings));
     Meters meters = Meters.of(new MetricRegistry());
     GatewayComponents components = wire(meters);
-    return listen(InspectionServer.create(vertx, meters, this::isReady), components);
+    return listen(
+        InspectionServer.create(vertx, meters, () -> isReady() && !components.relief().isActive()),
+        components);
   }
 
   /** Opens the sockets, beginning with the one for callers, and starts the systems. */
--- a/org.oatlug/src/org/oatlug/internal/gateway/GatewayComponents.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/GatewayComponents.java
@@ -22,6 +22,7 @@
 import org.oatlug.internal.limit.BrittleShares;
 import org.oatlug.internal.limit.ConcurrencyLimit;
 import org.oatlug.internal.limit.DispatchQueue;
+import org.oatlug.internal.limit.NewConnectionRelief;
 import org.oatlug.internal.limit.RateSenders;
 import org.oatlug.internal.limit.WorkspaceShares;
 import org.oatlug.internal.metrics.Meters;
@@ -65,6 +66,8 @@
  * @param eventLoopDelay measures the lag of the event loop
  * @param connectTimes measures how long connects take
  * @param timeouts decides which timeouts are evidence about the other side
+ * @param relief decides when this instance takes no new connections for a while
+ * @param instances the number of instances believed to be alive, including this one
  * @param requestQueue the queue of requests that wait for room at an upstream
  * @param retryAfterJitter computes the retry delays of refused callers
  * @param refusedCallers tells refused callers when to return, and recognizes their retries
@@ -105,6 +108,8 @@
     EventLoopDelay eventLoopDelay,
     ConnectTimes connectTimes,
     TimeoutEvidence timeouts,
+    NewConnectionRelief relief,
+    IntSupplier instances,
     RequestQueue requestQueue,
     RetryAfterJitter retryAfterJitter,
     RefusedCallers refusedCallers,
@@ -277,6 +282,8 @@
         eventLoopDelay,
         connectTimes,
         timeouts,
+        NewConnectionRelief.create(),
+        instances,
         requestQueue,
         RetryAfterJitter.create(random, instances),
         RefusedCallers.create(
--- a/org.oatlug/src/org/oatlug/internal/gateway/GatewayParticipant.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/GatewayParticipant.java
@@ -18,7 +18,7 @@
 /**
  * Exchanges the gateway's state with other instances: prompts waiting for prefill, prefill models,
  * evidence about versions under roll-out, rate limits and paces of upstreams, the demand of
- * workspaces, and the latest refusals. Owned by one event loop, not thread-safe.
+ * workspaces, the latest refusals and crowded instances. Owned by one event loop, not thread-safe.
  */
 public final class GatewayParticipant implements ExchangeParticipant {
   /**
@@ -67,7 +67,8 @@
             demand.workspaces(),
             components.prefillWork().own(now),
             demand.reporters(),
-            RefusalReports.reportOf(components.refusedCallers().records(), now))
+            RefusalReports.reportOf(components.refusedCallers().records(), now),
+            components.relief().isCrowded() ? 1 : 0)
         .bounded();
   }
 
@@ -100,6 +101,7 @@
     ShareReports.apply(remote.load(), components.shares(), components.clock().instant());
     RefusalReports.apply(
         remote.load(), components.refusedCallers().records(), components.clock().instant());
+    components.relief().applyReported(remote.load().crowded(), components.clock().instant());
     components.requestQueue().roomMayBeFree();
   }
 
--- a/org.oatlug/src/org/oatlug/internal/gateway/GatewayServer.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/GatewayServer.java
@@ -225,16 +225,26 @@
       }
     }
     connectionAdmission.endOverloadIfOver(now);
-    components.acceptDelayBound().ifPresent(bound -> adjustAcceptWindow(bound, now));
+    components
+        .acceptDelayBound()
+        .ifPresentOrElse(bound -> adjustAcceptWindow(bound, now), () -> acceptAll(now));
     loadLog.tick();
   }
 
+  /** Ends a limit that an earlier configuration called for. */
+  private void acceptAll(Instant now) {
+    acceptWindow.setLimit(Integer.MAX_VALUE);
+    components.relief().update(false, components.instances().getAsInt(), now);
+  }
+
   private void adjustAcceptWindow(Duration bound, Instant now) {
     Duration delay = ownDelay(now);
     int occupied = acceptWindow.occupied();
     int limit = concurrencyLimit.adjust(delay, bound, occupied);
     acceptWindow.setLimit(limit);
-    components.meters().count("accept.held", acceptWindow.takeHeld());
+    long held = acceptWindow.takeHeld();
+    components.meters().count("accept.held", held);
+    components.relief().update(held > 0, components.instances().getAsInt(), now);
     if (limit < Integer.MAX_VALUE) {
       components.eventLoopDelay().probe();
     }
--- a/org.oatlug/src/org/oatlug/internal/gather/LoadReport.java
+++ b/org.oatlug/src/org/oatlug/internal/gather/LoadReport.java
@@ -32,13 +32,15 @@
  * @param workByRank the prefill work that arrives, in milliseconds per second, by {@link #rankKey}
  * @param reporters the number of instances that report the load of workspaces
  * @param refused the latest refusals, the newest first
+ * @param crowded the number of instances that hold connections of callers back
  */
 public record LoadReport(
     Map<String, PaceObservation> paces,
     Map<String, WorkspaceLoad> workspaces,
     Map<String, Integer> workByRank,
     int reporters,
-    List<RefusedRequest> refused) {
+    List<RefusedRequest> refused,
+    int crowded) {
   /** A report without observations. */
   public static final LoadReport EMPTY = new LoadReport(Map.of(), Map.of(), Map.of());
 
@@ -89,7 +91,7 @@
       Map<String, WorkspaceLoad> workspaces,
       Map<String, Integer> workByRank,
       int reporters) {
-    this(paces, workspaces, workByRank, reporters, List.of());
+    this(paces, workspaces, workByRank, reporters, List.of(), 0);
   }
 
   /**
@@ -162,7 +164,12 @@
 
   /** Returns this report with other refusals. */
   public LoadReport withRefused(List<RefusedRequest> replacement) {
-    return new LoadReport(paces, workspaces, workByRank, reporters, replacement);
+    return new LoadReport(paces, workspaces, workByRank, reporters, replacement, crowded);
+  }
+
+  /** Returns this report with another number of crowded instances. */
+  public LoadReport withCrowded(int replacement) {
+    return new LoadReport(paces, workspaces, workByRank, reporters, refused, replacement);
   }
 
   /** Returns a report of refusals only. */
@@ -240,7 +247,8 @@
             merge(workspaces, other.workspaces, WorkspaceLoad::plus),
             merge(workByRank, other.workByRank, LoadReport::saturatedSum),
             Math.min(MAXIMUM_REPORTERS, reporters + other.reporters),
-            mergeRefused(refused, other.refused))
+            mergeRefused(refused, other.refused),
+            Math.min(MAXIMUM_REPORTERS, crowded + other.crowded))
         .bounded();
   }
 
@@ -259,7 +267,12 @@
     part.workByRank.forEach(
         (key, millis) -> ranks.computeIfPresent(key, (unused, sum) -> Math.max(0, sum - millis)));
     return new LoadReport(
-        paces, others, ranks, Math.max(0, reporters - part.reporters), refusedExcept(part));
+        paces,
+        others,
+        ranks,
+        Math.max(0, reporters - part.reporters),
+        refusedExcept(part),
+        Math.max(0, crowded - part.crowded));
   }
 
   private List<RefusedRequest> refusedExcept(LoadReport part) {
@@ -286,7 +299,8 @@
         boundedWorkspaces(),
         highest(workByRank, MAXIMUM_RANKS, Integer::doubleValue),
         reporters,
-        refused.stream().limit(MAXIMUM_REFUSED).toList());
+        refused.stream().limit(MAXIMUM_REFUSED).toList(),
+        crowded);
   }
 
   private Map<String, WorkspaceLoad> boundedWorkspaces() {
@@ -340,7 +354,11 @@
    * reports are not sent more often because of them.
    */
   boolean isEmpty() {
-    return reporters == 0 && paces.isEmpty() && workspaces.isEmpty() && workByRank.isEmpty();
+    return reporters == 0
+        && crowded == 0
+        && paces.isEmpty()
+        && workspaces.isEmpty()
+        && workByRank.isEmpty();
   }
 
   /** Validates a report of a peer: returns the reason to reject it, empty if it is valid. */
@@ -358,7 +376,9 @@
                 .allMatch(millis -> millis != null && millis >= 0 && millis <= MAXIMUM_MILLIS)
             && refused.stream().allMatch(entry -> entry != null && entry.isValid())
             && reporters >= 0
-            && reporters <= MAXIMUM_REPORTERS;
+            && reporters <= MAXIMUM_REPORTERS
+            && crowded >= 0
+            && crowded <= MAXIMUM_REPORTERS;
     return valid ? Optional.empty() : Optional.of("an entry of the load report is invalid");
   }
 }
