Require four unopened targets before a connect timeout is excused

While no connect opens, four targets have to be slow; two suffice if some open, but late. testTimeoutOfFewTargetsIsEvidenceAlthoughResponsesArrive fails without it. NarrowLinkTest has six upstreams in place of two, as the rule needs more.

--- a/org.oatlug/src/org/oatlug/internal/util/ConnectTimes.java
+++ b/org.oatlug/src/org/oatlug/internal/util/ConnectTimes.java
@@ -20,8 +20,9 @@
  *
  * <p>Connects to different targets share only the link and the processor of this instance. If all
  * of them take long while responses arrive, the instance itself is short of one of these; if some
- * open in their usual time, those that do not have another cause. If none opens, responses have to
- * arrive from each service concerned, because one of them may be lost.
+ * open in their usual time, those that do not have another cause. If none opens, more targets are
+ * needed, and responses have to arrive from each service concerned, because one of them may be
+ * lost.
  *
  * <p>Invariants: at most {@link #MAXIMUM_SAMPLES} ended connects are kept, none older than {@link
  * #HISTORY}, those that are pending, and one time per service. Owned by one event loop, not
@@ -45,6 +46,9 @@
   /** A single target may be slow by itself. */
   private static final int MINIMUM_TARGETS = 2;
 
+  /** While no connect opens, a few targets may have crashed together. */
+  private static final int MINIMUM_UNOPENED_TARGETS = 4;
+
   private final InstantSource clock;
   private final Deque<Sample> samples = new ArrayDeque<>();
   private final Set<Connect> pending = new LinkedHashSet<>();
@@ -114,8 +118,8 @@
 
   /**
    * Returns by how much each connect that ended since a time exceeded the usual time at least; zero
-   * if connects to fewer than two targets were slow, or if no response was received since, in which
-   * case the network may have been partitioned.
+   * if connects to too few targets were slow, or if no response was received since, in which case
+   * the network may have been partitioned.
    */
   public Duration delaySince(Instant start) {
     return lastReceivedOfAll.isBefore(start) ? Duration.ZERO : minimumExcessSince(start);
@@ -142,7 +146,8 @@
       services.add(sample.service());
       anyOpened |= sample.opened();
     }
-    if (minimumMillis == Long.MAX_VALUE || !reaches(targets, MINIMUM_TARGETS)) {
+    int minimumTargets = anyOpened ? MINIMUM_TARGETS : MINIMUM_UNOPENED_TARGETS;
+    if (minimumMillis == Long.MAX_VALUE || !reaches(targets, minimumTargets)) {
       return Duration.ZERO;
     }
     if (!anyOpened && !services.stream().allMatch(service -> hasReceivedSince(service, start))) {
