--- a/org.oatlug.test/tst/org/oatlug/entry/CrowdedFleetTest.java
+++ b/org.oatlug.test/tst/org/oatlug/entry/CrowdedFleetTest.java
@@ -24,8 +24,9 @@
  * Sends most new connections to one of six instances, then to another one, while each of them is
  * slow.
  *
- * <p>Guards against an instance that reads what it cannot serve, against places that stay occupied
- * after their connections have gone, and against a limit that outlasts the crowd.
+ * <p>Guards against an instance that reads what it cannot serve or takes its short processor for
+ * lost upstreams, against places that stay occupied after their connections have gone, and against
+ * a limit that outlasts the crowd.
  */
 public class CrowdedFleetTest {
   private static final int INSTANCES = 6;
@@ -104,6 +105,7 @@
       }
     }
     assertTrue(fleet.counter(instance, "accept_held") > 0, "the limit is in force");
+    assertEquals(fleet.counter(instance, "path_lost"), 0.0, "the upstreams are healthy");
     assertTrue(served >= waited * 3 / 4, served + " of " + waited + " connected callers served");
     recover.run();
     Await.until("all places are free", () -> fleet.acceptWindow(instance).occupied() == 0);
--- a/org.oatlug.test/tst/org/oatlug/entry/PreboundSocketTest.java
+++ b/org.oatlug.test/tst/org/oatlug/entry/PreboundSocketTest.java
@@ -154,9 +154,8 @@
     assertServed(sendRequest());
   }
 
-  /** Guards against an overloaded instance that reads more requests than it can serve. */
-  @Test
-  public void testConnectionIsAcceptedOnceThereIsPlace() throws Exception {
+  /** Returns a caller that waits to be accepted, because a request occupies the only place. */
+  private Socket callerWithoutPlace() throws IOException {
     vertx = Vertx.builder().withTransport(openWith("on").transport(gate, window)).build();
     serve(port);
     assertServed(sendRequest());
@@ -166,6 +165,13 @@
     waiting.setSoTimeout(100);
     assertThrows(SocketTimeoutException.class, () -> waiting.getInputStream().read());
     waiting.setSoTimeout(10_000);
+    return waiting;
+  }
+
+  /** Guards against an overloaded instance that reads more requests than it can serve. */
+  @Test
+  public void testConnectionIsAcceptedOnceThereIsPlace() throws Exception {
+    Socket waiting = callerWithoutPlace();
     window.requestEnded();
     assertServed(waiting);
   }
@@ -173,15 +179,7 @@
   /** Guards against an instance that reports itself ready and takes no connection at all. */
   @Test
   public void testConnectionIsAcceptedWithoutPlaceAfterInterval() throws Exception {
-    vertx = Vertx.builder().withTransport(openWith("on").transport(gate, window)).build();
-    serve(port);
-    assertServed(sendRequest());
-    window.requestBegan();
-    window.setLimit(1);
-    Socket waiting = sendRequest();
-    waiting.setSoTimeout(100);
-    assertThrows(SocketTimeoutException.class, () -> waiting.getInputStream().read());
-    waiting.setSoTimeout(10_000);
+    Socket waiting = callerWithoutPlace();
     now = now.plusMillis(250);
     assertServed(waiting);
   }
--- a/org.oatlug.test/tst/org/oatlug/internal/gateway/NarrowLinkTransport.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/gateway/NarrowLinkTransport.java
@@ -23,7 +23,7 @@
  * holds everything. Thread-safe.
  */
 final class NarrowLinkTransport extends NioTransport implements Transport {
-  /** What the packets that open a connection occupy on the link. */
+  /** The size of the packets that open a connection. */
   private static final int OPENING_BYTES = 120;
 
   private static final long PARTITION_POLL_MILLIS = 20;
--- a/org.oatlug.test/tst/org/oatlug/internal/limit/CrowdedInstance.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/limit/CrowdedInstance.java
@@ -16,8 +16,7 @@
  *
  * <p>All work of the instance passes one resource in the order of arrival: its link, where reading
  * a request takes most of the time, or its processor, where serving it does. Callers that are not
- * connected within a second, or whose connection was read in vain, return at once until their
- * deadline. Not thread-safe.
+ * connected within a second return at once until their deadline. Not thread-safe.
  */
 final class CrowdedInstance {
   static final Duration RUN_TIME = Duration.ofSeconds(14);
--- a/org.oatlug/src/org/oatlug/internal/limit/ConcurrencyLimit.java
+++ b/org.oatlug/src/org/oatlug/internal/limit/ConcurrencyLimit.java
@@ -9,10 +9,9 @@
  * Finds the number of requests that an instance can handle at once without a standing queue of its
  * own.
  *
- * <p>The delay that is measured within the instance, whether by its processor or its link, shows a
- * standing queue. The limit then falls to a part of what is open, by how far the delay exceeds its
- * bound, and rises while there is none: by a part while the delay is far below its bound, by one
- * request near it.
+ * <p>A delay within the instance, caused by its processor or its link, indicates a standing queue.
+ * The limit then falls to a part of what is open, by how far the delay exceeds its bound, and rises
+ * while there is none: by a part while the delay is far below its bound, by one request near it.
  *
  * <p>Invariants: the limit is at least {@link #MINIMUM}; it does not fall again before the open
  * requests have fallen below it, because until then the last decrease has had no effect; without a
--- a/org.oatlug/src/org/oatlug/internal/util/ConnectTimes.java
+++ b/org.oatlug/src/org/oatlug/internal/util/ConnectTimes.java
@@ -37,7 +37,7 @@
   /** The time over which the current delay is the minimum: longer than most bursts. */
   private static final Duration CURRENT_WINDOW = Duration.ofMillis(300);
 
-  /** The time after which the usual time is measured anew, because routes to upstreams change. */
+  /** The period after which an older usual time expires, because routes to upstreams change. */
   private static final Duration USUAL_WINDOW = Duration.ofSeconds(30);
 
   /** The age from which a pending connect is slow: many round trips between zones. */
@@ -125,7 +125,7 @@
     return lastReceivedOfAll.isBefore(start) ? Duration.ZERO : minimumExcessSince(start);
   }
 
-  /** Returns the current delay, zero if connects to fewer than two targets were slow. */
+  /** Returns the current delay, zero if connects to too few targets were slow. */
   public Duration currentDelay() {
     return delaySince(clock.instant().minus(CURRENT_WINDOW));
   }
