--- a/review/lib/Run.java
+++ b/review/lib/Run.java
@@ -10,7 +10,9 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.ThreadFactory;
 import java.util.stream.Stream;
 
@@ -19,6 +21,7 @@
   static final boolean TROUBLE = !"0".equals(System.getenv("TROUBLE"));
   private static final long START = System.nanoTime();
   private static final List<Process> processes = new ArrayList<>();
+  private static final Set<Integer> usedPorts = new HashSet<>();
   private static PrintWriter record;
 
   private Run() {}
@@ -52,9 +55,14 @@
     record.println(String.format("%8.3f  ", now()) + String.format(format, values));
   }
 
+  /** Returns a free port that was not returned before. */
   static int freePort(String host) throws IOException {
-    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(host))) {
-      return socket.getLocalPort();
+    while (true) {
+      try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(host))) {
+        if (usedPorts.add(socket.getLocalPort())) {
+          return socket.getLocalPort();
+        }
+      }
     }
   }
 
--- a/review/lib/Store.java
+++ b/review/lib/Store.java
@@ -19,6 +19,10 @@
 
   private record Change(long revision, String kind, Item item, boolean deleted) {}
 
+  /** A watch answers with all events since; with LIMIT_EVENTS=1, with about a megabyte at most. */
+  private static final int PAGE_BYTES =
+      "1".equals(System.getenv("LIMIT_EVENTS")) ? 1_000_000 : Integer.MAX_VALUE;
+
   private final Map<String, TreeMap<String, Item>> kinds = new LinkedHashMap<>();
   private final List<Change> history = new ArrayList<>();
   private final HttpServer server;
@@ -132,13 +136,18 @@
     long asOf;
     synchronized (this) {
       while (true) {
+        long lastRevision = Long.MAX_VALUE;
         for (Change change : history) {
           if (change.revision > since && change.kind.equals(kind)) {
+            if (events.length() > 0 && events.length() + (long) change.item.spec.length() > PAGE_BYTES) {
+              lastRevision = Math.min(lastRevision, change.revision - 1);
+              break;
+            }
             events.append(events.length() == 0 ? "" : ",")
                 .append("{\"deleted\":" + change.deleted + ",\"object\":" + json(change.item) + "}");
           }
         }
-        asOf = revision;
+        asOf = Math.min(revision, lastRevision);
         long left = (until - System.nanoTime()) / 1_000_000;
         if (events.length() > 0 || left <= 0 || closed) {
           break;
