Bound bodies by the heap they take, and send only whole ones

Cause: the limit of 24 MB counted lengths, but a body that grew by appending took up to three times as much (doubled capacity and the copy). The append threw OutOfMemoryError, the library logged it and went on, and the shorter body was sent with a length of its own.

Change: bodies are collected in segments of at most 32 KB, each reserved before it is allocated, and written to the upstream segment by segment. A body of known length is read only once memory for all of it is reserved; until then the request waits unread, up to half of its goal, and is then refused as not run. A body whose length differs from the declared one, or that is not whole by the deadline, is refused with 408. Responses are buffered in the same way, and the fingerprint of a request no longer copies its body.

--- a/org.oatlug/src/org/oatlug/errors/ErrorText.java
+++ b/org.oatlug/src/org/oatlug/errors/ErrorText.java
@@ -33,6 +33,8 @@
   public String keyUnknown;
   public String bodyInvalid;
   public String bodyTooLarge;
+  public String bodyIncomplete;
+  public String bodyMemoryExhausted;
   public String headerInvalid;
   public String modelUnknown;
   public String routeUnknown;
--- a/org.oatlug/src/org/oatlug/internal/crash/RequestFingerprint.java
+++ b/org.oatlug/src/org/oatlug/internal/crash/RequestFingerprint.java
@@ -6,8 +6,10 @@
 import com.google.common.hash.Hasher;
 import com.google.common.hash.Hashing;
 import com.google.common.io.BaseEncoding;
+import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
+import java.util.List;
 
 /**
  * Identifies a request across the retries of its caller, or a part of prompts that many requests
@@ -49,12 +51,23 @@
    * @param workspace the workspace of the caller, empty on a public route
    */
   public static String of(String host, String uri, String workspace, byte[] body) {
+    return of(host, uri, workspace, List.of(ByteBuffer.wrap(body)));
+  }
+
+  /**
+   * Returns the fingerprint of a request, in hexadecimal.
+   *
+   * @param workspace the workspace of the caller, empty on a public route
+   * @param body the body, in any number of segments
+   */
+  public static String of(String host, String uri, String workspace, List<ByteBuffer> body) {
     Hasher hasher = Hashing.sha256().newHasher();
     for (String part : new String[] {host, uri, workspace}) {
       byte[] bytes = part.getBytes(StandardCharsets.UTF_8);
       hasher.putInt(bytes.length).putBytes(bytes);
     }
-    byte[] hash = hasher.putBytes(body).hash().asBytes();
+    body.forEach(segment -> hasher.putBytes(segment.duplicate()));
+    byte[] hash = hasher.hash().asBytes();
     return BaseEncoding.base16().lowerCase().encode(Arrays.copyOf(hash, BYTES));
   }
 }
--- a/org.oatlug/src/org/oatlug/internal/gateway/Admission.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/Admission.java
@@ -24,7 +24,7 @@
  * <p>Invariant: every refusal states that the request has not run. Used from one event loop.
  */
 final class Admission implements RequestAdmission {
-  /** Retry delay for requests that arrive before the first configuration or exceed the memory. */
+  /** Retry delay for requests that arrive before the first configuration. */
   private static final Duration RETRY_DELAY = Duration.ofMillis(500);
 
   /** Time for which a planned stop admits all requests: two failed checks of the balancer. */
@@ -130,7 +130,7 @@
           Refusal.retryAfter(
               RefusalReason.STOPPING, ErrorText.get().stopping, OTHER_INSTANCE_RETRY_DELAY));
     }
-    checkBodyBytes(declaredLength(request));
+    BodyReader.checkLength(declaredLength(request), components.tables().limits().bodyBytes());
     return new Admitted(route, workspace, Optional.empty());
   }
 
@@ -167,23 +167,6 @@
     return text == null ? 0 : Long.parseLong(text.trim());
   }
 
-  /** Refuses a body that exceeds the limit in force. */
-  void checkBodyBytes(long bytes) throws RefusedException {
-    int limit = components.tables().limits().bodyBytes();
-    if (bytes > limit) {
-      String text = ErrorText.format(ErrorText.get().bodyTooLarge, limit);
-      throw refused(RefusalReason.BODY_TOO_LARGE, text);
-    }
-  }
-
-  /** Reserves memory for a part of a body, or refuses it; the caller has to release it. */
-  void reserveBodyMemory(long bytes) throws RefusedException {
-    if (!components.bodyMemory().tryReserve(bytes)) {
-      throw new RefusedException(
-          Refusal.retryAfter(RefusalReason.OVERLOADED, ErrorText.get().overloaded, RETRY_DELAY));
-    }
-  }
-
   private static RefusedException refused(RefusalReason reason, String text) {
     return new RefusedException(Refusal.notRun(reason, text));
   }
--- a/org.oatlug/src/org/oatlug/internal/gateway/AdmittedRequest.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/AdmittedRequest.java
@@ -4,7 +4,6 @@
 package org.oatlug.internal.gateway;
 
 import io.vertx.core.MultiMap;
-import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpMethod;
 import java.time.Instant;
 import java.util.List;
@@ -43,7 +42,7 @@
     HttpMethod method,
     String uri,
     MultiMap headers,
-    Buffer body,
+    Body body,
     boolean hasBody,
     Instant arrived,
     Instant deadline,
@@ -99,7 +98,7 @@
 
   /** Returns the fingerprint that this request shares with the caller's repetitions of it. */
   String fingerprint() {
-    return RequestFingerprint.of(head.host(), uri, workspaceName(), body.getBytes());
+    return RequestFingerprint.of(head.host(), uri, workspaceName(), body.byteBuffers());
   }
 
   /** Returns 64 bits of the fingerprint. */
--- a/org.oatlug/src/org/oatlug/internal/gateway/BufferedResponse.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/BufferedResponse.java
@@ -23,20 +23,19 @@
    */
   private static final int MAXIMUM_BUFFERED_BYTES = 256 * 1024;
 
-  private final GatewayComponents components;
   private final CallerResponse callerResponse;
   private final Function<HttpClientResponse, MultiMap> headersOf;
-  private final Buffer body = Buffer.buffer();
-  private long reservedBytes;
+  private final BodyBuffer body;
+  private Body released = Body.EMPTY;
   private boolean forwarded;
 
   private BufferedResponse(
       GatewayComponents components,
       CallerResponse callerResponse,
       Function<HttpClientResponse, MultiMap> headersOf) {
-    this.components = components;
     this.callerResponse = callerResponse;
     this.headersOf = headersOf;
+    this.body = BodyBuffer.within(components.bodyMemory());
   }
 
   /**
@@ -58,21 +57,22 @@
    */
   void append(HttpClientResponse response, Buffer part, Consumer<Buffer> writer) {
     boolean fits = body.length() + part.length() <= MAXIMUM_BUFFERED_BYTES;
-    if (!callerResponse.isBegun() && fits && components.bodyMemory().tryReserve(part.length())) {
-      body.appendBuffer(part);
-      reservedBytes += part.length();
+    int lengthBefore = body.length();
+    if (!callerResponse.isBegun() && fits && body.tryAppend(part)) {
       return;
     }
+    int appended = body.length() - lengthBefore;
     if (!callerResponse.isBegun()) {
       forwarded = true;
       callerResponse.begin(response.statusCode(), headersOf.apply(response));
-      if (callerResponse.mayStayUnread(body)) {
+      Body buffered = body.toBody();
+      if (callerResponse.mayStayUnread(buffered.length())) {
         // From now on, the bytes count as read ahead.
         release();
       }
-      writer.accept(body);
+      buffered.segments().forEach(writer);
     }
-    writer.accept(part);
+    writer.accept(part.slice(appended, part.length()));
   }
 
   /** Returns whether a part was forwarded, so that no other attempt can replace the answer. */
@@ -85,9 +85,11 @@
    * that the unread bytes are known before the answer ends.
    */
   void writeUnread(HttpClientResponse response) {
-    if (!callerResponse.isBegun() && callerResponse.mayStayUnread(body)) {
-      callerResponse.beginWhole(response.statusCode(), headersOf.apply(response), body.length());
-      callerResponse.write(body, () -> {});
+    Body buffered = buffered();
+    if (!callerResponse.isBegun() && callerResponse.mayStayUnread(buffered.length())) {
+      callerResponse.beginWhole(
+          response.statusCode(), headersOf.apply(response), buffered.length());
+      buffered.segments().forEach(segment -> callerResponse.write(segment, () -> {}));
     }
   }
 
@@ -97,12 +99,16 @@
       callerResponse.end();
       return;
     }
-    callerResponse.sendWhole(response.statusCode(), headersOf.apply(response), body);
+    callerResponse.sendWhole(response.statusCode(), headersOf.apply(response), buffered());
   }
 
-  /** Returns the buffered bytes to the shared limit. */
+  private Body buffered() {
+    return body.length() > 0 ? body.toBody() : released;
+  }
+
+  /** Returns the buffered bytes to the shared limit; a complete answer can still be finished. */
   void release() {
-    components.bodyMemory().releaseBytes(reservedBytes);
-    reservedBytes = 0;
+    released = buffered();
+    body.release();
   }
 }
--- a/org.oatlug/src/org/oatlug/internal/gateway/CallerResponse.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/CallerResponse.java
@@ -8,6 +8,7 @@
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.HttpServerResponse;
 import java.time.Duration;
+import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
 import org.oatlug.api.Refusal;
@@ -86,11 +87,10 @@
    * Returns whether a body that is sent as a whole may wait for its caller, so that it has to be
    * written with {@link #write} to be counted.
    */
-  boolean mayStayUnread(Buffer body) {
+  boolean mayStayUnread(int bodyBytes) {
     return readAhead.isPresent()
-        && body.length() > 0
-        && (body.length() > SMALL_BODY_BYTES
-            || CallerSocket.unwrittenBytes(request.connection()) > 0);
+        && bodyBytes > 0
+        && (bodyBytes > SMALL_BODY_BYTES || CallerSocket.unwrittenBytes(request.connection()) > 0);
   }
 
   /** Begins an answer of the given length. */
@@ -153,7 +153,7 @@
   }
 
   /** Sends a complete answer. */
-  void sendWhole(int status, MultiMap headers, Buffer body) {
+  void sendWhole(int status, MultiMap headers, Body body) {
     if (ended) {
       return;
     }
@@ -162,7 +162,14 @@
     response.headers().addAll(headers);
     response.headers().remove(CONTENT_LENGTH);
     markRelayed();
-    response.end(body);
+    List<Buffer> segments = body.segments();
+    if (segments.size() <= 1) {
+      response.end(segments.isEmpty() ? Buffer.buffer() : segments.get(0));
+      return;
+    }
+    response.headers().set(CONTENT_LENGTH, Integer.toString(body.length()));
+    segments.forEach(response::write);
+    response.end();
   }
 
   private void markRelayed() {
--- a/org.oatlug/src/org/oatlug/internal/gateway/CallerSocket.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/CallerSocket.java
@@ -39,6 +39,19 @@
     return !channel.isActive();
   }
 
+  /**
+   * Stops reading from the socket at once. A paused request alone would still take what is read
+   * until its queue is full.
+   */
+  static void stopReading(HttpConnection connection) {
+    ((ConnectionBase) connection).channel().config().setAutoRead(false);
+  }
+
+  /** Reads from the socket again. */
+  static void continueReading(HttpConnection connection) {
+    ((ConnectionBase) connection).channel().config().setAutoRead(true);
+  }
+
   /** Returns the bytes that were written to the connection and that the socket has not taken. */
   static long unwrittenBytes(HttpConnection connection) {
     ChannelOutboundBuffer queue = ((ConnectionBase) connection).channel().unsafe().outboundBuffer();
--- a/org.oatlug/src/org/oatlug/internal/gateway/GatewayServer.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/GatewayServer.java
@@ -6,7 +6,6 @@
 import com.google.common.flogger.FluentLogger;
 import io.netty.util.AttributeKey;
 import io.vertx.core.Future;
-import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
@@ -319,7 +318,7 @@
       HttpServerRequest request,
       RequestHead head,
       RequestAdmission.Admitted admitted,
-      Buffer body,
+      Body body,
       Instant arrived) {
     Route route = admitted.route();
     boolean hasBody =
@@ -370,8 +369,7 @@
     private final CallerResponse callerResponse;
     private final RequestAdmission requestAdmission;
     private final Optional<CallerConnection> connection;
-    private final Buffer body = Buffer.buffer();
-    private long reservedBytes;
+    private Optional<BodyReader> bodyReader = Optional.empty();
 
     OpenRequest(
         HttpServerRequest request,
@@ -398,7 +396,7 @@
     private void ended() {
       openRequests--;
       acceptWindow.requestEnded();
-      components.bodyMemory().releaseBytes(reservedBytes);
+      bodyReader.ifPresent(BodyReader::stop);
       connection.ifPresent(CallerConnection::requestEnded);
     }
 
@@ -425,35 +423,28 @@
         readBody(head, requestAdmission.admit(request, head));
       } catch (RefusedException e) {
         refuse(e.refusal(), id);
+        request.resume();
       }
-      request.resume();
     }
 
     private void readBody(RequestHead head, RequestAdmission.Admitted admitted) {
-      request.handler(data -> addToBody(head, data));
-      request.endHandler(
-          unused -> {
-            if (!callerResponse.isEnded()) {
-              Exchange.start(
-                  components,
-                  callerResponse,
-                  admittedRequest(request, head, admitted, body, arrived));
-            }
-          });
+      request.pause();
+      BodyReader reader =
+          BodyReader.create(
+              components,
+              request,
+              body -> startExchange(head, admitted, body),
+              refusal -> refuse(refusal, head.id()));
+      bodyReader = Optional.of(reader);
+      // A request that starts later is likely to miss its goal.
+      Instant readBy = arrived.plusMillis(admitted.route().goalMillis() / 2);
+      reader.start(readBy, arrived.plus(timeoutOf(head, admitted)));
     }
 
-    private void addToBody(RequestHead head, Buffer data) {
-      if (callerResponse.isEnded()) {
-        return;
-      }
-      try {
-        admission.checkBodyBytes(body.length() + data.length());
-        admission.reserveBodyMemory(data.length());
-        reservedBytes += data.length();
-        components.meters().count(InstanceLoadLog.FROM_CALLERS, data.length());
-        body.appendBuffer(data);
-      } catch (RefusedException e) {
-        refuse(e.refusal(), head.id());
+    private void startExchange(RequestHead head, RequestAdmission.Admitted admitted, Body body) {
+      if (!callerResponse.isEnded()) {
+        Exchange.start(
+            components, callerResponse, admittedRequest(request, head, admitted, body, arrived));
       }
     }
 
--- a/org.oatlug/src/org/oatlug/internal/gateway/UpstreamConnection.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/UpstreamConnection.java
@@ -85,7 +85,7 @@
       HttpMethod method,
       String uri,
       MultiMap headers,
-      Buffer body,
+      Body body,
       boolean hasBody) {}
 
   /** Returns a client that opens a new connection for each request. */
@@ -132,7 +132,7 @@
         .response()
         .onComplete(this::responseReceived, failure -> fail(Progress.SENT, describe(failure)));
     if (outgoing.hasBody()) {
-      opened.end(outgoing.body());
+      outgoing.body().sendWith(opened, () -> finished);
     } else {
       opened.end();
     }
