End a request when one of its handlers throws an error

Callers saw: an upload of which a part was dropped by an error (here OutOfMemoryError) was sent on without it; a response of which a part was dropped arrived shorter, as status 200 with the length of what was kept; a stream lacked events; and a request whose upstream could not be chosen because of an error waited until its deadline, with all requests behind it, as the dispatch queue started nothing any more.

Cause: the handlers of request bodies, upstream responses and timers caught expected refusals only. The HTTP library logs any other error and goes on with the next part.

Change: each handler of a request runs where an error ends the request: with a refusal that states "not run" while nothing was sent, else with 502 or a closed connection. Nothing more is sent or relayed, the memory is released, and the upstream is not blamed. The dispatch queue starts the next request when one fails.

--- a/org.oatlug.test/tst/org/oatlug/internal/gateway/GatewayServerFixture.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/gateway/GatewayServerFixture.java
@@ -3,6 +3,7 @@
 
 package org.oatlug.internal.gateway;
 
+import com.codahale.metrics.Counter;
 import com.codahale.metrics.MetricRegistry;
 import io.smallrye.mutiny.Uni;
 import io.vertx.core.Vertx;
@@ -16,6 +17,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.random.RandomGenerator;
 import org.oatlug.adapter.PlatformAdapter;
 import org.oatlug.adapter.standin.PacedUpstream;
@@ -58,7 +60,7 @@
 
   private volatile Duration suspendedTime = Duration.ZERO;
   private final GatewayTables tables = GatewayTables.create(this::now);
-  private final MetricRegistry registry = new MetricRegistry();
+  private final FailingRegistry registry = new FailingRegistry();
   private final Vertx vertx;
   private final JsonObject loadManagement;
   private volatile Runnable onChoice = () -> {};
@@ -122,6 +124,12 @@
     return registry.counter(name).getCount();
   }
 
+  /** Makes the handler that increments the counter fail, at its increment of this number. */
+  void failOnCount(String name, int increment) {
+    registry.failingCounter = name;
+    registry.incrementsLeft.set(increment);
+  }
+
   /** Sets an action to run on the event loop during each choice among candidate upstreams. */
   void onChoice(Runnable action) {
     onChoice = action;
@@ -282,6 +290,20 @@
     vertx.close().toCompletionStage().toCompletableFuture().join();
   }
 
+  /** Throws an error in place of the lookup of one counter. */
+  private static final class FailingRegistry extends MetricRegistry {
+    private final AtomicInteger incrementsLeft = new AtomicInteger();
+    private volatile String failingCounter = "";
+
+    @Override
+    public Counter counter(String name) {
+      if (name.equals(failingCounter) && incrementsLeft.decrementAndGet() == 0) {
+        throw new OutOfMemoryError("thrown by the test");
+      }
+      return super.counter(name);
+    }
+  }
+
   /** Allows every version, as without a roll-out. */
   private static final class AnyVersion implements VersionRule {
     @Override
--- a/org.oatlug/src/org/oatlug/errors/ErrorText.java
+++ b/org.oatlug/src/org/oatlug/errors/ErrorText.java
@@ -58,6 +58,7 @@
   public String keyReused;
   public String keyExpired;
   public String witnessFull;
+  public String internalError;
   public String notReady;
   public String stopping;
   public String configurationUnconfirmed;
--- a/org.oatlug/src/org/oatlug/internal/gateway/BodyReader.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/BodyReader.java
@@ -36,6 +36,7 @@
   private final HttpServerRequest request;
   private final Consumer<Body> onComplete;
   private final Consumer<Refusal> onRefused;
+  private final Consumer<Throwable> onError;
   private final BodyBuffer body;
   private OptionalLong declaredBytes = OptionalLong.empty();
   private Optional<BodyMemoryBudget.Waiting> waiting = Optional.empty();
@@ -47,11 +48,13 @@
       GatewayComponents components,
       HttpServerRequest request,
       Consumer<Body> onComplete,
-      Consumer<Refusal> onRefused) {
+      Consumer<Refusal> onRefused,
+      Consumer<Throwable> onError) {
     this.components = components;
     this.request = request;
     this.onComplete = onComplete;
     this.onRefused = onRefused;
+    this.onError = onError;
     this.body = BodyBuffer.within(components.bodyMemory());
   }
 
@@ -60,13 +63,15 @@
    *
    * @param onComplete receives the complete body; its memory stays reserved until {@link #stop}
    * @param onRefused receives the reason for which the request cannot be served
+   * @param onError receives an error of a handler, after which nothing is handed on
    */
   static BodyReader create(
       GatewayComponents components,
       HttpServerRequest request,
       Consumer<Body> onComplete,
-      Consumer<Refusal> onRefused) {
-    return new BodyReader(components, request, onComplete, onRefused);
+      Consumer<Refusal> onRefused,
+      Consumer<Throwable> onError) {
+    return new BodyReader(components, request, onComplete, onRefused, onError);
   }
 
   /**
@@ -76,7 +81,7 @@
    * @param deadline when a body that is not complete is refused
    */
   void start(Instant readBy, Instant deadline) {
-    deadlineTimer = components.deadlines().schedule(deadline, this::deadlinePassed);
+    deadlineTimer = components.deadlines().schedule(deadline, () -> run(this::deadlinePassed));
     String length = request.getHeader("Content-Length");
     if (length == null) {
       read();
@@ -98,10 +103,10 @@
     components.meters().count("body.waited");
     CallerSocket.stopReading(request.connection());
     BodyMemoryBudget.Waiting reservation =
-        new BodyMemoryBudget.Waiting(BodyBuffer.memoryFor(bytes), () -> granted(bytes));
+        new BodyMemoryBudget.Waiting(BodyBuffer.memoryFor(bytes), () -> run(() -> granted(bytes)));
     waiting = Optional.of(reservation);
     components.bodyMemory().await(reservation);
-    waitTimer = components.deadlines().schedule(readBy, this::refuseForMemory);
+    waitTimer = components.deadlines().schedule(readBy, () -> run(this::refuseForMemory));
   }
 
   private void granted(long bytes) {
@@ -120,11 +125,22 @@
   }
 
   private void read() {
-    request.handler(this::append);
-    request.endHandler(unused -> complete());
+    request.handler(part -> run(() -> append(part)));
+    request.endHandler(unused -> run(this::complete));
     request.resume();
   }
 
+  /** Runs a handler; an error ends the request, since a part of its body may be missing. */
+  private void run(Runnable handler) {
+    try {
+      handler.run();
+    } catch (RuntimeException | Error e) {
+      stop();
+      onError.accept(e);
+      request.resume();
+    }
+  }
+
   private void append(Buffer part) {
     if (stopped) {
       return;
--- a/org.oatlug/src/org/oatlug/internal/gateway/Exchange.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/Exchange.java
@@ -48,6 +48,9 @@
 
   private static final long PLACE_POLL_MILLIS = 20;
 
+  /** Retry delay after an error of this instance: the caller is to use another one. */
+  private static final Duration ERROR_RETRY_DELAY = Duration.ofMillis(20);
+
   private static final long NO_TIMER = -1;
 
   private final GatewayComponents components;
@@ -88,7 +91,47 @@
   /** Starts handling a request. */
   static void start(
       GatewayComponents components, CallerResponse callerResponse, AdmittedRequest request) {
-    new Exchange(components, callerResponse, request).start();
+    Exchange exchange = new Exchange(components, callerResponse, request);
+    exchange.run(exchange::start);
+  }
+
+  /** Runs a step of the exchange; an error ends the request. */
+  void run(Runnable step) {
+    try {
+      step.run();
+    } catch (RuntimeException | Error e) {
+      fail(e);
+    }
+  }
+
+  /** Ends the request because a step of its handling failed in an unknown state. */
+  void fail(Throwable error) {
+    components.errors().record(error);
+    if (callerResponse.isEnded()) {
+      return;
+    }
+    try {
+      boolean possiblyRan = mayHaveRun || isAttemptOpen();
+      abandonAttempt();
+      String text = ErrorText.get().internalError;
+      refuse(
+          possiblyRan
+              ? failed(text)
+              : Refusal.retryAfter(RefusalReason.INTERNAL_ERROR, text, ERROR_RETRY_DELAY));
+    } catch (RuntimeException | Error e) {
+      components.errors().record(e);
+      callerResponse.abort();
+    }
+  }
+
+  private boolean isAttemptOpen() {
+    return currentAttempt != null && currentAttempt.isOpen();
+  }
+
+  private void abandonAttempt() {
+    if (currentAttempt != null) {
+      currentAttempt.abandon();
+    }
   }
 
   private void start() {
@@ -133,6 +176,15 @@
 
   /** Sends the request to its first upstream; returns false if it could no longer be served. */
   boolean sendFirst() {
+    try {
+      return trySendFirst();
+    } catch (RuntimeException | Error e) {
+      fail(e);
+      return false;
+    }
+  }
+
+  private boolean trySendFirst() {
     if (callerResponse.isEnded()) {
       return false;
     }
@@ -228,7 +280,10 @@
       components
           .forwarding()
           .receivers()
-          .choose(request.service(), Set.copyOf(triedInstances), this::receiverChosen);
+          .choose(
+              request.service(),
+              Set.copyOf(triedInstances),
+              receiver -> run(() -> receiverChosen(receiver)));
     } else {
       giveUpUnreachable();
     }
@@ -304,7 +359,7 @@
   private void giveUpWithoutUpstream() {
     RefusalReason reason = refusals.reasonWithoutUpstream(request.service());
     if (reason == RefusalReason.UPSTREAMS_BRITTLE && mayWait()) {
-      components.vertx().setTimer(PLACE_POLL_MILLIS, unused -> sendAfterWait());
+      components.vertx().setTimer(PLACE_POLL_MILLIS, unused -> run(this::sendAfterWait));
       return;
     }
     giveUp(
@@ -568,10 +623,8 @@
     if (callerResponse.isEnded()) {
       return;
     }
-    boolean possiblyRan = mayHaveRun || currentAttempt != null && currentAttempt.isOpen();
-    if (currentAttempt != null) {
-      currentAttempt.abandon();
-    }
+    boolean possiblyRan = mayHaveRun || isAttemptOpen();
+    abandonAttempt();
     String text = ErrorText.get().deadlinePassed;
     refuse(
         possiblyRan
@@ -581,9 +634,7 @@
   }
 
   private void callerDisconnected() {
-    if (currentAttempt != null) {
-      currentAttempt.abandon();
-    }
+    abandonAttempt();
     finish("caller disconnected");
     components.meters().count("request.caller-gone");
   }
--- a/org.oatlug/src/org/oatlug/internal/gateway/ExchangeAttempt.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/ExchangeAttempt.java
@@ -76,7 +76,10 @@
     this.model = model;
     this.feedback = new AttemptFeedback(components, request, chosen, model);
     this.idleTimeout =
-        IdleTimeout.create(components, this::currentIdleTimeout, this::retryOnAnotherUpstream);
+        IdleTimeout.create(
+            components,
+            this::currentIdleTimeout,
+            isEvidence -> exchange.run(() -> retryOnAnotherUpstream(isEvidence)));
     this.responseRelay =
         ResponseRelay.create(
             exchange, components.adapter().upstreams()::responseHeaders, idleTimeout);
@@ -415,7 +418,7 @@
             chosen,
             state -> {
               components.vertx().cancelTimer(checkTimer);
-              complete(state);
+              exchange.run(() -> complete(state));
             });
   }
 
@@ -431,7 +434,7 @@
                   if (extensible && !released && !counts.getAsBoolean()) {
                     limitCheck(false);
                   } else {
-                    complete(ProcessState.UNKNOWN);
+                    exchange.run(() -> complete(ProcessState.UNKNOWN));
                   }
                 });
   }
@@ -528,6 +531,11 @@
     feedback.recordOutcome(failure);
   }
 
+  @Override
+  public void handlerFailed(Throwable error) {
+    exchange.fail(error);
+  }
+
   private void logEvent(String event) {
     exchange.log().log(
         "attempt=%d upstream=%s %s millis=%d",
--- a/org.oatlug/src/org/oatlug/internal/gateway/ForwardedAttempt.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/ForwardedAttempt.java
@@ -55,7 +55,10 @@
     this.forwarded = forwarded;
     this.startedAt = components.clock().instant();
     this.idleTimeout =
-        IdleTimeout.create(components, this::currentIdleTimeout, this::retryElsewhere);
+        IdleTimeout.create(
+            components,
+            this::currentIdleTimeout,
+            isEvidence -> exchange.run(() -> retryElsewhere(isEvidence)));
     this.responseRelay = ResponseRelay.create(exchange, this::responseHeaders, idleTimeout);
   }
 
@@ -276,6 +279,11 @@
     }
   }
 
+  @Override
+  public void handlerFailed(Throwable error) {
+    exchange.fail(error);
+  }
+
   private void logEvent(String event) {
     exchange.log().log(
         "attempt=%d instance=%s %s", exchange.attemptsSent(), receiver.name(), event);
--- a/org.oatlug/src/org/oatlug/internal/gateway/GatewayComponents.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/GatewayComponents.java
@@ -75,6 +75,7 @@
  * @param bodyMemory the memory budget of request and response bodies
  * @param readAhead the responses that callers have not read yet
  * @param logLimit limits the rate of log lines about requests
+ * @param errors records the errors that handlers did not expect
  * @param meters the counters
  */
 public record GatewayComponents(
@@ -117,6 +118,7 @@
     BodyMemoryBudget bodyMemory,
     ReadAheadBuffers readAhead,
     LogRateLimit logLimit,
+    HandlerErrors errors,
     Meters meters) {
   /** Handles a pause of the process, which its timers may not have counted. */
   public void handleProcessPause() {
@@ -296,6 +298,7 @@
         ReadAheadBuffers.create(
             vertx, clock, settings.loadManagement().readers(), bodyMemory, logLimit, meters),
         logLimit,
+        HandlerErrors.create(meters),
         meters);
   }
 }
--- a/org.oatlug/src/org/oatlug/internal/gateway/GatewayServer.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/GatewayServer.java
@@ -26,6 +26,7 @@
 import java.util.stream.Stream;
 import org.oatlug.api.Refusal;
 import org.oatlug.api.RefusalReason;
+import org.oatlug.errors.ErrorText;
 import org.oatlug.errors.RefusedException;
 import org.oatlug.gateway.GatewaySettings;
 import org.oatlug.gateway.GatewaySettings.Endpoint;
@@ -69,6 +70,9 @@
    */
   private static final int MAXIMUM_WAITING_REQUESTS = 500;
 
+  /** Retry delay after an error of this instance: the caller is to use another one. */
+  private static final Duration ERROR_RETRY_DELAY = Duration.ofMillis(20);
+
   private final HttpServerOptions options =
       new HttpServerOptions()
           .setHttp2ClearTextEnabled(false)
@@ -424,6 +428,24 @@
       } catch (RefusedException e) {
         refuse(e.refusal(), id);
         request.resume();
+      } catch (RuntimeException | Error e) {
+        fail(e, id);
+        request.resume();
+      }
+    }
+
+    /** Ends the request after an error of a handler, before it was handed to an exchange. */
+    private void fail(Throwable error, String requestId) {
+      components.errors().record(error);
+      try {
+        bodyReader.ifPresent(BodyReader::stop);
+        refuse(
+            Refusal.retryAfter(
+                RefusalReason.INTERNAL_ERROR, ErrorText.get().internalError, ERROR_RETRY_DELAY),
+            requestId);
+      } catch (RuntimeException | Error e) {
+        components.errors().record(e);
+        callerResponse.abort();
       }
     }
 
@@ -434,7 +456,8 @@
               components,
               request,
               body -> startExchange(head, admitted, body),
-              refusal -> refuse(refusal, head.id()));
+              refusal -> refuse(refusal, head.id()),
+              error -> fail(error, head.id()));
       bodyReader = Optional.of(reader);
       // A request that starts later is likely to miss its goal.
       Instant readBy = arrived.plusMillis(admitted.route().goalMillis() / 2);
--- a/org.oatlug/src/org/oatlug/internal/gateway/RequestWait.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/RequestWait.java
@@ -87,9 +87,9 @@
             terms.bound(),
             // It is sent at its bound whatever the load, so it never starts too late.
             Instant.MAX,
-            this::proceed,
-            this::boundReached,
-            predictedWait -> refuseUnlessSent("displaced", predictedWait));
+            this::proceedOrFail,
+            () -> exchange.run(this::boundReached),
+            predictedWait -> exchange.run(() -> refuseUnlessSent("displaced", predictedWait)));
     queuedAt = now();
     Optional<Rejection> rejection = queue.enqueue(request);
     if (rejection.isPresent()) {
@@ -106,6 +106,15 @@
     return exchange.components().clock().instant();
   }
 
+  private boolean proceedOrFail() {
+    try {
+      return proceed();
+    } catch (RuntimeException | Error e) {
+      exchange.fail(e);
+      return true;
+    }
+  }
+
   /** Sends the request if an upstream has room; returns whether it leaves the queue. */
   private boolean proceed() {
     if (exchange.refuseIfCrashing()) {
--- a/org.oatlug/src/org/oatlug/internal/gateway/UpstreamConnection.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/UpstreamConnection.java
@@ -24,7 +24,8 @@
  * not be taken for the answer to another request, and a request that is not repeatable is never
  * written to a connection that the upstream is closing. Invariants: the listener gets {@code
  * headReceived} at most once, then data, and then exactly one of {@code completed} and {@code
- * failed}, or only {@code notConnected}; no calls after {@link #cancel}. Used from one event loop.
+ * failed}, or only {@code notConnected}; an error of the listener replaces what would follow by
+ * {@code handlerFailed}; no calls after {@link #cancel}. Used from one event loop.
  */
 final class UpstreamConnection {
   /** The connect timeout: many round trips between availability zones. */
@@ -68,6 +69,9 @@
 
     /** Called when the attempt failed after its connection was open. */
     void failed(Progress progress, String problem);
+
+    /** Called when another call of this listener has thrown an error; the attempt is over. */
+    void handlerFailed(Throwable error);
   }
 
   /**
@@ -112,17 +116,32 @@
             .setURI(outgoing.uri());
     client
         .request(options)
-        .onComplete(request -> attempt.connected(request, outgoing), attempt::connectFailed);
+        .onComplete(
+            request -> attempt.run(() -> attempt.connected(request, outgoing)),
+            failure -> attempt.run(() -> attempt.connectFailed(failure)));
     return attempt;
   }
 
+  /** Runs a handler; an error cancels the attempt, because its events would be incomplete. */
+  private void run(Runnable handler) {
+    try {
+      handler.run();
+    } catch (RuntimeException | Error e) {
+      finished = true;
+      listener.handlerFailed(e);
+      if (request != null) {
+        request.reset();
+      }
+    }
+  }
+
   private void connected(HttpClientRequest opened, OutgoingRequest outgoing) {
     request = opened;
     if (finished) {
       opened.reset();
       return;
     }
-    opened.exceptionHandler(failure -> fail(Progress.SENT, describe(failure)));
+    opened.exceptionHandler(failure -> run(() -> fail(Progress.SENT, describe(failure))));
     if (!listener.maySend()) {
       cancel();
       return;
@@ -130,7 +149,9 @@
     opened.headers().addAll(outgoing.headers());
     opened
         .response()
-        .onComplete(this::responseReceived, failure -> fail(Progress.SENT, describe(failure)));
+        .onComplete(
+            received -> run(() -> responseReceived(received)),
+            failure -> run(() -> fail(Progress.SENT, describe(failure))));
     if (outgoing.hasBody()) {
       outgoing.body().sendWith(opened, () -> finished);
     } else {
@@ -143,23 +164,25 @@
       return;
     }
     response = received;
-    received.exceptionHandler(failure -> fail(Progress.ANSWERING, describe(failure)));
-    received.handler(
-        data -> {
-          if (!finished) {
-            listener.dataReceived(data);
-          }
-        });
-    received.endHandler(
-        unused -> {
-          if (!finished) {
-            finished = true;
-            listener.completed();
-          }
-        });
+    received.exceptionHandler(failure -> run(() -> fail(Progress.ANSWERING, describe(failure))));
+    received.handler(data -> run(() -> partReceived(data)));
+    received.endHandler(unused -> run(this::endReceived));
     listener.headReceived(received);
   }
 
+  private void partReceived(Buffer data) {
+    if (!finished) {
+      listener.dataReceived(data);
+    }
+  }
+
+  private void endReceived() {
+    if (!finished) {
+      finished = true;
+      listener.completed();
+    }
+  }
+
   /** Stops reading the answer until {@link #resume}. */
   void pause() {
     if (response != null && !finished) {
--- a/org.oatlug/src/org/oatlug/internal/limit/DispatchQueue.java
+++ b/org.oatlug/src/org/oatlug/internal/limit/DispatchQueue.java
@@ -112,11 +112,16 @@
     while (!queue.isEmpty()) {
       // Set before the request starts, because starting it may enqueue another one.
       startedInIteration = true;
-      if (start.test(next())) {
+      boolean started = false;
+      try {
+        started = start.test(next());
+      } finally {
+        startedInIteration = started;
+      }
+      if (started) {
         eventLoop.execute(this::nextIteration);
         return;
       }
-      startedInIteration = false;
     }
   }
 
