--- a/org.oatlug.entry/src/org/oatlug/entry/GatewayInstance.java
+++ b/org.oatlug.entry/src/org/oatlug/entry/GatewayInstance.java
@@ -82,6 +82,11 @@
    */
   private static final Duration CLOSE_RESERVE = Duration.ofMillis(400);
 
+  /** The time in which errors are taken for one shortage of memory. */
+  private static final Duration SHORTAGE_TIME = Duration.ofSeconds(1);
+
+  private static final int EXIT_CODE_FAILED = 1;
+
   /** The maximum age of a configuration that this instance treats as fresh. */
   private static final Duration FRESHNESS = Duration.ofSeconds(12);
 
@@ -103,6 +108,8 @@
   private ReadinessGate readinessGate;
   private OptionalInt forwardingPort = OptionalInt.empty();
   private boolean stopping;
+  private Optional<Future<Void>> drained = Optional.empty();
+  private Optional<Instant> stateUnknownSince = Optional.empty();
 
   GatewayInstance(GatewaySettings settings, DeploymentAdapter adapter) {
     this.settings = settings;
@@ -233,6 +240,8 @@
             configuration,
             (from, message) ->
                 Uni.createFrom().item(handle(message, from, stateExchange, components))));
+    components.errors().onStateUnknown(this::leaveService);
+    context.exceptionHandler(components.errors()::record);
     peerListener.useTimeoutRule(components.timeouts());
     membership.useTimeoutRule(components.timeouts());
     readinessGate =
@@ -386,24 +395,48 @@
         });
   }
 
+  /**
+   * Leaves service after an error that may have left the state inconsistent: open requests end as
+   * in a planned stop, and the platform starts a new process. If memory is short even then, the
+   * process ends at once.
+   */
+  private void leaveService() {
+    if (stateUnknownSince.isEmpty()) {
+      stateUnknownSince = Optional.of(clock.instant());
+      logger.atSevere().log("instance %s stops: its memory was exhausted", settings.name());
+      drain().onComplete(unused -> Runtime.getRuntime().halt(EXIT_CODE_FAILED));
+    } else if (clock.instant().isAfter(stateUnknownSince.get().plus(SHORTAGE_TIME))) {
+      Runtime.getRuntime().halt(EXIT_CODE_FAILED);
+    }
+  }
+
   @Override
   public Future<Void> drain() {
     Promise<Void> promise = Promise.promise();
     context.runOnContext(
         unused -> {
-          logger.atInfo().log(
-              "instance %s shuts down gracefully, %d open requests",
-              settings.name(), server.openRequests());
-          stopping = true;
-          membership.leave();
-          long grace = settings.bounds().grace().minus(CLOSE_RESERVE).toMillis();
-          server.beginShutdown(clock.instant().plusMillis(grace));
-          vertx.setTimer(BALANCER_DETECTION_TIME.toMillis(), timer -> awaitOpenRequests(promise));
-          vertx.setTimer(Math.max(1, grace), timer -> endGracePeriod(promise));
+          if (drained.isEmpty()) {
+            drained = Optional.of(promise.future());
+            beginDrain(promise);
+          } else {
+            drained.get().onComplete(promise);
+          }
         });
     return promise.future();
   }
 
+  private void beginDrain(Promise<Void> promise) {
+    logger.atInfo().log(
+        "instance %s shuts down gracefully, %d open requests",
+        settings.name(), server.openRequests());
+    stopping = true;
+    membership.leave();
+    long grace = settings.bounds().grace().minus(CLOSE_RESERVE).toMillis();
+    server.beginShutdown(clock.instant().plusMillis(grace));
+    vertx.setTimer(BALANCER_DETECTION_TIME.toMillis(), timer -> awaitOpenRequests(promise));
+    vertx.setTimer(Math.max(1, grace), timer -> endGracePeriod(promise));
+  }
+
   private void awaitOpenRequests(Promise<Void> promise) {
     server.closeIdleConnections();
     vertx.setPeriodic(
--- a/org.oatlug.test/tst/org/oatlug/internal/gateway/HandlerErrorTest.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/gateway/HandlerErrorTest.java
@@ -7,14 +7,17 @@
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
+import com.codahale.metrics.MetricRegistry;
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.Locale;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.oatlug.adapter.standin.SampleObjects;
 import org.oatlug.adapter.standin.UpstreamStandin;
+import org.oatlug.internal.metrics.Meters;
 import org.oatlug.test.Await;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -169,4 +172,17 @@
       assertTrue(response.contains(END_OF_HEAD), response);
     }
   }
+
+  /** Exhausted memory may have interrupted any change of state, so the instance has to know. */
+  @Test
+  public void testInstanceLearnsOfExhaustedMemoryOnly() {
+    AtomicInteger reports = new AtomicInteger();
+    HandlerErrors errors = HandlerErrors.create(Meters.of(new MetricRegistry()));
+    errors.onStateUnknown(reports::incrementAndGet);
+    errors.record(new IllegalStateException("thrown by the test"));
+    errors.record(new StackOverflowError("thrown by the test"));
+    assertEquals(reports.get(), 0);
+    errors.record(new OutOfMemoryError("thrown by the test"));
+    assertEquals(reports.get(), 1);
+  }
 }
--- a/org.oatlug/src/org/oatlug/internal/gateway/HandlerErrors.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/HandlerErrors.java
@@ -10,16 +10,15 @@
 /**
  * Records errors that the handlers of requests did not expect.
  *
- * <p>The one that calls a handler ends its request. An error of the virtual machine, such as
- * exhausted memory, may also have interrupted a change of shared state anywhere, so it is reported
- * to the instance, which stops serving. Invariant: the action for such errors runs once. Used from
- * one event loop.
+ * <p>The one that calls a handler ends its request. Exhausted memory may also have interrupted a
+ * change of shared state anywhere, so such errors are reported to the instance, which decides
+ * whether it goes on. Used from one event loop.
  */
 public final class HandlerErrors {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
   private final Meters meters;
-  private Runnable onVirtualMachineError = () -> {};
+  private Runnable onStateUnknown = () -> {};
 
   private HandlerErrors(Meters meters) {
     this.meters = meters;
@@ -30,19 +29,24 @@
     return new HandlerErrors(meters);
   }
 
-  /** Sets the action to run once, at the first error of the virtual machine. */
-  public void onVirtualMachineError(Runnable action) {
-    onVirtualMachineError = action;
+  /** Sets the action to run at each error after which the state of the process is unknown. */
+  public void onStateUnknown(Runnable action) {
+    onStateUnknown = action;
   }
 
   /** Records an error that a handler has thrown, or that was thrown outside of all handlers. */
   public void record(Throwable error) {
-    if (error instanceof VirtualMachineError) {
-      Runnable action = onVirtualMachineError;
-      onVirtualMachineError = () -> {};
-      action.run();
+    if (leavesStateUnknown(error)) {
+      onStateUnknown.run();
     }
     meters.count("handler.error");
     logger.atSevere().withCause(error).atMostEvery(1, TimeUnit.SECONDS).log("a handler failed");
   }
+
+  /**
+   * Returns whether the error may have been thrown at any allocation, in the middle of a change.
+   */
+  private static boolean leavesStateUnknown(Throwable error) {
+    return error instanceof VirtualMachineError && !(error instanceof StackOverflowError);
+  }
 }
