Bound the events of a stream

Cause: the bytes of a partial event were kept without a bound; the chat interface has one.

Change: an event has at most 1 MB, as there, and a partial event beyond 4 KB counts in the memory for bodies. One that exceeds either ends the attempt like an interrupted stream: the upstream is blamed, and the request goes on at another one if it may. The splitter scans each byte once and no longer copies the rest of its buffer for each event.

Evidence: EndlessEventTest before: the caller of the first response waits for more than 20 s ("Read timed out"), with the endless event; now 20 such responses end and all memory is returned.

--- a/org.oatlug.test/tst/org/oatlug/internal/gateway/GatewayServerFixture.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/gateway/GatewayServerFixture.java
@@ -21,6 +21,7 @@
 import java.util.random.RandomGenerator;
 import org.oatlug.adapter.PlatformAdapter;
 import org.oatlug.adapter.standin.PacedUpstream;
+import org.oatlug.adapter.standin.RawUpstream;
 import org.oatlug.adapter.standin.SampleObjects;
 import org.oatlug.adapter.standin.UpstreamStandin;
 import org.oatlug.api.ObjectKey;
@@ -104,6 +105,15 @@
     return upstream;
   }
 
+  /** Starts an upstream whose responses the test sets byte by byte, and registers it. */
+  RawUpstream addRawUpstream(String name) {
+    RawUpstream upstream = RawUpstream.create(vertx);
+    int port = Ports.free();
+    upstream.listen(HOST, port).toCompletionStage().toCompletableFuture().join();
+    put(GatewayKinds.UPSTREAM, name, record(port, "hall-a", false));
+    return upstream;
+  }
+
   /** Returns the bytes that wait for callers. */
   long readAheadBytes() {
     return components.readAhead().heldBytes();
--- a/org.oatlug.test/tst/org/oatlug/internal/gateway/StreamRelayTest.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/gateway/StreamRelayTest.java
@@ -53,7 +53,7 @@
       @ForAll boolean upstreamsRestart,
       @ForAll @IntRange(min = 0, max = 100_000) int randomSeed) {
     Random random = new Random(randomSeed);
-    StreamRelay relay = StreamRelay.after(OptionalLong.empty());
+    StreamRelay relay = StreamRelay.after(OptionalLong.empty(), BodyMemoryBudget.create());
     Buffer output = Buffer.buffer();
     for (int breakOffPosition : breakOffPositions) {
       String upstreamEvents = eventsOfNextUpstream(relay, carriageReturns, upstreamsRestart);
@@ -84,7 +84,7 @@
 
   @Property(seed = SEED, tries = 50)
   void testPartialEventIsDetected(@ForAll @IntRange(min = 1, max = 400) int length) {
-    StreamRelay relay = StreamRelay.after(OptionalLong.empty());
+    StreamRelay relay = StreamRelay.after(OptionalLong.empty(), BodyMemoryBudget.create());
     String text = events(0, false).substring(0, length);
     relay.newEvents(Buffer.buffer(text));
     assertEquals(relay.hasPartialEvent(), !text.endsWith("\n\n"));
--- a/org.oatlug/src/org/oatlug/internal/gateway/BodyBuffer.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/BodyBuffer.java
@@ -21,6 +21,7 @@
   private static final int SEGMENT_OVERHEAD_BYTES = 128;
 
   private final BodyMemoryBudget budget;
+  private final int uncountedBytes;
   private final List<Buffer> segments = new ArrayList<>();
   private long expectedBytes;
   private long reservedBytes;
@@ -28,13 +29,19 @@
   private int lastCapacity;
   private int length;
 
-  private BodyBuffer(BodyMemoryBudget budget) {
+  private BodyBuffer(BodyMemoryBudget budget, int uncountedBytes) {
     this.budget = budget;
+    this.uncountedBytes = uncountedBytes;
   }
 
   /** Returns an empty buffer whose memory counts in the budget. */
   static BodyBuffer within(BodyMemoryBudget budget) {
-    return new BodyBuffer(budget);
+    return new BodyBuffer(budget, 0);
+  }
+
+  /** Returns an empty buffer whose memory beyond the given bytes counts in the budget. */
+  static BodyBuffer within(BodyMemoryBudget budget, int uncountedBytes) {
+    return new BodyBuffer(budget, uncountedBytes);
   }
 
   /** Returns the memory that a body of the given length takes, in bytes. */
@@ -86,7 +93,8 @@
 
   private boolean tryAddSegment() {
     int capacity = nextCapacity();
-    long missingBytes = allocatedBytes + capacity + SEGMENT_OVERHEAD_BYTES - reservedBytes;
+    long missingBytes =
+        allocatedBytes + capacity + SEGMENT_OVERHEAD_BYTES - reservedBytes - uncountedBytes;
     if (missingBytes > 0) {
       if (!budget.tryReserve(missingBytes)) {
         return false;
--- a/org.oatlug/src/org/oatlug/internal/gateway/EventSplitter.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/EventSplitter.java
@@ -13,16 +13,41 @@
  * Splits the bytes of an event stream into complete events.
  *
  * <p>Invariant: the returned events, concatenated, are the bytes added up to the end of the last
- * complete event; the bytes after it are kept until their event is complete. Used from one event
- * loop.
+ * complete event; the bytes after it are kept until their event is complete. They are bounded: what
+ * exceeds the maximum of an event or the memory for bodies is dropped with its event, and no
+ * further event is returned. Used from one event loop.
  */
-public final class EventSplitter {
+final class EventSplitter {
+  /** The maximum length of an event: far more than a batch of tokens takes. */
+  static final int MAXIMUM_EVENT_BYTES = 1024 * 1024;
+
+  /** A partial event up to this length is within the buffers that each connection has. */
+  private static final int UNCOUNTED_BYTES = 4096;
+
   private static final byte LINE_FEED = '\n';
   private static final byte CARRIAGE_RETURN = '\r';
-  private static final String ID_FIELD = "id:";
+  private static final byte[] ID_FIELD = "id:".getBytes(StandardCharsets.US_ASCII);
 
-  private Buffer pending = Buffer.buffer();
-  private int scannedLength;
+  private final BodyBuffer pending;
+  private LineState state = LineState.IN_LINE;
+  private boolean exceeded;
+
+  /** What the bytes of the current event end with. */
+  private enum LineState {
+    IN_LINE,
+    AFTER_LINE_FEED,
+    /** A carriage return after a line feed, which may begin the empty line. */
+    AFTER_CARRIAGE_RETURN
+  }
+
+  private EventSplitter(BodyMemoryBudget budget) {
+    this.pending = BodyBuffer.within(budget, UNCOUNTED_BYTES);
+  }
+
+  /** Returns a splitter that keeps partial events within the budget. */
+  static EventSplitter create(BodyMemoryBudget budget) {
+    return new EventSplitter(budget);
+  }
 
   /**
    * A complete event.
@@ -30,59 +55,95 @@
    * @param bytes its bytes, including the empty line that ends it
    * @param id its ID, empty if it has no numeric one
    */
-  public record Event(Buffer bytes, OptionalLong id) {}
+  record Event(Buffer bytes, OptionalLong id) {}
 
   /** Adds bytes and returns the events that are now complete. */
-  public List<Event> add(Buffer bytes) {
-    pending.appendBuffer(bytes);
+  List<Event> add(Buffer bytes) {
     List<Event> events = new ArrayList<>();
     int start = 0;
-    int index = scannedLength;
-    while (index < pending.length()) {
-      int end = eventEnd(index, start);
-      if (end > 0) {
-        Buffer event = pending.getBuffer(start, end);
+    for (int index = 0; index < bytes.length() && !exceeded; index++) {
+      if (endsEvent(bytes.getByte(index))) {
+        Buffer event = completeEvent(bytes.slice(start, index + 1));
         events.add(new Event(event, idOf(event)));
-        start = end;
-        index = end;
-      } else {
-        index++;
+        start = index + 1;
       }
     }
-    if (start > 0) {
-      pending = pending.getBuffer(start, pending.length());
+    if (!exceeded && start < bytes.length()) {
+      keep(bytes.slice(start, bytes.length()));
     }
-    scannedLength = Math.max(0, pending.length() - 1);
     return events;
   }
 
-  /** Returns whether bytes of an incomplete event are pending. */
-  public boolean hasPartialEvent() {
-    return pending.length() > 0;
+  /** Returns whether the byte is the end of an empty line that ends the current event. */
+  private boolean endsEvent(byte next) {
+    if (next == LINE_FEED) {
+      boolean emptyLine = state != LineState.IN_LINE;
+      state = emptyLine ? LineState.IN_LINE : LineState.AFTER_LINE_FEED;
+      return emptyLine;
+    }
+    boolean mayBeEmpty = next == CARRIAGE_RETURN && state == LineState.AFTER_LINE_FEED;
+    state = mayBeEmpty ? LineState.AFTER_CARRIAGE_RETURN : LineState.IN_LINE;
+    return false;
   }
 
-  /** Returns the exclusive end of the event if an empty line ends at {@code index}, else 0. */
-  private int eventEnd(int index, int start) {
-    if (pending.getByte(index) != LINE_FEED || index == start) {
-      return 0;
+  private Buffer completeEvent(Buffer end) {
+    if (pending.length() == 0) {
+      return end;
     }
-    int previous = index - 1;
-    if (pending.getByte(previous) == CARRIAGE_RETURN) {
-      previous--;
+    Buffer event = Buffer.buffer(pending.length() + end.length());
+    pending.toBody().segments().forEach(event::appendBuffer);
+    pending.release();
+    return event.appendBuffer(end);
+  }
+
+  private void keep(Buffer part) {
+    boolean fits = pending.length() + part.length() <= MAXIMUM_EVENT_BYTES;
+    if (!fits || !pending.tryAppend(part)) {
+      exceeded = true;
+      pending.release();
     }
-    boolean emptyLine = previous >= start && pending.getByte(previous) == LINE_FEED;
-    return emptyLine ? index + 1 : 0;
+  }
+
+  /** Returns whether an event was dropped because it exceeded its maximum or the memory. */
+  boolean hasExceeded() {
+    return exceeded;
+  }
+
+  /** Returns whether bytes of an incomplete event are pending. */
+  boolean hasPartialEvent() {
+    return exceeded || pending.length() > 0;
+  }
+
+  /** Drops the partial event and returns its memory. */
+  void release() {
+    pending.release();
   }
 
   private static OptionalLong idOf(Buffer event) {
-    for (String line : event.toString(StandardCharsets.UTF_8).split("\r?\n")) {
-      if (line.startsWith(ID_FIELD)) {
-        return parseId(line.substring(ID_FIELD.length()).trim());
+    int start = 0;
+    while (start < event.length()) {
+      int end = start;
+      while (end < event.length() && event.getByte(end) != LINE_FEED) {
+        end++;
+      }
+      if (hasIdField(event, start, end)) {
+        return parseId(
+            event.getString(start + ID_FIELD.length, end, StandardCharsets.UTF_8.name()).trim());
       }
+      start = end + 1;
     }
     return OptionalLong.empty();
   }
 
+  private static boolean hasIdField(Buffer event, int start, int end) {
+    for (int index = 0; index < ID_FIELD.length; index++) {
+      if (start + index >= end || event.getByte(start + index) != ID_FIELD[index]) {
+        return false;
+      }
+    }
+    return true;
+  }
+
   private static OptionalLong parseId(String text) {
     try {
       return OptionalLong.of(Long.parseLong(text));
--- a/org.oatlug/src/org/oatlug/internal/gateway/Exchange.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/Exchange.java
@@ -82,7 +82,7 @@
     this.route = request.route();
     this.callerTry = components.refusedCallers().tryOf(request);
     this.refusals = new ServiceRefusals(components, callerTry);
-    this.relay = StreamRelay.after(request.resumeAfter());
+    this.relay = StreamRelay.after(request.resumeAfter(), components.bodyMemory());
     this.requestGuard = components.crashes().guard(request);
     this.upstreams = UpstreamChoice.of(components, request, requestGuard);
     this.wait = components.requestQueue().waitOf(this);
@@ -568,6 +568,7 @@
   void finish(String outcome) {
     components.deadlines().cancel(deadlineTimer);
     wait.ifPresent(RequestWait::exchangeEnded);
+    relay.release();
     components.work().recordGenerated(request, relay.eventCount());
     Duration duration = elapsed();
     components.meters().time("request." + route.kind().name().toLowerCase(Locale.ROOT), duration);
--- a/org.oatlug/src/org/oatlug/internal/gateway/ExchangeAttempt.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/ExchangeAttempt.java
@@ -367,6 +367,10 @@
     activityReceived();
     recordBeginning();
     responseRelay.dataReceived(data).ifPresent(feedback::recordEventInterval);
+    if (!released && responseRelay.hasExceededEvent()) {
+      connection.cancel();
+      failed(Progress.ANSWERING, "an event is too long");
+    }
   }
 
   /** Records once that the response has gone on for longer than its beginning takes. */
--- a/org.oatlug/src/org/oatlug/internal/gateway/ForwardedAttempt.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/ForwardedAttempt.java
@@ -241,6 +241,10 @@
   public void dataReceived(Buffer data) {
     idleTimeout.recordActivity();
     responseRelay.dataReceived(data);
+    if (!released && responseRelay.hasExceededEvent()) {
+      connection.cancel();
+      failed(Progress.ANSWERING, "an event is too long");
+    }
   }
 
   @Override
--- a/org.oatlug/src/org/oatlug/internal/gateway/ResponseRelay.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/ResponseRelay.java
@@ -135,6 +135,11 @@
     return streaming && relay.hasPartialEvent();
   }
 
+  /** Returns whether an event of the stream was dropped because it is too long. */
+  boolean hasExceededEvent() {
+    return streaming && relay.hasExceededEvent();
+  }
+
   /** Ends the caller's response; returns the mean time between the last events, if it is known. */
   OptionalDouble finish() {
     if (!streaming) {
--- a/org.oatlug/src/org/oatlug/internal/gateway/StreamRelay.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/StreamRelay.java
@@ -15,20 +15,38 @@
 final class StreamRelay {
   private OptionalLong lastEventId;
   private long eventCount;
-  private EventSplitter splitter = new EventSplitter();
+  private final BodyMemoryBudget budget;
+  private EventSplitter splitter;
 
-  private StreamRelay(OptionalLong lastEventId) {
+  private StreamRelay(OptionalLong lastEventId, BodyMemoryBudget budget) {
     this.lastEventId = lastEventId;
+    this.budget = budget;
+    this.splitter = EventSplitter.create(budget);
   }
 
-  /** Returns a relay for a caller that already has the events up to the given ID. */
-  static StreamRelay after(OptionalLong lastEventId) {
-    return new StreamRelay(lastEventId);
+  /**
+   * Returns a relay for a caller that already has the events up to the given ID.
+   *
+   * @param budget limits the memory for partial events
+   */
+  static StreamRelay after(OptionalLong lastEventId, BodyMemoryBudget budget) {
+    return new StreamRelay(lastEventId, budget);
   }
 
   /** Discards the partial event of an interrupted stream, before another upstream continues it. */
   void resetForNextUpstream() {
-    splitter = new EventSplitter();
+    splitter.release();
+    splitter = EventSplitter.create(budget);
+  }
+
+  /** Returns the memory of a partial event when the response is over; may be called again. */
+  void release() {
+    splitter.release();
+  }
+
+  /** Returns whether an event was dropped because it is too long, so that the stream has a gap. */
+  boolean hasExceededEvent() {
+    return splitter.hasExceeded();
   }
 
   /** Returns the bytes of the events that are now complete and were not forwarded before. */
