Accept only final statuses as responses

Callers saw: a status line of an upstream in trouble was passed on as it was: 000, 099, 20, 2000, 600, 999 and 101 as signed answers, 102 and 199 as a head without an end, past the deadline.

Cause: no client checked the status of a response; everything below 500 counted as success.

Change: one check where response heads are read, for all clients (upstreams, the hop between instances, the store, the chat interface): a status outside of 100 to 599, and 101, fails the connection like bytes that are no response, so that the upstream is blamed and a repeatable request goes to another one. Interim responses are skipped, up to 16 on a connection.

--- a/org.oatlug.entry/src/org/oatlug/entry/EntryInstance.java
+++ b/org.oatlug.entry/src/org/oatlug/entry/EntryInstance.java
@@ -8,7 +8,6 @@
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import io.vertx.core.VerticleBase;
-import io.vertx.ext.web.client.WebClient;
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
@@ -48,6 +47,7 @@
 import org.oatlug.internal.session.SessionKeys;
 import org.oatlug.internal.table.Freshness;
 import org.oatlug.internal.table.Tables;
+import org.oatlug.internal.util.HttpClients;
 import org.oatlug.internal.util.IntervalSystem;
 import org.oatlug.internal.util.MonotonicClock;
 import org.oatlug.internal.util.PauseDetector;
@@ -159,7 +159,7 @@
         LoadSystem.create(
             settings.name(),
             tables,
-            WebClient.create(vertx),
+            HttpClients.createWebClient(vertx),
             clock,
             meters,
             upstream -> announceLeaving(membership, network, upstream));
--- a/org.oatlug/src/org/oatlug/internal/engine/RatingClient.java
+++ b/org.oatlug/src/org/oatlug/internal/engine/RatingClient.java
@@ -12,6 +12,7 @@
 import java.util.Optional;
 import org.oatlug.config.Settings;
 import org.oatlug.internal.metrics.Meters;
+import org.oatlug.internal.util.HttpClients;
 import org.oatlug.internal.util.Unis;
 
 /**
@@ -36,7 +37,7 @@
   /** Returns a client of the service at {@code address}; without one all results are empty. */
   public static RatingClient create(
       Vertx vertx, Optional<Settings.Address> address, Meters meters) {
-    return new RatingClient(address, WebClient.create(vertx), meters);
+    return new RatingClient(address, HttpClients.createWebClient(vertx), meters);
   }
 
   /**
--- a/org.oatlug/src/org/oatlug/internal/engine/UpstreamCaller.java
+++ b/org.oatlug/src/org/oatlug/internal/engine/UpstreamCaller.java
@@ -22,6 +22,7 @@
 import org.oatlug.errors.UpstreamFailedException;
 import org.oatlug.errors.UpstreamFailedException.Progress;
 import org.oatlug.internal.limit.RetryAfter;
+import org.oatlug.internal.util.HttpClients;
 
 /**
  * Sends one attempt to an upstream over HTTP.
@@ -57,8 +58,8 @@
     PoolOptions pool = new PoolOptions().setHttp1MaxSize(POOL_SIZE);
     return new UpstreamCaller(
         vertx,
-        vertx.createHttpClient(pooledOptions, pool),
-        vertx.createHttpClient(unpooledOptions, pool));
+        HttpClients.create(vertx, pooledOptions, pool),
+        HttpClients.create(vertx, unpooledOptions, pool));
   }
 
   /**
--- a/org.oatlug/src/org/oatlug/internal/gateway/UpstreamConnection.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/UpstreamConnection.java
@@ -16,6 +16,7 @@
 import io.vertx.core.net.SocketAddress;
 import java.time.Duration;
 import org.oatlug.errors.UpstreamFailedException.Progress;
+import org.oatlug.internal.util.HttpClients;
 
 /**
  * Sends a request to one upstream over a connection of its own.
@@ -100,8 +101,8 @@
             .setConnectTimeout((int) CONNECT_TIMEOUT.toMillis())
             .setDecompressionSupported(false)
             .setTcpNoDelay(true);
-    return vertx.createHttpClient(
-        options, new PoolOptions().setHttp1MaxSize(MAXIMUM_CONNECTIONS_PER_UPSTREAM));
+    return HttpClients.create(
+        vertx, options, new PoolOptions().setHttp1MaxSize(MAXIMUM_CONNECTIONS_PER_UPSTREAM));
   }
 
   /** Opens a connection and sends the request over it. */
--- a/org.oatlug/src/org/oatlug/internal/platform/StoreConnections.java
+++ b/org.oatlug/src/org/oatlug/internal/platform/StoreConnections.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.TimeoutException;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import org.oatlug.internal.util.HttpClients;
 
 /**
  * Pool of connections to a store, which is replaced as a whole once a connection stops responding:
@@ -58,7 +59,7 @@
   }
 
   private Pool openPool() {
-    return new Pool(WebClient.create(vertx, options, poolOptions));
+    return new Pool(HttpClients.createWebClient(vertx, options, poolOptions));
   }
 
   /**
