Compare a version with answers of other times before it is declared good

Cause: late answers are compared in windows of a second only. Once the new version has nearly all requests there are no answers of the old one to compare with, the evidence stands still, and the roll-out succeeds if there were enough answers of any kind. Requests that end before their answer begins said nothing either.

Change: answers of plain services (those of engines depend on caches) are also compared over time, as the load may differ only to raise suspicion, never to refute. A suspicious version gets its initial share, so that both have answers to compare; it is not declared good, and is rolled back at the last decision point if the suspicion stays. A request that its deadline or its caller ends counts as late if it has taken longer than an answer may. Suspicion is logged and counted; the counts are a new field of the exchange, which earlier releases ignore.

--- a/org.oatlug.test/tst/org/oatlug/internal/gateway/GatewayServerFixture.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/gateway/GatewayServerFixture.java
@@ -328,6 +328,9 @@
     @Override
     public void recordResponse(Response answer) {}
 
+    @Override
+    public void recordUnanswered(Response request) {}
+
     @Override
     public void recordEventInterval(EventInterval interval) {}
 
--- a/org.oatlug.test/tst/org/oatlug/test/RolloutFleet.java
+++ b/org.oatlug.test/tst/org/oatlug/test/RolloutFleet.java
@@ -23,6 +23,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.ToLongFunction;
 import org.oatlug.api.ObjectKey;
 import org.oatlug.errors.PeerUnavailableException;
 import org.oatlug.gateway.GatewayKinds;
@@ -200,13 +201,7 @@
               Optional.of(session),
               OptionalLong.empty(),
               Optional.empty());
-      Optional<VersionRule.VersionPreference> preference =
-          director.preferenceFor(SERVICE, head, VersionRule.PriorAttempts.NONE);
-      boolean selectsNew =
-          preference
-              .map(preferred -> preferred.version().equals(NEW) == preferred.wanted())
-              .orElse(false);
-      String version = selectsNew ? NEW : OLD;
+      String version = selectVersion(head);
       countRequest(version);
       director.recordSent(SERVICE, version, head);
       boolean failed = version.equals(NEW) && random.nextDouble() < failingFraction;
@@ -215,6 +210,37 @@
       return version;
     }
 
+    /** Simulates a request without a session; its response takes the time for its version. */
+    void sendPlain(ToLongFunction<String> millisOfVersion) {
+      RequestHead head =
+          new RequestHead(
+              "id-" + random.nextLong(),
+              "h",
+              "/",
+              Optional.empty(),
+              Optional.empty(),
+              Optional.empty(),
+              OptionalLong.empty(),
+              Optional.empty());
+      String version = selectVersion(head);
+      countRequest(version);
+      Duration took = Duration.ofMillis(millisOfVersion.applyAsLong(version));
+      time.after(
+          took,
+          () ->
+              director.recordResponse(
+                  new VersionRule.Response(SERVICE, version, ROUTE, "", false, took)));
+    }
+
+    private String selectVersion(RequestHead head) {
+      boolean selectsNew =
+          director
+              .preferenceFor(SERVICE, head, VersionRule.PriorAttempts.NONE)
+              .map(preferred -> preferred.version().equals(NEW) == preferred.wanted())
+              .orElse(false);
+      return selectsNew ? NEW : OLD;
+    }
+
     @Override
     public StateReport localReport() {
       return new StateReport(Map.of(), director.evidence(), Map.of(), Map.of(), Map.of());
@@ -263,6 +289,17 @@
     linksSilent = true;
   }
 
+  /** Returns the state of the roll-out that was written to the store, empty for none. */
+  Optional<ServiceRollout.State> rolloutState() {
+    return instances
+        .values()
+        .iterator()
+        .next()
+        .tables
+        .rollout(SERVICE)
+        .flatMap(ServiceRollout::state);
+  }
+
   /** Returns the number of requests between the order and the end of its duration. */
   int requestsDuringRollout() {
     return requestsDuringRollout;
--- a/org.oatlug/src/org/oatlug/internal/gateway/Attempt.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/Attempt.java
@@ -22,4 +22,7 @@
 
   /** Ends the attempt before anything is written, and logs why. */
   void withhold(String reason);
+
+  /** Records that the request ended before an answer of this attempt began. */
+  default void recordUnanswered() {}
 }
--- a/org.oatlug/src/org/oatlug/internal/gateway/AttemptFeedback.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/AttemptFeedback.java
@@ -265,16 +265,17 @@
 
   /** Reports the outcome of the request on the upstream's version to the version rule. */
   void recordOutcome(boolean failed) {
-    components
-        .versions()
-        .recordResponse(
-            new VersionRule.Response(
-                request.service(),
-                chosen.upstream().version(),
-                request.route(),
-                model,
-                failed,
-                elapsed()));
+    components.versions().recordResponse(versionResponse(failed));
+  }
+
+  /** Reports to the version rule that the request ended before its answer began. */
+  void recordUnanswered() {
+    components.versions().recordUnanswered(versionResponse(false));
+  }
+
+  private VersionRule.Response versionResponse(boolean failed) {
+    return new VersionRule.Response(
+        request.service(), chosen.upstream().version(), request.route(), model, failed, elapsed());
   }
 
   /** Reports the event interval of a stream of the upstream's version to the version rule. */
--- a/org.oatlug/src/org/oatlug/internal/gateway/Exchange.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/Exchange.java
@@ -128,6 +128,13 @@
     return currentAttempt != null && currentAttempt.isOpen();
   }
 
+  private void abandonUnansweredAttempt() {
+    if (currentAttempt != null) {
+      currentAttempt.recordUnanswered();
+    }
+    abandonAttempt();
+  }
+
   private void abandonAttempt() {
     if (currentAttempt != null) {
       currentAttempt.abandon();
@@ -625,7 +632,7 @@
       return;
     }
     boolean possiblyRan = mayHaveRun || isAttemptOpen();
-    abandonAttempt();
+    abandonUnansweredAttempt();
     String text = ErrorText.get().deadlinePassed;
     refuse(
         possiblyRan
@@ -635,7 +642,7 @@
   }
 
   private void callerDisconnected() {
-    abandonAttempt();
+    abandonUnansweredAttempt();
     finish("caller disconnected");
     components.meters().count("request.caller-gone");
   }
--- a/org.oatlug/src/org/oatlug/internal/gateway/ExchangeAttempt.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/ExchangeAttempt.java
@@ -178,6 +178,13 @@
     return RequestPriority.of(request.rank(), chosen.forecast(), route.goalMillis());
   }
 
+  @Override
+  public void recordUnanswered() {
+    if (!released && written && response == null) {
+      feedback.recordUnanswered();
+    }
+  }
+
   @Override
   public void abandon() {
     if (!released && written) {
--- a/org.oatlug/src/org/oatlug/internal/gateway/RolloutDirector.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/RolloutDirector.java
@@ -163,10 +163,27 @@
 
   /** Returns the share of sessions that the version under roll-out receives from this instance. */
   private double shareAt(double elapsedFraction, RolloutTrial trial) {
-    boolean mayRise = isInformed(trial) && !RolloutGuard.isSuspicious(trial.totalEvidence());
+    boolean mayRise = isInformed(trial) && !isSuspicious(trial);
     return trial.updateShare(schedule.shareAt(0), schedule.shareAt(elapsedFraction), mayRise);
   }
 
+  /** Returns whether the answers speak against the version, though not enough to refute it. */
+  private boolean isSuspicious(RolloutTrial trial) {
+    boolean wasSuspicious = trial.isSuspicious();
+    boolean suspicious = trial.updateSuspicious();
+    if (suspicious != wasSuspicious) {
+      meters.count(suspicious ? "rollout.suspicious" : "rollout.cleared");
+      logger.atInfo().log(
+          "roll-out to %s: its answers are %s, evidence=%.1f pairs=%s answers=%d",
+          trial.version(),
+          suspicious ? "suspicious, its share falls" : "no longer suspicious",
+          trial.totalEvidence(),
+          trial.totalPairs(),
+          trial.totalAnswers());
+    }
+    return suspicious;
+  }
+
   /** Returns whether the evidence of most instances is known to this one. */
   private boolean isInformed(RolloutTrial trial) {
     boolean wasInformed = trial.isInformed();
@@ -226,6 +243,11 @@
     updateTrial(answer.service(), trial -> trial.add(answer, clock.instant()));
   }
 
+  @Override
+  public void recordUnanswered(Response request) {
+    updateTrial(request.service(), trial -> trial.addUnanswered(request, clock.instant()));
+  }
+
   @Override
   public void recordEventInterval(EventInterval interval) {
     updateTrial(interval.service(), trial -> trial.add(interval, clock.instant()));
@@ -394,9 +416,10 @@
       write(service, rollout, trial, State.ROLLED_BACK);
       return;
     }
-    if (schedule.isDecisionDue(elapsedFraction(rollout, trial), isInformed(trial))) {
-      boolean hasEnoughAnswers = trial.totalAnswers() >= MINIMUM_ANSWERS;
-      write(service, rollout, trial, hasEnoughAnswers ? State.SUCCEEDED : State.ROLLED_BACK);
+    boolean suspicious = isSuspicious(trial);
+    if (schedule.isDecisionDue(elapsedFraction(rollout, trial), isInformed(trial) && !suspicious)) {
+      boolean good = trial.totalAnswers() >= MINIMUM_ANSWERS && !suspicious;
+      write(service, rollout, trial, good ? State.SUCCEEDED : State.ROLLED_BACK);
     } else if (rollout.state().isEmpty()) {
       write(service, rollout, trial, State.RUNNING);
     }
--- a/org.oatlug/src/org/oatlug/internal/gateway/RolloutTrial.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/RolloutTrial.java
@@ -6,6 +6,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import org.oatlug.gateway.Route;
+import org.oatlug.gateway.RouteKind;
 import org.oatlug.internal.rollout.ComparedPairs;
 import org.oatlug.internal.rollout.OrderAge;
 import org.oatlug.internal.rollout.RolloutGuard;
@@ -59,6 +60,13 @@
   private final SequentialTest failures = SequentialTest.create();
   private final SequentialTest lateness = SequentialTest.create();
   private final SequentialTest slowness = SequentialTest.create();
+
+  /**
+   * Compares answers of plain services at different times, so that a version is also compared while
+   * it has nearly all requests. Answers of engines depend on their caches.
+   */
+  private final SequentialTest latenessOverTime = SequentialTest.create();
+
   private final SlownessDetector headDelays =
       SlownessDetector.withThresholds(LATE_FACTOR, LATE_MARGIN_MILLIS, MINIMUM_LATE_SHARE);
   private final SlownessDetector eventIntervals =
@@ -72,6 +80,7 @@
   private int expectedReporters;
   private double share;
   private boolean informed;
+  private boolean suspicious;
   private boolean refuted;
 
   private RolloutTrial(String version, StoreRevision orderedAt, OrderAge age) {
@@ -126,16 +135,34 @@
     localAnswers += ofCandidate ? 1 : 0;
     add(failures, ofCandidate, answer.failed());
     if (!answer.failed()) {
-      resetExpiredWindow(now);
-      String group = groupOf(answer.route(), answer.model());
-      add(
-          lateness,
-          ofCandidate,
-          headDelays.isSlow(group, answer.timeToHead().toMillis(), ofCandidate));
+      addLateness(answer, now);
     }
     refuted |= RolloutGuard.sufficesForLocalHalt(localEvidence());
   }
 
+  /**
+   * Adds a request whose caller or deadline ended it before an answer began. It says something only
+   * if it has taken longer than an answer may.
+   */
+  void addUnanswered(VersionRule.Response request, Instant now) {
+    String group = groupOf(request.route(), request.model());
+    if (headDelays.exceedsBound(group, request.timeToHead().toMillis())) {
+      addLateness(request, now);
+      refuted |= RolloutGuard.sufficesForLocalHalt(localEvidence());
+    }
+  }
+
+  private void addLateness(VersionRule.Response answer, Instant now) {
+    resetExpiredWindow(now);
+    boolean ofCandidate = answer.version().equals(version);
+    String group = groupOf(answer.route(), answer.model());
+    boolean late = headDelays.isSlow(group, answer.timeToHead().toMillis(), ofCandidate);
+    add(lateness, ofCandidate, late);
+    if (answer.model().isEmpty() && answer.route().kind() != RouteKind.STREAM) {
+      add(latenessOverTime, ofCandidate, late);
+    }
+  }
+
   /** Adds the event interval of a stream seen by this instance. */
   void add(VersionRule.EventInterval interval, Instant now) {
     boolean ofCandidate = interval.version().equals(version);
@@ -198,13 +225,29 @@
 
   /**
    * Returns the share of sessions that the version receives from this instance, which remains at
-   * the value that it has reached while it must not rise.
+   * the value that it has reached while it must not rise. While the version is suspicious, its
+   * share is the initial one, so that both versions have answers to compare.
    */
   double updateShare(double initialShare, double scheduledShare, boolean mayRise) {
-    share = mayRise ? scheduledShare : Math.max(share, initialShare);
+    if (suspicious) {
+      share = initialShare;
+    } else {
+      share = mayRise ? scheduledShare : Math.max(share, initialShare);
+    }
     return share;
   }
 
+  /** Updates and returns whether the answers of all instances speak against the version. */
+  boolean updateSuspicious() {
+    suspicious = RolloutGuard.isSuspicious(totalPairs().logSuspicion());
+    return suspicious;
+  }
+
+  /** Returns whether the answers spoke against the version at the last update. */
+  boolean isSuspicious() {
+    return suspicious;
+  }
+
   /** Marks the version as bad, whichever instance detected it. */
   void refute() {
     refuted = true;
@@ -222,7 +265,13 @@
 
   /** Returns the compared pairs of answers seen by this instance. */
   ComparedPairs localPairs() {
-    return new ComparedPairs(failures.counts(), lateness.counts(), slowness.counts());
+    return new ComparedPairs(
+        failures.counts(), lateness.counts(), slowness.counts(), latenessOverTime.counts());
+  }
+
+  /** Returns the compared pairs of answers seen by all instances. */
+  ComparedPairs totalPairs() {
+    return localPairs().plus(remotePairs);
   }
 
   /** Returns the number of answers of the version that this instance has seen. */
@@ -232,7 +281,7 @@
 
   /** Returns the logarithm of the evidence of all instances. */
   double totalEvidence() {
-    return localPairs().plus(remotePairs).logEvidence();
+    return totalPairs().logEvidence();
   }
 
   /** Returns the number of answers of the version that all instances have seen. */
--- a/org.oatlug/src/org/oatlug/internal/gateway/SlownessDetector.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/SlownessDetector.java
@@ -53,6 +53,12 @@
     return new SlownessDetector(factor, marginMillis, minimumShare);
   }
 
+  /** Returns whether an answer that takes this time or longer is slow. */
+  boolean exceedsBound(String group, double millis) {
+    Deque<Double> recent = recentMillis.getOrDefault(group, new ArrayDeque<>());
+    return !recent.isEmpty() && millis > factor * medianOf(recent) + marginMillis;
+  }
+
   /**
    * Adds an answer; returns whether it counts as slow.
    *
@@ -61,7 +67,7 @@
    */
   boolean isSlow(String group, double millis, boolean ofCandidate) {
     Deque<Double> recent = recentMillis.computeIfAbsent(group, unused -> new ArrayDeque<>());
-    boolean slow = !recent.isEmpty() && millis > factor * medianOf(recent) + marginMillis;
+    boolean slow = exceedsBound(group, millis);
     if (!ofCandidate) {
       if (recent.size() >= COMPARED_ANSWERS) {
         recent.removeFirst();
--- a/org.oatlug/src/org/oatlug/internal/gateway/VersionRule.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/VersionRule.java
@@ -84,6 +84,9 @@
   /** Records an answer. */
   void recordResponse(Response response);
 
+  /** Records a request that ended before its answer began, after the given time. */
+  void recordUnanswered(Response request);
+
   /**
    * The mean interval at which a version generates the events of a stream.
    *
--- a/org.oatlug/src/org/oatlug/internal/rollout/ComparedPairs.java
+++ b/org.oatlug/src/org/oatlug/internal/rollout/ComparedPairs.java
@@ -15,18 +15,32 @@
  * @param failures the pairs in which one response failed
  * @param lateness the pairs in which one response started late
  * @param slowness the pairs in which one response streamed slowly
+ * @param latenessOverTime the pairs of responses at different times in which one started late; not
+ *     sent by earlier releases
  */
-public record ComparedPairs(PairCounts failures, PairCounts lateness, PairCounts slowness) {
+public record ComparedPairs(
+    PairCounts failures, PairCounts lateness, PairCounts slowness, PairCounts latenessOverTime) {
   /** Counts of zero. */
   public static final ComparedPairs NONE =
       new ComparedPairs(PairCounts.NONE, PairCounts.NONE, PairCounts.NONE);
 
+  /** Creates counts; those that an earlier release does not send are zero. */
+  public ComparedPairs {
+    latenessOverTime = latenessOverTime == null ? PairCounts.NONE : latenessOverTime;
+  }
+
+  /** Creates counts without pairs of responses at different times. */
+  public ComparedPairs(PairCounts failures, PairCounts lateness, PairCounts slowness) {
+    this(failures, lateness, slowness, PairCounts.NONE);
+  }
+
   /** Returns the sum of two disjoint sets of pairs. */
   public ComparedPairs plus(ComparedPairs other) {
     return new ComparedPairs(
         failures.plus(other.failures),
         lateness.plus(other.lateness),
-        slowness.plus(other.slowness));
+        slowness.plus(other.slowness),
+        latenessOverTime.plus(other.latenessOverTime));
   }
 
   /** Returns the later of two states of the same counts, in whichever order they arrive. */
@@ -34,7 +48,8 @@
     return new ComparedPairs(
         failures.join(other.failures),
         lateness.join(other.lateness),
-        slowness.join(other.slowness));
+        slowness.join(other.slowness),
+        latenessOverTime.join(other.latenessOverTime));
   }
 
   /** Returns the number of pairs in which the candidate was worse. */
@@ -44,7 +59,18 @@
 
   /** Returns whether all counts are in their valid range. */
   public boolean isSound() {
-    return failures.isSound() && lateness.isSound() && slowness.isSound();
+    return failures.isSound()
+        && lateness.isSound()
+        && slowness.isSound()
+        && latenessOverTime.isSound();
+  }
+
+  /**
+   * Returns the natural logarithm of the strongest reason for suspicion. Responses at different
+   * times are not comparable under a changing load, so these pairs never refute a candidate.
+   */
+  public double logSuspicion() {
+    return Math.max(logEvidence(), SequentialTest.logEvidence(latenessOverTime));
   }
 
   /**
