Answer the requests that a planned stop has to end

Callers saw: requests that a stopping instance had accepted and passed on were still open at the end of its grace period, and their connections were closed without a response; so were requests whose body had not arrived.

Cause: the end of the grace period closed all connections.

Change: before the connections are closed, each open request gets its last response: 503 that states "not run" if no upstream may have run it, else 504. Only begun responses are cut off.

--- a/org.oatlug.entry/src/org/oatlug/entry/GatewayInstance.java
+++ b/org.oatlug.entry/src/org/oatlug/entry/GatewayInstance.java
@@ -71,6 +71,9 @@
    */
   private static final long TICK_MILLIS = 100;
 
+  /** The time for writing the last responses, within {@link #CLOSE_RESERVE}. */
+  private static final long FLUSH_MILLIS = 100;
+
   /** The interval at which a graceful shutdown polls the number of open requests. */
   private static final long SHUTDOWN_POLL_MILLIS = 20;
 
@@ -451,9 +454,14 @@
 
   private void endGracePeriod(Promise<Void> promise) {
     logger.atInfo().log(
-        "grace period of instance %s ended, closing %d open requests",
+        "grace period of instance %s ended, ending %d open requests",
         settings.name(), server.openRequests());
-    server.closeAllConnections();
-    vertx.setTimer(SHUTDOWN_POLL_MILLIS, timer -> promise.tryComplete());
+    server.endOpenRequests();
+    vertx.setTimer(
+        FLUSH_MILLIS,
+        timer -> {
+          server.closeAllConnections();
+          promise.tryComplete();
+        });
   }
 }
--- a/org.oatlug/src/org/oatlug/errors/ErrorText.java
+++ b/org.oatlug/src/org/oatlug/errors/ErrorText.java
@@ -61,6 +61,7 @@
   public String internalError;
   public String notReady;
   public String stopping;
+  public String stoppedBeforeAnswer;
   public String configurationUnconfirmed;
   public String requestInvalid;
   public String headerTooLarge;
--- a/org.oatlug/src/org/oatlug/internal/gateway/Exchange.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/Exchange.java
@@ -88,11 +88,12 @@
     this.wait = components.requestQueue().waitOf(this);
   }
 
-  /** Starts handling a request. */
-  static void start(
+  /** Starts handling a request and returns its exchange. */
+  static Exchange start(
       GatewayComponents components, CallerResponse callerResponse, AdmittedRequest request) {
     Exchange exchange = new Exchange(components, callerResponse, request);
     exchange.run(exchange::start);
+    return exchange;
   }
 
   /** Runs a step of the exchange; an error ends the request. */
@@ -641,6 +642,20 @@
                 RefusalReason.OVERLOADED, text, refusals.returnDelay(Duration.ZERO)));
   }
 
+  /** Ends the request because the process is about to end. */
+  void endForShutdown() {
+    if (callerResponse.isEnded()) {
+      return;
+    }
+    boolean possiblyRan = mayHaveRun || isAttemptOpen();
+    abandonAttempt();
+    refuse(
+        possiblyRan
+            ? Refusal.unknown(RefusalReason.DEADLINE_PASSED, ErrorText.get().stoppedBeforeAnswer)
+            : Refusal.retryAfter(
+                RefusalReason.STOPPING, ErrorText.get().stopping, ERROR_RETRY_DELAY));
+  }
+
   private void callerDisconnected() {
     abandonUnansweredAttempt();
     finish("caller disconnected");
--- a/org.oatlug/src/org/oatlug/internal/gateway/GatewayServer.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/GatewayServer.java
@@ -70,8 +70,8 @@
    */
   private static final int MAXIMUM_WAITING_REQUESTS = 500;
 
-  /** Retry delay after an error of this instance: the caller is to use another one. */
-  private static final Duration ERROR_RETRY_DELAY = Duration.ofMillis(20);
+  /** Retry delay for callers that are to use another instance: practically none. */
+  private static final Duration RETRY_DELAY = Duration.ofMillis(20);
 
   private final HttpServerOptions options =
       new HttpServerOptions()
@@ -93,7 +93,7 @@
   private final ConcurrencyLimit concurrencyLimit = ConcurrencyLimit.create();
   private int lastLimit = Integer.MAX_VALUE;
   private final InstanceLoadLog loadLog;
-  private int openRequests;
+  private final Set<OpenRequest> openRequests = new LinkedHashSet<>();
 
   private GatewayServer(
       GatewayComponents components,
@@ -152,7 +152,7 @@
 
   /** Returns the number of open requests. */
   public int openRequests() {
-    return openRequests;
+    return openRequests.size();
   }
 
   private long unwrittenBytes() {
@@ -178,7 +178,15 @@
     }
   }
 
-  /** Closes all connections and aborts the requests still open on them. */
+  /**
+   * Ends the requests that are still open when a planned stop has to end: those that no upstream
+   * may have run state so, and of the others only begun responses are cut off.
+   */
+  public void endOpenRequests() {
+    List.copyOf(openRequests).forEach(OpenRequest::endForShutdown);
+  }
+
+  /** Closes all connections. */
   public void closeAllConnections() {
     List.copyOf(connections.values()).forEach(CallerConnection::close);
   }
@@ -212,7 +220,7 @@
         components.eventLoopDelay().minimumDelay(components.clock().instant()),
         queue.oldestWait(),
         queue.size(),
-        openRequests);
+        openRequests.size());
   }
 
   /** Opens the gate and logs the end of an overload, even if no further connection arrives. */
@@ -374,6 +382,8 @@
     private final RequestAdmission requestAdmission;
     private final Optional<CallerConnection> connection;
     private Optional<BodyReader> bodyReader = Optional.empty();
+    private Optional<Exchange> exchange = Optional.empty();
+    private String id = "";
 
     OpenRequest(
         HttpServerRequest request,
@@ -388,7 +398,7 @@
     }
 
     void begin() {
-      openRequests++;
+      openRequests.add(this);
       acceptWindow.requestBegan();
       connection.ifPresent(CallerConnection::requestBegan);
       request.response().endHandler(unused -> ended());
@@ -398,7 +408,7 @@
     }
 
     private void ended() {
-      openRequests--;
+      openRequests.remove(this);
       acceptWindow.requestEnded();
       bodyReader.ifPresent(BodyReader::stop);
       connection.ifPresent(CallerConnection::requestEnded);
@@ -420,29 +430,27 @@
     }
 
     void proceed() {
-      String id = "";
       try {
         RequestHead head = requestAdmission.read(request);
         id = head.id();
         readBody(head, requestAdmission.admit(request, head));
       } catch (RefusedException e) {
-        refuse(e.refusal(), id);
+        refuse(e.refusal());
         request.resume();
       } catch (RuntimeException | Error e) {
-        fail(e, id);
+        fail(e);
         request.resume();
       }
     }
 
     /** Ends the request after an error of a handler, before it was handed to an exchange. */
-    private void fail(Throwable error, String requestId) {
+    private void fail(Throwable error) {
       components.errors().record(error);
       try {
         bodyReader.ifPresent(BodyReader::stop);
         refuse(
             Refusal.retryAfter(
-                RefusalReason.INTERNAL_ERROR, ErrorText.get().internalError, ERROR_RETRY_DELAY),
-            requestId);
+                RefusalReason.INTERNAL_ERROR, ErrorText.get().internalError, RETRY_DELAY));
       } catch (RuntimeException | Error e) {
         components.errors().record(e);
         callerResponse.abort();
@@ -456,8 +464,8 @@
               components,
               request,
               body -> startExchange(head, admitted, body),
-              refusal -> refuse(refusal, head.id()),
-              error -> fail(error, head.id()));
+              this::refuse,
+              this::fail);
       bodyReader = Optional.of(reader);
       // A request that starts later is likely to miss its goal.
       Instant readBy = arrived.plusMillis(admitted.route().goalMillis() / 2);
@@ -466,16 +474,31 @@
 
     private void startExchange(RequestHead head, RequestAdmission.Admitted admitted, Body body) {
       if (!callerResponse.isEnded()) {
-        Exchange.start(
-            components, callerResponse, admittedRequest(request, head, admitted, body, arrived));
+        exchange =
+            Optional.of(
+                Exchange.start(
+                    components,
+                    callerResponse,
+                    admittedRequest(request, head, admitted, body, arrived)));
+      }
+    }
+
+    /** Ends the request because the process is about to end. */
+    void endForShutdown() {
+      if (exchange.isPresent()) {
+        exchange.get().run(exchange.get()::endForShutdown);
+      } else if (!callerResponse.isEnded()) {
+        waitingRequests.remove(this);
+        bodyReader.ifPresent(BodyReader::stop);
+        refuse(Refusal.retryAfter(RefusalReason.STOPPING, ErrorText.get().stopping, RETRY_DELAY));
       }
     }
 
-    void refuse(Refusal refusal, String requestId) {
+    void refuse(Refusal refusal) {
       components.meters().refused(refusal.reason());
       components
           .logLimit()
-          .line(logger, requestId)
+          .line(logger, id)
           .log(
               "refused %s before any attempt: %s path=%s host=%s",
               refusal.reason().text(), refusal.detail(), request.path(), request.getHeader("Host"));
@@ -485,7 +508,7 @@
       if (!request.isEnded()) {
         callerResponse.closeConnectionAfterwards();
       }
-      callerResponse.refuse(refusal, requestId);
+      callerResponse.refuse(refusal, id);
     }
   }
 }
