Become suspicious of a slow version after fewer late answers

Cause: suspicion by answers of other times needed six late answers against none of the old version. With 14 requests a second, half of the answers slow and each slow one taking 0.7 s, that comes when the version already has most requests.

Change: four late answers against none make a version suspicious. Suspicion only lowers its share and bars its success.

--- a/org.oatlug.test/tst/org/oatlug/test/SlowRolloutTest.java
+++ b/org.oatlug.test/tst/org/oatlug/test/SlowRolloutTest.java
@@ -35,16 +35,29 @@
 
   private static final int MEAN_EXTRA_MILLIS = 40;
 
-  /** The factor by which the new version is slower, and the fraction from which on it is. */
+  /**
+   * The factor by which the new version is slower, the fraction of the duration from which on it
+   * is, and the share of its answers that are slow.
+   */
   @DataProvider
   Object[][] slowVersions() {
-    return new Object[][] {{8, 0.0}, {8, 0.6}, {6, 0.6}};
+    return new Object[][] {{8, 0.0, 1}, {8, 0.6, 1}, {6, 0.6, 1}, {8, 0.0, 0.5}, {8, 0.6, 0.5}};
   }
 
+  /**
+   * How slow the new version is.
+   *
+   * @param factor the factor by which its slow answers are slower
+   * @param from the fraction of the duration from which on it is slow
+   * @param share the share of its answers that are slow
+   */
+  private record Slowness(int factor, double from, double share) {}
+
   @Test(dataProvider = "slowVersions")
-  public void testSlowVersionIsRolledBackWithinExposureBound(int factor, double slowFrom) {
+  public void testSlowVersionIsRolledBackWithinExposureBound(
+      int factor, double slowFrom, double slowShare) {
     for (long seed = 1; seed <= SEEDS; seed++) {
-      RolloutFleet fleet = run(seed, factor, slowFrom, 1);
+      RolloutFleet fleet = run(seed, new Slowness(factor, slowFrom, slowShare), 1);
       int total = fleet.requestsDuringRollout();
       double allowed = RolloutSample.BOUNDS.exposureShare() * total + ALLOWED_RESERVE;
       int sent = fleet.requestsToNewDuringRollout();
@@ -64,49 +77,47 @@
   public void testGoodVersionSucceeds(int factorUnderLoad) {
     int succeeded = 0;
     for (long seed = 1; seed <= SEEDS; seed++) {
-      RolloutFleet fleet = run(seed, 1, 0, factorUnderLoad);
+      RolloutFleet fleet = run(seed, new Slowness(1, 0, 0), factorUnderLoad);
       succeeded += fleet.rolloutState().equals(Optional.of(State.SUCCEEDED)) ? 1 : 0;
     }
     assertEquals(succeeded, SEEDS);
   }
 
-  private static RolloutFleet run(long seed, int factor, double slowFrom, int factorUnderLoad) {
+  private static RolloutFleet run(long seed, Slowness slowness, int factorUnderLoad) {
     RolloutFleet fleet = RolloutFleet.of(3, 2, seed);
-    sendAfterPause(fleet, factor, slowFrom, factorUnderLoad);
+    sendAfterPause(fleet, slowness, factorUnderLoad);
     fleet.time().run(WARM_UP);
     fleet.startRollout(ROLLOUT_DURATION);
     fleet.time().run(ROLLOUT_DURATION);
     return fleet;
   }
 
-  private static void sendAfterPause(
-      RolloutFleet fleet, int factor, double slowFrom, int factorUnderLoad) {
+  private static void sendAfterPause(RolloutFleet fleet, Slowness slowness, int factorUnderLoad) {
     Random random = fleet.random();
     fleet
         .time()
         .after(
             Duration.ofMillis(exponential(random, MEAN_PAUSE_MILLIS)),
             () -> {
-              sendAfterPause(fleet, factor, slowFrom, factorUnderLoad);
+              sendAfterPause(fleet, slowness, factorUnderLoad);
               if (!fleet.serving().isEmpty()) {
-                send(fleet, factor, slowFrom, factorUnderLoad);
+                send(fleet, slowness, factorUnderLoad);
               }
             });
   }
 
-  private static void send(RolloutFleet fleet, int factor, double slowFrom, int factorUnderLoad) {
+  private static void send(RolloutFleet fleet, Slowness slowness, int factorUnderLoad) {
     Random random = fleet.random();
     double elapsed = fleet.elapsedFraction();
     long millis = MINIMUM_MILLIS + exponential(random, MEAN_EXTRA_MILLIS);
+    boolean slow = elapsed >= slowness.from() && random.nextDouble() < slowness.share();
     long loaded = elapsed > 0.5 ? millis * factorUnderLoad : millis;
     fleet
         .serving()
         .get(random.nextInt(fleet.serving().size()))
         .sendPlain(
             version ->
-                version.equals(RolloutSample.NEW) && elapsed >= slowFrom
-                    ? loaded * factor
-                    : loaded);
+                version.equals(RolloutSample.NEW) && slow ? loaded * slowness.factor() : loaded);
   }
 
   private static long exponential(Random random, int mean) {
--- a/org.oatlug/src/org/oatlug/internal/gateway/RolloutTrial.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/RolloutTrial.java
@@ -38,6 +38,13 @@
    */
   private static final double MINIMUM_LATE_SHARE = 0.25;
 
+  /**
+   * The logarithm of the evidence over time above which a version is suspicious: four late answers
+   * of the new version without one of the old version. Suspicion has to come before most answers of
+   * a service with little traffic are those of the new version.
+   */
+  private static final double SUSPICIOUS_EVIDENCE_OVER_TIME = 1.7;
+
   /**
    * The multiple of the old version's median event interval above which a stream is slow. Slow
    * versions take 1.7 to 5 times the median, good ones with cold caches 1.4 times.
@@ -239,7 +246,10 @@
 
   /** Updates and returns whether the answers of all instances speak against the version. */
   boolean updateSuspicious() {
-    suspicious = RolloutGuard.isSuspicious(totalPairs().logSuspicion());
+    ComparedPairs pairs = totalPairs();
+    suspicious =
+        RolloutGuard.isSuspicious(pairs.logEvidence())
+            || pairs.logEvidenceOverTime() >= SUSPICIOUS_EVIDENCE_OVER_TIME;
     return suspicious;
   }
 
--- a/org.oatlug/src/org/oatlug/internal/rollout/ComparedPairs.java
+++ b/org.oatlug/src/org/oatlug/internal/rollout/ComparedPairs.java
@@ -66,11 +66,11 @@
   }
 
   /**
-   * Returns the natural logarithm of the strongest reason for suspicion. Responses at different
-   * times are not comparable under a changing load, so these pairs never refute a candidate.
+   * Returns the natural logarithm of the evidence of responses at different times. They are not
+   * comparable under a changing load, so these pairs never refute a candidate.
    */
-  public double logSuspicion() {
-    return Math.max(logEvidence(), SequentialTest.logEvidence(latenessOverTime));
+  public double logEvidenceOverTime() {
+    return SequentialTest.logEvidence(latenessOverTime);
   }
 
   /**
