--- a/org.oatlug/src/org/oatlug/internal/gateway/BodyReader.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/BodyReader.java
@@ -81,8 +81,10 @@
    * @param deadline when a body that is not complete is refused
    */
   void start(Instant readBy, Instant deadline) {
-    deadlineTimer = components.deadlines().schedule(deadline, () -> run(this::deadlinePassed));
     String length = request.getHeader("Content-Length");
+    if (length != null || request.getHeader("Transfer-Encoding") != null) {
+      deadlineTimer = components.deadlines().schedule(deadline, () -> run(this::deadlinePassed));
+    }
     if (length == null) {
       read();
       return;
