--- a/org.oatlug.test/tst/org/oatlug/internal/gateway/EndlessEventTest.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/gateway/EndlessEventTest.java
@@ -54,7 +54,8 @@
       String request =
           "POST %s1 HTTP/1.1\r\nHost: %s\r\nAttempt-Id: request-%d\r\nConnection: close\r\n"
                   .formatted(SampleObjects.STREAM, GatewayServerFixture.HOST, number)
-              + "Model: m\r\nToken-Usage: 100,50\r\nPrefix-Hash: a1:60\r\nContent-Length: 0\r\n\r\n";
+              + "Model: m\r\nToken-Usage: 100,50\r\nPrefix-Hash: a1:60\r\n"
+              + "Content-Length: 0\r\n\r\n";
       socket.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
       return new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
     }
--- a/org.oatlug.test/tst/org/oatlug/internal/gateway/HandlerErrorTest.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/gateway/HandlerErrorTest.java
@@ -60,7 +60,8 @@
   }
 
   private static String head(String length) {
-    return "POST %s1 HTTP/1.1\r\nHost: %s\r\nAttempt-Id: request-1\r\nConnection: close\r\n%s\r\n\r\n"
+    return ("POST %s1 HTTP/1.1\r\nHost: %s\r\nAttempt-Id: request-1\r\n"
+            + "Connection: close\r\n%s\r\n\r\n")
         .formatted(SampleObjects.ONCE, GatewayServerFixture.HOST, length);
   }
 
--- a/org.oatlug/src/org/oatlug/internal/gateway/Exchange.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/Exchange.java
@@ -96,6 +96,23 @@
     return exchange;
   }
 
+  private void start() {
+    if (refuseIfCrashing()) {
+      return;
+    }
+    callerTry.arrive();
+    deadlineTimer = components.deadlines().schedule(request.deadline(), this::deadlinePassed);
+    callerResponse.onDisconnect(this::callerDisconnected);
+    callerResponse.bufferUnread(components.readAhead(), request);
+    // A forwarded request is counted by the instance that admitted it.
+    if (request.forwarded().isEmpty()) {
+      components.budgets().of(request.service()).recordTry();
+      recordDemand();
+    }
+    stage = firstStage();
+    components.dispatchQueue().enqueue(this);
+  }
+
   /** Runs a step of the exchange; an error ends the request. */
   void run(Runnable step) {
     try {
@@ -142,23 +159,6 @@
     }
   }
 
-  private void start() {
-    if (refuseIfCrashing()) {
-      return;
-    }
-    callerTry.arrive();
-    deadlineTimer = components.deadlines().schedule(request.deadline(), this::deadlinePassed);
-    callerResponse.onDisconnect(this::callerDisconnected);
-    callerResponse.bufferUnread(components.readAhead(), request);
-    // A forwarded request is counted by the instance that admitted it.
-    if (request.forwarded().isEmpty()) {
-      components.budgets().of(request.service()).recordTry();
-      recordDemand();
-    }
-    stage = firstStage();
-    components.dispatchQueue().enqueue(this);
-  }
-
   private void recordDemand() {
     request
         .workspace()
--- a/org.oatlug/src/org/oatlug/internal/gateway/RolloutTrial.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/RolloutTrial.java
@@ -147,6 +147,26 @@
     refuted |= RolloutGuard.sufficesForLocalHalt(localEvidence());
   }
 
+  /** Adds the event interval of a stream seen by this instance. */
+  void add(VersionRule.EventInterval interval, Instant now) {
+    boolean ofCandidate = interval.version().equals(version);
+    String group = interval.model().isEmpty() ? interval.route().name() : interval.model();
+    resetExpiredWindow(now);
+    add(
+        slowness,
+        ofCandidate,
+        eventIntervals.isSlow(group, interval.millisPerEvent(), ofCandidate));
+    refuted |= RolloutGuard.sufficesForLocalHalt(localEvidence());
+  }
+
+  private static void add(SequentialTest test, boolean ofCandidate, boolean bad) {
+    if (ofCandidate) {
+      test.recordCandidate(bad);
+    } else {
+      test.recordCurrent(bad);
+    }
+  }
+
   /**
    * Adds a request whose caller or deadline ended it before an answer began. It says something only
    * if it has taken longer than an answer may.
@@ -170,26 +190,6 @@
     }
   }
 
-  /** Adds the event interval of a stream seen by this instance. */
-  void add(VersionRule.EventInterval interval, Instant now) {
-    boolean ofCandidate = interval.version().equals(version);
-    String group = interval.model().isEmpty() ? interval.route().name() : interval.model();
-    resetExpiredWindow(now);
-    add(
-        slowness,
-        ofCandidate,
-        eventIntervals.isSlow(group, interval.millisPerEvent(), ofCandidate));
-    refuted |= RolloutGuard.sufficesForLocalHalt(localEvidence());
-  }
-
-  private static void add(SequentialTest test, boolean ofCandidate, boolean bad) {
-    if (ofCandidate) {
-      test.recordCandidate(bad);
-    } else {
-      test.recordCurrent(bad);
-    }
-  }
-
   private void resetExpiredWindow(Instant now) {
     if (now.isAfter(windowStart.plus(COMPARISON_WINDOW))) {
       windowStart = now;
