--- a/org.oatlug.test/tst/org/oatlug/internal/gateway/EndlessEventTest.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/gateway/EndlessEventTest.java
@@ -80,7 +80,7 @@
     Await.until("the memory is released", () -> server.reservedBytes() == 0);
   }
 
-  /** An event of the maximum length is within the limit, in whatever parts it arrives. */
+  /** A long event below the maximum arrives in many parts and is relayed as a whole. */
   @Test
   public void testLongEventIsRelayed() throws IOException {
     String event = "id: 1\ndata: " + "Q".repeat(EventSplitter.MAXIMUM_EVENT_BYTES / 2) + "\n\n";
--- a/org.oatlug/src/org/oatlug/internal/gateway/Body.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/Body.java
@@ -12,8 +12,8 @@
 import java.util.function.BooleanSupplier;
 
 /**
- * The whole body of a request or response, in segments. Immutable, as long as nobody changes the
- * segments; each attempt of a request sends the same one.
+ * The whole body of a request or response, in segments. Each attempt of a request sends the same
+ * one. Immutable; the segments must not be modified.
  *
  * @param segments the segments in order, none for an empty body
  * @param length the length of all segments in bytes
--- a/org.oatlug/src/org/oatlug/internal/gateway/EventSplitter.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/EventSplitter.java
@@ -32,7 +32,7 @@
   private LineState state = LineState.IN_LINE;
   private boolean exceeded;
 
-  /** What the bytes of the current event end with. */
+  /** The position of the scan within the lines of the current event. */
   private enum LineState {
     IN_LINE,
     AFTER_LINE_FEED,
