--- a/org.oatlug.test/tst/org/oatlug/internal/gateway/EndlessEventTest.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/gateway/EndlessEventTest.java
@@ -8,8 +8,6 @@
 import static org.testng.Assert.assertTrue;
 
 import java.io.IOException;
-import java.net.Socket;
-import java.nio.charset.StandardCharsets;
 import org.oatlug.adapter.standin.RawUpstream;
 import org.oatlug.adapter.standin.SampleObjects;
 import org.oatlug.test.Await;
@@ -49,16 +47,8 @@
   }
 
   private String requestStream(int number) throws IOException {
-    try (Socket socket = new Socket(GatewayServerFixture.HOST, port)) {
-      socket.setSoTimeout(20_000);
-      String request =
-          "POST %s1 HTTP/1.1\r\nHost: %s\r\nAttempt-Id: request-%d\r\nConnection: close\r\n"
-                  .formatted(SampleObjects.STREAM, GatewayServerFixture.HOST, number)
-              + "Model: m\r\nToken-Usage: 100,50\r\nPrefix-Hash: a1:60\r\n"
-              + "Content-Length: 0\r\n\r\n";
-      socket.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
-      return new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
-    }
+    return GatewayServerFixture.request(
+        port, SampleObjects.STREAM, "request-" + number, GatewayServerFixture.GENERATION);
   }
 
   @Test
--- a/org.oatlug.test/tst/org/oatlug/internal/gateway/GatewayServerFixture.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/gateway/GatewayServerFixture.java
@@ -10,6 +10,9 @@
 import io.vertx.core.json.JsonObject;
 import io.vertx.core.transport.Transport;
 import java.io.IOException;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
@@ -56,6 +59,11 @@
 final class GatewayServerFixture implements AutoCloseable {
   static final String HOST = "127.0.0.1";
 
+  /** The headers of a request for a stream. */
+  static final String GENERATION = "Model: m\r\nToken-Usage: 100,50\r\nPrefix-Hash: a1:60\r\n";
+
+  private static final int READ_TIMEOUT_MILLIS = 20_000;
+
   /** The route timeout, longer than any test waits. */
   private static final int TIMEOUT_MILLIS = 120_000;
 
@@ -134,6 +142,25 @@
     return registry.counter(name).getCount();
   }
 
+  /**
+   * Sends a request without a body and returns the whole response.
+   *
+   * @param headers further headers, each with its line end
+   * @throws SocketTimeoutException if nothing arrives for a long time
+   */
+  static String request(int port, String path, String id, String headers) throws IOException {
+    try (Socket socket = new Socket(HOST, port)) {
+      socket.setSoTimeout(READ_TIMEOUT_MILLIS);
+      String request =
+          "POST %s1 HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nConnection: close\r\n"
+                  .formatted(path, HOST, id)
+              + headers
+              + "Content-Length: 0\r\n\r\n";
+      socket.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
+      return new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+    }
+  }
+
   /** Makes the handler that increments the counter fail, at its increment of this number. */
   void failOnCount(String name, int increment) {
     registry.failingCounter = name;
--- a/org.oatlug.test/tst/org/oatlug/internal/gateway/ResponseStatusTest.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/gateway/ResponseStatusTest.java
@@ -10,9 +10,7 @@
 
 import io.vertx.core.Vertx;
 import java.io.IOException;
-import java.net.Socket;
 import java.net.SocketTimeoutException;
-import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CompletionException;
 import org.oatlug.adapter.standin.RawUpstream;
 import org.oatlug.adapter.standin.SampleObjects;
@@ -28,9 +26,6 @@
  * in trouble sends 000, for instance, and its caller gets that as a signed response.
  */
 public class ResponseStatusTest {
-  private static final String GENERATION =
-      "Model: m\r\nToken-Usage: 100,50\r\nPrefix-Hash: a1:60\r\n";
-
   private GatewayServerFixture server;
   private RawUpstream upstream;
   private int port;
@@ -54,15 +49,8 @@
   }
 
   private String request(String path, String headers) throws IOException {
-    try (Socket socket = new Socket(GatewayServerFixture.HOST, port)) {
-      socket.setSoTimeout(10_000);
-      String request =
-          "POST %s1 HTTP/1.1\r\nHost: %s\r\nAttempt-Id: request-1\r\nConnection: close\r\n"
-                  .formatted(path, GatewayServerFixture.HOST)
-              + headers
-              + "Content-Length: 0\r\n\r\n";
-      socket.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
-      return new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+    try {
+      return GatewayServerFixture.request(port, path, "request-1", headers);
     } catch (SocketTimeoutException e) {
       return "no response";
     }
@@ -80,9 +68,9 @@
       {"999", SampleObjects.ONCE, ""},
       {"101", SampleObjects.ONCE, ""},
       {"abc", SampleObjects.ONCE, ""},
-      {"000", SampleObjects.STREAM, GENERATION},
-      {"600", SampleObjects.STREAM, GENERATION},
-      {"101", SampleObjects.STREAM, GENERATION}
+      {"000", SampleObjects.STREAM, GatewayServerFixture.GENERATION},
+      {"600", SampleObjects.STREAM, GatewayServerFixture.GENERATION},
+      {"101", SampleObjects.STREAM, GatewayServerFixture.GENERATION}
     };
   }
 
--- a/org.oatlug.test/tst/org/oatlug/test/RolloutFleet.java
+++ b/org.oatlug.test/tst/org/oatlug/test/RolloutFleet.java
@@ -191,16 +191,7 @@
 
     /** Simulates a request of the session and returns the version that the instance selects. */
     String send(String session) {
-      RequestHead head =
-          new RequestHead(
-              "id-" + random.nextLong(),
-              "h",
-              "/",
-              Optional.empty(),
-              Optional.empty(),
-              Optional.of(session),
-              OptionalLong.empty(),
-              Optional.empty());
+      RequestHead head = headOf(Optional.of(session));
       String version = selectVersion(head);
       countRequest(version);
       director.recordSent(SERVICE, version, head);
@@ -212,16 +203,7 @@
 
     /** Simulates a request without a session; its response takes the time for its version. */
     void sendPlain(ToLongFunction<String> millisOfVersion) {
-      RequestHead head =
-          new RequestHead(
-              "id-" + random.nextLong(),
-              "h",
-              "/",
-              Optional.empty(),
-              Optional.empty(),
-              Optional.empty(),
-              OptionalLong.empty(),
-              Optional.empty());
+      RequestHead head = headOf(Optional.empty());
       String version = selectVersion(head);
       countRequest(version);
       Duration took = Duration.ofMillis(millisOfVersion.applyAsLong(version));
@@ -232,6 +214,18 @@
                   new VersionRule.Response(SERVICE, version, ROUTE, "", false, took)));
     }
 
+    private RequestHead headOf(Optional<String> session) {
+      return new RequestHead(
+          "id-" + random.nextLong(),
+          "h",
+          "/",
+          Optional.empty(),
+          Optional.empty(),
+          session,
+          OptionalLong.empty(),
+          Optional.empty());
+    }
+
     private String selectVersion(RequestHead head) {
       boolean selectsNew =
           director
