Check overdue bodies at each tick, in place of a timer for each request

Each request with a body set and cancelled a timer and was paused and resumed.

Change: the tick of the server refuses bodies that are overdue, and a request is paused only while it waits for memory.

GatewayInputProcessTest has a body that stays incomplete, which has to be refused with 408; with the tests of bodies, errors and the grace period 61 of 61.

--- a/org.oatlug.entry/src/org/oatlug/entry/GatewayInstance.java
+++ b/org.oatlug.entry/src/org/oatlug/entry/GatewayInstance.java
@@ -276,7 +276,7 @@
                 tables::addressesOf,
                 clock,
                 random),
-            server::checkOverload,
+            server::tick,
             this::openGateWhenReady);
     return components;
   }
--- a/org.oatlug.test/tst/org/oatlug/test/GatewayInputProcessTest.java
+++ b/org.oatlug.test/tst/org/oatlug/test/GatewayInputProcessTest.java
@@ -184,6 +184,23 @@
     assertEquals(Http.send(cluster.request(0, SampleObjects.ONCE + "good")).status(), 200, name);
   }
 
+  /** The body has to arrive within the timeout of its route, 2 s. */
+  @Test
+  public void testBodyThatStaysIncompleteIsRefusedAsNotRun() throws IOException {
+    int before = cluster.arrivals();
+    String head = REQUEST_LINE + HOST_HEADER + ID_HEADER + KEY_HEADER;
+    try (Socket socket = new Socket("127.0.0.1", cluster.callerPort(0))) {
+      socket.setSoTimeout(30_000);
+      socket
+          .getOutputStream()
+          .write((head + "Content-Length: 10\r\n\r\nabc").getBytes(StandardCharsets.ISO_8859_1));
+      byte[] response = new byte[12];
+      assertEquals(socket.getInputStream().readNBytes(response, 0, 12), 12);
+      assertEquals(new String(response, StandardCharsets.ISO_8859_1), "HTTP/1.1 408");
+    }
+    assertEquals(cluster.arrivals(), before);
+  }
+
   /**
    * Sends the text and returns what is received until the connection closes or the read times out.
    */
--- a/org.oatlug/src/org/oatlug/internal/gateway/BodyReader.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/BodyReader.java
@@ -41,7 +41,7 @@
   private OptionalLong declaredBytes = OptionalLong.empty();
   private Optional<BodyMemoryBudget.Waiting> waiting = Optional.empty();
   private long waitTimer = NO_TIMER;
-  private long deadlineTimer = NO_TIMER;
+  private Instant deadline = Instant.MAX;
   private boolean stopped;
 
   private BodyReader(
@@ -75,16 +75,14 @@
   }
 
   /**
-   * Starts to read the body of the request, which must be paused.
+   * Starts to read the body of the request.
    *
    * @param readBy when a body that does not fit the memory is refused
-   * @param deadline when a body that is not complete is refused
+   * @param completeBy when a body that is not complete is refused, see {@link #checkDeadline}
    */
-  void start(Instant readBy, Instant deadline) {
+  void start(Instant readBy, Instant completeBy) {
+    deadline = completeBy;
     String length = request.getHeader("Content-Length");
-    if (length != null || request.getHeader("Transfer-Encoding") != null) {
-      deadlineTimer = components.deadlines().schedule(deadline, () -> run(this::deadlinePassed));
-    }
     if (length == null) {
       read();
       return;
@@ -103,6 +101,7 @@
 
   private void await(long bytes, Instant readBy) {
     components.meters().count("body.waited");
+    request.pause();
     CallerSocket.stopReading(request.connection());
     BodyMemoryBudget.Waiting reservation =
         new BodyMemoryBudget.Waiting(BodyBuffer.memoryFor(bytes), () -> run(() -> granted(bytes)));
@@ -172,7 +171,7 @@
     if (stopped) {
       return;
     }
-    components.deadlines().cancel(deadlineTimer);
+    deadline = Instant.MAX;
     if (declaredBytes.isPresent() && declaredBytes.getAsLong() != body.length()) {
       refuse(
           Refusal.retryAfter(
@@ -189,8 +188,14 @@
             RefusalReason.OVERLOADED, ErrorText.get().bodyMemoryExhausted, RETRY_DELAY));
   }
 
-  private void deadlinePassed() {
-    refuse(Refusal.notRun(RefusalReason.BODY_INCOMPLETE, ErrorText.get().bodyIncomplete));
+  /** Refuses a body that is not complete by its deadline; to be called regularly. */
+  void checkDeadline(Instant now) {
+    if (now.isAfter(deadline)) {
+      run(
+          () ->
+              refuse(
+                  Refusal.notRun(RefusalReason.BODY_INCOMPLETE, ErrorText.get().bodyIncomplete)));
+    }
   }
 
   private void refuse(Refusal refusal) {
@@ -204,7 +209,7 @@
   /** Stops reading and releases the memory of the body; may be called again. */
   void stop() {
     stopped = true;
-    components.deadlines().cancel(deadlineTimer);
+    deadline = Instant.MAX;
     endWait();
     body.release();
   }
--- a/org.oatlug/src/org/oatlug/internal/gateway/GatewayServer.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/GatewayServer.java
@@ -223,8 +223,11 @@
         openRequests.size());
   }
 
-  /** Opens the gate and logs the end of an overload, even if no further connection arrives. */
-  public void checkOverload() {
+  /**
+   * Opens the gate and logs the end of an overload, even if no further connection arrives, and
+   * refuses bodies that are overdue; to be called at each tick.
+   */
+  public void tick() {
     Instant now = components.clock().instant();
     if (acceptGate.isClosed()) {
       components.eventLoopDelay().probe();
@@ -236,6 +239,7 @@
       }
     }
     connectionAdmission.endOverloadIfOver(now);
+    List.copyOf(openRequests).forEach(request -> request.checkBodyDeadline(now));
     components
         .acceptDelayBound()
         .ifPresentOrElse(bound -> adjustAcceptWindow(bound, now), () -> acceptAll(now));
@@ -458,7 +462,6 @@
     }
 
     private void readBody(RequestHead head, RequestAdmission.Admitted admitted) {
-      request.pause();
       BodyReader reader =
           BodyReader.create(
               components,
@@ -483,6 +486,10 @@
       }
     }
 
+    void checkBodyDeadline(Instant now) {
+      bodyReader.ifPresent(reader -> reader.checkDeadline(now));
+    }
+
     /** Ends the request because the process is about to end. */
     void endForShutdown() {
       if (exchange.isPresent()) {
