Move the limits of accepted connections out of the server

No change of behaviour: InstanceOverloadTest, CrowdedFleetTest, NarrowLinkTest and GatewayInputProcessTest 25 of 25.

--- a/org.oatlug/src/org/oatlug/internal/gateway/GatewayServer.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/GatewayServer.java
@@ -13,17 +13,14 @@
 import io.vertx.core.net.impl.ConnectionBase;
 import java.time.Duration;
 import java.time.Instant;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.random.RandomGenerator;
-import java.util.stream.Stream;
 import org.oatlug.api.Refusal;
 import org.oatlug.api.RefusalReason;
 import org.oatlug.errors.ErrorText;
@@ -36,9 +33,6 @@
 import org.oatlug.internal.forward.ForwardingProtocol;
 import org.oatlug.internal.limit.AcceptGate;
 import org.oatlug.internal.limit.AcceptWindow;
-import org.oatlug.internal.limit.ConcurrencyLimit;
-import org.oatlug.internal.limit.ConnectionAdmission;
-import org.oatlug.internal.limit.DispatchQueue;
 
 /**
  * The HTTP server for callers: reads requests, refuses those that are not admitted, and starts an
@@ -87,11 +81,8 @@
   private final BooleanSupplier ready;
   private final Admission admission;
   private final ForwardedAdmission forwardedAdmission;
-  private final ConnectionAdmission connectionAdmission = ConnectionAdmission.create();
-  private final AcceptGate acceptGate;
   private final AcceptWindow acceptWindow;
-  private final ConcurrencyLimit concurrencyLimit = ConcurrencyLimit.create();
-  private int lastLimit = Integer.MAX_VALUE;
+  private final AcceptControl acceptControl;
   private final InstanceLoadLog loadLog;
   private final Set<OpenRequest> openRequests = new LinkedHashSet<>();
 
@@ -104,8 +95,9 @@
     this.components = components;
     this.random = random;
     this.ready = ready;
-    this.acceptGate = acceptGate;
     this.acceptWindow = acceptWindow;
+    this.acceptControl =
+        AcceptControl.create(components, acceptGate, acceptWindow, this::openRequests);
     this.admission = Admission.create(components, ready);
     this.forwardedAdmission = ForwardedAdmission.create(components, admission);
     this.loadLog = InstanceLoadLog.create(components, this::openRequests, this::unwrittenBytes);
@@ -193,94 +185,24 @@
 
   /** Serves a new connection of a caller, or closes it before anything is read from it. */
   private void callerConnected(HttpConnection connection) {
-    components.eventLoopDelay().probe();
-    ConnectionAdmission.Decision decision =
-        acceptGate.takePassed()
-            ? ConnectionAdmission.Decision.ADMITTED_OVERLOADED
-            : connectionAdmission.decide(
-                load(), components.goalToProtect(), components.clock().instant());
-    if (decision == ConnectionAdmission.Decision.REFUSED) {
-      acceptGate.close();
-      components.meters().count("connections.refused");
+    if (!acceptControl.admits()) {
       // Closes the channel itself, because the library would first complete its HTTP connection.
       ((ConnectionBase) connection).channel().close();
       return;
     }
-    if (decision == ConnectionAdmission.Decision.ADMITTED_OVERLOADED) {
-      components.meters().count("connections.admitted-overloaded");
-    }
     connected(connection);
     Optional.ofNullable(CallerSocket.permitOf(connection))
         .ifPresent(connections.get(connection)::occupy);
   }
 
-  private ConnectionAdmission.Load load() {
-    DispatchQueue<Exchange> queue = components.dispatchQueue();
-    return new ConnectionAdmission.Load(
-        components.eventLoopDelay().minimumDelay(components.clock().instant()),
-        queue.oldestWait(),
-        queue.size(),
-        openRequests.size());
-  }
-
-  /**
-   * Opens the gate and logs the end of an overload, even if no further connection arrives, and
-   * refuses bodies that are overdue; to be called at each tick.
-   */
+  /** Adjusts what is accepted, refuses bodies that are overdue, and logs the load. */
   public void tick() {
     Instant now = components.clock().instant();
-    if (acceptGate.isClosed()) {
-      components.eventLoopDelay().probe();
-      long refused = acceptGate.takeRefused();
-      components.meters().count("connections.refused", refused);
-      connectionAdmission.recordRefused(refused);
-      if (!connectionAdmission.isOverloaded(load(), components.goalToProtect(), now)) {
-        acceptGate.open();
-      }
-    }
-    connectionAdmission.endOverloadIfOver(now);
+    acceptControl.tick(now);
     List.copyOf(openRequests).forEach(request -> request.checkBodyDeadline(now));
-    components
-        .acceptDelayBound()
-        .ifPresentOrElse(bound -> adjustAcceptWindow(bound, now), () -> acceptAll(now));
     loadLog.tick();
   }
 
-  /** Ends a limit that an earlier configuration called for. */
-  private void acceptAll(Instant now) {
-    acceptWindow.setLimit(Integer.MAX_VALUE);
-    components.relief().update(false, components.instances().getAsInt(), now);
-  }
-
-  private void adjustAcceptWindow(Duration bound, Instant now) {
-    Duration delay = ownDelay(now);
-    int occupied = acceptWindow.occupied();
-    int limit = concurrencyLimit.adjust(delay, bound, occupied);
-    acceptWindow.setLimit(limit);
-    long held = acceptWindow.takeHeld();
-    components.meters().count("accept.held", held);
-    components.relief().update(held > 0, components.instances().getAsInt(), now);
-    if (limit < Integer.MAX_VALUE) {
-      components.eventLoopDelay().probe();
-    }
-    if (limit < lastLimit) {
-      logger.atInfo().atMostEvery(1, TimeUnit.SECONDS).log(
-          "accepting fewer connections, limit=%d occupied=%d delay=%d boundMillis=%d",
-          limit, occupied, delay.toMillis(), bound.toMillis());
-    }
-    lastLimit = limit;
-  }
-
-  /** Returns the delay that a request finds in this instance, by its processor or its link. */
-  private Duration ownDelay(Instant now) {
-    return Stream.of(
-            components.eventLoopDelay().minimumDelay(now),
-            components.dispatchQueue().oldestWait(),
-            components.connectTimes().currentDelay())
-        .max(Comparator.naturalOrder())
-        .orElse(Duration.ZERO);
-  }
-
   private void connected(HttpConnection connection) {
     CallerConnection callerConnection =
         CallerConnection.watch(components.vertx(), connection, () -> components.tables().limits());
