Fail a store call whose body differs from its length

Instances could take a list that lacks objects for the whole one: an error while a response of the store is received drops a part, as for uploads, and what is left may be valid JSON.

Change: a response whose body has another length than the store declared fails the call, which is repeated as after any failure.

--- a/org.oatlug.test/tst/org/oatlug/internal/platform/PlatformCallsTest.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/platform/PlatformCallsTest.java
@@ -7,8 +7,17 @@
 import static org.testng.Assert.expectThrows;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import io.vertx.core.Future;
 import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpHeaders;
+import io.vertx.core.http.HttpVersion;
+import io.vertx.ext.web.client.HttpResponse;
+import io.vertx.ext.web.client.impl.HttpResponseImpl;
 import java.io.IOException;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.CompletionException;
+import org.oatlug.errors.PlatformUnavailableException;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -48,4 +57,30 @@
   public void testInvalidJsonIsRejected() {
     expectThrows(IOException.class, () -> PlatformCalls.parse(Buffer.buffer("{\"items\": [")));
   }
+
+  /** Guards against a list that lacks objects because an error dropped a part of its body. */
+  @Test
+  public void testBodyThatLacksPartFailsTheCall() {
+    Buffer body = Buffer.buffer("{\"items\": []}");
+    assertEquals(call(body, body.length()).body(), body);
+    CompletionException failure =
+        expectThrows(CompletionException.class, () -> call(body, body.length() + 100));
+    assertEquals(failure.getCause().getClass(), PlatformUnavailableException.class);
+  }
+
+  private static HttpResponse<Buffer> call(Buffer body, int declaredLength) {
+    HttpResponse<Buffer> response =
+        new HttpResponseImpl<>(
+            HttpVersion.HTTP_1_1,
+            200,
+            "OK",
+            HttpHeaders.headers().add("Content-Length", Integer.toString(declaredLength)),
+            HttpHeaders.headers(),
+            List.of(),
+            body,
+            List.of());
+    return PlatformCalls.call("list", Set.of(200), () -> Future.succeededFuture(response))
+        .subscribeAsCompletionStage()
+        .join();
+  }
 }
--- a/org.oatlug/src/org/oatlug/internal/platform/PlatformCalls.java
+++ b/org.oatlug/src/org/oatlug/internal/platform/PlatformCalls.java
@@ -44,8 +44,8 @@
    * Sends a call.
    *
    * <p>Fails with {@link PlatformBusyException} when the rate limit of the store is exceeded, and
-   * with {@link PlatformUnavailableException} when there is no response or its status is not
-   * accepted.
+   * with {@link PlatformUnavailableException} when there is no response, its body is not whole or
+   * its status is not accepted.
    *
    * @param operation the operation, for error messages
    * @param acceptedStatuses the HTTP statuses that do not fail the call
@@ -64,6 +64,10 @@
   private static Uni<HttpResponse<Buffer>> checkStatus(
       String operation, Set<Integer> acceptedStatuses, HttpResponse<Buffer> response) {
     int status = response.statusCode();
+    if (!isWhole(response)) {
+      Exception cause = new IOException("the body differs from its length");
+      return Uni.createFrom().failure(new PlatformUnavailableException(operation, cause));
+    }
     if (acceptedStatuses.contains(status)) {
       return Uni.createFrom().item(response);
     }
@@ -74,6 +78,16 @@
     return Uni.createFrom().failure(new PlatformUnavailableException(operation, cause));
   }
 
+  /**
+   * Returns whether the body has the length that the platform declared. An error while it was
+   * received may have dropped a part, and what is left may be valid JSON.
+   */
+  private static boolean isWhole(HttpResponse<Buffer> response) {
+    String declared = response.getHeader("Content-Length");
+    int length = response.body() == null ? 0 : response.body().length();
+    return declared == null || declared.trim().equals(Integer.toString(length));
+  }
+
   /** Returns the JSON of a response, an empty object if it has none; invalid JSON is logged. */
   public static JsonNode parseBody(HttpResponse<Buffer> response) {
     Buffer body = response.body();
