Compare the failures of versions by route, successes included

Cause: all responses of a service went into one test of failures, paired 1:1 in their order of arrival. Routes of one service fail with very different rates of their own, so that the failures of one route hid those of another; most responses of the old version found no partner and successes said nothing. The share rose while the evidence was merely low, and the roll-out was completed on a number of responses.

Change: instances exchange counts of responses and failures by route and period of the roll-out, and judge each route by a Bayes factor against the old version's responses in the same period, of the rest of the roll-out and before the order (FailureRateTest). A version is accepted only if it is likelier good than bad. Requests without a session stay at a share just below the exposure bound while that is open, allocated to the routes by the responses needed to judge them, and the decision then waits for its last point. Pairs of failures, and of late responses of plain services, are formed within a route, as versions now get different mixes of routes. Late responses of the second half are judged in the same way, but never refute. Earlier releases neither send nor read the counts.

--- a/org.oatlug.test/tst/org/oatlug/internal/gateway/GatewayServerFixture.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/gateway/GatewayServerFixture.java
@@ -345,7 +345,7 @@
   private static final class AnyVersion implements VersionRule {
     @Override
     public Optional<VersionPreference> preferenceFor(
-        String service, RequestHead head, PriorAttempts priorAttempts) {
+        String service, Route route, RequestHead head, PriorAttempts priorAttempts) {
       return Optional.empty();
     }
 
--- a/org.oatlug.test/tst/org/oatlug/internal/gateway/RolloutDecisionTest.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/gateway/RolloutDecisionTest.java
@@ -11,6 +11,7 @@
 import java.time.Instant;
 import java.time.InstantSource;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
 import org.oatlug.gateway.Route;
@@ -61,9 +62,9 @@
   @Test
   public void testBadVersionIsRefutedSoonAndGoodVersionIsNot() {
     Route route = GatewayDecisionTest.route("a", "/x/");
-    RolloutTrial good = RolloutTrial.of("v2", ORDER, OrderAge.firstRead(now, true));
-    RolloutTrial bad = RolloutTrial.of("v2", ORDER, OrderAge.firstRead(now, true));
-    RolloutTrial slow = RolloutTrial.of("v2", ORDER, OrderAge.firstRead(now, true));
+    RolloutTrial good = newTrial();
+    RolloutTrial bad = newTrial();
+    RolloutTrial slow = newTrial();
     Random random = new Random(20261202);
     for (int answer = 0; answer < 60; answer++) {
       for (String version : List.of("v1", "v2")) {
@@ -87,8 +88,8 @@
    */
   @Test
   public void testGoodVersionOnColdEnginesIsNotRefutedAndSlowVersionIs() {
-    RolloutTrial good = RolloutTrial.of("v2", ORDER, OrderAge.firstRead(now, true));
-    RolloutTrial slowUnderLoad = RolloutTrial.of("v2", ORDER, OrderAge.firstRead(now, true));
+    RolloutTrial good = newTrial();
+    RolloutTrial slowUnderLoad = newTrial();
     Random random = new Random(20261202);
     for (int answer = 0; answer < 100; answer++) {
       for (RolloutTrial trial : List.of(good, slowUnderLoad)) {
@@ -123,6 +124,16 @@
     assertTrue(answers < 40, "answers before the refutation: " + answers);
   }
 
+  private RolloutTrial newTrial() {
+    return RolloutTrial.of(
+        "v2",
+        ORDER,
+        OrderAge.firstRead(now, true),
+        Duration.ofSeconds(16),
+        RolloutSchedule.withExposureBound(0.15),
+        Map.of());
+  }
+
   private static VersionRule.Response answerAfter(String version, long millis) {
     return new VersionRule.Response(
         "pool",
@@ -135,8 +146,8 @@
 
   @Test
   public void testVersionWithSlowEventsIsRefutedSoon() {
-    RolloutTrial slow = RolloutTrial.of("v2", ORDER, OrderAge.firstRead(now, true));
-    RolloutTrial good = RolloutTrial.of("v2", ORDER, OrderAge.firstRead(now, true));
+    RolloutTrial slow = newTrial();
+    RolloutTrial good = newTrial();
     Random random = new Random(20261202);
     int streams = 0;
     while (!slow.isRefuted() && streams < 100) {
--- a/org.oatlug.test/tst/org/oatlug/test/RolloutFleet.java
+++ b/org.oatlug.test/tst/org/oatlug/test/RolloutFleet.java
@@ -23,11 +23,13 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.Predicate;
 import java.util.function.ToLongFunction;
 import org.oatlug.api.ObjectKey;
 import org.oatlug.errors.PeerUnavailableException;
 import org.oatlug.gateway.GatewayKinds;
 import org.oatlug.gateway.RequestHead;
+import org.oatlug.gateway.Route;
 import org.oatlug.gateway.ServiceRollout;
 import org.oatlug.internal.crash.CrashLedger;
 import org.oatlug.internal.gateway.GatewayTables;
@@ -192,7 +194,7 @@
     /** Simulates a request of the session and returns the version that the instance selects. */
     String send(String session) {
       RequestHead head = headOf(Optional.of(session));
-      String version = selectVersion(head);
+      String version = selectVersion(ROUTE, head);
       countRequest(version);
       director.recordSent(SERVICE, version, head);
       boolean failed = version.equals(NEW) && random.nextDouble() < failingFraction;
@@ -203,15 +205,21 @@
 
     /** Simulates a request without a session; its response takes the time for its version. */
     void sendPlain(ToLongFunction<String> millisOfVersion) {
-      RequestHead head = headOf(Optional.empty());
-      String version = selectVersion(head);
+      sendPlain(ROUTE, millisOfVersion, version -> false);
+    }
+
+    /** Simulates a request without a session on a route, which may fail on a version. */
+    void sendPlain(
+        Route route, ToLongFunction<String> millisOfVersion, Predicate<String> failsOnVersion) {
+      String version = selectVersion(route, headOf(Optional.empty()));
       countRequest(version);
       Duration took = Duration.ofMillis(millisOfVersion.applyAsLong(version));
+      boolean failed = failsOnVersion.test(version);
       time.after(
           took,
           () ->
               director.recordResponse(
-                  new VersionRule.Response(SERVICE, version, ROUTE, "", false, took)));
+                  new VersionRule.Response(SERVICE, version, route, "", failed, took)));
     }
 
     private RequestHead headOf(Optional<String> session) {
@@ -226,10 +234,10 @@
           Optional.empty());
     }
 
-    private String selectVersion(RequestHead head) {
+    private String selectVersion(Route route, RequestHead head) {
       boolean selectsNew =
           director
-              .preferenceFor(SERVICE, head, VersionRule.PriorAttempts.NONE)
+              .preferenceFor(SERVICE, route, head, VersionRule.PriorAttempts.NONE)
               .map(preferred -> preferred.version().equals(NEW) == preferred.wanted())
               .orElse(false);
       return selectsNew ? NEW : OLD;
--- a/org.oatlug.test/tst/org/oatlug/test/RolloutRaceTest.java
+++ b/org.oatlug.test/tst/org/oatlug/test/RolloutRaceTest.java
@@ -188,7 +188,7 @@
             Optional.empty());
     return instance
         .director
-        .preferenceFor(SERVICE, head, VersionRule.PriorAttempts.NONE)
+        .preferenceFor(SERVICE, ROUTE, head, VersionRule.PriorAttempts.NONE)
         .orElseThrow();
   }
 }
--- a/org.oatlug.test/tst/org/oatlug/test/RolloutSample.java
+++ b/org.oatlug.test/tst/org/oatlug/test/RolloutSample.java
@@ -30,22 +30,26 @@
           Duration.ofSeconds(2),
           Duration.ofSeconds(2));
 
-  static final Route ROUTE =
-      new Route(
-          "r",
-          "h",
-          "/",
-          RouteKind.REPEATABLE,
-          2000,
-          300,
-          2,
-          1,
-          true,
-          false,
-          false,
-          0,
-          List.of(),
-          List.of(new Route.WeightedTarget(SERVICE, 1)));
+  static final Route ROUTE = route("r");
 
   private RolloutSample() {}
+
+  /** Returns a route to the service whose requests may be repeated. */
+  static Route route(String name) {
+    return new Route(
+        name,
+        "h",
+        "/",
+        RouteKind.REPEATABLE,
+        2000,
+        300,
+        2,
+        1,
+        true,
+        false,
+        false,
+        0,
+        List.of(),
+        List.of(new Route.WeightedTarget(SERVICE, 1)));
+  }
 }
--- a/org.oatlug.test/tst/org/oatlug/test/SessionVersionTest.java
+++ b/org.oatlug.test/tst/org/oatlug/test/SessionVersionTest.java
@@ -86,7 +86,7 @@
   }
 
   private VersionPreference preferenceFor(String session, PriorAttempts priorAttempts) {
-    return director.preferenceFor(SERVICE, requestOf(session), priorAttempts).orElseThrow();
+    return director.preferenceFor(SERVICE, ROUTE, requestOf(session), priorAttempts).orElseThrow();
   }
 
   private static PriorAttempts priorFailureOn(String version, VersionPreference first) {
--- a/org.oatlug/src/org/oatlug/internal/gateway/RolloutDirector.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/RolloutDirector.java
@@ -15,6 +15,8 @@
 import java.util.function.Consumer;
 import org.oatlug.gateway.GatewaySettings;
 import org.oatlug.gateway.RequestHead;
+import org.oatlug.gateway.Route;
+import org.oatlug.gateway.RouteKind;
 import org.oatlug.gateway.ServiceRollout;
 import org.oatlug.gateway.ServiceRollout.State;
 import org.oatlug.internal.gateway.VersionDecisionInputs.Knowledge;
@@ -22,6 +24,7 @@
 import org.oatlug.internal.membership.Membership;
 import org.oatlug.internal.metrics.Meters;
 import org.oatlug.internal.rollout.OrderAge;
+import org.oatlug.internal.rollout.RecentOutcomes;
 import org.oatlug.internal.rollout.RolloutGuard;
 import org.oatlug.internal.rollout.VersionEvidence;
 import org.oatlug.internal.util.BoundedMap;
@@ -67,6 +70,7 @@
   private final RolloutSchedule schedule;
   private final SessionVersionCache sessions;
   private final Map<TrialKey, RolloutTrial> trials = BoundedMap.withMaximumSize(MAXIMUM_TRIALS);
+  private final RecentOutcomes recentOutcomes;
   private Runnable onRefuted = () -> {};
   private Instant nextTick = Instant.EPOCH;
 
@@ -84,6 +88,7 @@
     this.membership = membership;
     this.clock = clock;
     this.meters = meters;
+    this.recentOutcomes = RecentOutcomes.create(clock);
     this.schedule = RolloutSchedule.withExposureBound(bounds.exposureShare());
     this.sessions = SessionVersionCache.withPause(bounds.session(), this::movesImmediately);
   }
@@ -101,7 +106,7 @@
 
   @Override
   public Optional<VersionPreference> preferenceFor(
-      String service, RequestHead head, PriorAttempts priorAttempts) {
+      String service, Route route, RequestHead head, PriorAttempts priorAttempts) {
     Optional<ServiceRollout> rollout = tables.rollout(service);
     if (rollout.isEmpty()) {
       return Optional.empty();
@@ -115,16 +120,16 @@
     if (state.equals(Optional.of(State.ROLLED_BACK)) || trial.isRefuted()) {
       return Optional.of(new VersionPreference(target, false, Firmness.REQUIRED, Optional.empty()));
     }
-    return Optional.of(preferenceWhileRunning(service, rollout.get(), trial, head, priorAttempts));
+    return Optional.of(preferenceWhileRunning(rollout.get(), trial, route, head, priorAttempts));
   }
 
   private VersionPreference preferenceWhileRunning(
-      String service,
       ServiceRollout rollout,
       RolloutTrial trial,
+      Route route,
       RequestHead head,
       PriorAttempts priorAttempts) {
-    VersionDecisionInputs current = inputsOf(service, rollout, trial, head);
+    VersionDecisionInputs current = inputsOf(rollout, trial, route, head);
     // An earlier attempt of this request records its session, which does not make it a known one.
     VersionDecisionInputs inputs =
         priorAttempts.inputs().map(current::withKnowledgeOf).orElse(current);
@@ -141,9 +146,18 @@
   }
 
   private VersionDecisionInputs inputsOf(
-      String service, ServiceRollout rollout, RolloutTrial trial, RequestHead head) {
+      ServiceRollout rollout, RolloutTrial trial, Route route, RequestHead head) {
     OptionalLong session = SessionVersions.sessionHash(head);
     double elapsedFraction = elapsedFraction(rollout, trial);
+    if (session.isEmpty() && route.kind() != RouteKind.STREAM) {
+      return new VersionDecisionInputs(
+          session,
+          Knowledge.NO_SESSION,
+          "",
+          0,
+          elapsedFraction,
+          independentShareAt(elapsedFraction, trial, route));
+    }
     double share = shareAt(elapsedFraction, trial);
     if (session.isEmpty()) {
       return new VersionDecisionInputs(
@@ -151,7 +165,7 @@
     }
     Instant now = clock.instant();
     Optional<SessionVersions.Observation> lastSeen =
-        sessions.of(service).lastObservation(session.getAsLong(), now);
+        sessions.of(rollout.service()).lastObservation(session.getAsLong(), now);
     if (lastSeen.isEmpty()) {
       return new VersionDecisionInputs(session, Knowledge.UNKNOWN, "", 0, elapsedFraction, share);
     }
@@ -163,21 +177,30 @@
 
   /** Returns the share of sessions that the version under roll-out receives from this instance. */
   private double shareAt(double elapsedFraction, RolloutTrial trial) {
-    boolean mayRise = isInformed(trial) && !isSuspicious(trial);
+    boolean mayRise = isInformed(trial) && !isSuspicious(trial) && trial.isLikelyGood();
     return trial.updateShare(schedule.shareAt(0), schedule.shareAt(elapsedFraction), mayRise);
   }
 
+  /** Returns the share of the requests without a session on a route. */
+  private double independentShareAt(double elapsedFraction, RolloutTrial trial, Route route) {
+    boolean mayRise = isInformed(trial) && !isSuspicious(trial);
+    return trial.independentShare(route.name(), elapsedFraction, mayRise);
+  }
+
   /** Returns whether the answers speak against the version, though not enough to refute it. */
   private boolean isSuspicious(RolloutTrial trial) {
     boolean wasSuspicious = trial.isSuspicious();
-    boolean suspicious = trial.updateSuspicious();
+    boolean suspicious = trial.updateSuspicious(clock.instant());
     if (suspicious != wasSuspicious) {
       meters.count(suspicious ? "rollout.suspicious" : "rollout.cleared");
       logger.atInfo().log(
-          "roll-out to %s: its answers are %s, evidence=%.1f pairs=%s answers=%d",
+          "roll-out to %s: its answers are %s, evidence=%.1f failures=%.1f lateness=%.1f"
+              + " pairs=%s answers=%d",
           trial.version(),
           suspicious ? "suspicious, its share falls" : "no longer suspicious",
           trial.totalEvidence(),
+          trial.outcomeEvidence(),
+          trial.latenessEvidence(),
           trial.totalPairs(),
           trial.totalAnswers());
     }
@@ -240,9 +263,23 @@
 
   @Override
   public void recordResponse(Response answer) {
+    recordRecent(answer);
     updateTrial(answer.service(), trial -> trial.add(answer, clock.instant()));
   }
 
+  /** Records a response of a version that is neither under roll-out nor rolled back. */
+  private void recordRecent(Response answer) {
+    boolean accepted =
+        tables
+            .rollout(answer.service())
+            .filter(rollout -> rollout.targetVersion().equals(answer.version()))
+            .map(rollout -> rollout.state().equals(Optional.of(State.SUCCEEDED)))
+            .orElse(true);
+    if (accepted) {
+      recentOutcomes.add(answer.service(), answer.route().name(), answer.failed());
+    }
+  }
+
   @Override
   public void recordUnanswered(Response request) {
     updateTrial(request.service(), trial -> trial.addUnanswered(request, clock.instant()));
@@ -323,7 +360,9 @@
         trial.localAnswers(),
         trial.isRefuted(),
         trial.age().reportedMillis(clock.instant()),
-        1);
+        1,
+        trial.localOutcomes(),
+        trial.localLateness());
   }
 
   /** Adds the evidence of all other instances. */
@@ -417,8 +456,9 @@
       return;
     }
     boolean suspicious = isSuspicious(trial);
-    if (schedule.isDecisionDue(elapsedFraction(rollout, trial), isInformed(trial) && !suspicious)) {
-      boolean good = trial.totalAnswers() >= MINIMUM_ANSWERS && !suspicious;
+    boolean certain = isInformed(trial) && !suspicious && !trial.needsMoreResponses();
+    if (schedule.isDecisionDue(elapsedFraction(rollout, trial), certain)) {
+      boolean good = trial.totalAnswers() >= MINIMUM_ANSWERS && !suspicious && trial.isLikelyGood();
       write(service, rollout, trial, good ? State.SUCCEEDED : State.ROLLED_BACK);
     } else if (rollout.state().isEmpty()) {
       write(service, rollout, trial, State.RUNNING);
@@ -432,11 +472,14 @@
     Optional<StoreRevision> replaced = writer.write(service, rollout.withProgress(progress));
     if (replaced.isPresent()) {
       logger.atInfo().log(
-          "roll-out of %s to %s: %s, evidence=%.1f answers=%d part=%.2f revision=%s",
+          "roll-out of %s to %s: %s, evidence=%.1f failures=%.1f lateness=%.1f answers=%d"
+              + " part=%.2f revision=%s",
           service,
           rollout.targetVersion(),
           state,
           trial.totalEvidence(),
+          trial.outcomeEvidence(),
+          trial.latenessEvidence(),
           trial.totalAnswers(),
           elapsedFraction(rollout, trial),
           replaced.get());
@@ -455,7 +498,14 @@
     RolloutTrial trial = trials.get(key);
     if (trial == null || !trial.adoptOrder(rollout.targetVersion(), rollout.orderedAt())) {
       OrderAge age = OrderAge.firstRead(clock.instant(), rollout.state().isEmpty());
-      trial = RolloutTrial.of(rollout.targetVersion(), rollout.orderedAt(), age);
+      trial =
+          RolloutTrial.of(
+              rollout.targetVersion(),
+              rollout.orderedAt(),
+              age,
+              Duration.ofMillis(rollout.durationMillis()),
+              schedule,
+              recentOutcomes.of(service));
       trials.put(key, trial);
     }
     return trial;
--- a/org.oatlug/src/org/oatlug/internal/gateway/RolloutSchedule.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/RolloutSchedule.java
@@ -4,6 +4,7 @@
 package org.oatlug.internal.gateway;
 
 import java.time.Duration;
+import java.util.OptionalDouble;
 
 /**
  * Defines the share of the sessions that a version under roll-out receives over time.
@@ -29,6 +30,12 @@
   /** The fraction from which the share is 1; a longer ramp would use up the exposure bound. */
   private static final double FULL_SHARE_START = 0.72;
 
+  /** The fraction until which requests without a session are compared if nothing is certain. */
+  private static final double COMPARISON_END_WITHOUT_SESSION = 0.75;
+
+  /** The share of requests without a session while ambiguous, as a fraction of the bound. */
+  private static final double AMBIGUOUS_SHARE_OF_BOUND = 0.95;
+
   /** The fraction at which the roll-out is decided, unless it was rolled back before. */
   private static final double DECISION_POINT = 0.92;
 
@@ -59,6 +66,11 @@
     return new RolloutSchedule(exposureShare);
   }
 
+  /** Returns the bound on the share of requests that a bad version may receive, 0 to 1. */
+  double exposureShare() {
+    return exposureShare;
+  }
+
   /** Returns the share of sessions, 0 to 1, at a fraction of the duration. */
   double shareAt(double elapsedFraction) {
     if (elapsedFraction < COMPARISON_END) {
@@ -69,6 +81,39 @@
     return Math.min(1, exposureShare + (1 - exposureShare) * rampFraction);
   }
 
+  /**
+   * Returns the share of requests without a session while the responses are ambiguous. They move to
+   * the old version at once if the new one is refuted, so that their share may be just below the
+   * exposure bound until the end.
+   */
+  double ambiguousShare() {
+    return exposureShare * AMBIGUOUS_SHARE_OF_BOUND;
+  }
+
+  /** Returns the fraction until which requests without a session are compared. */
+  double comparisonEndWithoutSession() {
+    return COMPARISON_END_WITHOUT_SESSION;
+  }
+
+  /**
+   * Returns the share of sessions, 0 to 1, at a fraction of the duration, if the responses were
+   * ambiguous before.
+   *
+   * @param clearSince the fraction since which they are not
+   */
+  double delayedShareAt(double elapsedFraction, double clearSince) {
+    return shareAt(elapsedFraction - Math.max(0, clearSince - BOUND_END));
+  }
+
+  /**
+   * Returns whether the share rises later than by the schedule.
+   *
+   * @param clearSince the fraction since which the responses are not ambiguous, empty if unknown
+   */
+  boolean isDelayed(OptionalDouble clearSince) {
+    return clearSince.isPresent() && clearSince.getAsDouble() > BOUND_END;
+  }
+
   /**
    * Returns whether a session that continues may still be unknown here, because sessions seen
    * shortly before the order are still being replicated.
--- a/org.oatlug/src/org/oatlug/internal/gateway/RolloutTrial.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/RolloutTrial.java
@@ -5,12 +5,21 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.OptionalDouble;
+import java.util.OptionalLong;
+import java.util.TreeMap;
 import org.oatlug.gateway.Route;
 import org.oatlug.gateway.RouteKind;
 import org.oatlug.internal.rollout.ComparedPairs;
 import org.oatlug.internal.rollout.OrderAge;
+import org.oatlug.internal.rollout.OutcomeCounts;
+import org.oatlug.internal.rollout.PairCounts;
 import org.oatlug.internal.rollout.RolloutGuard;
+import org.oatlug.internal.rollout.RouteOutcomes;
 import org.oatlug.internal.rollout.SequentialTest;
+import org.oatlug.internal.rollout.ServiceOutcomes;
 import org.oatlug.internal.rollout.VersionEvidence;
 import org.oatlug.platform.StoreRevision;
 
@@ -60,12 +69,42 @@
    */
   private static final double MINIMUM_SLOW_SHARE = 0.4;
 
+  /**
+   * The logarithm of the evidence of the responses by route up to which the share of requests
+   * without a session may rise, and the version may be accepted before the last decision point.
+   */
+  private static final double CLEARED_EVIDENCE = -Math.log(9);
+
+  /**
+   * The logarithm of the evidence of the responses by route up to which more of them would hardly
+   * change the decision, so that the share follows the schedule for sessions.
+   */
+  private static final double CERTAIN_EVIDENCE = -Math.log(20);
+
+  /** The logarithm of the evidence of the responses by route up to which a version is accepted. */
+  private static final double LIKELY_GOOD_EVIDENCE = -Math.log(3);
+
+  /** The logarithm of the evidence of late responses up to which a version is accepted. */
+  private static final double LIKELY_IN_TIME_EVIDENCE = 0;
+
+  /** The interval at which the responses by route are judged. */
+  private static final Duration JUDGING_INTERVAL = Duration.ofMillis(100);
+
   private final String version;
   private StoreRevision orderedAt;
   private StoreRevision orderedBeforeRestore;
   private final OrderAge age;
-  private final SequentialTest failures = SequentialTest.create();
-  private final SequentialTest lateness = SequentialTest.create();
+  private final Duration duration;
+  private final RolloutSchedule schedule;
+
+  /** Compares failures on the same route only, as routes differ in their failure rates. */
+  private final Map<String, SequentialTest> failures = new HashMap<>();
+
+  /** Compares lateness on the same route only, as the versions' parts of its requests differ. */
+  private final Map<String, SequentialTest> lateness = new HashMap<>();
+
+  private final Map<String, RouteOutcomes> localOutcomes;
+  private final Map<String, RouteOutcomes> localLateness = new TreeMap<>();
   private final SequentialTest slowness = SequentialTest.create();
 
   /**
@@ -80,6 +119,13 @@
       SlownessDetector.withThresholds(SLOW_FACTOR, SLOW_MARGIN_MILLIS, MINIMUM_SLOW_SHARE);
   private Instant windowStart = Instant.EPOCH;
   private ComparedPairs remotePairs = ComparedPairs.NONE;
+  private ServiceOutcomes remoteOutcomes = ServiceOutcomes.NONE;
+  private ServiceOutcomes remoteLateness = ServiceOutcomes.NONE;
+  private OptionalDouble outcomeEvidence = OptionalDouble.empty();
+  private OptionalDouble latenessEvidence = OptionalDouble.empty();
+  private Map<String, Double> allocation = Map.of();
+  private Instant outcomesJudgedAt = Instant.MIN;
+  private OptionalDouble clearSince = OptionalDouble.empty();
   private long localAnswers;
   private long remoteAnswers;
   private int remoteReporters;
@@ -90,16 +136,38 @@
   private boolean suspicious;
   private boolean refuted;
 
-  private RolloutTrial(String version, StoreRevision orderedAt, OrderAge age) {
+  private RolloutTrial(
+      String version,
+      StoreRevision orderedAt,
+      OrderAge age,
+      Duration duration,
+      RolloutSchedule schedule,
+      Map<String, OutcomeCounts> before) {
     this.version = version;
     this.orderedAt = orderedAt;
     this.orderedBeforeRestore = orderedAt;
     this.age = age;
+    this.duration = duration;
+    this.schedule = schedule;
+    this.localOutcomes = new TreeMap<>();
+    before.forEach((route, counts) -> localOutcomes.put(route, RouteOutcomes.before(counts)));
   }
 
-  /** Returns a trial without evidence for the version ordered at the revision. */
-  static RolloutTrial of(String version, StoreRevision orderedAt, OrderAge age) {
-    return new RolloutTrial(version, orderedAt, age);
+  /**
+   * Returns a trial without evidence for the version ordered at the revision.
+   *
+   * @param duration the duration of the roll-out
+   * @param schedule the share of the version over time
+   * @param before the responses of other versions that this instance has seen, by route
+   */
+  static RolloutTrial of(
+      String version,
+      StoreRevision orderedAt,
+      OrderAge age,
+      Duration duration,
+      RolloutSchedule schedule,
+      Map<String, OutcomeCounts> before) {
+    return new RolloutTrial(version, orderedAt, age, duration, schedule, before);
   }
 
   /** Returns whether the trial belongs to the order; evidence of an earlier order is ignored. */
@@ -140,7 +208,12 @@
   void add(VersionRule.Response answer, Instant now) {
     boolean ofCandidate = answer.version().equals(version);
     localAnswers += ofCandidate ? 1 : 0;
-    add(failures, ofCandidate, answer.failed());
+    String route = countedRoute(answer.route().name());
+    add(testOf(failures, route), ofCandidate, answer.failed());
+    localOutcomes.merge(
+        route,
+        RouteOutcomes.of(ofCandidate, answer.failed(), elapsedFraction(now)),
+        RouteOutcomes::plus);
     if (!answer.failed()) {
       addLateness(answer, now);
     }
@@ -167,6 +240,23 @@
     }
   }
 
+  /** Returns the name under which a route is counted, which bounds the number of routes. */
+  private String countedRoute(String route) {
+    boolean separate =
+        localOutcomes.containsKey(route)
+            || localOutcomes.size() < ServiceOutcomes.MAXIMUM_ROUTES - 1;
+    return separate ? route : ServiceOutcomes.OTHER_ROUTES;
+  }
+
+  private static SequentialTest testOf(Map<String, SequentialTest> tests, String route) {
+    return tests.computeIfAbsent(route, unused -> SequentialTest.create());
+  }
+
+  private double elapsedFraction(Instant now) {
+    Duration elapsed = age.at(now, OptionalLong.empty());
+    return (double) elapsed.toMillis() / Math.max(1, duration.toMillis());
+  }
+
   /**
    * Adds a request whose caller or deadline ended it before an answer began. It says something only
    * if it has taken longer than an answer may.
@@ -184,16 +274,20 @@
     boolean ofCandidate = answer.version().equals(version);
     String group = groupOf(answer.route(), answer.model());
     boolean late = headDelays.isSlow(group, answer.timeToHead().toMillis(), ofCandidate);
-    add(lateness, ofCandidate, late);
-    if (answer.model().isEmpty() && answer.route().kind() != RouteKind.STREAM) {
+    boolean plain = answer.model().isEmpty() && answer.route().kind() != RouteKind.STREAM;
+    String compared = plain ? countedRoute(answer.route().name()) : ServiceOutcomes.OTHER_ROUTES;
+    add(testOf(lateness, compared), ofCandidate, late);
+    if (plain) {
       add(latenessOverTime, ofCandidate, late);
+      localLateness.merge(
+          compared, RouteOutcomes.of(ofCandidate, late, elapsedFraction(now)), RouteOutcomes::plus);
     }
   }
 
   private void resetExpiredWindow(Instant now) {
     if (now.isAfter(windowStart.plus(COMPARISON_WINDOW))) {
       windowStart = now;
-      lateness.discardUnpaired();
+      lateness.values().forEach(SequentialTest::discardUnpaired);
       slowness.discardUnpaired();
     }
   }
@@ -206,9 +300,12 @@
   void addRemoteEvidence(VersionEvidence remote, Instant now) {
     age.applyReported(remote.ageMillis(), now);
     remotePairs = remotePairs.join(remote.pairs());
+    remoteOutcomes = remoteOutcomes.join(remote.outcomes());
+    remoteLateness = remoteLateness.join(remote.lateness());
     remoteAnswers = Math.max(remoteAnswers, remote.answers());
     remoteReporters = remote.reporters();
     remoteReportedAt = now;
+    judgeOutcomes(now);
   }
 
   /**
@@ -244,15 +341,96 @@
     return share;
   }
 
+  /**
+   * Returns the share of requests without a session on the route that the version receives from
+   * this instance. While the responses are ambiguous, or the share must not rise, it is just below
+   * the exposure bound; up to that bound it is allocated to the routes by the responses that are
+   * needed to judge them.
+   */
+  double independentShare(String route, double elapsedFraction, boolean mayRise) {
+    if (!mayRise || suspicious || isAmbiguous()) {
+      clearSince = OptionalDouble.empty();
+    } else if (clearSince.isEmpty()) {
+      double from = isCleared(CERTAIN_EVIDENCE) ? 0 : schedule.comparisonEndWithoutSession();
+      clearSince = OptionalDouble.of(Math.max(elapsedFraction, from));
+    } else if (isCleared(CERTAIN_EVIDENCE)) {
+      clearSince = OptionalDouble.of(Math.min(elapsedFraction, clearSince.getAsDouble()));
+    }
+    boolean ambiguous = clearSince.isEmpty() || elapsedFraction < clearSince.getAsDouble();
+    double share =
+        ambiguous
+            ? schedule.ambiguousShare()
+            : schedule.delayedShareAt(elapsedFraction, clearSince.getAsDouble());
+    if (share > schedule.exposureShare()) {
+      return share;
+    }
+    double allocated = allocation.getOrDefault(route, schedule.ambiguousShare());
+    return allocated * share / schedule.ambiguousShare();
+  }
+
   /** Updates and returns whether the answers of all instances speak against the version. */
-  boolean updateSuspicious() {
+  boolean updateSuspicious(Instant now) {
+    judgeOutcomes(now);
     ComparedPairs pairs = totalPairs();
     suspicious =
-        RolloutGuard.isSuspicious(pairs.logEvidence())
+        RolloutGuard.isSuspicious(totalEvidence())
             || pairs.logEvidenceOverTime() >= SUSPICIOUS_EVIDENCE_OVER_TIME;
     return suspicious;
   }
 
+  /** Judges the responses by route, at most once per interval because of its cost. */
+  private void judgeOutcomes(Instant now) {
+    if (now.isBefore(outcomesJudgedAt) || now.isAfter(outcomesJudgedAt.plus(JUDGING_INTERVAL))) {
+      outcomesJudgedAt = now;
+      ServiceOutcomes outcomes = localOutcomes().plus(remoteOutcomes);
+      outcomeEvidence = outcomes.logEvidence();
+      latenessEvidence = localLateness().plus(remoteLateness).ofSecondHalf().logEvidence();
+      allocation = outcomes.allocation(schedule.ambiguousShare());
+    }
+  }
+
+  /**
+   * Returns whether the responses by route make it likelier that the version is not worse, or are
+   * too few to tell.
+   */
+  boolean isLikelyGood() {
+    return isCleared(LIKELY_GOOD_EVIDENCE) && latenessEvidence() <= LIKELY_IN_TIME_EVIDENCE;
+  }
+
+  /** Returns whether the failures by route neither clear nor refute the version. */
+  private boolean isAmbiguous() {
+    return !isCleared(CLEARED_EVIDENCE);
+  }
+
+  /**
+   * Returns whether a decision waits for more responses: those by route are ambiguous, or were so
+   * for long, so that the version has had a large share for a short time only.
+   */
+  boolean needsMoreResponses() {
+    return isAmbiguous() || schedule.isDelayed(clearSince);
+  }
+
+  private boolean isCleared(double maximumEvidence) {
+    return outcomeEvidence() <= maximumEvidence;
+  }
+
+  /**
+   * Returns the logarithm of the evidence of the failures by route; negative infinity if there are
+   * too few responses.
+   */
+  double outcomeEvidence() {
+    return outcomeEvidence.orElse(Double.NEGATIVE_INFINITY);
+  }
+
+  /**
+   * Returns the logarithm of the evidence of the late responses by route since the share rises,
+   * when versions that are slow under load become so. It never refutes a version, as the load may
+   * differ between the responses that it compares.
+   */
+  double latenessEvidence() {
+    return latenessEvidence.orElse(Double.NEGATIVE_INFINITY);
+  }
+
   /** Returns whether the answers spoke against the version at the last update. */
   boolean isSuspicious() {
     return suspicious;
@@ -273,10 +451,26 @@
     return localPairs().logEvidence();
   }
 
+  /** Returns the counts of late responses seen by this instance. */
+  ServiceOutcomes localLateness() {
+    return new ServiceOutcomes(Map.copyOf(localLateness));
+  }
+
+  /** Returns the counts of the responses seen by this instance. */
+  ServiceOutcomes localOutcomes() {
+    return new ServiceOutcomes(Map.copyOf(localOutcomes));
+  }
+
   /** Returns the compared pairs of answers seen by this instance. */
   ComparedPairs localPairs() {
     return new ComparedPairs(
-        failures.counts(), lateness.counts(), slowness.counts(), latenessOverTime.counts());
+        countsOf(failures), countsOf(lateness), slowness.counts(), latenessOverTime.counts());
+  }
+
+  private static PairCounts countsOf(Map<String, SequentialTest> tests) {
+    return tests.values().stream()
+        .map(SequentialTest::counts)
+        .reduce(PairCounts.NONE, PairCounts::plus);
   }
 
   /** Returns the compared pairs of answers seen by all instances. */
@@ -289,9 +483,14 @@
     return localAnswers;
   }
 
-  /** Returns the logarithm of the evidence of all instances. */
+  /**
+   * Returns the logarithm of the evidence of all instances: the mean of that of the compared pairs
+   * and that of the responses by route, as of the last update.
+   */
   double totalEvidence() {
-    return totalPairs().logEvidence();
+    double pairs = Math.exp(totalPairs().logEvidence());
+    double outcomes = Math.exp(outcomeEvidence.orElse(0));
+    return Math.log((pairs + outcomes) / 2);
   }
 
   /** Returns the number of answers of the version that all instances have seen. */
--- a/org.oatlug/src/org/oatlug/internal/gateway/RouteExplanation.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/RouteExplanation.java
@@ -121,7 +121,7 @@
       GatewayComponents components, Route route, Route.WeightedTarget target, RequestHead head) {
     String service = target.service();
     Optional<VersionRule.VersionPreference> preference =
-        components.versions().preferenceFor(service, head, VersionRule.PriorAttempts.NONE);
+        components.versions().preferenceFor(service, route, head, VersionRule.PriorAttempts.NONE);
     Optional<String> firstModel =
         route.isCascade()
             ? Optional.of(route.models().get(components.stages().firstStage(route)))
--- a/org.oatlug/src/org/oatlug/internal/gateway/UpstreamChoice.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/UpstreamChoice.java
@@ -61,7 +61,9 @@
     VersionRule.PriorAttempts priorAttempts =
         new VersionRule.PriorAttempts(lastFailedVersion, firstInputs);
     versionPreference =
-        components.versions().preferenceFor(request.service(), request.head(), priorAttempts);
+        components
+            .versions()
+            .preferenceFor(request.service(), request.route(), request.head(), priorAttempts);
     firstInputs =
         firstInputs.or(() -> versionPreference.flatMap(VersionRule.VersionPreference::basis));
     Optional<UpstreamSelection.CostedUpstream> untried =
--- a/org.oatlug/src/org/oatlug/internal/gateway/VersionRule.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/VersionRule.java
@@ -76,7 +76,7 @@
    * @param priorAttempts the earlier attempts of the request
    */
   Optional<VersionPreference> preferenceFor(
-      String service, RequestHead head, PriorAttempts priorAttempts);
+      String service, Route route, RequestHead head, PriorAttempts priorAttempts);
 
   /** Records that a request was sent to a version. */
   void recordSent(String service, String version, RequestHead head);
--- a/org.oatlug/src/org/oatlug/internal/rollout/VersionEvidence.java
+++ b/org.oatlug/src/org/oatlug/internal/rollout/VersionEvidence.java
@@ -20,6 +20,10 @@
  * @param ageMillis the age of the order in milliseconds, measured by the instances that observed
  *     its creation; 0 if none did
  * @param reporters the number of instances whose evidence is included and current
+ * @param outcomes the counts of responses by route, and how many failed; not sent by earlier
+ *     releases
+ * @param lateness the counts of responses of plain services by route, and how many were late; not
+ *     sent by earlier releases
  */
 public record VersionEvidence(
     String service,
@@ -29,7 +33,9 @@
     long answers,
     boolean refuted,
     long ageMillis,
-    int reporters) {
+    int reporters,
+    ServiceOutcomes outcomes,
+    ServiceOutcomes lateness) {
   private static final long MAXIMUM_ANSWERS = 1_000_000_000L;
 
   /** Thirty days, in milliseconds; exceeds the duration of any roll-out. */
@@ -40,6 +46,35 @@
 
   private static final int MAXIMUM_REPORTERS = 1_000_000;
 
+  /** Creates evidence; counts by route that an earlier release does not send are zero. */
+  public VersionEvidence {
+    outcomes = outcomes == null ? ServiceOutcomes.NONE : outcomes;
+    lateness = lateness == null ? ServiceOutcomes.NONE : lateness;
+  }
+
+  /** Creates evidence without counts by route. */
+  public VersionEvidence(
+      String service,
+      String version,
+      StoreRevision orderedAt,
+      ComparedPairs pairs,
+      long answers,
+      boolean refuted,
+      long ageMillis,
+      int reporters) {
+    this(
+        service,
+        version,
+        orderedAt,
+        pairs,
+        answers,
+        refuted,
+        ageMillis,
+        reporters,
+        ServiceOutcomes.NONE,
+        ServiceOutcomes.NONE);
+  }
+
   /** Returns whether both belong to the same roll-out order. */
   public boolean isOfSameOrder(VersionEvidence other) {
     return service.equals(other.service)
@@ -57,7 +92,9 @@
         answers + other.answers,
         refuted || other.refuted,
         Math.max(ageMillis, other.ageMillis),
-        reporters + other.reporters);
+        reporters + other.reporters,
+        outcomes.plus(other.outcomes),
+        lateness.plus(other.lateness));
   }
 
   /**
@@ -74,7 +111,9 @@
         Math.max(answers, other.answers),
         refuted || other.refuted,
         Math.max(ageMillis, other.ageMillis),
-        reporters);
+        reporters,
+        outcomes.join(other.outcomes),
+        lateness.join(other.lateness));
   }
 
   /**
@@ -85,10 +124,22 @@
     long age = ageMillis == 0 ? 0 : ageMillis + elapsed.toMillis();
     boolean current = elapsed.compareTo(CURRENT_FOR) <= 0;
     return new VersionEvidence(
-        service, version, orderedAt, pairs, answers, refuted, age, current ? reporters : 0);
+        service,
+        version,
+        orderedAt,
+        pairs,
+        answers,
+        refuted,
+        age,
+        current ? reporters : 0,
+        outcomes,
+        lateness);
   }
 
-  /** Returns the same evidence without age and reporters, for comparing whether it changed. */
+  /**
+   * Returns the same evidence without age, reporters and counts by route, for comparing whether it
+   * changed. The counts change with each response; the number of answers stands for them.
+   */
   public VersionEvidence withoutAge() {
     return new VersionEvidence(service, version, orderedAt, pairs, answers, refuted, 0, 0);
   }
@@ -100,7 +151,12 @@
     }
     boolean validAge = ageMillis >= 0 && ageMillis <= MAXIMUM_AGE_MILLIS;
     boolean validReporters = reporters >= 0 && reporters <= MAXIMUM_REPORTERS;
-    boolean validCounts = answers >= 0 && answers <= MAXIMUM_ANSWERS && pairs.isSound();
+    boolean validCounts =
+        answers >= 0
+            && answers <= MAXIMUM_ANSWERS
+            && pairs.isSound()
+            && outcomes.isSound()
+            && lateness.isSound();
     if (!validCounts || !validAge || !validReporters) {
       return Optional.of("evidence has a count or an age out of range");
     }
