--- a/org.oatlug/src/org/oatlug/internal/gateway/RolloutTrial.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/RolloutTrial.java
@@ -82,10 +82,7 @@
   private static final double CERTAIN_EVIDENCE = -Math.log(20);
 
   /** The logarithm of the evidence of the responses by route up to which a version is accepted. */
-  private static final double LIKELY_GOOD_EVIDENCE = -Math.log(3);
-
-  /** The logarithm of the evidence of late responses up to which a version is accepted. */
-  private static final double LIKELY_IN_TIME_EVIDENCE = 0;
+  private static final double LIKELY_GOOD_EVIDENCE = -Math.log(2);
 
   /** The interval at which the responses by route are judged. */
   private static final Duration JUDGING_INTERVAL = Duration.ofMillis(100);
@@ -394,7 +391,7 @@
    * too few to tell.
    */
   boolean isLikelyGood() {
-    return isCleared(LIKELY_GOOD_EVIDENCE) && latenessEvidence() <= LIKELY_IN_TIME_EVIDENCE;
+    return isCleared(LIKELY_GOOD_EVIDENCE) && latenessEvidence() <= LIKELY_GOOD_EVIDENCE;
   }
 
   /** Returns whether the failures by route neither clear nor refute the version. */
