Limit odd values of a store response instead of dropping the response

One entry with a nesting of more than 10,000 or a number of more than 20,000 digits, which any writer may store, stopped all instances: running ones never learned of a later change while the entry stood, and an instance that started beside it never became ready.

Cause: the whole response is parsed at once, so the parser's limits failed it as a whole, and parseBody returned an empty object for it, which passed as a list or watch without objects. Higher limits only move the edge.

A successful response that is not valid JSON fails the call. The same code reads lists, watches, single objects and conflicts of all kinds, from this platform and from our own store protocol.

PlatformCallsTest failed before on nestings of 20,000 and 300,000, numbers of 25,000 and 900,000 digits ("Document nesting depth (10001) exceeds the maximum allowed") and on bodies that are not JSON ("Expected CompletionException to be thrown"), and passes now.

--- a/org.oatlug.test/tst/org/oatlug/internal/platform/PlatformCallsTest.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/platform/PlatformCallsTest.java
@@ -26,7 +26,9 @@
  * not hide the other objects of the response.
  *
  * <p>Guards against a failure in which malformed UTF-8 in one entry made the whole list count as
- * empty; the watch then restarted every half second and no change was received any more.
+ * empty; the watch then restarted every half second and no change was received any more. The same
+ * happened with a nesting or a number beyond the limits of the parser, and instances that started
+ * beside such an entry never became ready.
  */
 public class PlatformCallsTest {
   private static final byte[] BEFORE = "{\"items\": [{\"spec\": ".getBytes();
@@ -42,6 +44,10 @@
       {"9".repeat(10_000).getBytes()},
       {("1." + "0".repeat(10_000) + "1e99999").getBytes()},
       {("\"" + "x".repeat(1_000_000) + "\"").getBytes()},
+      {("[".repeat(20_000) + "]".repeat(20_000)).getBytes()},
+      {("{\"a\": [\"]\\\"}\", ".repeat(150_000) + "1" + "]}".repeat(150_000)).getBytes()},
+      {("{\"slots\": " + "9".repeat(25_000) + "}").getBytes()},
+      {("-0." + "9".repeat(900_000) + "e9").getBytes()},
     };
   }
 
@@ -58,6 +64,24 @@
     expectThrows(IOException.class, () -> PlatformCalls.parse(Buffer.buffer("{\"items\": [")));
   }
 
+  /** Guards against a list that counts as empty because its body is not valid JSON. */
+  @Test
+  public void testInvalidBodyFailsTheCall() {
+    for (String invalid : List.of("{\"items\": [", "[".repeat(30_000), "<html>")) {
+      CompletionException failure =
+          expectThrows(CompletionException.class, () -> bodyOf(200, Buffer.buffer(invalid)));
+      assertEquals(failure.getCause().getClass(), PlatformUnavailableException.class);
+    }
+    assertEquals(bodyOf(404, Buffer.buffer("<html>")).size(), 0);
+    assertEquals(bodyOf(200, Buffer.buffer()).size(), 0);
+  }
+
+  private static JsonNode bodyOf(int status, Buffer body) {
+    return PlatformCalls.parseBody("list", response(status, body, body.length()))
+        .subscribeAsCompletionStage()
+        .join();
+  }
+
   /** Guards against a list that lacks objects because an error dropped a part of its body. */
   @Test
   public void testBodyThatLacksPartFailsTheCall() {
@@ -69,18 +93,21 @@
   }
 
   private static HttpResponse<Buffer> call(Buffer body, int declaredLength) {
-    HttpResponse<Buffer> response =
-        new HttpResponseImpl<>(
-            HttpVersion.HTTP_1_1,
-            200,
-            "OK",
-            HttpHeaders.headers().add("Content-Length", Integer.toString(declaredLength)),
-            HttpHeaders.headers(),
-            List.of(),
-            body,
-            List.of());
+    HttpResponse<Buffer> response = response(200, body, declaredLength);
     return PlatformCalls.call("list", Set.of(200), () -> Future.succeededFuture(response))
         .subscribeAsCompletionStage()
         .join();
   }
+
+  private static HttpResponse<Buffer> response(int status, Buffer body, int declaredLength) {
+    return new HttpResponseImpl<>(
+        HttpVersion.HTTP_1_1,
+        status,
+        "",
+        HttpHeaders.headers().add("Content-Length", Integer.toString(declaredLength)),
+        HttpHeaders.headers(),
+        List.of(),
+        body,
+        List.of());
+  }
 }
--- a/org.oatlug/src/org/oatlug/internal/platform/PlatformCalls.java
+++ b/org.oatlug/src/org/oatlug/internal/platform/PlatformCalls.java
@@ -6,6 +6,7 @@
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.StreamReadConstraints;
+import com.fasterxml.jackson.core.exc.StreamConstraintsException;
 import com.fasterxml.jackson.core.json.JsonReadFeature;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.MissingNode;
@@ -27,10 +28,16 @@
 public final class PlatformCalls {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final int TOO_MANY_REQUESTS = 429;
+  private static final int FIRST_UNSUCCESSFUL = 300;
 
   /** Limits above the depth and number length that the platform's own writers use. */
+  private static final JsonLimiter LIMITER = new JsonLimiter(10_000, 20_000);
+
   private static final StreamReadConstraints LENIENT_LIMITS =
-      StreamReadConstraints.builder().maxNestingDepth(10_000).maxNumberLength(20_000).build();
+      StreamReadConstraints.builder()
+          .maxNestingDepth(LIMITER.maximumDepth())
+          .maxNumberLength(LIMITER.maximumNumberLength())
+          .build();
 
   private static final JsonFactory LENIENT_FACTORY =
       JsonFactory.builder()
@@ -88,27 +95,50 @@
     return declared == null || declared.trim().equals(Integer.toString(length));
   }
 
-  /** Returns the JSON of a response, an empty object if it has none; invalid JSON is logged. */
-  public static JsonNode parseBody(HttpResponse<Buffer> response) {
+  /**
+   * Returns the JSON of a response, an empty object if it has no body.
+   *
+   * <p>Fails with {@link PlatformUnavailableException} if the body of a successful response is not
+   * valid JSON: an empty object in its place would be a list without objects. The body of a refusal
+   * may have any form; an empty object stands for one that is not valid JSON.
+   *
+   * @param operation the operation, for error messages
+   */
+  public static Uni<JsonNode> parseBody(String operation, HttpResponse<Buffer> response) {
     Buffer body = response.body();
-    if (body == null) {
-      return Json.STRICT.createObjectNode();
+    if (body == null || body.length() == 0) {
+      return Uni.createFrom().item(Json.STRICT.createObjectNode());
     }
     try {
-      return parse(body);
+      return Uni.createFrom().item(parse(body));
     } catch (IOException e) {
-      logger.atWarning().log("a response of the platform is not valid JSON: %s", e.getMessage());
-      return Json.STRICT.createObjectNode();
+      logger.atWarning().log(
+          "the response to %s is not valid JSON, status=%d: %s",
+          operation, response.statusCode(), e.getMessage());
+      return response.statusCode() < FIRST_UNSUCCESSFUL
+          ? Uni.createFrom().failure(new PlatformUnavailableException(operation, e))
+          : Uni.createFrom().item(Json.STRICT.createObjectNode());
     }
   }
 
   /**
    * Parses the JSON of a response leniently, so that invalid content of one object does not affect
    * the other objects of the response: malformed UTF-8 becomes replacement characters; control
-   * characters, deep nesting and long numbers are accepted.
+   * characters, deep nesting and long numbers are accepted, and values beyond the limits of depth
+   * and length become null.
    */
   static JsonNode parse(Buffer body) throws IOException {
-    try (JsonParser parser = LENIENT_FACTORY.createParser(body.toString(StandardCharsets.UTF_8))) {
+    String text = body.toString(StandardCharsets.UTF_8);
+    try {
+      return parse(text);
+    } catch (StreamConstraintsException e) {
+      logger.atWarning().log("a response of the platform is limited: %s", e.getOriginalMessage());
+      return parse(LIMITER.limit(text));
+    }
+  }
+
+  private static JsonNode parse(String text) throws IOException {
+    try (JsonParser parser = LENIENT_FACTORY.createParser(text)) {
       JsonNode parsed = Json.STRICT.readTree(parser);
       return parsed == null ? MissingNode.getInstance() : parsed;
     }
--- a/org.oatlug/src/org/oatlug/internal/platform/StoreCalls.java
+++ b/org.oatlug/src/org/oatlug/internal/platform/StoreCalls.java
@@ -86,9 +86,8 @@
           "discarded the response to %s, epoch=%d newest=%d", operation, responseEpoch, newest);
       return Uni.createFrom().failure(earlierEpochFailure(operation, responseEpoch));
     }
-    return Uni.createFrom()
-        .item(
-            new Response(response.statusCode(), PlatformCalls.parseBody(response), responseEpoch));
+    return PlatformCalls.parseBody(operation, response)
+        .map(body -> new Response(response.statusCode(), body, responseEpoch));
   }
 
   /**
