--- a/org.oatlug.test/tst/org/oatlug/adapter/ForeignEntryTest.java
+++ b/org.oatlug.test/tst/org/oatlug/adapter/ForeignEntryTest.java
@@ -5,6 +5,7 @@
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertThrows;
 import static org.testng.Assert.assertTrue;
 
 import com.fasterxml.jackson.databind.JsonNode;
@@ -38,7 +39,18 @@
       List.of("service", "address", "zone", "version", "slots", "state", "cold-ms", "sequence");
   private static final List<String> INVALID_VALUES =
       List.of(
-          "null", "true", "{}", "[]", "\"\"", "\" \"", "-1", "1e400", "\"\\u0000\\uD800\"", "0.5");
+          "null",
+          "true",
+          "{}",
+          "[]",
+          "\"\"",
+          "\" \"",
+          "-1",
+          "1e400",
+          "\"\\u0000\\uD800\"",
+          "0.5",
+          "9223372036854775808",
+          "18446744073709551617");
 
   /** The fields to spoil in objects of each kind; {@link #FIELDS} if none are listed. */
   private static final Map<String, List<String>> FIELDS_BY_KIND =
@@ -150,7 +162,9 @@
       }
       ObjectNode object = object("name-" + (char) random.nextInt(0x500), spec);
       if (random.nextInt(5) == 0) {
-        object.set("status", Json.STRICT.readTree(INVALID_VALUES.get(random.nextInt(10))));
+        object.set(
+            "status",
+            Json.STRICT.readTree(INVALID_VALUES.get(random.nextInt(INVALID_VALUES.size()))));
       }
       try {
         StoredObject decoded = ObjectDecoder.decode(kind.getKey(), object, EPOCH);
@@ -161,6 +175,17 @@
     }
   }
 
+  @Property(tries = 1, seed = SEED)
+  void testNameThatIsNoTextIsRejected() throws Exception {
+    for (String name : List.of("null", "7", "{}", "[[]]")) {
+      ObjectNode object = object("n", validEntry());
+      ((ObjectNode) object.path("metadata")).set("name", Json.STRICT.readTree(name));
+      assertThrows(
+          ConfigurationInvalidException.class,
+          () -> ObjectDecoder.decode(GatewayKinds.UPSTREAM, object, EPOCH));
+    }
+  }
+
   @Property(tries = 1, seed = SEED)
   void testTooLongOrMissingNameIsRejected() throws Exception {
     for (String name : List.of("", "n".repeat(100_000))) {
