Decide overdue roll-outs at 0.95 of their duration, not at 0.97

The age of an order begins when an instance reads it, and owned roll-outs are looked at every 250 ms, so that 0.03 of a short roll-out leaves next to nothing for the write. 0.05 leaves about 0.4 s.

--- a/org.oatlug/src/org/oatlug/internal/gateway/RolloutSchedule.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/RolloutSchedule.java
@@ -40,7 +40,7 @@
   private static final double DECISION_POINT = 0.92;
 
   /** The fraction at which a roll-out is decided on what is known, however little that is. */
-  private static final double LAST_DECISION_POINT = 0.97;
+  private static final double LAST_DECISION_POINT = 0.95;
 
   /** The share during the comparison, as a fraction of the exposure bound. */
   private static final double COMPARISON_SHARE_OF_BOUND = 0.6;
