Test that requests which wait for upstreams occupy no accepted place

The limit of accepted connections falls to four places, and streams that need nothing of the instance fill them.

--- a/org.oatlug.test/tst/org/oatlug/internal/gateway/GatewayServerFixture.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/gateway/GatewayServerFixture.java
@@ -76,6 +76,7 @@
   private long revision;
   private GatewayComponents components;
   private GatewayServer server;
+  private final AcceptWindow acceptWindow = AcceptWindow.create(this::now);
 
   GatewayServerFixture() {
     this(Vertx.vertx(), new JsonObject().put("connections", "auto"));
@@ -137,6 +138,11 @@
     return server.openRequests();
   }
 
+  /** Returns the window that limits the connections of callers. */
+  AcceptWindow acceptWindow() {
+    return acceptWindow;
+  }
+
   /** Returns the value of a counter. */
   long count(String name) {
     return registry.counter(name).getCount();
@@ -299,11 +305,7 @@
             Meters.of(registry));
     server =
         GatewayServer.create(
-            components,
-            new Random(1),
-            () -> true,
-            AcceptGate.create(this::now),
-            AcceptWindow.create(this::now));
+            components, new Random(1), () -> true, AcceptGate.create(this::now), acceptWindow);
     server.listen().toCompletionStage().toCompletableFuture().join();
     return ports.get(2);
   }
--- a/org.oatlug.test/tst/org/oatlug/internal/limit/CrowdedInstance.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/limit/CrowdedInstance.java
@@ -34,6 +34,7 @@
   private final boolean limited;
   private final Duration readCost;
   private final Duration serveCost;
+  private final Duration upstreamTime;
   private Instant freeAt = time.instant();
   private Instant lastAccepted = time.instant();
   private Duration longestWaitForAccept = Duration.ZERO;
@@ -63,7 +64,20 @@
    * @param readShare the share of the time of a request that reading it takes
    */
   CrowdedInstance(boolean limited, double perSecond, double readShare) {
+    this(limited, perSecond, readShare, UPSTREAM_TIME);
+  }
+
+  /**
+   * Creates an idle instance.
+   *
+   * @param limited whether it limits the connections that it accepts
+   * @param perSecond the requests that it can serve in a second
+   * @param readShare the share of the time of a request that reading it takes
+   * @param upstreamTime the time that upstreams take for a request
+   */
+  CrowdedInstance(boolean limited, double perSecond, double readShare, Duration upstreamTime) {
     this.limited = limited;
+    this.upstreamTime = upstreamTime;
     this.readCost = Duration.ofNanos((long) (1e9 / perSecond * readShare));
     this.serveCost = Duration.ofNanos((long) (1e9 / perSecond * (1 - readShare)));
   }
@@ -145,7 +159,7 @@
       permit.release();
       return;
     }
-    time.after(UPSTREAM_TIME, () -> occupy(serveCost, () -> end(attempt, permit)));
+    time.after(upstreamTime, () -> occupy(serveCost, () -> end(attempt, permit)));
   }
 
   private void end(Attempt attempt, AcceptWindow.Permit permit) {
--- a/org.oatlug.test/tst/org/oatlug/internal/limit/CrowdedInstanceTest.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/limit/CrowdedInstanceTest.java
@@ -58,6 +58,28 @@
     assertEquals(limited.toString(), unlimited.toString());
   }
 
+  /** Requests that the instance can serve in a second, those that arrive, and upstream time. */
+  @DataProvider
+  public Object[][] slowInstances() {
+    return new Object[][] {
+      {5, 4, Duration.ofSeconds(3)},
+      {5, 3, Duration.ofSeconds(5)},
+      {10, 9, Duration.ofSeconds(3)},
+    };
+  }
+
+  /** Guards against a limit that is filled by requests which only wait for their upstreams. */
+  @Test(dataProvider = "slowInstances")
+  public void testSlowInstanceIsNotLimitedByRequestsThatWaitForUpstreams(
+      double perSecond, double arrivals, Duration upstreamTime) {
+    CrowdedInstance with =
+        new CrowdedInstance(true, perSecond, PROCESSOR_BOUND, upstreamTime).run(arrivals);
+    CrowdedInstance without =
+        new CrowdedInstance(false, perSecond, PROCESSOR_BOUND, upstreamTime).run(arrivals);
+    String outcome = "with limit: " + with + "; without: " + without;
+    assertTrue(with.served() >= without.served() * 0.95, outcome);
+  }
+
   @Test
   public void testLimitDoesNotFallAgainBeforeOpenRequestsHave() {
     ConcurrencyLimit limit = ConcurrencyLimit.create();
