Release the place of a request once it is written to an upstream

Callers of slow instances got no connection, although these instances were not short of anything but places: the limit of accepted connections falls to four while the event loop lags, and a stream kept its place until its end. A request that waits for its upstream uses neither the processor nor the link, so its place is released when the attempt is written.

Not enough by itself: the limit still falls at a single slow iteration.

--- a/org.oatlug.test/tst/org/oatlug/internal/limit/CrowdedInstance.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/limit/CrowdedInstance.java
@@ -155,20 +155,18 @@
   }
 
   private void serve(Attempt attempt, AcceptWindow.Permit permit) {
-    if (attempt.isPast(DEADLINE)) {
-      permit.release();
-      return;
+    permit.release();
+    acceptWaiting();
+    if (!attempt.isPast(DEADLINE)) {
+      time.after(upstreamTime, () -> occupy(serveCost, () -> end(attempt)));
     }
-    time.after(upstreamTime, () -> occupy(serveCost, () -> end(attempt, permit)));
   }
 
-  private void end(Attempt attempt, AcceptWindow.Permit permit) {
-    permit.release();
+  private void end(Attempt attempt) {
     if (!attempt.isPast(DEADLINE)) {
       served++;
       servedInTime += attempt.isPast(GOAL) ? 0 : 1;
     }
-    acceptWaiting();
   }
 
   /** Returns the share of the requests that were read and served before their deadline. */
--- a/org.oatlug/src/org/oatlug/internal/gateway/Exchange.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/Exchange.java
@@ -64,6 +64,7 @@
   private final UpstreamChoice upstreams;
   private final Optional<RequestWait> wait;
   private final RefusedCallers.Try callerTry;
+  private final Runnable onWritten;
   private long deadlineTimer = NO_TIMER;
   private int attemptsSent;
   private int attemptsNotSent;
@@ -75,7 +76,11 @@
   private int attemptsOfCurrent;
 
   private Exchange(
-      GatewayComponents components, CallerResponse callerResponse, AdmittedRequest request) {
+      GatewayComponents components,
+      CallerResponse callerResponse,
+      AdmittedRequest request,
+      Runnable onWritten) {
+    this.onWritten = onWritten;
     this.components = components;
     this.callerResponse = callerResponse;
     this.request = request;
@@ -88,10 +93,17 @@
     this.wait = components.requestQueue().waitOf(this);
   }
 
-  /** Starts handling a request and returns its exchange. */
+  /**
+   * Starts handling a request and returns its exchange.
+   *
+   * @param onWritten called at each attempt that is about to be written
+   */
   static Exchange start(
-      GatewayComponents components, CallerResponse callerResponse, AdmittedRequest request) {
-    Exchange exchange = new Exchange(components, callerResponse, request);
+      GatewayComponents components,
+      CallerResponse callerResponse,
+      AdmittedRequest request,
+      Runnable onWritten) {
+    Exchange exchange = new Exchange(components, callerResponse, request, onWritten);
     exchange.run(exchange::start);
     return exchange;
   }
@@ -438,6 +450,11 @@
     triedInstances.add(instance);
   }
 
+  /** Records that the current attempt is about to be written. */
+  void recordWritten() {
+    onWritten.run();
+  }
+
   /** Returns whether an upstream may have run the request. */
   boolean mayHaveRun() {
     return mayHaveRun;
--- a/org.oatlug/src/org/oatlug/internal/gateway/ExchangeAttempt.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/ExchangeAttempt.java
@@ -237,6 +237,7 @@
     // composed.
     components.adapter().upstreams().addMetadata(headers, metadata());
     written = true;
+    exchange.recordWritten();
     components.meters().count(InstanceLoadLog.TO_UPSTREAMS, request.body().length());
     return true;
   }
--- a/org.oatlug/src/org/oatlug/internal/gateway/ForwardedAttempt.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/ForwardedAttempt.java
@@ -173,7 +173,11 @@
 
   @Override
   public boolean maySend() {
-    return !exchange.withholdsFrom(this);
+    if (exchange.withholdsFrom(this)) {
+      return false;
+    }
+    exchange.recordWritten();
+    return true;
   }
 
   private MultiMap responseHeaders(HttpClientResponse response) {
--- a/org.oatlug/src/org/oatlug/internal/gateway/GatewayServer.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/GatewayServer.java
@@ -307,6 +307,7 @@
     private final CallerResponse callerResponse;
     private final RequestAdmission requestAdmission;
     private final Optional<CallerConnection> connection;
+    private boolean occupiesPlace;
     private Optional<BodyReader> bodyReader = Optional.empty();
     private Optional<Exchange> exchange = Optional.empty();
     private String id = "";
@@ -325,6 +326,7 @@
 
     void begin() {
       openRequests.add(this);
+      occupiesPlace = true;
       acceptWindow.requestBegan();
       connection.ifPresent(CallerConnection::requestBegan);
       request.response().endHandler(unused -> ended());
@@ -335,11 +337,19 @@
 
     private void ended() {
       openRequests.remove(this);
-      acceptWindow.requestEnded();
+      releasePlace();
       bodyReader.ifPresent(BodyReader::stop);
       connection.ifPresent(CallerConnection::requestEnded);
     }
 
+    /** A request that waits for its upstream uses neither the processor nor the link. */
+    private void releasePlace() {
+      if (occupiesPlace) {
+        occupiesPlace = false;
+        acceptWindow.requestReleased();
+      }
+    }
+
     /** Pauses the request until the instance is ready, for a limited time. */
     void awaitReadiness() {
       request.pause();
@@ -404,7 +414,8 @@
                 Exchange.start(
                     components,
                     callerResponse,
-                    admittedRequest(request, head, admitted, body, arrived)));
+                    admittedRequest(request, head, admitted, body, arrived),
+                    this::releasePlace));
       }
     }
 
--- a/org.oatlug/src/org/oatlug/internal/limit/AcceptWindow.java
+++ b/org.oatlug/src/org/oatlug/internal/limit/AcceptWindow.java
@@ -20,9 +20,11 @@
  * the link and the processor. A connection that is not opened costs one packet, and its caller
  * waits about a second before it is tried again.
  *
- * <p>Accepted connections without a request and open requests occupy places. Invariants: while all
- * places are occupied, a connection is accepted every {@link #INTERVAL}; a permit is released once.
- * Thread-safe: the accepting thread takes permits, the event loop releases them and sets the limit.
+ * <p>Accepted connections without a request, and requests until they are written to an upstream,
+ * occupy places. A request that waits for its upstream occupies none: few places would be filled by
+ * streams that need little of this instance. Invariants: while all places are occupied, a
+ * connection is accepted every {@link #INTERVAL}; a permit is released once. Thread-safe: the
+ * accepting thread takes permits, the event loop releases them and sets the limit.
  */
 public final class AcceptWindow {
   /**
@@ -97,8 +99,8 @@
     occupied.incrementAndGet();
   }
 
-  /** Records that a request ended. */
-  public void requestEnded() {
+  /** Records that a request was written to an upstream, or ended before. */
+  public void requestReleased() {
     leave();
   }
 
--- a/org.oatlug/src/org/oatlug/internal/limit/ConcurrencyLimit.java
+++ b/org.oatlug/src/org/oatlug/internal/limit/ConcurrencyLimit.java
@@ -67,7 +67,7 @@
    *
    * @param delay the minimum delay of the instance over a short time
    * @param bound the delay up to which there is no standing queue
-   * @param occupied the number of open requests and accepted connections
+   * @param occupied the number of occupied places
    * @return the limit, {@link Integer#MAX_VALUE} for none
    */
   public int adjust(Duration delay, Duration bound, int occupied) {
