Limit accepted connections only once a delay of the instance has lasted

Callers of slow instances got no connection. On a slow processor a single iteration of the event loop takes 100 to 200 ms, as long as the window over which its lag is measured, and one connect or one queued request shows the same. The limit fell to four at each of them, before a queue existed.

--- a/org.oatlug.test/tst/org/oatlug/internal/limit/CrowdedInstance.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/limit/CrowdedInstance.java
@@ -30,6 +30,7 @@
   private final VirtualTime time = new VirtualTime();
   private final AcceptWindow window = AcceptWindow.create(time);
   private final ConcurrencyLimit limit = ConcurrencyLimit.create();
+  private final StandingDelay standingDelay = StandingDelay.create();
   private final Deque<Attempt> backlog = new ArrayDeque<>();
   private final boolean limited;
   private final Duration readCost;
@@ -98,9 +99,10 @@
   private void tick() {
     if (limited) {
       Duration delay = Duration.between(time.instant(), freeAt);
+      Duration ownDelay = delay.isNegative() ? Duration.ZERO : delay;
       window.setLimit(
           limit.adjust(
-              delay.isNegative() ? Duration.ZERO : delay,
+              standingDelay.record(ownDelay, time.instant()),
               ConcurrencyLimit.boundFor(GOAL),
               window.occupied()));
     }
--- a/org.oatlug/src/org/oatlug/internal/gateway/AcceptControl.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/AcceptControl.java
@@ -15,6 +15,7 @@
 import org.oatlug.internal.limit.ConcurrencyLimit;
 import org.oatlug.internal.limit.ConnectionAdmission;
 import org.oatlug.internal.limit.DispatchQueue;
+import org.oatlug.internal.limit.StandingDelay;
 
 /**
  * Limits the connections of callers by the load of this instance.
@@ -30,6 +31,7 @@
   private final AcceptGate acceptGate;
   private final AcceptWindow acceptWindow;
   private final ConcurrencyLimit concurrencyLimit = ConcurrencyLimit.create();
+  private final StandingDelay standingDelay = StandingDelay.create();
   private final IntSupplier openRequests;
   private int lastLimit = Integer.MAX_VALUE;
 
@@ -105,7 +107,7 @@
   }
 
   private void adjustAcceptWindow(Duration bound, Instant now) {
-    Duration delay = ownDelay(now);
+    Duration delay = standingDelay.record(ownDelay(now), now);
     int occupied = acceptWindow.occupied();
     int limit = concurrencyLimit.adjust(delay, bound, occupied);
     acceptWindow.setLimit(limit);
