--- a/org.oatlug.test/tst/org/oatlug/internal/limit/CrowdedInstance.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/limit/CrowdedInstance.java
@@ -30,7 +30,6 @@
   private final VirtualTime time = new VirtualTime();
   private final AcceptWindow window = AcceptWindow.create(time);
   private final ConcurrencyLimit limit = ConcurrencyLimit.create();
-  private final StandingDelay standingDelay = StandingDelay.create();
   private final Deque<Attempt> backlog = new ArrayDeque<>();
   private final boolean limited;
   private final Duration readCost;
@@ -99,10 +98,9 @@
   private void tick() {
     if (limited) {
       Duration delay = Duration.between(time.instant(), freeAt);
-      Duration ownDelay = delay.isNegative() ? Duration.ZERO : delay;
       window.setLimit(
           limit.adjust(
-              standingDelay.record(ownDelay, time.instant()),
+              delay.isNegative() ? Duration.ZERO : delay,
               ConcurrencyLimit.boundFor(GOAL),
               window.occupied()));
     }
--- a/org.oatlug/src/org/oatlug/internal/gateway/AcceptControl.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/AcceptControl.java
@@ -15,7 +15,6 @@
 import org.oatlug.internal.limit.ConcurrencyLimit;
 import org.oatlug.internal.limit.ConnectionAdmission;
 import org.oatlug.internal.limit.DispatchQueue;
-import org.oatlug.internal.limit.StandingDelay;
 
 /**
  * Limits the connections of callers by the load of this instance.
@@ -31,7 +30,6 @@
   private final AcceptGate acceptGate;
   private final AcceptWindow acceptWindow;
   private final ConcurrencyLimit concurrencyLimit = ConcurrencyLimit.create();
-  private final StandingDelay standingDelay = StandingDelay.create();
   private final IntSupplier openRequests;
   private int lastLimit = Integer.MAX_VALUE;
 
@@ -107,7 +105,7 @@
   }
 
   private void adjustAcceptWindow(Duration bound, Instant now) {
-    Duration delay = standingDelay.record(ownDelay(now), now);
+    Duration delay = ownDelay(now);
     int occupied = acceptWindow.occupied();
     int limit = concurrencyLimit.adjust(delay, bound, occupied);
     acceptWindow.setLimit(limit);
