Let a slow instance hold eight places, not four

Callers of slow instances got no connection. On a slow processor a request passes several iterations of 100 ms and more until it is written, so that four places are less than what such an instance serves.

--- a/org.oatlug/src/org/oatlug/internal/limit/ConcurrencyLimit.java
+++ b/org.oatlug/src/org/oatlug/internal/limit/ConcurrencyLimit.java
@@ -18,8 +18,11 @@
  * delay there is no limit. Owned by one event loop, not thread-safe.
  */
 public final class ConcurrencyLimit {
-  /** The least limit; fewer requests leave an instance idle while they wait for upstreams. */
-  public static final int MINIMUM = 4;
+  /**
+   * The least limit: with fewer, an instance whose processor is slow, but not behind, refuses
+   * callers because a request passes several slow iterations of its event loop until it is written.
+   */
+  public static final int MINIMUM = 8;
 
   /** The limit above which there is none; more connections than an instance handles at once. */
   static final int MAXIMUM = 1024;
