Fail responses that end with their connection before the request is written

Callers got the beginning of a body as a whole 200: an upstream answered a long upload at once without a length, sent a part and closed without reading the upload. The end of the stream is seen before the reset, and the client took it for the end of the body without a look at the request.

ResponseEndCheck stands in the pipeline of all clients of HttpClients: a response that ends with its connection is complete only once its request is written to its end, and not after a failure of the connection. As the buffers of the operating system may hold a whole upload, those of connections to upstreams are bounded to 64 KB.

A shutdown of the output does not show the reset: Java ignores that the socket is no longer connected.

--- a/org.oatlug/src/org/oatlug/internal/gateway/UpstreamConnection.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/UpstreamConnection.java
@@ -32,6 +32,12 @@
   /** The connect timeout: many round trips between availability zones. */
   static final Duration CONNECT_TIMEOUT = Duration.ofMillis(400);
 
+  /**
+   * The part of a request that may be written although its upstream has not received it. An
+   * upstream that ends the connection meanwhile cannot be told from one that read the request.
+   */
+  private static final int SEND_BUFFER_BYTES = 64 * 1024;
+
   /** The pool limit for one upstream, above what any upstream accepts. */
   private static final int MAXIMUM_CONNECTIONS_PER_UPSTREAM = 2048;
 
@@ -100,7 +106,8 @@
             .setKeepAlive(false)
             .setConnectTimeout((int) CONNECT_TIMEOUT.toMillis())
             .setDecompressionSupported(false)
-            .setTcpNoDelay(true);
+            .setTcpNoDelay(true)
+            .setSendBufferSize(SEND_BUFFER_BYTES);
     return HttpClients.create(
         vertx, options, new PoolOptions().setHttp1MaxSize(MAXIMUM_CONNECTIONS_PER_UPSTREAM));
   }
--- a/org.oatlug/src/org/oatlug/internal/util/HttpClients.java
+++ b/org.oatlug/src/org/oatlug/internal/util/HttpClients.java
@@ -16,7 +16,9 @@
 /**
  * Creates the HTTP clients of an instance, whichever system they call.
  *
- * <p>Invariant: a response that they report has a final status, 200 to 599. Stateless, thread-safe.
+ * <p>Invariants: a response that they report has a final status, 200 to 599; one that ends with its
+ * connection is reported as complete only if the server took the whole request. Stateless,
+ * thread-safe.
  */
 public final class HttpClients {
   /** The name under which the library installs its own handler of responses. */
@@ -30,7 +32,7 @@
         .httpClientBuilder()
         .with(options)
         .with(pool)
-        .withConnectHandler(HttpClients::checkResponseHeads)
+        .withConnectHandler(HttpClients::checkResponses)
         .build();
   }
 
@@ -44,8 +46,9 @@
     return createWebClient(vertx, new WebClientOptions(), new PoolOptions());
   }
 
-  private static void checkResponseHeads(HttpConnection connection) {
+  private static void checkResponses(HttpConnection connection) {
     ChannelPipeline pipeline = ((ConnectionBase) connection).channel().pipeline();
     pipeline.addBefore(LIBRARY_HANDLER, "response-heads", new ResponseHeadCheck());
+    pipeline.addBefore(LIBRARY_HANDLER, "response-ends", new ResponseEndCheck());
   }
 }
