--- a/org.oatlug/src/org/oatlug/internal/gateway/InstanceLoadLog.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/InstanceLoadLog.java
@@ -73,7 +73,7 @@
       logger.atInfo().log(
           "instance slow, lagMillis=%d connectDelayMillis=%d connectUsualMillis=%d open=%d"
               + " queued=%d fromCallers=%d toUpstreams=%d fromUpstreams=%d unwrittenBytes=%d"
-              + " sinceReceivedMillis=%d",
+              + " sinceReceivedMillis=%d processorMillis=%d",
           lag.toMillis(),
           connectDelay.toMillis(),
           components.connectTimes().usual().toMillis(),
@@ -83,10 +83,16 @@
           toUpstreams - lastToUpstreams,
           fromUpstreams - lastFromUpstreams,
           unwrittenBytes.getAsLong(),
-          components.connectTimes().sinceReceived().toMillis());
+          components.connectTimes().sinceReceived().toMillis(),
+          processorMillis());
     }
     lastFromCallers = fromCallers;
     lastToUpstreams = toUpstreams;
     lastFromUpstreams = fromUpstreams;
   }
+
+  /** Returns the processor time of this process since its start, -1 if the system hides it. */
+  private static long processorMillis() {
+    return ProcessHandle.current().info().totalCpuDuration().map(Duration::toMillis).orElse(-1L);
+  }
 }
