Do not take early responses without a body for cut ones

A 204 or 304 has no length and no chunks, and ends with its head. While its request was still being written it failed as a response that had ended with its connection, and the caller got 502. The test failed before.

--- a/org.oatlug.test/tst/org/oatlug/internal/gateway/UnfinishedUploadTest.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/gateway/UnfinishedUploadTest.java
@@ -5,6 +5,7 @@
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
 
 import java.io.IOException;
 import java.io.InputStream;
@@ -33,6 +34,8 @@
   private static final String RESPONSE =
       "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nResponse-Signature: signed\r\nConnection: close\r\n\r\n"
           + "hello world";
+  private static final String NO_CONTENT =
+      "HTTP/1.1 204 No Content\r\nAttempt-Id: %s\r\nResponse-Signature: signed\r\n\r\n";
   private static final int RECEIVE_BUFFER_BYTES = 8192;
   private static final int ROUNDS = 6;
 
@@ -94,14 +97,27 @@
     }
   }
 
+  /** Guards against an early response without a body that is taken for one that was cut. */
+  @Test
+  public void testEarlyResponseWithoutBodyIsComplete() throws Exception {
+    Thread serving = serveInBackground(NO_CONTENT, false, 300);
+    String received = upload(3_000_000, "request-1");
+    serving.join();
+    assertTrue(received.startsWith("HTTP/1.1 204 "), received);
+  }
+
   private Thread serveInBackground(boolean readsUpload, int pauseMillis) {
-    Thread thread = new Thread(() -> serve(readsUpload, pauseMillis));
+    return serveInBackground(RESPONSE, readsUpload, pauseMillis);
+  }
+
+  private Thread serveInBackground(String response, boolean readsUpload, int pauseMillis) {
+    Thread thread = new Thread(() -> serve(response, readsUpload, pauseMillis));
     thread.start();
     return thread;
   }
 
   /** Serves one request; connections without one are probes. */
-  private void serve(boolean readsUpload, int pauseMillis) {
+  private void serve(String response, boolean readsUpload, int pauseMillis) {
     boolean served = false;
     while (!served) {
       try (Socket socket = upstream.accept()) {
@@ -112,7 +128,7 @@
           if (readsUpload) {
             socket.getInputStream().readNBytes(lengthOf(head));
           }
-          socket.getOutputStream().write(RESPONSE.formatted(id.group(1)).getBytes());
+          socket.getOutputStream().write(response.formatted(id.group(1)).getBytes());
           Await.pause(pauseMillis);
         }
       } catch (IOException e) {
--- a/org.oatlug/src/org/oatlug/internal/util/HttpClients.java
+++ b/org.oatlug/src/org/oatlug/internal/util/HttpClients.java
@@ -17,7 +17,7 @@
  * Creates the HTTP clients of an instance, whichever system they call.
  *
  * <p>Invariants: a response that they report has a final status, 200 to 599; one that ends with its
- * connection is reported as complete only if the server took the whole request. Stateless,
+ * connection is reported as complete only if its request was written to its end. Stateless,
  * thread-safe.
  */
 public final class HttpClients {
--- a/org.oatlug/src/org/oatlug/internal/util/ResponseEndCheck.java
+++ b/org.oatlug/src/org/oatlug/internal/util/ResponseEndCheck.java
@@ -8,6 +8,7 @@
 import io.netty.channel.ChannelPromise;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
@@ -18,9 +19,9 @@
  *
  * <p>A server that closes a connection without reading the request resets it, but the end of the
  * stream may be seen first, and looks like the end of a response without a length. A failed write
- * closes the connection as well. Responses with a length or chunks prove their end by themselves.
- * Invariant: after a failure of the connection no response is reported as complete. One for each
- * connection; used from its event loop.
+ * closes the connection as well. Responses with a length, with chunks or without a body prove their
+ * end by themselves. Invariant: after a failure of the connection no response is reported as
+ * complete. One for each connection; used from its event loop.
  */
 final class ResponseEndCheck extends ChannelDuplexHandler {
   private boolean requestWritten;
@@ -46,7 +47,9 @@
   public void channelRead(ChannelHandlerContext context, Object message) {
     if (message instanceof HttpResponse response) {
       endsWithConnection =
-          !HttpUtil.isContentLengthSet(response) && !HttpUtil.isTransferEncodingChunked(response);
+          mayHaveBody(response.status())
+              && !HttpUtil.isContentLengthSet(response)
+              && !HttpUtil.isTransferEncodingChunked(response);
     }
     boolean ends = endsWithConnection && message instanceof LastHttpContent;
     if (!ends || requestWritten && !failed) {
@@ -61,6 +64,11 @@
     }
   }
 
+  private static boolean mayHaveBody(HttpResponseStatus status) {
+    return !status.equals(HttpResponseStatus.NO_CONTENT)
+        && !status.equals(HttpResponseStatus.NOT_MODIFIED);
+  }
+
   @Override
   public void exceptionCaught(ChannelHandlerContext context, Throwable cause) throws Exception {
     failed = true;
