--- a/org.oatlug/src/org/oatlug/internal/gateway/UpstreamConnection.java
+++ b/org.oatlug/src/org/oatlug/internal/gateway/UpstreamConnection.java
@@ -34,7 +34,7 @@
 
   /**
    * The part of a request that may be written although its upstream has not received it. An
-   * upstream that ends the connection meanwhile cannot be told from one that read the request.
+   * upstream that closes the connection after such a write looks like one that read the request.
    */
   private static final int SEND_BUFFER_BYTES = 64 * 1024;
 
