Test unfinished uploads on event streams, resets and sound responses

UnfinishedUploadTest covered plain responses after which the upstream closes. Event streams, a reset without an end of the stream before it, and sound responses to requests without a body were not tested.

--- a/org.oatlug.test/tst/org/oatlug/internal/gateway/UnfinishedUploadTest.java
+++ b/org.oatlug.test/tst/org/oatlug/internal/gateway/UnfinishedUploadTest.java
@@ -3,7 +3,6 @@
 
 package org.oatlug.internal.gateway;
 
-import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
@@ -15,6 +14,8 @@
 import java.net.Socket;
 import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import org.oatlug.adapter.standin.SampleObjects;
@@ -31,9 +32,11 @@
 public class UnfinishedUploadTest {
   private static final Pattern ID = Pattern.compile("(?im)^Attempt-Id: *(.*?)\r?$");
   private static final String END_OF_HEAD = "\r\n\r\n";
-  private static final String RESPONSE =
-      "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nResponse-Signature: signed\r\nConnection: close\r\n\r\n"
-          + "hello world";
+  private static final String HEAD =
+      "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nResponse-Signature: signed\r\nConnection: close\r\n";
+  private static final String TEXT = HEAD + "\r\nhello world";
+  private static final String EVENT =
+      HEAD + "Content-Type: text/event-stream\r\n\r\ndata: hello world\n\n";
   private static final String NO_CONTENT =
       "HTTP/1.1 204 No Content\r\nAttempt-Id: %s\r\nResponse-Signature: signed\r\n\r\n";
   private static final int RECEIVE_BUFFER_BYTES = 8192;
@@ -59,81 +62,97 @@
     server.close();
   }
 
-  /** Bytes of the upload, and milliseconds until the upstream closes. */
+  /** Route, bytes of the upload, milliseconds until the upstream closes, whether it resets. */
   @DataProvider
   Object[][] uploads() {
-    return new Object[][] {
-      {300_000, 0}, {300_000, 3}, {300_000, 40}, {3_000_000, 0}, {3_000_000, 3}, {3_000_000, 40}
-    };
+    List<Object[]> uploads = new ArrayList<>();
+    for (String path : List.of(SampleObjects.ONCE, SampleObjects.STREAM)) {
+      for (int bytes : new int[] {300_000, 3_000_000}) {
+        for (int pauseMillis : new int[] {0, 3, 40}) {
+          uploads.add(new Object[] {path, bytes, pauseMillis, false});
+        }
+      }
+      uploads.add(new Object[] {path, 60_000, 3, true});
+      uploads.add(new Object[] {path, 3_000_000, 3, true});
+    }
+    return uploads.toArray(Object[][]::new);
   }
 
   @Test(dataProvider = "uploads")
-  public void testResponseBeforeUnreadUploadIsNotComplete(int bytes, int pauseMillis)
-      throws Exception {
-    checkUnread(bytes, pauseMillis);
+  public void testResponseBeforeUnreadUploadIsNotComplete(
+      String path, int bytes, int pauseMillis, boolean resets) throws Exception {
+    checkUnread(path, bytes, pauseMillis, resets);
   }
 
   /** The upload is in the buffers of the sockets when the connection ends. */
   @Test
   public void testResponseBeforeUnreadSmallUploadIsNotComplete() throws Exception {
-    checkUnread(60_000, 3);
+    checkUnread(SampleObjects.ONCE, 60_000, 3, false);
   }
 
-  private void checkUnread(int bytes, int pauseMillis) throws Exception {
+  private void checkUnread(String path, int bytes, int pauseMillis, boolean resets)
+      throws Exception {
+    serveInBackground(path.equals(SampleObjects.STREAM) ? EVENT : TEXT, false, pauseMillis, resets);
     for (int round = 0; round < ROUNDS; round++) {
-      Thread serving = serveInBackground(false, pauseMillis);
-      String received = upload(bytes, "request-" + round);
-      serving.join();
+      String received = upload(path, bytes, "request-" + round);
       assertFalse(isWholeSuccess(received), "round " + round + ": " + received);
     }
   }
 
   @Test
   public void testResponseAfterReadUploadIsComplete() throws Exception {
-    for (int bytes : new int[] {1, 300_000, 3_000_000}) {
-      Thread serving = serveInBackground(true, 0);
-      assertEquals(isWholeSuccess(upload(bytes, "request-" + bytes)), true, bytes + " bytes");
-      serving.join();
+    for (String path : List.of(SampleObjects.ONCE, SampleObjects.STREAM)) {
+      serveInBackground(path.equals(SampleObjects.STREAM) ? EVENT : TEXT, true, 0, false);
+      for (int bytes : new int[] {0, 1, 300_000, 3_000_000}) {
+        assertTrue(isWholeSuccess(upload(path, bytes, "request-" + bytes)), bytes + " bytes");
+      }
+      restart();
     }
   }
 
   /** Guards against an early response without a body that is taken for one that was cut. */
   @Test
   public void testEarlyResponseWithoutBodyIsComplete() throws Exception {
-    Thread serving = serveInBackground(NO_CONTENT, false, 300);
-    String received = upload(3_000_000, "request-1");
-    serving.join();
+    serveInBackground(NO_CONTENT, false, 300, false);
+    String received = upload(SampleObjects.ONCE, 3_000_000, "request-1");
     assertTrue(received.startsWith("HTTP/1.1 204 "), received);
   }
 
-  private Thread serveInBackground(boolean readsUpload, int pauseMillis) {
-    return serveInBackground(RESPONSE, readsUpload, pauseMillis);
+  private void restart() throws Exception {
+    stop();
+    start();
   }
 
-  private Thread serveInBackground(String response, boolean readsUpload, int pauseMillis) {
-    Thread thread = new Thread(() -> serve(response, readsUpload, pauseMillis));
+  /** Serves until the upstream is closed; connections without a request are probes. */
+  private void serveInBackground(
+      String response, boolean readsUpload, int pauseMillis, boolean resets) {
+    ServerSocket serving = upstream;
+    Thread thread =
+        new Thread(
+            () -> {
+              while (!serving.isClosed()) {
+                serveOne(serving, response, readsUpload, pauseMillis, resets);
+              }
+            });
+    thread.setDaemon(true);
     thread.start();
-    return thread;
   }
 
-  /** Serves one request; connections without one are probes. */
-  private void serve(String response, boolean readsUpload, int pauseMillis) {
-    boolean served = false;
-    while (!served) {
-      try (Socket socket = upstream.accept()) {
-        String head = readHead(socket.getInputStream());
-        Matcher id = ID.matcher(head);
-        if (id.find()) {
-          served = true;
-          if (readsUpload) {
-            socket.getInputStream().readNBytes(lengthOf(head));
-          }
-          socket.getOutputStream().write(response.formatted(id.group(1)).getBytes());
-          Await.pause(pauseMillis);
+  private static void serveOne(
+      ServerSocket serving, String response, boolean readsUpload, int pauseMillis, boolean resets) {
+    try (Socket socket = serving.accept()) {
+      String head = readHead(socket.getInputStream());
+      Matcher id = ID.matcher(head);
+      if (id.find()) {
+        if (readsUpload) {
+          socket.getInputStream().readNBytes(lengthOf(head));
         }
-      } catch (IOException e) {
-        served |= upstream.isClosed();
+        socket.getOutputStream().write(response.formatted(id.group(1)).getBytes());
+        Await.pause(pauseMillis);
+        socket.setSoLinger(resets, 0);
       }
+    } catch (IOException ended) {
+      // The client or the test closed the connection.
     }
   }
 
@@ -154,12 +173,13 @@
     return head.toString();
   }
 
-  private String upload(int bytes, String id) throws IOException {
+  private String upload(String path, int bytes, String id) throws IOException {
     try (Socket caller = new Socket(GatewayServerFixture.HOST, port)) {
       caller.setSoTimeout(20_000);
       String head =
           "POST %s1 HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nConnection: close\r\n"
-                  .formatted(SampleObjects.ONCE, GatewayServerFixture.HOST, id)
+                  .formatted(path, GatewayServerFixture.HOST, id)
+              + GatewayServerFixture.GENERATION
               + "Content-Length: %d\r\n\r\n".formatted(bytes);
       caller.getOutputStream().write(head.getBytes(StandardCharsets.US_ASCII));
       caller.getOutputStream().write(new byte[bytes]);
